--- /dev/null
+++ b/ctl/command/command.go
@@ -0,0 +1,204 @@
+// Package command is the operators' command line, over the packages that do the work.
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"github.com/lynxshed/lynxshed/ctl/client"
+	"github.com/lynxshed/lynxshed/fleet/node"
+)
+
+// Exit codes.
+const (
+	ExitDone   = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// keyVariable is the environment's variable for the operator's key.
+const keyVariable = "LYNXSHED_KEY"
+
+// The output formats.
+const (
+	formatTable = "table"
+	formatJSON  = "json"
+)
+
+// ErrUsage marks wrong usage.
+var ErrUsage = errors.New("usage")
+
+func usage(format string, args ...any) error {
+	return errors.Mark(errors.Newf(format, args...), ErrUsage)
+}
+
+// maxCells is how many cells one table set takes.
+const maxCells = 32
+
+// flags are what the verbs read from the command line.
+type flags struct {
+	nodes  []string
+	key    string
+	output string
+
+	deployment string
+	nodeCount  int
+	forTime    time.Duration
+	addrFile   string
+
+	kind    string
+	version int64
+	first   string
+	cells   [maxCells]string
+	budget  string
+	load    loadFlags
+}
+
+type loadFlags struct {
+	addrFile string
+	rate     float64
+	forTime  time.Duration
+	mix      string
+	tokens   int
+	prompt   int
+	batch    float64
+	seed     uint64
+}
+
+// verb is a subcommand and what it does.
+type verb struct {
+	command *flaggy.Subcommand
+	run     func(*app) error
+}
+
+// app is one call of the command line.
+type app struct {
+	flags flags
+	out   io.Writer
+}
+
+// Run parses the arguments and runs their verb; it returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	a := &app{out: out}
+	parser := flaggy.NewParser("lynxctl")
+	parser.Description = "the operators' tool of the lynxshed router fleet"
+	parser.Version = node.Version
+	parser.StringSlice(&a.flags.nodes, "n", "node", "URL of a node; may be given more than once")
+	parser.String(&a.flags.key, "k", "key", "operator's key, or "+keyVariable)
+	a.flags.output = formatTable
+	parser.String(&a.flags.output, "o", "output", "table or json")
+	verbs := a.verbs(parser)
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(errOut, "lynxctl: "+err.Error())
+		return ExitUsage
+	}
+	for _, v := range verbs {
+		if v.command.Used {
+			return finish(v.run(a), errOut)
+		}
+	}
+	fmt.Fprintln(errOut, "lynxctl: want a verb; see lynxctl --help")
+	return ExitUsage
+}
+
+func finish(err error, errOut io.Writer) int {
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.Is(err, ErrUsage):
+		fmt.Fprintln(errOut, "lynxctl: "+err.Error())
+		return ExitUsage
+	default:
+		fmt.Fprintln(errOut, "lynxctl: "+err.Error())
+		return ExitFailed
+	}
+}
+
+func (a *app) verbs(parser *flaggy.Parser) []verb {
+	demo := flaggy.NewSubcommand("demo")
+	demo.Description = "run a whole small deployment in this process"
+	a.flags.deployment = "sofia"
+	demo.String(&a.flags.deployment, "d", "deployment", "sofia or chile")
+	demo.Int(&a.flags.nodeCount, "", "nodes", "number of nodes")
+	demo.Duration(&a.flags.forTime, "", "for", "end after this time")
+	demo.String(&a.flags.addrFile, "", "addr-file", "file for the addresses, written once all is ready")
+	status := flaggy.NewSubcommand("status")
+	status.Description = "nodes, endpoints, revisions, what is degraded and why"
+	bills := flaggy.NewSubcommand("bills")
+	bills.Description = "one line for each billed request"
+	bills.String(&a.flags.budget, "b", "budget", "of this budget only")
+	explain := flaggy.NewSubcommand("explain")
+	explain.Description = "each decision taken for a request"
+	explain.AddPositionalValue(&a.flags.first, "request-id", 1, true, "the request's id")
+	drain := flaggy.NewSubcommand("drain")
+	drain.Description = "planned stop of a node"
+	drain.AddPositionalValue(&a.flags.first, "node-name", 1, true, "the node's name")
+	load := a.loadCommand()
+	verbs := []verb{{demo, (*app).demo}, {status, (*app).status}, {bills, (*app).bills}, {explain, (*app).explain}, {drain, (*app).drain}, {load, (*app).load}}
+	for _, v := range verbs {
+		parser.AttachSubcommand(v.command, 1)
+	}
+	verbs = append(verbs, a.budgetVerbs(parser)...)
+	return append(verbs, a.tableVerbs(parser)...)
+}
+
+func (a *app) budgetVerbs(parser *flaggy.Parser) []verb {
+	budget := flaggy.NewSubcommand("budget")
+	budget.Description = "limit, spent, reserved, available, stranded, and who holds what"
+	parser.AttachSubcommand(budget, 1)
+	list := flaggy.NewSubcommand("list")
+	show := flaggy.NewSubcommand("show")
+	show.AddPositionalValue(&a.flags.first, "name", 1, true, "the budget's name")
+	budget.AttachSubcommand(list, 1)
+	budget.AttachSubcommand(show, 1)
+	return []verb{{list, (*app).budgetList}, {show, (*app).budgetShow}}
+}
+
+func (a *app) client() (*client.Client, error) {
+	key := a.flags.key
+	if key == "" {
+		key = os.Getenv(keyVariable)
+	}
+	if len(a.flags.nodes) == 0 {
+		return nil, usage("want --node URL")
+	}
+	if key == "" {
+		return nil, usage("want --key KEY or %s", keyVariable)
+	}
+	if a.flags.output != formatTable && a.flags.output != formatJSON {
+		return nil, usage("output %q: want table or json", a.flags.output)
+	}
+	return client.New(a.flags.nodes, key), nil
+}
+
+// print writes a value as JSON, or as a table of lines.
+func (a *app) print(v any, header []string, lines [][]string) error {
+	if a.flags.output == formatJSON {
+		encoder := json.NewEncoder(a.out)
+		encoder.SetIndent("", "  ")
+		return errors.Wrap(encoder.Encode(v), "print")
+	}
+	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	writeLine(w, header)
+	for _, line := range lines {
+		writeLine(w, line)
+	}
+	return errors.Wrap(w.Flush(), "print")
+}
+
+func writeLine(w io.Writer, cells []string) {
+	for i, cell := range cells {
+		if i > 0 {
+			fmt.Fprint(w, "\t")
+		}
+		fmt.Fprint(w, cell)
+	}
+	fmt.Fprintln(w)
+}
--- /dev/null
+++ b/fleet/cmd/lynxshed/main.go
@@ -0,0 +1,129 @@
+// Command lynxshed runs one node of the fleet on one entry VM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"strings"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/text"
+	"github.com/integrii/flaggy"
+
+	"github.com/lynxshed/lynxshed/fleet/node"
+	"github.com/lynxshed/lynxshed/fleet/settings"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var file string
+	flaggy.SetName("lynxshed")
+	flaggy.SetDescription("one node of the lynxshed router fleet")
+	flaggy.SetVersion(versionLine())
+	runCommand := flaggy.NewSubcommand("run")
+	runCommand.Description = "run the node until SIGTERM (a planned stop; a second one ends at once)"
+	runCommand.String(&file, "s", "settings", "file of settings, JSON with comments")
+	checkCommand := flaggy.NewSubcommand("check")
+	checkCommand.Description = "check the settings and print every fault"
+	checkCommand.String(&file, "s", "settings", "file of settings, JSON with comments")
+	versionCommand := flaggy.NewSubcommand("version")
+	versionCommand.Description = "print version, commit and Go version"
+	for _, c := range []*flaggy.Subcommand{runCommand, checkCommand, versionCommand} {
+		flaggy.AttachSubcommand(c, 1)
+	}
+	flaggy.Parse()
+	switch {
+	case versionCommand.Used:
+		fmt.Println(versionLine())
+		return exitDone
+	case !runCommand.Used && !checkCommand.Used:
+		return usage("want one of run, check, version")
+	case file == "":
+		return usage("want --settings FILE")
+	case checkCommand.Used:
+		return check(file)
+	default:
+		return serve(file)
+	}
+}
+
+func versionLine() string {
+	return fmt.Sprintf("lynxshed %s commit %s %s", node.Version, node.Commit(), runtime.Version())
+}
+
+func usage(text string) int {
+	fmt.Fprintln(os.Stderr, "lynxshed: "+text)
+	return exitUsage
+}
+
+func failed(err error) int {
+	fmt.Fprintln(os.Stderr, "lynxshed: "+err.Error())
+	return exitFailed
+}
+
+func check(file string) int {
+	if _, err := settings.Load(file); err != nil {
+		fmt.Fprintln(os.Stderr, err.Error())
+		return exitFailed
+	}
+	fmt.Println("settings are sound")
+	return exitDone
+}
+
+func serve(file string) int {
+	s, err := settings.Load(file)
+	if err != nil {
+		return failed(err)
+	}
+	setUpLog(s.Log)
+	fleetKey, err := settings.ReadSecret(s.FleetKeyFile)
+	if err != nil {
+		return failed(err)
+	}
+	hashes, err := settings.ReadSecret(s.OperatorHashesFile)
+	if err != nil {
+		return failed(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n, err := node.New(ctx, node.Options{Settings: s, FleetKey: fleetKey, OperatorHashes: strings.Fields(hashes)})
+	if err != nil {
+		return failed(err)
+	}
+	go stopOnSignals(n, cancel)
+	if err := n.Run(ctx); err != nil {
+		return failed(err)
+	}
+	return exitDone
+}
+
+// stopOnSignals makes the first signal a planned stop and the second an end at once.
+func stopOnSignals(n *node.Node, cancel context.CancelFunc) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	n.StartDrain()
+	<-signals
+	cancel()
+}
+
+func setUpLog(l settings.Log) {
+	log.SetLevel(log.MustParseLevel(l.Level))
+	log.SetHandler(json.New(os.Stderr))
+	if l.Format == "text" {
+		log.SetHandler(text.New(os.Stderr))
+	}
+}
--- /dev/null
+++ b/fleet/entry/chat.go
@@ -0,0 +1,235 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lynxshed/lynxshed/fleet/backend"
+	"github.com/lynxshed/lynxshed/fleet/catalog"
+	"github.com/lynxshed/lynxshed/fleet/problem"
+)
+
+const (
+	maxMessages = 2048
+	// messageOverhead bounds the tokens that a chat template adds for a message,
+	// promptOverhead those that it adds once.
+	messageOverhead = 16
+	promptOverhead  = 16
+)
+
+// chatBody is a chat completion as callers send it. Fields that the fleet does
+// not act on are known, so that a misspelt one is refused, and go along unread.
+type chatBody struct {
+	Model       string        `json:"model"`
+	Messages    []chatMessage `json:"messages"`
+	MaxTokens   *int64        `json:"max_tokens"`
+	MaxOutput   *int64        `json:"max_completion_tokens"`
+	Stream      bool          `json:"stream"`
+	Priority    string        `json:"priority"`
+	N           *int64        `json:"n"`
+	StreamOpts  any           `json:"stream_options"`
+	Temperature *float64      `json:"temperature"`
+	TopP        *float64      `json:"top_p"`
+	Stop        any           `json:"stop"`
+	Seed        *int64        `json:"seed"`
+	User        string        `json:"user"`
+	Frequency   *float64      `json:"frequency_penalty"`
+	Presence    *float64      `json:"presence_penalty"`
+	Metadata    any           `json:"metadata"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+	Name    string `json:"name,omitempty"`
+}
+
+// chatCall is a chat completion that may be run.
+type chatCall struct {
+	headers
+	service  catalog.Service
+	model    catalog.Model
+	body     backend.Completion
+	stream   bool
+	priority catalog.Priority
+	cap      int64 // output tokens
+	bound    int64 // tokens in the worst case
+	hash     string
+}
+
+func (e *Entry) readChat(w http.ResponseWriter, r *http.Request) (chatCall, *problem.Problem) {
+	h, refusal := e.readHeaders(r)
+	if refusal != nil {
+		return chatCall{}, refusal
+	}
+	data, refusal := e.readBody(w, r)
+	if refusal != nil {
+		return chatCall{}, refusal
+	}
+	var body chatBody
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		return chatCall{}, badBody(err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return chatCall{}, problem.New(problem.BadBody, "body: there is more than one JSON value")
+	}
+	return e.checkChat(h, body, data)
+}
+
+func badBody(err error) *problem.Problem {
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) {
+		return problem.New(problem.BadBody, "body: field "+kind.Field+": want "+kind.Type.String()+", not "+kind.Value)
+	}
+	return problem.New(problem.BadBody, "body: "+strings.TrimPrefix(err.Error(), "json: "))
+}
+
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem.Problem) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.options.MaxBody))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, problem.New(problem.TooLarge, "the body is over "+strconv.FormatInt(e.options.MaxBody, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, problem.New(problem.BadBody, "body: "+err.Error())
+	}
+	return data, nil
+}
+
+func (e *Entry) checkChat(h headers, body chatBody, data []byte) (chatCall, *problem.Problem) {
+	if !utf8.Valid(data) {
+		return chatCall{}, problem.New(problem.BadBody, "body: not UTF-8")
+	}
+	c := e.Catalog()
+	model, ok := c.Model(body.Model)
+	if !ok {
+		return chatCall{}, problem.New(problem.UnknownModel, "field model: there is no model "+quote(body.Model))
+	}
+	service, ok := c.Service(model.Service)
+	if !ok || !service.Model {
+		return chatCall{}, problem.New(problem.UnknownModel, "field model: the model's service "+quote(string(model.Service))+" runs no models")
+	}
+	if refusal := checkMessages(body); refusal != nil {
+		return chatCall{}, refusal
+	}
+	call := chatCall{headers: h, service: service, model: model, stream: body.Stream, hash: hashCall("chat", data)}
+	var refusal *problem.Problem
+	if call.cap, refusal = outputCap(body, model); refusal != nil {
+		return chatCall{}, refusal
+	}
+	if call.priority, refusal = priorityOf(body.Priority, service); refusal != nil {
+		return chatCall{}, refusal
+	}
+	call.body = backend.Completion{Model: body.Model, MaxTokens: call.cap, Stream: true, Priority: string(call.priority)}
+	for _, m := range body.Messages {
+		call.body.Messages = append(call.body.Messages, backend.Message{Role: m.Role, Content: m.Content})
+	}
+	call.bound = promptBound(body.Messages, model) + call.cap
+	return call, nil
+}
+
+func quote(s string) string { return `"` + s + `"` }
+
+func checkMessages(body chatBody) *problem.Problem {
+	if len(body.Messages) == 0 || len(body.Messages) > maxMessages {
+		return problem.New(problem.BadBody, "field messages: want 1 to 2048 messages")
+	}
+	for _, m := range body.Messages {
+		if m.Role == "" {
+			return problem.New(problem.BadBody, "field messages: a message has no role")
+		}
+	}
+	if body.N != nil && *body.N != 1 {
+		return problem.New(problem.BadBody, "field n: only 1 answer is given")
+	}
+	return nil
+}
+
+// outputCap is how many output tokens the fleet lets through: what the caller
+// asked for, and at most what the model's row allows.
+func outputCap(body chatBody, model catalog.Model) (int64, *problem.Problem) {
+	asked := body.MaxTokens
+	if asked == nil {
+		asked = body.MaxOutput
+	}
+	if asked == nil {
+		return model.MaxOutputTokens, nil
+	}
+	if *asked < 1 || *asked > 1<<31 {
+		return 0, problem.New(problem.BadBody, "field max_tokens: want a whole number from 1 to 2147483648")
+	}
+	return min(*asked, model.MaxOutputTokens), nil
+}
+
+// priorityOf lets a caller lower its priority under the service's.
+func priorityOf(asked string, s catalog.Service) (catalog.Priority, *problem.Problem) {
+	switch catalog.Priority(asked) {
+	case "":
+		return s.Priority, nil
+	case catalog.Interactive:
+		return s.Priority, nil
+	case catalog.Batch:
+		return catalog.Batch, nil
+	default:
+		return "", problem.New(problem.BadBody, "field priority: want interactive or batch")
+	}
+}
+
+// promptBound is an upper bound on the prompt's tokens: no tokenizer makes more
+// tokens than there are bytes, and the model's row may guarantee fewer.
+func promptBound(messages []chatMessage, model catalog.Model) int64 {
+	bound := int64(promptOverhead)
+	for _, m := range messages {
+		size := int64(len(m.Role) + len(m.Content) + len(m.Name))
+		bound += (size+model.MinBytesPerToken-1)/model.MinBytesPerToken + messageOverhead
+	}
+	return bound
+}
+
+func hashCall(what string, data []byte) string {
+	sum := sha256.New()
+	sum.Write([]byte(what))
+	sum.Write([]byte{0})
+	sum.Write(data)
+	return hex.EncodeToString(sum.Sum(nil)[:16])
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelLine `json:"data"`
+}
+
+type modelLine struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (e *Entry) serveModels(w http.ResponseWriter, r *http.Request) {
+	if _, refusal := e.authenticate(r); refusal != nil {
+		e.refuse(w, r, refusal)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelLine{}}
+	for _, m := range e.Catalog().Models() {
+		list.Data = append(list.Data, modelLine{ID: m.Name, Object: "model", OwnedBy: "lynxshed"})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/fleet/entry/entry.go
@@ -0,0 +1,197 @@
+// Package entry runs callers' requests on the node where they arrive: it queues
+// them, asks the slot's holder to admit them, sends them to an endpoint, relays
+// the answer and settles the cost.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/lynxshed/lynxshed/fleet/attempt"
+	"github.com/lynxshed/lynxshed/fleet/backend"
+	"github.com/lynxshed/lynxshed/fleet/catalog"
+	"github.com/lynxshed/lynxshed/fleet/dispatch"
+	"github.com/lynxshed/lynxshed/fleet/event"
+	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/keeper"
+	"github.com/lynxshed/lynxshed/fleet/membership"
+	"github.com/lynxshed/lynxshed/fleet/peer"
+	"github.com/lynxshed/lynxshed/fleet/telemetry"
+)
+
+// Options bound what callers send and how long things may take; zero values
+// choose the documented defaults.
+type Options struct {
+	MaxBody       int64         // bytes; 1 MiB when zero
+	Deadline      time.Duration // of interactive calls that name none; 10 s when zero
+	BatchDeadline time.Duration // of batch calls that name none; 60 s when zero
+	CallerGrace   time.Duration // how long a run lasts without a reader; 1 s when zero
+	AnswerTime    time.Duration // until an endpoint has taken the call; 2 s when zero
+	StallTime     time.Duration // between two chunks; 10 s when zero
+	Retention     time.Duration // how long ended runs are kept; 5 min when zero
+	MaxRuns       int           // runs kept; 20,000 when zero
+}
+
+func (o Options) withDefaults() Options {
+	o.MaxBody = defaultTo(o.MaxBody, 1<<20)
+	o.Deadline = defaultTo(o.Deadline, 10*time.Second)
+	o.BatchDeadline = defaultTo(o.BatchDeadline, time.Minute)
+	o.CallerGrace = defaultTo(o.CallerGrace, time.Second)
+	o.AnswerTime = defaultTo(o.AnswerTime, 2*time.Second)
+	o.StallTime = defaultTo(o.StallTime, 10*time.Second)
+	o.Retention = defaultTo(o.Retention, 5*time.Minute)
+	o.MaxRuns = defaultTo(o.MaxRuns, 20_000)
+	return o
+}
+
+func defaultTo[T int | int64 | time.Duration](value, other T) T {
+	if value == 0 {
+		return other
+	}
+	return value
+}
+
+// Parts are what an entry works with.
+type Parts struct {
+	Self     membership.Member
+	Keeper   *keeper.Keeper
+	Caller   *peer.Caller
+	Backend  *backend.Client
+	Dispatch *dispatch.Dispatcher
+	View     func() membership.State
+	Catalog  func() *catalog.Catalog
+	Events   *event.Log
+	Clock    clockwork.Clock
+	Log      log.Interface
+	Tracer   trace.Tracer
+	Metrics  *telemetry.Metrics
+	// NewSerial makes the unique part of a request's id.
+	NewSerial func() string
+}
+
+// Entry runs the requests that arrive at a node; New makes one.
+type Entry struct {
+	Parts
+	options Options
+	base    context.Context
+	stop    context.CancelFunc
+
+	mu       sync.Mutex
+	runs     map[ident.Request]*run
+	retries  attempt.Budget
+	outbox   []peer.Ending
+	draining bool
+	active   int
+}
+
+// New makes an entry without runs; base ends every run when it is cancelled.
+func New(base context.Context, p Parts, o Options) *Entry {
+	base, stop := context.WithCancel(base)
+	return &Entry{Parts: p, options: o.withDefaults(), base: base, stop: stop, runs: map[ident.Request]*run{}}
+}
+
+// Routes puts the callers' paths on a mux.
+func (e *Entry) Routes(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("GET /v1/models", e.serveModels)
+	mux.HandleFunc("/v1/services/{service}/{path...}", e.serveService)
+	mux.HandleFunc("GET /v1/requests/{id}", e.serveRequest)
+	mux.HandleFunc("GET /v1/requests/{id}/stream", e.serveResume)
+	mux.HandleFunc("DELETE /v1/requests/{id}", e.serveCancel)
+}
+
+// Drain stops taking new requests.
+func (e *Entry) Drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = true
+}
+
+// Active is how many requests are running here, and how many ends are still to be reported.
+func (e *Entry) Active() (running, unreported int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.active, len(e.outbox)
+}
+
+// Stop ends every run at once.
+func (e *Entry) Stop() { e.stop() }
+
+func (e *Entry) register(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[r.id] = r
+	e.active++
+	e.retries = e.retries.WithRequest()
+}
+
+func (e *Entry) finished(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active--
+}
+
+// alias lets a run be found by the id of the request that it follows.
+func (e *Entry) alias(id ident.Request, r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.runs[id]; !ok {
+		e.runs[id] = r
+	}
+}
+
+func (e *Entry) find(id ident.Request) (*run, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, ok := e.runs[id]
+	return r, ok
+}
+
+func (e *Entry) isDraining() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.draining
+}
+
+// Tick ends abandoned runs, forgets old ones and reports ends that are due.
+func (e *Entry) Tick(ctx context.Context) {
+	now := e.Clock.Now()
+	for _, r := range e.snapshot() {
+		if r.abandoned(now, e.options.CallerGrace) {
+			r.cancel()
+		}
+	}
+	e.forget(now)
+	e.report(ctx)
+}
+
+func (e *Entry) snapshot() []*run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := make([]*run, 0, len(e.runs))
+	for _, r := range e.runs {
+		runs = append(runs, r)
+	}
+	return runs
+}
+
+func (e *Entry) forget(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	over := len(e.runs) - e.options.MaxRuns
+	for id, r := range e.runs {
+		r.mu.Lock()
+		old := !r.ended.IsZero() && r.readers == 0 && (now.Sub(r.ended) > e.options.Retention || over > 0)
+		r.mu.Unlock()
+		if old {
+			delete(e.runs, id)
+			over--
+		}
+	}
+}
--- /dev/null
+++ b/fleet/entry/plainjob.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/attempt"
+	"github.com/lynxshed/lynxshed/fleet/backend"
+	"github.com/lynxshed/lynxshed/fleet/dispatch"
+	"github.com/lynxshed/lynxshed/fleet/event"
+	"github.com/lynxshed/lynxshed/fleet/holder"
+	"github.com/lynxshed/lynxshed/fleet/limit"
+	"github.com/lynxshed/lynxshed/fleet/peer"
+	"github.com/lynxshed/lynxshed/fleet/problem"
+)
+
+// plainTimeout bounds a plain call whose service names no time.
+const plainTimeout = 30 * time.Second
+
+// maxKeptAnswer is how large an answer may be to be kept for retries, in bytes.
+const maxKeptAnswer = 64 << 10
+
+// plainJob takes a call of a plain service through its attempts.
+type plainJob struct {
+	entry  *Entry
+	run    *run
+	call   plainCall
+	ask    dispatch.Ask
+	record holder.Record
+	grant  dispatch.Grant
+	held   bool // the slot's holder knows the call
+	// started is set once an attempt may have started.
+	started bool
+}
+
+func (e *Entry) runPlain(ctx context.Context, r *run, call plainCall) {
+	j := &plainJob{entry: e, run: r, call: call}
+	j.ask = dispatch.Ask{
+		Customer: call.customer.Name,
+		Service:  call.service.Name,
+		Weight:   e.Catalog().CustomerWeight(call.customer.Name, call.service.Name),
+		Priority: call.service.Priority,
+		Cost:     1,
+		Deadline: e.deadlineOf(call.headers, call.service.Priority),
+	}
+	var refusal *problem.Problem
+	if j.grant, refusal = e.acquire(ctx, r.id, j.ask); refusal != nil {
+		e.refuseRun(r, refusal)
+		return
+	}
+	j.record = e.newRecord(r, call.headers, call.service, call.hash, j.grant.Endpoint())
+	j.record.Repeatable = call.repeatable
+	limits := e.limitsFor(call.headers, call.service.Name)
+	j.record.Limits = lo.Map(limits, func(l limit.Line, _ int) string { return l.Name })
+	if j.record.Key != "" || len(limits) > 0 {
+		var ok bool
+		if j.record, ok = e.admitRun(ctx, r, j.grant, peer.Admission{Record: j.record, Limits: limits, Try: call.try}); !ok {
+			return
+		}
+		j.held = true
+	} else {
+		r.begin(j.record)
+	}
+	j.do(ctx)
+}
+
+func (j *plainJob) attempt() holder.Attempt { return j.record.Attempts[len(j.record.Attempts)-1] }
+
+func (j *plainJob) do(ctx context.Context) {
+	timeout := min(j.call.service.Timeout, plainTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for {
+		answer, err := j.once(ctx)
+		if err == nil {
+			j.entry.Dispatch.Release(j.grant, dispatch.Went)
+			j.answered(ctx, answer)
+			return
+		}
+		j.started = j.started || !errors.Is(err, backend.ErrNotStarted)
+		j.explain(event.Send, "attempt failed", err.Error())
+		if j.next(err) != attempt.Retry || ctx.Err() != nil || !j.again(ctx, err) {
+			j.giveUp(ctx, err)
+			return
+		}
+	}
+}
+
+func (j *plainJob) once(ctx context.Context) (holder.Answer, error) {
+	if j.held && j.record.Entry != j.entry.Keeper.Incarnation() {
+		return holder.Answer{}, errors.Mark(errors.New("this node's incarnation is over"), backend.ErrNotStarted)
+	}
+	j.explain(event.Send, "sent", "")
+	call := j.call.call
+	call.Request = j.record.Request
+	return j.entry.Backend.Plain(ctx, j.attempt(), call)
+}
+
+func (j *plainJob) explain(step event.Step, decision, reason string) {
+	j.entry.Events.Add(event.Event{Request: j.record.Request, Step: step, Peer: string(j.attempt().Endpoint), Decision: decision, Reason: reason})
+}
+
+func (j *plainJob) next(err error) attempt.Step {
+	failure := lo.Ternary(errors.Is(err, backend.ErrNotStarted), attempt.NotStarted, attempt.Broken)
+	return attempt.Next(attempt.Situation{
+		Failure:    failure,
+		Attempts:   len(j.record.Attempts),
+		Repeatable: j.call.repeatable,
+		Left:       j.ask.Deadline.Sub(j.entry.Clock.Now()),
+		Budget:     j.entry.retryBudget(),
+	})
+}
+
+func (j *plainJob) again(ctx context.Context, cause error) bool {
+	j.ask.Excluded = append(j.ask.Excluded, j.attempt().Endpoint)
+	grant, refusal := j.entry.acquire(ctx, j.record.Request, j.ask)
+	if refusal != nil {
+		return false
+	}
+	j.entry.Dispatch.Release(j.grant, dispatch.Failed)
+	j.grant = grant
+	next := attemptAt(len(j.record.Attempts)+1, grant.Endpoint())
+	if j.held && !j.entry.note(ctx, j.record, next, 0) {
+		return false
+	}
+	j.record = j.record.WithAttempt(next)
+	j.entry.countRetry()
+	j.entry.Metrics.Retried(ctx)
+	j.explain(event.Retry, "tries another endpoint", cause.Error())
+	return true
+}
+
+func (j *plainJob) answered(ctx context.Context, answer holder.Answer) {
+	if j.held {
+		kept := &answer
+		if len(answer.Body) > maxKeptAnswer {
+			kept = nil
+		}
+		j.entry.end(context.WithoutCancel(ctx), peer.Ending{Record: j.record, Answer: kept})
+	}
+	j.run.finish(holder.Usage{}, &answer, j.entry.Clock.Now())
+}
+
+// giveUp ends the call; unless no attempt can have started, its outcome is unknown.
+func (j *plainJob) giveUp(ctx context.Context, cause error) {
+	j.entry.Dispatch.Release(j.grant, dispatch.Failed)
+	peerName := string(j.attempt().Endpoint)
+	if !j.started {
+		if j.held {
+			j.entry.end(context.WithoutCancel(ctx), peer.Ending{Record: j.record, NotRun: true})
+		}
+		j.entry.refuseRun(j.run, problem.New(problem.NoEndpoint, cause.Error()).At(string(event.Send), peerName))
+		return
+	}
+	if j.held {
+		j.entry.end(context.WithoutCancel(ctx), peer.Ending{Record: j.record})
+	}
+	p := problem.New(problem.EndpointFailed, cause.Error()).At(string(event.Send), peerName)
+	j.run.fail(p.WithOutcome(problem.Unknown), RunFailed, j.entry.Clock.Now())
+}
--- /dev/null
+++ b/fleet/entry/run.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/holder"
+	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/problem"
+)
+
+// run is one request at this node: what came of it so far, for any number of readers.
+type run struct {
+	customer ident.Customer
+	cancel   context.CancelFunc
+	keyed    bool
+
+	mu      sync.Mutex
+	id      ident.Request
+	record  holder.Record
+	chunks  []string // data of the events, in order; the index is the event's id
+	usage   holder.Usage
+	answer  *holder.Answer
+	problem *problem.Problem
+	state   RunState
+	started bool // id is final and the answer has begun
+	changed chan struct{}
+	readers int
+	idle    time.Time // since when nobody reads
+	ended   time.Time
+}
+
+// RunState is where a request stands, as callers see it.
+type RunState string
+
+// The states of a request.
+const (
+	RunWaiting   RunState = "waiting"
+	RunRunning   RunState = "running"
+	RunDone      RunState = "done"
+	RunRefused   RunState = "refused"
+	RunFailed    RunState = "failed"
+	RunCancelled RunState = "cancelled"
+)
+
+// Ended reports whether nothing more will come.
+func (s RunState) Ended() bool { return s != RunWaiting && s != RunRunning }
+
+func newRun(id ident.Request, customer ident.Customer, keyed bool, cancel context.CancelFunc, now time.Time) *run {
+	return &run{id: id, customer: customer, keyed: keyed, cancel: cancel, state: RunWaiting, changed: make(chan struct{}), idle: now}
+}
+
+// view is a run as a reader sees it at one moment.
+type view struct {
+	id      ident.Request
+	chunks  []string
+	usage   holder.Usage
+	answer  *holder.Answer
+	problem *problem.Problem
+	state   RunState
+	started bool
+	budget  ident.Budget
+	changed chan struct{}
+}
+
+// look returns the run from a chunk on.
+func (r *run) look(from int) view {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := view{id: r.id, usage: r.usage, answer: r.answer, problem: r.problem, state: r.state, started: r.started, budget: r.record.Budget, changed: r.changed}
+	if from < len(r.chunks) {
+		v.chunks = r.chunks[from:]
+	}
+	return v
+}
+
+func (r *run) update(change func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change()
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *run) begin(record holder.Record) {
+	r.update(func() { r.id, r.record, r.state = record.Request, record, RunRunning })
+}
+
+func (r *run) relay(data string) {
+	r.update(func() { r.chunks, r.started = append(r.chunks, data), true })
+}
+
+func (r *run) relayed() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.chunks)
+}
+
+// finish ends the run with an answer.
+func (r *run) finish(usage holder.Usage, answer *holder.Answer, now time.Time) {
+	r.update(func() {
+		r.usage, r.answer, r.ended, r.started = usage, answer, now, true
+		r.state = RunDone
+	})
+}
+
+// fail ends the run with a refusal.
+func (r *run) fail(p *problem.Problem, state RunState, now time.Time) {
+	r.update(func() {
+		r.problem, r.state, r.ended = p.WithRequest(r.id), state, now
+	})
+}
+
+// attach counts a reader until the returned function is called.
+func (r *run) attach(now func() time.Time) (detach func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers++
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.readers--
+		r.idle = now()
+	}
+}
+
+// abandoned reports whether nobody has read for a while.
+func (r *run) abandoned(at time.Time, grace time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readers == 0 && !r.keyed && !r.state.Ended() && at.Sub(r.idle) >= grace
+}
+
+// wait blocks until the run changes after a view, or the context ends.
+func (v view) wait(ctx context.Context) bool {
+	select {
+	case <-v.changed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/fleet/keeper/admit.go
@@ -0,0 +1,218 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/event"
+	"github.com/lynxshed/lynxshed/fleet/holder"
+	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/membership"
+	"github.com/lynxshed/lynxshed/fleet/peer"
+	"github.com/lynxshed/lynxshed/fleet/problem"
+)
+
+const (
+	maxAdmitTries = 6
+	maxTopUps     = 2
+	claimTimeout  = 800 * time.Millisecond
+	// claimRanks is how many nodes of the own zone are asked for a key, the holder
+	// among them, so that views that differ by one node still meet.
+	claimRanks = 3
+	// deniedFor is how long a failed top-up answers for the same or greater need.
+	deniedFor = 500 * time.Millisecond
+)
+
+// Admit lets a request in, points to the one that holds its key, or refuses it.
+func (k *Keeper) Admit(ctx context.Context, a peer.Admission) peer.Verdict {
+	m := holder.Admit{At: k.Clock.Now(), Record: a.Record, Budgets: a.Budgets, Limits: a.Limits, Share: k.share(), Try: a.Try}
+	verdict := k.admit(ctx, m)
+	k.explain(a.Record, verdict)
+	return verdict
+}
+
+// share is the zone's part of every limit: a cut zone keeps it.
+func (k *Keeper) share() float64 {
+	return 1 / float64(max(1, len(k.View().Zones())))
+}
+
+func (k *Keeper) admit(ctx context.Context, m holder.Admit) peer.Verdict {
+	topUps := 0
+	for range maxAdmitTries {
+		switch effect := k.handle(m).(type) {
+		case holder.Admitted:
+			return k.confirm(ctx, effect.Record)
+		case holder.Existing:
+			return peer.Verdict{Existing: &effect.Record}
+		case holder.Refused:
+			k.forget(ctx, m)
+			return peer.Verdict{Refused: effect.Problem}
+		case holder.MustClaim:
+			claimed, unreachable := k.claim(ctx, effect.Record)
+			if claimed.Existing != nil {
+				k.handle(holder.Yield{Own: effect.Record, Other: *claimed.Existing})
+				return peer.Verdict{Existing: claimed.Existing}
+			}
+			if claimed.Refused != nil {
+				k.handle(holder.Deny{Record: effect.Record})
+				return peer.Verdict{Refused: claimed.Refused}
+			}
+			m.Claimed, m.Unreachable = true, unreachable
+		case holder.Short:
+			if topUps >= maxTopUps || k.isDenied(effect) {
+				return k.deny(ctx, m, effect)
+			}
+			topUps++
+			k.topUp(ctx, effect)
+		}
+	}
+	return k.deny(ctx, m, holder.Short{})
+}
+
+func (k *Keeper) isDenied(s holder.Short) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	d, ok := k.denied[s.Budget]
+	return ok && s.Need >= d.need && k.Clock.Now().Before(d.until)
+}
+
+func (k *Keeper) deny(ctx context.Context, m holder.Admit, s holder.Short) peer.Verdict {
+	k.mu.Lock()
+	if d, ok := k.denied[s.Budget]; !ok || s.Need < d.need || !k.Clock.Now().Before(d.until) {
+		k.denied[s.Budget] = denial{need: s.Need, until: k.Clock.Now().Add(deniedFor)}
+	}
+	k.mu.Unlock()
+	k.handle(holder.Deny{Record: m.Record})
+	k.forget(ctx, m)
+	p := problem.New(problem.BudgetExhausted, "the worst case needs more tokens than the budget has free within reach")
+	return peer.Verdict{Refused: p.At(string(event.Admit), string(s.Budget))}
+}
+
+// forget takes back the copies of a key whose request was refused.
+func (k *Keeper) forget(ctx context.Context, m holder.Admit) {
+	if m.Record.Key == "" || !m.Claimed {
+		return
+	}
+	for _, to := range k.claimPeers(m.Record) {
+		_ = k.Peers.Forget(ctx, to, peer.Forgetting{Key: m.Record.Key, Request: m.Record.Request})
+	}
+}
+
+// confirm makes a second VM know the record before the request may run.
+func (k *Keeper) confirm(ctx context.Context, r holder.Record) peer.Verdict {
+	if r.Entry != k.Incarnation() {
+		return peer.Verdict{Admitted: &r}
+	}
+	by, fenced := k.entrust(ctx, r)
+	if fenced {
+		k.renounce(nil)
+		return peer.Verdict{Refused: problem.New(problem.NoHolder, "the holder was declared over; ask again").At(string(event.Admit), string(k.Self.Node))}
+	}
+	r = r.WithWitness(by)
+	k.handle(holder.Witnessed{Request: r.Request, By: by})
+	return peer.Verdict{Admitted: &r}
+}
+
+// entrust stores a record with the first reachable node of the zone; "" where none is.
+func (k *Keeper) entrust(ctx context.Context, r holder.Record) (by ident.Incarnation, fenced bool) {
+	for _, to := range k.others(r.Slot) {
+		stored, err := k.Peers.Store(ctx, to, peer.Storing{Records: []holder.Record{r}})
+		if err != nil {
+			continue
+		}
+		return to.Incarnation, stored.Fenced == r.Holder
+	}
+	return "", false
+}
+
+// claimPeers are the nodes asked for a key: the runners-up in the own zone and
+// the holder of the slot in every other zone.
+func (k *Keeper) claimPeers(r holder.Record) []membership.Member {
+	peers := k.others(r.Slot)
+	peers = peers[:min(len(peers), claimRanks-1)]
+	now, view := k.Clock.Now(), k.View()
+	for _, z := range view.Zones() {
+		if rank := view.Rank(z, r.Slot, now); z != k.Self.Zone && len(rank) > 0 {
+			peers = append(peers, rank[0])
+		}
+	}
+	return peers
+}
+
+type claimAnswer struct {
+	from    membership.Member
+	claimed peer.Claimed
+	err     error
+}
+
+// claim asks for a key in every zone at once. A zone without a live node in
+// view counts as unreachable.
+func (k *Keeper) claim(ctx context.Context, r holder.Record) (peer.Claimed, []ident.Zone) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	peers := k.claimPeers(r)
+	answers := make([]claimAnswer, len(peers))
+	var wait sync.WaitGroup
+	for i, to := range peers {
+		wait.Go(func() {
+			claimed, err := k.Peers.Claim(ctx, to, peer.Claiming{Record: r, Store: to.Zone == k.Self.Zone})
+			answers[i] = claimAnswer{from: to, claimed: claimed, err: err}
+		})
+	}
+	wait.Wait()
+	return k.combine(answers)
+}
+
+func (k *Keeper) combine(answers []claimAnswer) (peer.Claimed, []ident.Zone) {
+	reached := map[ident.Zone]bool{k.Self.Zone: true}
+	for _, a := range answers {
+		if a.err != nil {
+			continue
+		}
+		reached[a.from.Zone] = true
+		if a.claimed.Existing != nil || a.claimed.Refused != nil {
+			return a.claimed, nil
+		}
+	}
+	var unreachable []ident.Zone
+	for _, z := range k.View().Zones() {
+		if !reached[z] {
+			unreachable = append(unreachable, z)
+		}
+	}
+	return peer.Claimed{}, unreachable
+}
+
+// Claim answers another holder that wants a key.
+func (k *Keeper) Claim(in peer.Claiming) peer.Claimed {
+	switch effect := k.handle(holder.Claim{Record: in.Record, Store: in.Store, At: k.Clock.Now()}).(type) {
+	case holder.Existing:
+		return peer.Claimed{Existing: &effect.Record}
+	case holder.Refused:
+		return peer.Claimed{Refused: effect.Problem}
+	default:
+		return peer.Claimed{}
+	}
+}
+
+// Forget drops the copy of a key.
+func (k *Keeper) Forget(in peer.Forgetting) {
+	k.handle(holder.Forget{Key: in.Key, Request: in.Request})
+}
+
+func (k *Keeper) explain(r holder.Record, v peer.Verdict) {
+	e := event.Event{Request: r.Request, Step: event.Admit, Peer: string(r.Entry.Node())}
+	switch {
+	case v.Admitted != nil:
+		e.Decision, e.Reason = "admitted", "budget "+string(v.Admitted.Budget)
+		if v.Admitted.Budget == "" {
+			e.Reason = "no budget needed"
+		}
+	case v.Existing != nil:
+		e.Step, e.Decision, e.Reason = event.Claim, "joined "+string(v.Existing.Request), "the key is in use"
+	case v.Refused != nil:
+		e.Decision, e.Reason = "refused", string(v.Refused.Reason)+": "+v.Refused.Detail
+	}
+	k.Events.Add(e)
+}
--- /dev/null
+++ b/fleet/keeper/end.go
@@ -0,0 +1,170 @@
+package keeper
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lynxshed/lynxshed/fleet/event"
+	"github.com/lynxshed/lynxshed/fleet/holder"
+	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/peer"
+	"github.com/lynxshed/lynxshed/fleet/witness"
+)
+
+// ErrFenced refuses to run under a holder that was declared over.
+var ErrFenced = errors.New("the holder is fenced")
+
+// End settles or releases a request. One whose holder died is kept as a witness
+// until the dead holder's account is closed.
+func (k *Keeper) End(ctx context.Context, in peer.Ending) peer.Known {
+	if in.NotRun {
+		return k.release(ctx, in)
+	}
+	if len(in.Awaiting) > 0 {
+		return k.await(ctx, in)
+	}
+	effect := k.handle(holder.Settle{At: k.Clock.Now(), Request: in.Record.Request, Usage: in.Usage, Answer: in.Answer})
+	ended, ok := effect.(holder.Ended)
+	if !ok {
+		return k.orphan(in)
+	}
+	if ended.Record.Entry == k.Incarnation() {
+		by, _ := k.entrust(ctx, ended.Record)
+		k.handle(holder.Witnessed{Request: ended.Record.Request, By: by})
+	}
+	k.Events.Add(event.Event{Request: in.Record.Request, Step: event.Settle, Peer: string(ended.Record.Entry.Node()),
+		Decision: "settled", Reason: describe(ended.Record)})
+	return peer.Known{Found: true, Record: ended.Record}
+}
+
+// await keeps a request open until the cost of all its attempts is known.
+func (k *Keeper) await(ctx context.Context, in peer.Ending) peer.Known {
+	r := in.Record.WithAwaiting(in.Usage, in.Awaiting)
+	existing, ok := k.handle(holder.Await{Request: r.Request, Usage: in.Usage, Attempts: in.Awaiting}).(holder.Existing)
+	if !ok {
+		k.testify(witness.Store{Record: r})
+		return peer.Known{Found: true, Record: r}
+	}
+	if existing.Record.Entry == k.Incarnation() {
+		_, _ = k.entrust(ctx, existing.Record)
+	}
+	k.Events.Add(event.Event{Request: r.Request, Step: event.Settle, Peer: string(in.Awaiting[0].Endpoint), Decision: "kept reserved", Reason: "an attempt's cost is not known yet"})
+	return peer.Known{Found: true, Record: existing.Record}
+}
+
+// orphan keeps the end of a request whose holder is another incarnation.
+func (k *Keeper) orphan(in peer.Ending) peer.Known {
+	if in.Record.Holder == k.Incarnation() {
+		return peer.Known{Record: in.Record} // settled before, and durable by now
+	}
+	r := in.Record.WithEnd(in.Usage, in.Answer, k.Clock.Now())
+	k.testify(witness.Store{Record: r})
+	k.testify(witness.Settle{Request: r.Request, Usage: in.Usage, At: k.Clock.Now()})
+	k.Events.Add(event.Event{Request: r.Request, Step: event.Settle, Peer: string(r.Holder), Decision: "kept as witness", Reason: "its holder is over"})
+	return peer.Known{Found: true, Record: r}
+}
+
+func (k *Keeper) release(ctx context.Context, in peer.Ending) peer.Known {
+	effect := k.handle(holder.Release{Request: in.Record.Request})
+	k.testify(witness.Drop{Requests: []ident.Request{in.Record.Request}})
+	if by := in.Record.Witness; by != "" {
+		if to, ok := k.View().Member(by.Node()); ok {
+			_ = k.Peers.Drop(ctx, to, peer.Dropping{Requests: []ident.Request{in.Record.Request}})
+		}
+	}
+	k.forget(ctx, holder.Admit{Record: in.Record, Claimed: true})
+	ended, ok := effect.(holder.Ended)
+	if !ok {
+		return peer.Known{}
+	}
+	k.Events.Add(event.Event{Request: in.Record.Request, Step: event.Settle, Decision: "released", Reason: "it did not run"})
+	return peer.Known{Found: true, Record: ended.Record}
+}
+
+func describe(r holder.Record) string {
+	if r.Budget == "" {
+		return "no tokens"
+	}
+	return "budget " + string(r.Budget)
+}
+
+// Note adds an attempt to an open request.
+func (k *Keeper) Note(ctx context.Context, in peer.Noting) peer.Known {
+	effect := k.handle(holder.Noted{Request: in.Request, Attempt: in.Attempt, Extra: in.Extra})
+	if short, ok := effect.(holder.Short); ok {
+		k.topUp(ctx, short)
+		effect = k.handle(holder.Noted{Request: in.Request, Attempt: in.Attempt, Extra: in.Extra})
+	}
+	admitted, ok := effect.(holder.Admitted)
+	if !ok {
+		return peer.Known{}
+	}
+	if admitted.Record.Entry == k.Incarnation() {
+		_, _ = k.entrust(ctx, admitted.Record)
+	}
+	return peer.Known{Found: true, Record: admitted.Record}
+}
+
+// TakeOver makes another node the entry of an open request.
+func (k *Keeper) TakeOver(in peer.TakeOver) peer.Known {
+	existing, ok := k.handle(holder.TakeOver{Request: in.Request, Entry: in.Entry, EntryURL: in.EntryURL}).(holder.Existing)
+	if !ok {
+		return peer.Known{}
+	}
+	k.Events.Add(event.Event{Request: in.Request, Step: event.Resume, Peer: string(in.Entry.Node()), Decision: "new entry", Reason: "the old entry does not answer"})
+	return peer.Known{Found: true, Record: existing.Record}
+}
+
+// Find looks a request up, as holder or as witness.
+func (k *Keeper) Find(id ident.Request) peer.Known {
+	if r, ok := k.Holding().Record(id); ok {
+		return peer.Known{Found: true, Record: r}
+	}
+	r, ok := k.Witness().Record(id)
+	return peer.Known{Found: ok, Record: r}
+}
+
+// Remember keeps a record that this node runs as an entry under another holder;
+// ErrFenced where that holder is over.
+func (k *Keeper) Remember(r holder.Record) error {
+	if fenced, ok := k.testify(witness.Store{Record: r}).(witness.Fenced); ok {
+		return errors.Wrapf(ErrFenced, "holder %s", fenced.Holder)
+	}
+	return nil
+}
+
+// Ended notes the end of a request that this node ran as an entry.
+func (k *Keeper) Ended(id ident.Request, u holder.Usage) {
+	k.testify(witness.Settle{Request: id, Usage: u, At: k.Clock.Now()})
+}
+
+// Store keeps records that another holder entrusts to this node.
+func (k *Keeper) Store(in peer.Storing) peer.Stored {
+	for _, r := range in.Records {
+		if fenced, ok := k.testify(witness.Store{Record: r}).(witness.Fenced); ok {
+			return peer.Stored{Fenced: fenced.Holder}
+		}
+	}
+	return peer.Stored{}
+}
+
+// Drop forgets records whose bills are durable or that did not run.
+func (k *Keeper) Drop(in peer.Dropping) { k.testify(witness.Drop{Requests: in.Requests}) }
+
+// Fence ends a holder here and tells what is known of it.
+func (k *Keeper) Fence(in peer.Fencing) peer.Fenced {
+	k.testify(witness.Fence{Holder: in.Holder})
+	answer := peer.Fenced{From: k.Incarnation(), Records: k.Witness().Of(in.Holder)}
+	if last, ok := k.View().Last(in.Holder); ok {
+		answer.Last = &last
+	}
+	return answer
+}
+
+// TakeKeys keeps the keys that a leaving holder hands over.
+func (k *Keeper) TakeKeys(in peer.HandOver) {
+	for _, r := range in.Keyed {
+		k.handle(holder.Claim{Record: r, Store: true, At: k.Clock.Now()})
+	}
+}
--- /dev/null
+++ b/fleet/membership/membership.go
@@ -0,0 +1,402 @@
+// Package membership decides which nodes are live, from heartbeats between
+// peers and the platform's lagging list of VMs.
+//
+// Suspicion only stops new work; only evidence (a newer list without the VM, or
+// a newer incarnation in its place) makes an incarnation gone.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/platform"
+)
+
+// Phase is what a node says of itself.
+type Phase string
+
+// The phases of a node.
+const (
+	Live    Phase = "live"
+	Leaving Phase = "leaving"
+	Left    Phase = "left" // it has handed everything over and is about to exit
+)
+
+// Member is what is known of a node's newest incarnation.
+type Member struct {
+	Node        ident.Node        `json:"node"`
+	Zone        ident.Zone        `json:"zone"`
+	URL         string            `json:"url"`
+	Incarnation ident.Incarnation `json:"incarnation,omitempty"`
+	Beat        int64             `json:"beat"` // grows with each heartbeat
+	Phase       Phase             `json:"phase"`
+	Revision    int64             `json:"revision"` // of the configuration in force there
+	// Recovered names the gone incarnations of the zone whose share in this
+	// holder's records is known to another VM again.
+	Recovered []ident.Incarnation `json:"recovered,omitempty"`
+	// Alone says that some record of this holder is known to no other VM.
+	Alone bool `json:"alone,omitempty"`
+}
+
+// newer reports whether m tells more recent news of the node than old.
+func (m Member) newer(old Member) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Incarnation.Serial() > old.Incarnation.Serial()
+	}
+	return m.Beat > old.Beat
+}
+
+// Options bound the heartbeats; zero values choose the documented defaults.
+type Options struct {
+	SuspectAfter    time.Duration // silence in the own zone; 2 s when zero
+	FarSuspectAfter time.Duration // silence in another zone; 6 s when zero
+	FanOut          int           // peers of the zone told each beat; 2 when zero
+	FarFanOut       int           // peers of other zones told each beat; 2 when zero
+	DigestSize      int           // members in one heartbeat; 24 when zero
+}
+
+func (o Options) withDefaults() Options {
+	o.SuspectAfter = cmp.Or(o.SuspectAfter, 2*time.Second)
+	o.FarSuspectAfter = cmp.Or(o.FarSuspectAfter, 6*time.Second)
+	o.FanOut = cmp.Or(o.FanOut, 2)
+	o.FarFanOut = cmp.Or(o.FarFanOut, 2)
+	o.DigestSize = cmp.Or(o.DigestSize, 24)
+	return o
+}
+
+// Departed is an incarnation that is gone, with its last news.
+type Departed struct {
+	Member
+	At time.Time // when this node learned of it
+}
+
+type seen struct {
+	Member
+	advanced time.Time // when its news last advanced here
+	listed   bool      // the platform's list has named it
+	missing  bool      // the newest list no longer names it
+}
+
+// State is a node's view of the fleet; it is not changed in place.
+type State struct {
+	options  Options
+	self     Member
+	members  map[ident.Node]seen
+	gone     map[ident.Incarnation]Departed
+	revision int64 // of the platform's list
+	ticked   time.Time
+}
+
+// New is the view of a node that knows only itself.
+func New(self Member, o Options) State {
+	return State{
+		options: o.withDefaults(),
+		self:    self,
+		members: map[ident.Node]seen{},
+		gone:    map[ident.Incarnation]Departed{},
+	}
+}
+
+// Self is the node itself.
+func (s State) Self() Member { return s.self }
+
+func (s State) copied() State {
+	next := s
+	next.members = make(map[ident.Node]seen, len(s.members)+1)
+	for n, m := range s.members {
+		next.members[n] = m
+	}
+	next.gone = make(map[ident.Incarnation]Departed, len(s.gone))
+	for i, m := range s.gone {
+		next.gone[i] = m
+	}
+	return next
+}
+
+// WithSelf is the view with what the node says of itself changed.
+func (s State) WithSelf(self Member) State {
+	self.Beat = s.self.Beat
+	s.self = self
+	return s
+}
+
+// Status is how a node looks from here.
+type Status string
+
+// The statuses.
+const (
+	StatusLive    Status = "live"
+	StatusLeaving Status = "leaving"
+	StatusSuspect Status = "suspect"
+	StatusUnheard Status = "unheard" // listed by the platform, never heard of
+)
+
+// StatusOf tells how a member looks at a time.
+func (s State) StatusOf(n ident.Node, at time.Time) Status {
+	if n == s.self.Node {
+		return lo.Ternary(s.self.Phase == Live, StatusLive, StatusLeaving)
+	}
+	m, ok := s.members[n]
+	switch {
+	case !ok || m.Incarnation == "":
+		return StatusUnheard
+	case m.Phase == Left || at.Sub(m.advanced) > s.patience(m.Zone):
+		return StatusSuspect
+	case m.Phase == Leaving:
+		return StatusLeaving
+	default:
+		return StatusLive
+	}
+}
+
+func (s State) patience(z ident.Zone) time.Duration {
+	return lo.Ternary(z == s.self.Zone, s.options.SuspectAfter, s.options.FarSuspectAfter)
+}
+
+// Members lists every known node but the own, in order.
+func (s State) Members() []Member {
+	members := lo.MapToSlice(s.members, func(_ ident.Node, m seen) Member { return m.Member })
+	slices.SortFunc(members, func(x, y Member) int { return cmp.Compare(x.Node, y.Node) })
+	return members
+}
+
+// Member finds a node.
+func (s State) Member(n ident.Node) (Member, bool) {
+	if n == s.self.Node {
+		return s.self, true
+	}
+	m, ok := s.members[n]
+	return m.Member, ok
+}
+
+// Zones lists the zones of all known nodes, in order.
+func (s State) Zones() []ident.Zone {
+	zones := lo.Map(s.Members(), func(m Member, _ int) ident.Zone { return m.Zone })
+	zones = lo.Uniq(append(zones, s.self.Zone))
+	slices.Sort(zones)
+	return zones
+}
+
+// Gone reports whether there is evidence that an incarnation is over.
+func (s State) Gone(i ident.Incarnation) bool {
+	if _, ok := s.gone[i]; ok {
+		return true
+	}
+	m, ok := s.Member(i.Node())
+	if !ok {
+		return s.revision > 0
+	}
+	return m.Incarnation.Serial() > i.Serial()
+}
+
+// Last is the last news of an incarnation, also after it is gone.
+func (s State) Last(i ident.Incarnation) (Member, bool) {
+	if d, ok := s.gone[i]; ok {
+		return d.Member, true
+	}
+	m, ok := s.Member(i.Node())
+	return m, ok && m.Incarnation == i
+}
+
+// Departed lists the incarnations of a zone that are gone, in order.
+func (s State) Departed(z ident.Zone) []Departed {
+	departed := lo.Filter(lo.Values(s.gone), func(d Departed, _ int) bool { return d.Zone == z })
+	slices.SortFunc(departed, func(x, y Departed) int { return cmp.Compare(x.Incarnation, y.Incarnation) })
+	return departed
+}
+
+// Reachable lists the nodes of a zone that are live or leaving at a time.
+func (s State) Reachable(z ident.Zone, at time.Time) []Member {
+	members := lo.Filter(append(s.Members(), s.self), func(m Member, _ int) bool {
+		status := s.StatusOf(m.Node, at)
+		return m.Zone == z && (status == StatusLive || status == StatusLeaving)
+	})
+	slices.SortFunc(members, func(x, y Member) int { return cmp.Compare(x.Node, y.Node) })
+	return members
+}
+
+// Rank orders the live nodes of a zone for a slot, its holder first.
+func (s State) Rank(z ident.Zone, slot ident.Slot, at time.Time) []Member {
+	live := lo.Filter(s.Reachable(z, at), func(m Member, _ int) bool { return s.StatusOf(m.Node, at) == StatusLive })
+	slices.SortFunc(live, func(x, y Member) int {
+		return cmp.Compare(weight(y.Node, slot), weight(x.Node, slot))
+	})
+	return live
+}
+
+// weight is the rendezvous weight of a node for a slot.
+func weight(n ident.Node, slot ident.Slot) uint64 {
+	return mix(xxhash.Sum64String(string(n)) ^ mix(uint64(slot)+1))
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Listed is what the platform's list said.
+type Listed struct {
+	At   time.Time
+	List platform.VMList
+}
+
+// Heard is a heartbeat of a peer, or the answer to one's own.
+type Heard struct {
+	At      time.Time
+	Members []Member
+}
+
+// Ticked asks for the next heartbeats; Random picks the peers.
+type Ticked struct {
+	At     time.Time
+	Random func(n int) int
+}
+
+// Message is a Listed, Heard or Ticked.
+type Message interface{ message() }
+
+func (Listed) message() {}
+func (Heard) message()  {}
+func (Ticked) message() {}
+
+// Beat is a heartbeat to send.
+type Beat struct {
+	To     Member
+	Digest []Member
+}
+
+// Handle takes a message and returns the next view and the heartbeats to send.
+func (s State) Handle(m Message) (State, []Beat) {
+	switch m := m.(type) {
+	case Listed:
+		return s.listed(m), nil
+	case Heard:
+		return s.heard(m), nil
+	case Ticked:
+		return s.tick(m)
+	}
+	return s, nil
+}
+
+func (s State) listed(m Listed) State {
+	if m.List.Revision <= s.revision {
+		return s
+	}
+	next := s.copied()
+	next.revision = m.List.Revision
+	names := map[ident.Node]bool{}
+	for _, vm := range m.List.VMs {
+		names[vm.Name] = true
+		if vm.Name != s.self.Node {
+			next.members[vm.Name] = next.withListed(vm)
+		}
+	}
+	for n, known := range next.members {
+		known.missing = known.listed && !names[n]
+		next.members[n] = known
+	}
+	return next.buried(m.At)
+}
+
+// buried takes out the nodes that are off the list and silent. Silence counts
+// since the list lags: it may still miss a new VM that took a name over.
+func (s State) buried(at time.Time) State {
+	for n, known := range s.members {
+		if known.missing && at.Sub(known.advanced) > s.options.SuspectAfter {
+			s.gone[known.Incarnation] = Departed{Member: known.Member, At: at}
+			delete(s.members, n)
+		}
+	}
+	return s
+}
+
+func (s State) withListed(vm platform.VM) seen {
+	known, ok := s.members[vm.Name]
+	if !ok {
+		known = seen{Member: Member{Node: vm.Name, Zone: vm.Zone, URL: vm.URL, Phase: Live}}
+	}
+	known.listed, known.missing = true, false
+	if vm.State == platform.VMLeaving && known.Phase == Live {
+		known.Phase = Leaving
+	}
+	return known
+}
+
+func (s State) heard(m Heard) State {
+	next := s.copied()
+	for _, news := range m.Members {
+		if _, over := next.gone[news.Incarnation]; over || news.Node == s.self.Node {
+			continue
+		}
+		old, ok := next.members[news.Node]
+		if ok && !news.newer(old.Member) {
+			continue
+		}
+		if ok && old.Incarnation != "" && old.Incarnation != news.Incarnation {
+			next.gone[old.Incarnation] = Departed{Member: old.Member, At: m.At}
+		}
+		next.members[news.Node] = seen{Member: news, advanced: m.At, listed: old.listed, missing: old.missing}
+	}
+	return next
+}
+
+// tick beats once. After a pause of its own the node can't tell who was silent,
+// so that all get their patience anew.
+func (s State) tick(m Ticked) (State, []Beat) {
+	next := s.copied()
+	if !s.ticked.IsZero() && m.At.Sub(s.ticked) > s.options.SuspectAfter {
+		for n, known := range next.members {
+			known.advanced = m.At
+			next.members[n] = known
+		}
+	}
+	next = next.buried(m.At)
+	next.ticked = m.At
+	next.self.Beat++
+	digest := next.digest()
+	beats := lo.Map(next.targets(m), func(to Member, _ int) Beat { return Beat{To: to, Digest: digest} })
+	return next, beats
+}
+
+func (s State) targets(m Ticked) []Member {
+	near := lo.Filter(s.Members(), func(other Member, _ int) bool { return other.Zone == s.self.Zone })
+	far := lo.Filter(s.Members(), func(other Member, _ int) bool { return other.Zone != s.self.Zone })
+	return append(pick(near, s.options.FanOut, m.Random), pick(far, s.options.FarFanOut, m.Random)...)
+}
+
+// pick draws n of the members without putting back.
+func pick(from []Member, n int, random func(int) int) []Member {
+	from = slices.Clone(from)
+	for i := range min(n, len(from)) {
+		j := i + random(len(from)-i)
+		from[i], from[j] = from[j], from[i]
+	}
+	return from[:min(n, len(from))]
+}
+
+// Digest is what the node tells in a heartbeat: itself and the freshest others, of its own zone first.
+func (s State) Digest() []Member { return s.digest() }
+
+func (s State) digest() []Member {
+	others := lo.Filter(lo.Values(s.members), func(m seen, _ int) bool { return m.Incarnation != "" })
+	slices.SortFunc(others, func(x, y seen) int {
+		if near := x.Zone == s.self.Zone; near != (y.Zone == s.self.Zone) {
+			return lo.Ternary(near, -1, 1)
+		}
+		return cmp.Or(y.advanced.Compare(x.advanced), cmp.Compare(x.Node, y.Node))
+	})
+	digest := []Member{s.self}
+	for _, m := range others[:min(len(others), s.options.DigestSize)] {
+		digest = append(digest, m.Member)
+	}
+	return digest
+}
--- /dev/null
+++ b/fleet/node/node.go
@@ -0,0 +1,182 @@
+// Package node puts one node of the fleet together and runs it.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/oklog/ulid/v2"
+	"github.com/samber/do/v2"
+
+	"github.com/lynxshed/lynxshed/fleet/backend"
+	"github.com/lynxshed/lynxshed/fleet/catalog"
+	"github.com/lynxshed/lynxshed/fleet/config"
+	"github.com/lynxshed/lynxshed/fleet/dispatch"
+	"github.com/lynxshed/lynxshed/fleet/entry"
+	"github.com/lynxshed/lynxshed/fleet/event"
+	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/keeper"
+	"github.com/lynxshed/lynxshed/fleet/membership"
+	"github.com/lynxshed/lynxshed/fleet/operator"
+	"github.com/lynxshed/lynxshed/fleet/peer"
+	"github.com/lynxshed/lynxshed/fleet/platform"
+	"github.com/lynxshed/lynxshed/fleet/settings"
+	"github.com/lynxshed/lynxshed/fleet/telemetry"
+)
+
+const (
+	maxEvents   = 20_000
+	readTimeout = 30 * time.Second
+	idleTimeout = 2 * time.Minute
+)
+
+// Options of a node. Network, Clock, Gate and Log may be left out.
+type Options struct {
+	Settings       settings.Settings
+	FleetKey       string
+	OperatorHashes []string
+	Network        Network         // plain TCP when nil
+	Clock          clockwork.Clock // the real one when nil
+	// Gate is called before each periodic step; a demo that pauses a node blocks it.
+	Gate func()
+	Log  log.Interface
+}
+
+func (o Options) withDefaults() Options {
+	if o.Network == nil {
+		o.Network = TCP{}
+	}
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	if o.Gate == nil {
+		o.Gate = func() {}
+	}
+	if o.Log == nil {
+		o.Log = log.Log
+	}
+	return o
+}
+
+// Node is one node of the fleet; New makes one.
+type Node struct {
+	options   Options
+	self      membership.Member
+	clock     clockwork.Clock
+	log       log.Interface
+	telemetry *telemetry.Telemetry
+	platform  *platform.Monitored
+	caller    *peer.Caller
+	backend   *backend.Client
+	events    *event.Log
+	inForce   *config.InForce
+	follower  *config.Follower
+	dispatch  *dispatch.Dispatcher
+	keeper    *keeper.Keeper
+	entry     *entry.Entry
+	listener  net.Listener
+	server    *http.Server
+
+	viewMu sync.Mutex
+	view   membership.State
+
+	loadsMu sync.Mutex
+	loads   map[ident.Endpoint]peer.Load
+
+	drain   chan struct{}
+	drained sync.Once
+	cancel  context.CancelFunc
+	work    sync.WaitGroup
+}
+
+// New puts a node together and listens; Run runs it.
+func New(ctx context.Context, o Options) (*Node, error) {
+	o = o.withDefaults()
+	ctx, cancel := context.WithCancel(ctx)
+	n := &Node{
+		options: o,
+		clock:   o.Clock,
+		log:     o.Log,
+		cancel:  cancel,
+		drain:   make(chan struct{}),
+		loads:   map[ident.Endpoint]peer.Load{},
+	}
+	name := ident.Node(o.Settings.Node)
+	n.self = membership.Member{
+		Node:        name,
+		Zone:        ident.Zone(o.Settings.Zone),
+		URL:         o.Settings.Advertise,
+		Incarnation: ident.NewIncarnation(name, n.newSerial()),
+		Phase:       membership.Live,
+	}
+	n.view = membership.New(n.self, membership.Options{SuspectAfter: o.Settings.Timing.Suspect()})
+	n.events = event.New(name, maxEvents, o.Clock.Now)
+	if err := n.assemble(ctx); err != nil {
+		cancel()
+		return nil, err
+	}
+	listener, err := o.Network.Listen(o.Settings.Listen)
+	if err != nil {
+		cancel()
+		return nil, errors.Wrapf(err, "listen on %s", o.Settings.Listen)
+	}
+	n.listener = listener
+	return n, nil
+}
+
+// assemble builds the slices from the injector.
+func (n *Node) assemble(ctx context.Context) error {
+	injector := do.New()
+	do.ProvideValue(injector, n)
+	do.ProvideValue(injector, ctx)
+	Package(injector)
+	var err error
+	n.server, err = do.Invoke[*http.Server](injector)
+	return errors.Wrap(err, "assemble node")
+}
+
+func (n *Node) newSerial() string {
+	return ulid.MustNew(ulid.Timestamp(n.clock.Now()), rand.Reader).String()
+}
+
+// View is the node's view of the fleet.
+func (n *Node) View() membership.State {
+	n.viewMu.Lock()
+	defer n.viewMu.Unlock()
+	return n.view
+}
+
+func (n *Node) handle(m membership.Message) []membership.Beat {
+	n.viewMu.Lock()
+	defer n.viewMu.Unlock()
+	next, beats := n.view.Handle(m)
+	n.view = next
+	return beats
+}
+
+// Revision is the revision of the table in force here.
+func (n *Node) Revision() int64 { return n.inForce.Revision() }
+
+// Name is the node's name.
+func (n *Node) Name() ident.Node { return n.self.Node }
+
+// Keeper is the node's holder runtime.
+func (n *Node) Keeper() *keeper.Keeper { return n.keeper }
+
+func randomUint64() uint64 { return mathrand.Uint64() }
+
+// configured takes a new revision.
+func (n *Node) configured(c *catalog.Catalog) {
+	n.dispatch.Configure(c)
+	n.events.Add(event.Event{Step: event.Configure, Decision: "in force", Reason: c.Describe()})
+}
+
+var _ operator.Nodes = (*Node)(nil)
--- /dev/null
+++ b/fleet/node/peers.go
@@ -0,0 +1,190 @@
+package node
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lynxshed/lynxshed/fleet/config"
+	"github.com/lynxshed/lynxshed/fleet/event"
+	"github.com/lynxshed/lynxshed/fleet/holder"
+	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/membership"
+	"github.com/lynxshed/lynxshed/fleet/operator"
+	"github.com/lynxshed/lynxshed/fleet/peer"
+)
+
+// peers makes the calls of the slices to other nodes.
+type peers struct{ caller *peer.Caller }
+
+// Claim implements keeper.Peers.
+func (p peers) Claim(ctx context.Context, to membership.Member, in peer.Claiming) (peer.Claimed, error) {
+	return peer.Call[peer.Claimed](ctx, p.caller, to, peer.VerbClaim, in)
+}
+
+// Forget implements keeper.Peers.
+func (p peers) Forget(ctx context.Context, to membership.Member, in peer.Forgetting) error {
+	_, err := peer.Call[peer.Nothing](ctx, p.caller, to, peer.VerbForget, in)
+	return err
+}
+
+// Store implements keeper.Peers.
+func (p peers) Store(ctx context.Context, to membership.Member, in peer.Storing) (peer.Stored, error) {
+	return peer.Call[peer.Stored](ctx, p.caller, to, peer.VerbStore, in)
+}
+
+// Drop implements keeper.Peers.
+func (p peers) Drop(ctx context.Context, to membership.Member, in peer.Dropping) error {
+	_, err := peer.Call[peer.Nothing](ctx, p.caller, to, peer.VerbDrop, in)
+	return err
+}
+
+// Fence implements keeper.Peers.
+func (p peers) Fence(ctx context.Context, to membership.Member, in peer.Fencing) (peer.Fenced, error) {
+	return peer.Call[peer.Fenced](ctx, p.caller, to, peer.VerbFence, in)
+}
+
+// Surrender implements keeper.Peers.
+func (p peers) Surrender(ctx context.Context, to membership.Member, in peer.Surrendering) (peer.Surrendered, error) {
+	return peer.Call[peer.Surrendered](ctx, p.caller, to, peer.VerbSurrender, in)
+}
+
+// HandOver implements keeper.Peers.
+func (p peers) HandOver(ctx context.Context, to membership.Member, in peer.HandOver) error {
+	_, err := peer.Call[peer.Nothing](ctx, p.caller, to, peer.VerbHandOver, in)
+	return err
+}
+
+// Head implements config.Source.
+func (p peers) Head(ctx context.Context, from membership.Member) (config.Head, error) {
+	answer, err := peer.Call[peer.HeadAnswer](ctx, p.caller, from, peer.VerbHead, peer.Nothing{})
+	return answer.Head, err
+}
+
+// Shard implements config.Source.
+func (p peers) Shard(ctx context.Context, from membership.Member, hash string) (config.Shard, error) {
+	answer, err := peer.Call[peer.ShardAnswer](ctx, p.caller, from, peer.VerbShard, peer.ShardAsk{Hash: hash})
+	if err == nil && !answer.Found {
+		err = errors.Newf("step %s, peer %s: it has no shard %s", peer.VerbShard, from.Node, hash)
+	}
+	return answer.Shard, err
+}
+
+// Report implements operator.Nodes.
+func (n *Node) Report(ctx context.Context, from membership.Member) (operator.Report, error) {
+	if from.Node == n.self.Node {
+		return n.report(), nil
+	}
+	return peer.Call[operator.Report](ctx, n.caller, from, peer.VerbReport, peer.Nothing{})
+}
+
+// Events implements operator.Nodes.
+func (n *Node) Events(ctx context.Context, from membership.Member, id ident.Request) ([]event.Event, error) {
+	if from.Node == n.self.Node {
+		return n.events.ByRequest(id), nil
+	}
+	answer, err := peer.Call[peer.EventsAnswer](ctx, n.caller, from, peer.VerbEvents, peer.EventsAsk{Request: id})
+	return answer.Events, err
+}
+
+// Drain implements operator.Nodes.
+func (n *Node) Drain(ctx context.Context, to membership.Member) error {
+	if to.Node == n.self.Node {
+		n.StartDrain()
+		return nil
+	}
+	_, err := peer.Call[peer.Nothing](ctx, n.caller, to, peer.VerbDrain, peer.Nothing{})
+	return err
+}
+
+// servePeers takes the calls of other nodes.
+func (n *Node) servePeers(s *peer.Server) {
+	peer.Handle(s, peer.VerbAdmit, func(ctx context.Context, in peer.Admission) (peer.Verdict, error) {
+		return n.keeper.Admit(ctx, in), nil
+	})
+	peer.Handle(s, peer.VerbEnd, func(ctx context.Context, in peer.Ending) (peer.Known, error) {
+		return n.keeper.End(ctx, in), nil
+	})
+	peer.Handle(s, peer.VerbNote, func(ctx context.Context, in peer.Noting) (peer.Known, error) {
+		return n.keeper.Note(ctx, in), nil
+	})
+	peer.Handle(s, peer.VerbTakeOver, func(_ context.Context, in peer.TakeOver) (peer.Known, error) {
+		return n.keeper.TakeOver(in), nil
+	})
+	peer.Handle(s, peer.VerbFind, func(_ context.Context, in peer.Known) (peer.Known, error) {
+		return n.keeper.Find(in.Record.Request), nil
+	})
+	peer.Handle(s, peer.VerbClaim, func(_ context.Context, in peer.Claiming) (peer.Claimed, error) {
+		return n.keeper.Claim(in), nil
+	})
+	peer.Handle(s, peer.VerbStore, func(_ context.Context, in peer.Storing) (peer.Stored, error) {
+		return n.keeper.Store(in), nil
+	})
+	peer.Handle(s, peer.VerbFence, func(_ context.Context, in peer.Fencing) (peer.Fenced, error) {
+		return n.keeper.Fence(in), nil
+	})
+	peer.Handle(s, peer.VerbSurrender, func(ctx context.Context, in peer.Surrendering) (peer.Surrendered, error) {
+		return n.keeper.Surrender(ctx, in), nil
+	})
+	peer.Handle(s, peer.VerbForget, told(n.keeper.Forget))
+	peer.Handle(s, peer.VerbDrop, told(n.keeper.Drop))
+	peer.Handle(s, peer.VerbHandOver, told(n.keeper.TakeKeys))
+	peer.Handle(s, peer.VerbCancel, told(func(in peer.Known) { n.entry.Cancel(in.Record.Request) }))
+	peer.Handle(s, peer.VerbDrain, told(func(peer.Nothing) { n.StartDrain() }))
+	peer.Handle(s, peer.VerbBeat, func(_ context.Context, in peer.Beat) (peer.Beat, error) {
+		return n.hear(in), nil
+	})
+	peer.Handle(s, peer.VerbHead, func(context.Context, peer.Nothing) (peer.HeadAnswer, error) {
+		return peer.HeadAnswer{Head: n.inForce.Snapshot().Head}, nil
+	})
+	peer.Handle(s, peer.VerbShard, func(_ context.Context, in peer.ShardAsk) (peer.ShardAnswer, error) {
+		shard, ok := n.inForce.Shard(in.Hash)
+		return peer.ShardAnswer{Found: ok, Shard: shard}, nil
+	})
+	peer.Handle(s, peer.VerbEvents, func(_ context.Context, in peer.EventsAsk) (peer.EventsAnswer, error) {
+		return peer.EventsAnswer{Events: n.events.ByRequest(in.Request)}, nil
+	})
+	peer.Handle(s, peer.VerbReport, func(context.Context, peer.Nothing) (operator.Report, error) {
+		return n.report(), nil
+	})
+	s.HandleRaw("GET /peer/runs/{id}", n.entry.ServeRun)
+}
+
+// told answers a message that asks for nothing.
+func told[In any](take func(In)) func(context.Context, In) (peer.Nothing, error) {
+	return func(_ context.Context, in In) (peer.Nothing, error) {
+		take(in)
+		return peer.Nothing{}, nil
+	}
+}
+
+// report is what this node says of itself.
+func (n *Node) report() operator.Report {
+	view := n.View()
+	running, _ := n.entry.Active()
+	r := operator.Report{
+		Node:        n.self.Node,
+		Zone:        n.self.Zone,
+		Incarnation: n.keeper.Incarnation(),
+		State:       string(view.StatusOf(n.self.Node, n.clock.Now())),
+		Revision:    n.inForce.Revision(),
+		Running:     running,
+		Endpoints:   n.dispatch.States(n.inForce.Catalog()),
+		Holdings:    n.keeper.Holding().Holdings(),
+		Stranded:    n.keeper.Stranded(),
+		Events:      n.events.Fleet(reportedEvents),
+	}
+	if h := n.platform.Health(); !h.OK {
+		r.Degraded = append(r.Degraded, operator.Degraded{What: "platform from " + string(n.self.Node), Why: h.Why, Since: h.Since})
+	}
+	records := append(n.keeper.Holding().Records(), n.keeper.Witness().All()...)
+	for _, record := range records {
+		if record.Phase == holder.Settled && record.Billable() {
+			r.Bills = append(r.Bills, record.Bill())
+		}
+	}
+	return r
+}
+
+// reportedEvents is how many events of the node itself a report holds.
+const reportedEvents = 30
--- /dev/null
+++ b/fleet/operator/report.go
@@ -0,0 +1,88 @@
+// Package operator answers operators: the table, the fleet's status, budgets,
+// bills, and why things were decided.
+package operator
+
+import (
+	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/bill"
+	"github.com/lynxshed/lynxshed/fleet/dispatch"
+	"github.com/lynxshed/lynxshed/fleet/event"
+	"github.com/lynxshed/lynxshed/fleet/holder"
+	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/keeper"
+)
+
+// Report is what one node says of itself to the node that an operator asked.
+type Report struct {
+	Node        ident.Node         `json:"node"`
+	Zone        ident.Zone         `json:"zone"`
+	Incarnation ident.Incarnation  `json:"incarnation"`
+	State       string             `json:"state"`
+	Revision    int64              `json:"revision"`
+	Running     int                `json:"running"`
+	Endpoints   []dispatch.State   `json:"endpoints"`
+	Holdings    []holder.Holding   `json:"holdings"`
+	Bills       []bill.Bill        `json:"bills"` // settled here and not durable yet
+	Stranded    []keeper.Stranding `json:"stranded"`
+	Degraded    []Degraded         `json:"degraded"`
+	Events      []event.Event      `json:"events"`
+}
+
+// Degraded is something that does not work as it should, and why.
+type Degraded struct {
+	What  string    `json:"what"`
+	Why   string    `json:"why"`
+	Since time.Time `json:"since"`
+}
+
+// NodeStatus is one node's line of the status.
+type NodeStatus struct {
+	Name     ident.Node `json:"name"`
+	Zone     ident.Zone `json:"zone"`
+	State    string     `json:"state"`
+	Revision int64      `json:"revision"`
+	Why      string     `json:"why,omitempty"` // why the newest revision is not in force
+}
+
+// Status is the state of the fleet as one node sees it.
+type Status struct {
+	Revision  int64            `json:"revision"`
+	Nodes     []NodeStatus     `json:"nodes"`
+	Endpoints []dispatch.State `json:"endpoints"`
+	Degraded  []Degraded       `json:"degraded"`
+	Events    []event.Event    `json:"events"`
+}
+
+// ZoneHolding is what one node holds of a budget.
+type ZoneHolding struct {
+	Zone     ident.Zone `json:"zone"`
+	Node     ident.Node `json:"node"`
+	Tokens   int64      `json:"tokens"`
+	Settled  int64      `json:"settled"`
+	Reserved int64      `json:"reserved"`
+	Stranded bool       `json:"stranded,omitempty"`
+	Why      string     `json:"why,omitempty"`
+}
+
+// BudgetStatus is one budget: limit = spent + reserved + available + stranded.
+type BudgetStatus struct {
+	Name      ident.Budget   `json:"name"`
+	Customer  ident.Customer `json:"customer"`
+	Limit     int64          `json:"limit"`
+	Spent     int64          `json:"spent"`
+	Reserved  int64          `json:"reserved"`
+	Available int64          `json:"available"`
+	Stranded  int64          `json:"stranded"`
+	Holdings  []ZoneHolding  `json:"holdings"`
+	// AsOf is "ledger" while the platform answers, else "nodes".
+	AsOf string `json:"asOf"`
+}
+
+// Explanation is every decision taken for a request.
+type Explanation struct {
+	Request     ident.Request `json:"requestId"`
+	Events      []event.Event `json:"events"`
+	Unreachable []ident.Node  `json:"unreachable"`
+	Bill        *bill.Bill    `json:"bill,omitempty"`
+}
--- /dev/null
+++ b/fleet/platform/client.go
@@ -0,0 +1,142 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const (
+	callTimeout  = 2 * time.Second
+	maxAnswer    = 64 << 20
+	watchOverrun = 2 * time.Second
+)
+
+// Client is the Store over HTTP.
+type Client struct {
+	base   string
+	http   *http.Client
+	tracer trace.Tracer
+}
+
+// NewClient makes a client of the platform at a base URL.
+func NewClient(base string, hc *http.Client, tracer trace.Tracer) *Client {
+	return &Client{base: base, http: hc, tracer: tracer}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	var o Object
+	err := c.call(ctx, http.MethodGet, "/objects/"+key, nil, nil, callTimeout, &o)
+	return o, err
+}
+
+// Put implements Store.
+func (c *Client) Put(ctx context.Context, key string, version Version, value any) (Version, error) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return 0, errors.Wrapf(err, "encode %s", key)
+	}
+	query := url.Values{"version": {strconv.FormatInt(int64(version), 10)}}
+	var o Object
+	err = c.call(ctx, http.MethodPut, "/objects/"+key, query, body, callTimeout, &o)
+	return o.Version, err
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) (Page, error) {
+	var p Page
+	err := c.call(ctx, http.MethodGet, "/objects", url.Values{"prefix": {prefix}}, nil, callTimeout, &p)
+	return p, err
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Page, error) {
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {strconv.FormatInt(after, 10)},
+		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	var p Page
+	err := c.call(ctx, http.MethodGet, "/watch", query, nil, wait+watchOverrun, &p)
+	return p, err
+}
+
+// VMs implements Store.
+func (c *Client) VMs(ctx context.Context) (VMList, error) {
+	var l VMList
+	err := c.call(ctx, http.MethodGet, "/vms", nil, nil, callTimeout, &l)
+	return l, err
+}
+
+// Weights implements Store.
+func (c *Client) Weights(ctx context.Context, model string) error {
+	return c.call(ctx, http.MethodGet, "/weights/"+url.PathEscape(model), nil, nil, callTimeout, &struct{}{})
+}
+
+func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte, timeout time.Duration, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	ctx, span := c.tracer.Start(ctx, "platform "+method, trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("path", path)))
+	defer span.End()
+	u := c.base + path
+	if len(query) > 0 {
+		u += "?" + query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrapf(err, "platform %s %s", method, path)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return c.lost(method, path, err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil {
+		return c.lost(method, path, err)
+	}
+	if err := statusError(res.StatusCode); err != nil {
+		return errors.Wrapf(err, "platform %s %s", method, path)
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return c.lost(method, path, err)
+	}
+	return nil
+}
+
+// lost marks a write whose answer did not arrive.
+func (c *Client) lost(method, path string, err error) error {
+	err = errors.Wrapf(err, "platform %s %s", method, path)
+	if method == http.MethodPut {
+		return errors.Mark(err, ErrUnknown)
+	}
+	return err
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case http.StatusTooManyRequests:
+		return ErrLimited
+	default:
+		return errors.Newf("status %d", status)
+	}
+}
--- /dev/null
+++ b/fleet/platform/health.go
@@ -0,0 +1,78 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Health tells whether the platform answers this node.
+type Health struct {
+	OK    bool
+	Since time.Time
+	Why   string
+}
+
+// Monitored wraps a Store and remembers whether it answers.
+type Monitored struct {
+	Store
+	now func() time.Time
+
+	mu     sync.Mutex
+	health Health
+}
+
+// NewMonitored wraps a store; it counts as answering until it does not.
+func NewMonitored(s Store, now func() time.Time) *Monitored {
+	return &Monitored{Store: s, now: now, health: Health{OK: true, Since: now()}}
+}
+
+// Health is how the platform stands now.
+func (m *Monitored) Health() Health {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.health
+}
+
+// answered reports whether an error is an answer all the same.
+func answered(err error) bool {
+	return err == nil || errors.IsAny(err, ErrNotFound, ErrConflict, ErrTooLarge)
+}
+
+func (m *Monitored) note(ctx context.Context, err error) {
+	if err != nil && ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return // the node itself gave up
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ok := answered(err)
+	if ok != m.health.OK {
+		m.health = Health{OK: ok, Since: m.now()}
+	}
+	if !ok {
+		m.health.Why = err.Error()
+	}
+}
+
+// Get implements Store.
+func (m *Monitored) Get(ctx context.Context, key string) (Object, error) {
+	o, err := m.Store.Get(ctx, key)
+	m.note(ctx, err)
+	return o, err
+}
+
+// Put implements Store.
+func (m *Monitored) Put(ctx context.Context, key string, version Version, value any) (Version, error) {
+	v, err := m.Store.Put(ctx, key, version, value)
+	m.note(ctx, err)
+	return v, err
+}
+
+// VMs implements Store.
+func (m *Monitored) VMs(ctx context.Context) (VMList, error) {
+	l, err := m.Store.VMs(ctx)
+	m.note(ctx, err)
+	return l, err
+}
--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,69 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+)
+
+const maxKV = 16 << 20
+
+// Order tells the engine to load a model or to change its role.
+type Order struct {
+	Fence int64  `json:"fence"`
+	Kind  string `json:"kind"` // load or role
+	Value string `json:"value"`
+}
+
+// orderBook keeps the orders taken and the highest fence seen.
+type orderBook struct {
+	fence int64
+	taken []Order
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&o); err != nil {
+		http.Error(w, "order: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.options.ChecksFence && o.Fence < e.orders.fence {
+		writeJSON(w, http.StatusConflict, Order{Fence: e.orders.fence})
+		return
+	}
+	e.orders.fence = max(e.orders.fence, o.Fence)
+	e.orders.taken = append(e.orders.taken, o)
+	writeJSON(w, http.StatusOK, o)
+}
+
+// Orders returns the orders that the engine took.
+func (e *Engine) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Order{}, e.orders.taken...)
+}
+
+func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	data, ok := e.kv[r.PathValue("prefix")]
+	e.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such prefix", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxKV))
+	if err != nil {
+		http.Error(w, "kv: too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	e.mu.Lock()
+	e.kv[r.PathValue("prefix")] = data
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
