Keep dead holders' records known to two VMs

Cause: with the platform cut off and nodes killed one after the other, the survivor was the only witness of its dead neighbour; when it died too the bills of 171 requests (14,795 tokens) were lost from view. Ruled out: the holder's own re-entrusting, which covered live holders only. Change: witnesses pass a dead holder's records on, heartbeats tell of dead incarnations and of what no longer depends on them, and an account is closed only when that chain is whole. A fresh node in an isolated zone asks its own zone for the configuration first.

--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -90,6 +90,7 @@
 	parser := flaggy.NewParser("lynxctl")
 	parser.Description = "the operators' tool of the lynxshed router fleet"
 	parser.Version = node.Version
+	parser.ShowVersionWithVersionFlag = false // table set has a --version of its own
 	parser.StringSlice(&a.flags.nodes, "n", "node", "URL of a node; may be given more than once")
 	parser.String(&a.flags.key, "k", "key", "operator's key, or "+keyVariable)
 	a.flags.output = formatTable
--- a/fleet/config/follower.go
+++ b/fleet/config/follower.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/ident"
 	"github.com/lynxshed/lynxshed/fleet/membership"
@@ -39,12 +41,13 @@
 	peers   Source
 	view    func() membership.State
 	clock   clockwork.Clock
+	shuffle func(n int, swap func(i, j int))
 	after   int64 // the platform's revision seen by the watch
 }
 
-// NewFollower makes a follower.
-func NewFollower(store platform.Store, loader *Loader, inForce *InForce, peers Source, view func() membership.State, clock clockwork.Clock) *Follower {
-	return &Follower{store: store, loader: loader, inForce: inForce, peers: peers, view: view, clock: clock}
+// NewFollower makes a follower; shuffle orders peers at random.
+func NewFollower(store platform.Store, loader *Loader, inForce *InForce, peers Source, view func() membership.State, clock clockwork.Clock, shuffle func(n int, swap func(i, j int))) *Follower {
+	return &Follower{store: store, loader: loader, inForce: inForce, peers: peers, view: view, clock: clock, shuffle: shuffle}
 }
 
 // IsRelay reports whether this node watches the platform for its zone.
@@ -99,26 +102,44 @@
 	return f.inForce.Advance(head, func(hash string) (Shard, error) { return f.loader.Shard(ctx, hash) })
 }
 
-// PullOnce asks the peer with the newest revision for it, and returns how long
-// to pause before the next look.
+// maxPulls is how many peers one look asks.
+const maxPulls = 3
+
+// PullOnce asks peers that run a newer revision for it, those of the own zone
+// first, and returns how long to pause before the next look.
 func (f *Follower) PullOnce(ctx context.Context) (time.Duration, error) {
-	view := f.view()
-	var newest membership.Member
-	for _, m := range view.Members() {
-		status := view.StatusOf(m.Node, f.clock.Now())
-		alive := status == membership.StatusLive || status == membership.StatusLeaving
-		if alive && m.Revision > newest.Revision {
-			newest = m
+	var err error
+	newer := f.newer()
+	for _, m := range newer[:min(len(newer), maxPulls)] {
+		if err = f.pull(ctx, m); err == nil {
+			break
 		}
 	}
-	if newest.Revision <= f.inForce.Revision() {
-		return pullPause, nil
-	}
-	head, err := f.peers.Head(ctx, newest)
+	return pullPause, err
+}
+
+func (f *Follower) pull(ctx context.Context, from membership.Member) error {
+	head, err := f.peers.Head(ctx, from)
 	if err != nil {
-		return pullPause, err
+		return err
 	}
-	return pullPause, f.inForce.Advance(head, func(hash string) (Shard, error) { return f.peers.Shard(ctx, newest, hash) })
+	return f.inForce.Advance(head, func(hash string) (Shard, error) { return f.peers.Shard(ctx, from, hash) })
+}
+
+// newer lists the live peers that run a newer revision, in random order but for
+// the own zone's, which go first.
+func (f *Follower) newer() []membership.Member {
+	view, now, own := f.view(), f.clock.Now(), f.inForce.Revision()
+	newer := lo.Filter(view.Members(), func(m membership.Member, _ int) bool {
+		status := view.StatusOf(m.Node, now)
+		return m.Revision > own && (status == membership.StatusLive || status == membership.StatusLeaving)
+	})
+	f.shuffle(len(newer), func(i, j int) { newer[i], newer[j] = newer[j], newer[i] })
+	slices.SortStableFunc(newer, func(x, y membership.Member) int {
+		near := func(m membership.Member) int { return lo.Ternary(m.Zone == view.Self().Zone, 0, 1) }
+		return near(x) - near(y)
+	})
+	return newer
 }
 
 // Shard reads a shard from the platform.
--- a/fleet/holder/settle.go
+++ b/fleet/holder/settle.go
@@ -74,7 +74,7 @@
 func (s State) release(m Release) (State, Effect) {
 	r, ok := s.records.Get(m.Request)
 	if !ok {
-		return s, Missing{Request: m.Request}
+		return s, Missing(m)
 	}
 	if r.Phase != Open {
 		return s, Ended{Record: r}
--- a/fleet/keeper/admit.go
+++ b/fleet/keeper/admit.go
@@ -55,7 +55,7 @@
 				return peer.Verdict{Existing: claimed.Existing}
 			}
 			if claimed.Refused != nil {
-				k.handle(holder.Deny{Record: effect.Record})
+				k.handle(holder.Deny(effect))
 				return peer.Verdict{Refused: claimed.Refused}
 			}
 			m.Claimed, m.Unreachable = true, unreachable
--- a/fleet/keeper/end.go
+++ b/fleet/keeper/end.go
@@ -150,7 +150,10 @@
 }
 
 // Drop forgets records whose bills are durable or that did not run.
-func (k *Keeper) Drop(in peer.Dropping) { k.testify(witness.Drop{Requests: in.Requests}) }
+func (k *Keeper) Drop(in peer.Dropping) {
+	k.testify(witness.Drop{Requests: in.Requests})
+	k.prunePassed(in.Requests)
+}
 
 // Fence ends a holder here and tells what is known of it.
 func (k *Keeper) Fence(in peer.Fencing) peer.Fenced {
--- a/fleet/keeper/flush.go
+++ b/fleet/keeper/flush.go
@@ -14,7 +14,6 @@
 	"github.com/lynxshed/lynxshed/fleet/ledger"
 	"github.com/lynxshed/lynxshed/fleet/peer"
 	"github.com/lynxshed/lynxshed/fleet/platform"
-	"github.com/lynxshed/lynxshed/fleet/witness"
 )
 
 // BillPrefix is the platform's prefix of every segment of bills.
@@ -124,7 +123,7 @@
 	view := k.View()
 	for n, ids := range byNode {
 		if n == k.Self.Node {
-			k.testify(witness.Drop{Requests: ids})
+			k.Drop(peer.Dropping{Requests: ids})
 			continue
 		}
 		if to, ok := view.Member(n); ok {
--- a/fleet/keeper/guard.go
+++ b/fleet/keeper/guard.go
@@ -78,6 +78,7 @@
 			return err
 		}
 		if b.Target == nil {
+			k.callBack(ctx, b, c) // the holders place what is left anew
 			k.Events.Add(event.Event{Step: event.Recall, Peer: string(c.budget), Decision: "limit lowered", Reason: fmt.Sprintf("to %d tokens", c.to)})
 			return nil
 		}
--- a/fleet/keeper/keeper.go
+++ b/fleet/keeper/keeper.go
@@ -85,6 +85,7 @@
 	denied   map[ident.Budget]denial
 	segments segmentWriter
 	stranded map[ident.Incarnation]Stranding
+	passed   map[ident.Request]passing
 
 	slotMu sync.Map // ident.Slot -> *slotSync
 }
@@ -105,6 +106,7 @@
 		wants:    holder.Wants{},
 		denied:   map[ident.Budget]denial{},
 		stranded: map[ident.Incarnation]Stranding{},
+		passed:   map[ident.Request]passing{},
 	}
 }
 
--- a/fleet/keeper/recover.go
+++ b/fleet/keeper/recover.go
@@ -43,9 +43,52 @@
 func (k *Keeper) Recover(ctx context.Context) {
 	k.endAbandoned(ctx)
 	k.entrustAgain(ctx)
+	k.passOn(ctx)
 	k.closeDead(ctx)
 }
 
+// passOn copies the records of holders that are over to another node of the
+// zone, so that they are known to two VMs again until the accounts are closed.
+func (k *Keeper) passOn(ctx context.Context) {
+	for _, dead := range k.Witness().Holders() {
+		if !k.lost(dead) {
+			continue
+		}
+		for _, r := range k.unpassed(dead) {
+			if by, _ := k.entrust(ctx, r); by != "" {
+				k.mu.Lock()
+				k.passed[r.Request] = passing{to: by, phase: r.Phase}
+				k.mu.Unlock()
+			}
+		}
+	}
+}
+
+// passing is where a copy of a dead holder's record went, and in which phase.
+type passing struct {
+	to    ident.Incarnation
+	phase holder.Phase
+}
+
+// unpassed lists the records of a dead holder that no other live node is known to keep.
+func (k *Keeper) unpassed(dead ident.Incarnation) []holder.Record {
+	return lo.Filter(k.Witness().Of(dead), func(r holder.Record, _ int) bool {
+		k.mu.Lock()
+		p, ok := k.passed[r.Request]
+		k.mu.Unlock()
+		return !ok || p.phase != r.Phase || k.lost(p.to)
+	})
+}
+
+// prunePassed forgets where copies of dropped records went.
+func (k *Keeper) prunePassed(ids []ident.Request) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, id := range ids {
+		delete(k.passed, id)
+	}
+}
+
 // endAbandoned asks the engines about open requests whose entry does not answer.
 func (k *Keeper) endAbandoned(ctx context.Context) {
 	for _, r := range k.Holding().Records() {
@@ -137,7 +180,7 @@
 	}
 	departed := k.View().Departed(k.Self.Zone)
 	for _, d := range departed[max(0, len(departed)-maxRecovered):] {
-		if !needed[d.Incarnation] {
+		if !needed[d.Incarnation] && len(k.unpassed(d.Incarnation)) == 0 {
 			recovered = append(recovered, d.Incarnation)
 		}
 	}
@@ -274,15 +317,15 @@
 }
 
 // complete fails where a record of the dead holder may be known to no live VM:
-// it had one alone, or another VM of the zone went in its time and the dead
-// holder never said that it had found another for that one's records.
+// it had one alone, or another VM of the zone went in its time and neither said
+// before its end that nothing depended on that one any more.
 func complete(dead ident.Incarnation, last membership.Member, departed []membership.Departed) error {
 	if last.Alone {
 		return errors.New("some of its requests were known to no other VM")
 	}
 	born := bornAt(dead)
 	for _, d := range departed {
-		if d.Incarnation == dead || lo.Contains(last.Recovered, d.Incarnation) {
+		if d.Incarnation == dead || lo.Contains(last.Recovered, d.Incarnation) || lo.Contains(d.Recovered, dead) {
 			continue
 		}
 		if d.At.Before(born.Add(-clockSkew)) {
--- a/fleet/keeper/sync.go
+++ b/fleet/keeper/sync.go
@@ -26,7 +26,7 @@
 	recallTimeout = 500 * time.Millisecond
 	topUpTimeout  = 1500 * time.Millisecond
 	// idleRead is how often the ledger of an idle slot is read again.
-	idleRead = 5 * time.Second
+	idleRead = 2 * time.Second
 )
 
 // slotSync serializes the updates of one slot's ledger and keeps it as last seen.
@@ -184,16 +184,20 @@
 	return donors
 }
 
-// Surrender returns tokens that another holder lacks.
+// Surrender returns tokens that another holder lacks. A need of nothing asks the
+// holder to look at the ledger anew.
 func (k *Keeper) Surrender(ctx context.Context, in peer.Surrendering) peer.Surrendered {
 	given, ok := k.handle(holder.Surrender{Slot: in.Slot, Budget: in.Budget, Need: in.Need}).(holder.Surrendered)
-	if !ok || given.Tokens == 0 {
+	if !ok {
 		return peer.Surrendered{}
 	}
+	k.slotSync(in.Slot).expire()
 	if err := k.SyncSlot(ctx, in.Slot); err != nil {
 		return peer.Surrendered{}
 	}
-	k.Events.Add(event.Event{Step: event.Return, Peer: string(in.Budget), Decision: "returned", Reason: "another zone is short"})
+	if given.Tokens > 0 {
+		k.Events.Add(event.Event{Step: event.Return, Peer: string(in.Budget), Decision: "returned", Reason: "another zone is short"})
+	}
 	return peer.Surrendered{Tokens: given.Tokens}
 }
 
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -25,6 +25,7 @@
 	Live    Phase = "live"
 	Leaving Phase = "leaving"
 	Left    Phase = "left" // it has handed everything over and is about to exit
+	Gone    Phase = "gone" // told of a dead incarnation, so that new nodes know its last news
 )
 
 // Member is what is known of a node's newest incarnation.
@@ -36,8 +37,9 @@
 	Beat        int64             `json:"beat"` // grows with each heartbeat
 	Phase       Phase             `json:"phase"`
 	Revision    int64             `json:"revision"` // of the configuration in force there
-	// Recovered names the gone incarnations of the zone whose share in this
-	// holder's records is known to another VM again.
+	// Recovered names the gone incarnations of the zone on which nothing depends
+	// any more at this node: no record of its own is known to the gone one alone,
+	// and no record of the gone one is known to this node alone.
 	Recovered []ident.Incarnation `json:"recovered,omitempty"`
 	// Alone says that some record of this holder is known to no other VM.
 	Alone bool `json:"alone,omitempty"`
@@ -334,6 +336,10 @@
 func (s State) heard(m Heard) State {
 	next := s.copied()
 	for _, news := range m.Members {
+		if news.Phase == Gone {
+			next.learnGone(news, m.At)
+			continue
+		}
 		if _, over := next.gone[news.Incarnation]; over || news.Node == s.self.Node {
 			continue
 		}
@@ -349,6 +355,30 @@
 	return next
 }
 
+// learnGone takes a peer's word that an incarnation is over.
+func (s State) learnGone(news Member, at time.Time) {
+	if _, known := s.gone[news.Incarnation]; known || news.Incarnation == s.self.Incarnation {
+		return
+	}
+	s.gone[news.Incarnation] = Departed{Member: news, At: at}
+	if m, ok := s.members[news.Node]; ok && m.Incarnation == news.Incarnation {
+		delete(s.members, news.Node)
+	}
+}
+
+// toldGone is how many dead incarnations of the zone a heartbeat tells of.
+const toldGone = 8
+
+// lately lists the incarnations of the own zone that went last.
+func (s State) lately() []Member {
+	departed := s.Departed(s.self.Zone)
+	slices.SortFunc(departed, func(x, y Departed) int { return y.At.Compare(x.At) })
+	return lo.Map(departed[:min(len(departed), toldGone)], func(d Departed, _ int) Member {
+		d.Phase = Gone
+		return d.Member
+	})
+}
+
 // tick beats once. After a pause of its own the node can't tell who was silent,
 // so that all get their patience anew.
 func (s State) tick(m Ticked) (State, []Beat) {
@@ -394,7 +424,7 @@
 		}
 		return cmp.Or(y.advanced.Compare(x.advanced), cmp.Compare(x.Node, y.Node))
 	})
-	digest := []Member{s.self}
+	digest := append([]Member{s.self}, s.lately()...)
 	for _, m := range others[:min(len(others), s.options.DigestSize)] {
 		digest = append(digest, m.Member)
 	}
--- a/fleet/node/wire.go
+++ b/fleet/node/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	mathrand "math/rand/v2"
 	"net/http"
 	"time"
 
@@ -88,7 +89,7 @@
 	n := do.MustInvoke[*Node](i)
 	inForce := do.MustInvoke[*config.InForce](i)
 	loader := config.NewLoader(do.MustInvoke[*platform.Monitored](i), inForce.Shard)
-	n.follower = config.NewFollower(n.platform, loader, inForce, peers{caller: do.MustInvoke[*peer.Caller](i)}, n.View, n.clock)
+	n.follower = config.NewFollower(n.platform, loader, inForce, peers{caller: do.MustInvoke[*peer.Caller](i)}, n.View, n.clock, mathrand.Shuffle)
 	return loader, nil
 }
 
