Give called-back tokens to the holder that asked

Cause: a new holder found the pool empty, called tokens back, and lost them to whichever holder looked at the pool first; drains under load refused 1 to 7 requests with 402 while 99% of the budget was free. Ruled out: donors that did not answer (their events show the returns). Change: a return and its credit to the asker are one conditional update, counted from the ledger's own counter so that a repeated update credits once; a leaving holder's rest goes to its successor the same way.

--- a/fleet/holder/sync.go
+++ b/fleet/holder/sync.go
@@ -29,17 +29,24 @@
 	return accounts
 }
 
+// Credit is tokens on their way to another holder that lacks them.
+type Credit struct {
+	Budget ident.Budget
+	To     ident.Incarnation
+	Tokens int64
+}
+
 // Wants is how many tokens of each budget should be free here.
 type Wants map[ident.Budget]int64
 
 // Post is what the holder writes to the ledger of a slot next, so that the
 // wanted tokens are free here and the holding moves towards the plan. Segment
 // is the last segment of bills that lies in the platform.
-func (s State) Post(slot ident.Slot, wants Wants, segment int64, at time.Time) ledger.Post {
+func (s State) Post(slot ident.Slot, wants Wants, credit Credit, segment int64, at time.Time) ledger.Post {
 	p := ledger.Post{Holder: s.self, Zone: s.zone, Segment: segment}
 	for _, a := range s.accountsOf(slot) {
 		d := a.demand.decayed(at)
-		p.Lines = append(p.Lines, ledger.Line{
+		line := ledger.Line{
 			Budget:   a.line.Name,
 			Limit:    a.line.Limit,
 			Version:  a.line.Version,
@@ -51,7 +58,11 @@
 			Lump:     int64(d.lump),
 			Need:     max(0, wants[a.line.Name]-a.spendable()),
 			Place:    true,
-		})
+		}
+		if credit.Budget == a.line.Name {
+			line.CreditTo, line.Credit = credit.To, credit.Tokens
+		}
+		p.Lines = append(p.Lines, line)
 	}
 	return p
 }
--- a/fleet/keeper/flush.go
+++ b/fleet/keeper/flush.go
@@ -151,12 +151,16 @@
 		return err
 	}
 	k.handOver(ctx, slot)
+	var heir ident.Incarnation
+	if rank := k.rank(slot); len(rank) > 0 {
+		heir = rank[0].Incarnation
+	}
 	tried := false
 	err := k.update(ctx, slot, func(doc ledger.Slot) (ledger.Slot, error) {
 		k.mu.Lock()
-		post := k.holding.Post(slot, nil, k.segments.durable, k.Clock.Now())
+		post := k.holding.Post(slot, nil, holder.Credit{}, k.segments.durable, k.Clock.Now())
 		k.mu.Unlock()
-		post.Leave = true
+		post.Leave, post.Heir = true, heir
 		next, err := doc.Apply(post)
 		if tried && errors.Is(err, ledger.ErrClosed) {
 			return doc, nil // an earlier try took effect and its answer was lost
--- a/fleet/keeper/sync.go
+++ b/fleet/keeper/sync.go
@@ -100,10 +100,14 @@
 
 // SyncSlot posts the holder's books of a slot and draws what is wanted.
 func (k *Keeper) SyncSlot(ctx context.Context, slot ident.Slot) error {
+	return k.syncSlot(ctx, slot, holder.Credit{})
+}
+
+func (k *Keeper) syncSlot(ctx context.Context, slot ident.Slot, credit holder.Credit) error {
 	err := k.update(ctx, slot, func(doc ledger.Slot) (ledger.Slot, error) {
 		k.mu.Lock()
 		k.holding, _ = k.holding.Handle(holder.Synced{At: k.Clock.Now(), Slot: doc})
-		post := k.holding.Post(slot, k.wants, k.segments.durable, k.Clock.Now())
+		post := k.holding.Post(slot, k.wants, credit, k.segments.durable, k.Clock.Now())
 		k.mu.Unlock()
 		return doc.Apply(post)
 	})
@@ -130,7 +134,7 @@
 	}
 	for _, donor := range k.donors(s) {
 		asked, stop := context.WithTimeout(ctx, recallTimeout)
-		back, err := k.Peers.Surrender(asked, donor, peer.Surrendering{Slot: s.Slot, Budget: s.Budget, Need: lack})
+		back, err := k.Peers.Surrender(asked, donor, peer.Surrendering{Slot: s.Slot, Budget: s.Budget, Need: lack, For: k.Incarnation()})
 		stop()
 		if err != nil {
 			continue
@@ -192,7 +196,7 @@
 		return peer.Surrendered{}
 	}
 	k.slotSync(in.Slot).expire()
-	if err := k.SyncSlot(ctx, in.Slot); err != nil {
+	if err := k.syncSlot(ctx, in.Slot, holder.Credit{Budget: in.Budget, To: in.For, Tokens: given.Tokens}); err != nil {
 		return peer.Surrendered{}
 	}
 	if given.Tokens > 0 {
--- a/fleet/ledger/post.go
+++ b/fleet/ledger/post.go
@@ -23,6 +23,10 @@
 	Need int64
 	// Place asks to move the holding towards its planned share as well.
 	Place bool
+	// CreditTo gets up to Credit of the tokens that this update returns, so that
+	// they do not go to whoever looks at the pool first. It must have an account.
+	CreditTo ident.Incarnation
+	Credit   int64
 }
 
 // Post is one update of a slot by a holder.
@@ -34,6 +38,8 @@
 	Segment int64
 	// Leave closes the holder's own accounts: it stops and returns the rest.
 	Leave bool
+	// Heir gets the rest of a leaving holder where it has an account.
+	Heir ident.Incarnation
 }
 
 // Apply makes a holder's update, or ErrClosed where its account was closed.
@@ -59,17 +65,30 @@
 		return b, errors.Wrapf(ErrClosed, "budget %s, holder %s", b.Name, p.Holder)
 	}
 	a.Holder, a.Zone = p.Holder, p.Zone
-	a.Returned = max(a.Returned, line.Returned)
+	returning := max(0, line.Returned-a.Returned)
+	a.Returned += returning
 	a.Settled = max(a.Settled, line.Settled)
 	a.Segment = max(a.Segment, p.Segment)
 	a.Reserved, a.Rate, a.Lump = line.Reserved, line.Rate, line.Lump
-	b = b.WithAccount(a)
+	b = b.WithAccount(a).credited(line.CreditTo, min(line.Credit, returning))
 	if p.Leave {
-		return b.leave(a), nil
+		return b.leave(a).credited(p.Heir, a.Unspent()), nil
 	}
 	return b.WithAccount(b.draw(a, line)), nil
 }
 
+// credited moves tokens that were just returned to another holder's account.
+// What returns is counted from the ledger's own counter, so that an update made
+// twice credits once.
+func (b Budget) credited(to ident.Incarnation, tokens int64) Budget {
+	a, ok := b.Account(to)
+	if !ok || a.Frozen || tokens <= 0 {
+		return b
+	}
+	a.Drawn += min(tokens, max(0, b.Pool()))
+	return b.WithAccount(a)
+}
+
 // draw moves tokens from the pool to an account: what it needs, and what its share lacks.
 func (b Budget) draw(a Account, line Line) Account {
 	want := line.Need
--- a/fleet/peer/wire.go
+++ b/fleet/peer/wire.go
@@ -105,6 +105,8 @@
 	Slot   ident.Slot   `json:"slot"`
 	Budget ident.Budget `json:"budget"`
 	Need   int64        `json:"need"`
+	// For is the holder that lacks them; without one they go to the pool.
+	For ident.Incarnation `json:"for,omitempty"`
 }
 
 // Surrendered is what was returned to the pool.
