Keep interactive calls fast beside batch at twice the capacity

Change: each node of a zone has an even share of a ceiling for batch calls and borrows what the report shows others leave; while interactive calls come the ceiling is where streams run 1.2 times slower than alone, a saturation load from measured pace after Chanson and Sinha (1980).

--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -61,17 +61,6 @@
 	load    loadFlags
 }
 
-type loadFlags struct {
-	addrFile string
-	rate     float64
-	forTime  time.Duration
-	mix      string
-	tokens   int
-	prompt   int
-	batch    float64
-	seed     uint64
-}
-
 // verb is a subcommand and what it does.
 type verb struct {
 	command *flaggy.Subcommand
--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -24,10 +24,9 @@
 	maxQueue = 2000
 	// reportMaxAge is how long a load report counts.
 	reportMaxAge = 5 * time.Second
-	// reservePart of an endpoint's limit is kept free of batch calls while
-	// interactive calls come.
-	reservePart      = 4
-	interactiveFresh = 10 * time.Second
+	// interactiveFresh is how long after an interactive call batch calls keep
+	// to the pace that those need.
+	interactiveFresh = time.Minute
 	rateMemory       = 5 * time.Second
 )
 
@@ -57,6 +56,7 @@
 type Grant struct {
 	Choice routing.Choice
 	Waited time.Duration
+	batch  bool
 }
 
 // Endpoint is the chosen endpoint.
@@ -64,6 +64,8 @@
 
 type tracker struct {
 	own         int64
+	ownBatch    int64
+	window      routing.Window
 	report      peer.Load
 	reportAt    time.Time
 	ownAtReport int64
@@ -89,12 +91,14 @@
 	clock  clockwork.Clock
 	events *event.Log
 	random func() uint64
+	nodes  func(ident.Zone) int // live nodes of a zone
 
 	mu          sync.Mutex
 	table       routing.Table
+	zones       map[ident.Endpoint]ident.Zone
 	queues      map[ident.Service]*serviceQueue
 	trackers    map[ident.Endpoint]*tracker
-	interactive map[ident.Endpoint]time.Time // when an interactive call last went there
+	interactive time.Time // when an interactive call was last placed
 }
 
 type serviceQueue struct {
@@ -103,13 +107,13 @@
 	rateAt time.Time
 }
 
-// New makes a dispatcher without endpoints.
-func New(zone ident.Zone, clock clockwork.Clock, events *event.Log, random func() uint64) *Dispatcher {
+// New makes a dispatcher without endpoints; nodes counts the live nodes of a zone.
+func New(zone ident.Zone, clock clockwork.Clock, events *event.Log, random func() uint64, nodes func(ident.Zone) int) *Dispatcher {
 	return &Dispatcher{
-		zone: zone, clock: clock, events: events, random: random,
-		queues:      map[ident.Service]*serviceQueue{},
-		trackers:    map[ident.Endpoint]*tracker{},
-		interactive: map[ident.Endpoint]time.Time{},
+		zone: zone, clock: clock, events: events, random: random, nodes: nodes,
+		zones:    map[ident.Endpoint]ident.Zone{},
+		queues:   map[ident.Service]*serviceQueue{},
+		trackers: map[ident.Endpoint]*tracker{},
 	}
 }
 
@@ -121,6 +125,7 @@
 	d.table = routing.New(c, d.zone, services)
 	for _, e := range c.AllEndpoints() {
 		d.tracker(e.Name).limit = e.MaxInFlight
+		d.zones[e.Name] = e.Zone
 	}
 	for s := range d.queues {
 		d.pump(s)
@@ -138,6 +143,10 @@
 
 // Report takes endpoints' load reports.
 func (d *Dispatcher) Report(loads []peer.Load) {
+	nodes := map[ident.Zone]int{}
+	for _, z := range lo.Uniq(lo.Map(loads, func(l peer.Load, _ int) ident.Zone { return d.zoneOf(l.Endpoint) })) {
+		nodes[z] = d.nodes(z)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, l := range loads {
@@ -149,12 +158,34 @@
 			d.events.Add(event.Event{Step: event.Eject, Peer: string(l.Endpoint), Decision: lo.Ternary(l.Leaving, "gets no new work", "gets work again"), Reason: "its own report"})
 		}
 		t.report, t.reportAt, t.ownAtReport = l, d.clock.Now(), t.own
+		t.window = t.window.WithSighting(routing.Sighting{
+			At: t.reportAt, Total: l.InFlight + l.Queued, Limit: t.limit, OwnBatch: t.ownBatch,
+			Nodes: nodes[d.zones[l.Endpoint]], Far: d.zones[l.Endpoint] != d.zone, Interactive: d.isInteractive(),
+		})
 	}
 	for s := range d.queues {
 		d.pump(s)
 	}
 }
 
+func (d *Dispatcher) zoneOf(name ident.Endpoint) ident.Zone {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.zones[name]
+}
+
+func (d *Dispatcher) isInteractive() bool {
+	return d.clock.Since(d.interactive) <= interactiveFresh
+}
+
+// Paced tells the mean time between the tokens of a stream from an endpoint.
+func (d *Dispatcher) Paced(g Grant, gap time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.tracker(g.Endpoint().Name)
+	t.window = t.window.WithGap(gap)
+}
+
 // Leaving marks an endpoint that refused work since it is leaving.
 func (d *Dispatcher) Leaving(name ident.Endpoint) {
 	d.mu.Lock()
@@ -171,12 +202,13 @@
 		c.Others = max(0, t.report.InFlight+t.report.Queued-t.ownAtReport)
 		c.Out = c.Out || t.report.Leaving || t.report.Down
 	}
-	if now.Sub(d.interactive[name]) <= interactiveFresh {
-		c.Reserve = max(1, t.limit/reservePart)
-	}
+	c.NoBatch = c.Own+c.Others >= routing.BatchLimit(t.limit) || !t.window.Allows(t.ownBatch, d.chance())
 	return c
 }
 
+// chance is a random number from 0 to 1.
+func (d *Dispatcher) chance() float64 { return float64(d.random()>>11) / (1 << 53) }
+
 // Acquire waits for an endpoint until the deadline; it refuses at once where
 // the wait would be too long.
 func (d *Dispatcher) Acquire(ctx context.Context, ask Ask) (Grant, *problem.Problem) {
@@ -248,15 +280,19 @@
 	}
 	t := d.tracker(choice.Target.Name)
 	t.own++
+	batch := ask.Priority == catalog.Batch
+	if batch {
+		t.ownBatch++
+	}
 	now := d.clock.Now()
 	if t.health.NeedsProbe(now) {
 		t.health = t.health.WithProbe()
 	}
-	if ask.Priority == catalog.Interactive {
-		d.interactive[choice.Target.Name] = now
+	if !batch {
+		d.interactive = now
 	}
 	d.queue(ask.Service).placed(now)
-	return Grant{Choice: choice}, routing.Chosen
+	return Grant{Choice: choice, batch: batch}, routing.Chosen
 }
 
 // Release gives an endpoint back.
@@ -272,6 +308,9 @@
 func (d *Dispatcher) release(g Grant, r Result) {
 	t := d.tracker(g.Endpoint().Name)
 	t.own = max(0, t.own-1)
+	if g.batch {
+		t.ownBatch = max(0, t.ownBatch-1)
+	}
 	before := t.health.Ejected(d.clock.Now())
 	switch r {
 	case Went:
--- a/fleet/entry/chatjob.go
+++ b/fleet/entry/chatjob.go
@@ -133,6 +133,9 @@
 func (j *chatJob) relay(ctx context.Context, stream *backend.Stream, alive func()) (holder.Usage, error) {
 	var usage *holder.Usage
 	sent := j.entry.Clock.Now()
+	var first time.Time
+	count := 0
+	defer func() { j.pace(first, count) }()
 	for chunk, err := range stream.Chunks() {
 		if err != nil {
 			return holder.Usage{}, err
@@ -151,12 +154,24 @@
 			if j.run.relayed() == 0 {
 				j.entry.Metrics.FirstToken(ctx, j.entry.Clock.Since(sent))
 			}
+			if count++; count == 1 {
+				first = j.entry.Clock.Now()
+			}
 			j.run.relay(chunk.Data)
 		}
 	}
 	return holder.Usage{}, backend.ErrTruncated
 }
 
+// pacedTokens is how many tokens a stream must have for its pace to count.
+const pacedTokens = 8
+
+func (j *chatJob) pace(first time.Time, count int) {
+	if count >= pacedTokens {
+		j.entry.Dispatch.Paced(j.grant, j.entry.Clock.Since(first)/time.Duration(count-1))
+	}
+}
+
 // next asks the policy what to do after a failure.
 func (j *chatJob) next(ctx context.Context, err error) attempt.Step {
 	failure := attempt.Broken
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -162,6 +162,11 @@
 	return beats
 }
 
+// liveNodes counts the nodes of a zone that are reachable.
+func (n *Node) liveNodes(z ident.Zone) int {
+	return len(n.View().Reachable(z, n.clock.Now()))
+}
+
 // Revision is the revision of the table in force here.
 func (n *Node) Revision() int64 { return n.inForce.Revision() }
 
--- a/fleet/node/wire.go
+++ b/fleet/node/wire.go
@@ -74,7 +74,7 @@
 
 func provideDispatch(i do.Injector) (*dispatch.Dispatcher, error) {
 	n := do.MustInvoke[*Node](i)
-	n.dispatch = dispatch.New(n.self.Zone, n.clock, n.events, randomUint64)
+	n.dispatch = dispatch.New(n.self.Zone, n.clock, n.events, randomUint64, n.liveNodes)
 	return n.dispatch, nil
 }
 
--- a/fleet/routing/routing.go
+++ b/fleet/routing/routing.go
@@ -12,9 +12,9 @@
 	"github.com/lynxshed/lynxshed/fleet/ident"
 )
 
-// affinityBound is how much fuller than the mean the endpoint that a prefix
-// prefers may be, as a ratio.
-const affinityBound = 1.25
+// affinitySlack is how much fuller than the least loaded the endpoint that a
+// prefix prefers may be, as a part of its limit.
+const affinitySlack = 0.15
 
 // maxScan is how many endpoints of a zone are compared for one choice.
 const maxScan = 16
@@ -66,7 +66,7 @@
 	Own     int64 // calls in flight from this node
 	Others  int64 // calls in flight from other nodes, as last reported
 	Limit   int64 // calls that may be in flight in all
-	Reserve int64 // of these, kept free of batch calls
+	NoBatch bool  // the batch window is full
 	Out     bool  // leaving, ejected or cut off: takes no new work
 }
 
@@ -123,15 +123,16 @@
 type best struct {
 	at, second   int
 	cost, costly float64
+	load         float64 // of the best
 	found        int
 }
 
-func (b *best) offer(at int, cost float64) {
+func (b *best) offer(at int, load, cost float64) {
 	b.found++
 	switch {
 	case b.at < 0 || cost < b.cost:
 		b.second, b.costly = b.at, b.cost
-		b.at, b.cost = at, cost
+		b.at, b.cost, b.load = at, cost, load
 	case b.second < 0 || cost < b.costly:
 		b.second, b.costly = at, cost
 	}
@@ -143,7 +144,6 @@
 	}
 	least := best{at: -1, second: -1}
 	affine, affineWeight, affineLoad := -1, uint64(0), 0.0
-	var total float64
 	usable := false
 	start := int(q.Random % uint64(len(ts)))
 	for i := range min(len(ts), maxScan) {
@@ -154,16 +154,11 @@
 			continue
 		}
 		usable = true
-		limit := c.Limit
-		if q.Priority == catalog.Batch {
-			limit -= c.Reserve
-		}
-		if c.load() >= limit {
+		if c.load() >= c.Limit || (c.NoBatch && q.Priority == catalog.Batch) {
 			continue
 		}
 		load := float64(c.load()) / float64(max(1, c.Limit))
-		total += load
-		least.offer(at, load/float64(target.ServiceWeight))
+		least.offer(at, load, load/float64(target.ServiceWeight))
 		if w := mix(q.Prefix ^ target.hash); q.Prefix != 0 && w > affineWeight {
 			affine, affineWeight, affineLoad = at, w, load
 		}
@@ -178,8 +173,7 @@
 	if least.second >= 0 {
 		choice.RunnerUp = ts[least.second].Name
 	}
-	mean := total / float64(least.found)
-	if affine >= 0 && affine != least.at && affineLoad <= mean*affinityBound {
+	if affine >= 0 && affine != least.at && affineLoad <= least.load+affinitySlack {
 		choice.RunnerUp = choice.Target.Name
 		choice.Target = ts[affine]
 	}
--- a/fleet/routing/routing_test.go
+++ b/fleet/routing/routing_test.go
@@ -24,7 +24,7 @@
 }
 
 func TestChoose(t *testing.T) {
-	free := routing.Condition{Limit: 4, Reserve: 1}
+	free := routing.Condition{Limit: 4}
 	cases := []struct {
 		name     string
 		query    routing.Query
@@ -38,8 +38,8 @@
 		{"a full zone spills over", routing.Query{}, map[ident.Endpoint]routing.Condition{"e0": {Limit: 4, Own: 4}, "e2": {Limit: 4, Own: 4}, "e1": free, "e3": {Limit: 4, Own: 4}}, "e1", routing.Chosen, true},
 		{"out is out", routing.Query{}, map[ident.Endpoint]routing.Condition{"e0": {Limit: 4, Out: true}, "e2": {Limit: 4, Own: 3}}, "e2", routing.Chosen, false},
 		{"excluded is out", routing.Query{Excluded: []ident.Endpoint{"e2"}}, map[ident.Endpoint]routing.Condition{"e0": {Limit: 4, Own: 3}, "e2": free}, "e0", routing.Chosen, false},
-		{"batch leaves the reserve", routing.Query{Priority: catalog.Batch}, map[ident.Endpoint]routing.Condition{"e0": {Limit: 4, Own: 3, Reserve: 1}, "e2": {Limit: 4, Own: 3, Reserve: 1}, "e1": {Out: true}, "e3": {Out: true}}, "", routing.AllBusy, false},
-		{"interactive uses it", routing.Query{}, map[ident.Endpoint]routing.Condition{"e0": {Limit: 4, Own: 3, Reserve: 1}, "e2": {Limit: 4, Own: 4, Reserve: 1}}, "e0", routing.Chosen, false},
+		{"batch keeps to its window", routing.Query{Priority: catalog.Batch}, map[ident.Endpoint]routing.Condition{"e0": {Limit: 4, Own: 3, NoBatch: true}, "e2": {Limit: 4, Own: 3, NoBatch: true}, "e1": {Out: true}, "e3": {Out: true}}, "", routing.AllBusy, false},
+		{"interactive does not", routing.Query{}, map[ident.Endpoint]routing.Condition{"e0": {Limit: 4, Own: 3, NoBatch: true}, "e2": {Limit: 4, Own: 4}}, "e0", routing.Chosen, false},
 		{"nothing left", routing.Query{}, map[ident.Endpoint]routing.Condition{"e0": {Out: true}, "e1": {Out: true}, "e2": {Out: true}, "e3": {Out: true}}, "", routing.NoEndpoint, false},
 	}
 	for _, c := range cases {
@@ -83,6 +83,40 @@
 	assert.False(t, h.WithSuccess().Ejected(later))
 }
 
+// TestWindowsSteerTheTotalToTheCeiling lets two nodes share an endpoint whose
+// streams slow down with the batch and whose report lags a second.
+func TestWindowsSteerTheTotalToTheCeiling(t *testing.T) {
+	const limit, alone, slope = 16, 4 * time.Millisecond, 0.05
+	cases := []struct {
+		name        string
+		interactive bool
+		least, most int64
+	}{
+		{"batch alone fills the endpoint but for the reserve", false, 12, 14},
+		{"beside interactive calls it keeps the pace", true, 4, 6},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			windows := []routing.Window{{}, {}}
+			var lagged, total int64
+			for range 60 {
+				at = at.Add(2 * time.Second)
+				lagged, total = total, 0
+				for i, w := range windows {
+					own := int64(w.Size())
+					w = w.WithSighting(routing.Sighting{At: at, Total: lagged, Limit: limit, OwnBatch: own, Nodes: 2, Interactive: c.interactive})
+					w = w.WithGap(time.Duration(float64(alone) * (1 + slope*float64(max(0, lagged-1)))))
+					windows[i] = w
+					total += int64(w.Size())
+				}
+			}
+			assert.GreaterOrEqual(t, total, c.least)
+			assert.LessOrEqual(t, total, c.most)
+		})
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, count := range []int{10, 100, 1000} {
 		b.Run(fmt.Sprintf("engines=%d", count), func(b *testing.B) {
