--- a/fleet/holder/state.go
+++ b/fleet/holder/state.go
@@ -29,19 +29,21 @@
 // spendable is what a new reservation may take.
 func (a account) spendable() int64 { return a.drawn - a.returned - a.settled - a.reserved }
 
-// demandMemory is how long past demand counts.
-const demandMemory = 30 * time.Second
+// demandMemory is how long past demand counts. It is long, since what is placed
+// must last through a cut; short moves are met by calling tokens back.
+const demandMemory = 30 * time.Minute
 
 // demand is the smoothed rate of asked-for tokens and the size of a typical reservation.
 type demand struct {
-	at   time.Time
-	rate float64 // tokens a second
-	lump float64
+	since time.Time
+	at    time.Time
+	sum   float64 // tokens, decaying
+	lump  float64
 }
 
 func (d demand) with(tokens int64, at time.Time) demand {
 	d = d.decayed(at)
-	d.rate += float64(tokens) / demandMemory.Seconds()
+	d.sum += float64(tokens)
 	if d.lump == 0 {
 		d.lump = float64(tokens)
 	}
@@ -50,13 +52,26 @@
 }
 
 func (d demand) decayed(at time.Time) demand {
+	if d.since.IsZero() {
+		d.since = at
+	}
 	if passed := at.Sub(d.at); passed > 0 && !d.at.IsZero() {
-		d.rate *= math.Exp(-passed.Seconds() / demandMemory.Seconds())
+		d.sum *= math.Exp(-passed.Seconds() / demandMemory.Seconds())
 	}
 	d.at = at
 	return d
 }
 
+// shortestAge keeps the first requests of a new holder from counting as a flood.
+const shortestAge = 10 * time.Second
+
+// perSecond is the rate over the time that is remembered.
+func (d demand) perSecond() float64 {
+	age := max(shortestAge, d.at.Sub(d.since)).Seconds()
+	memory := demandMemory.Seconds()
+	return d.sum / (memory * (1 - math.Exp(-age/memory)))
+}
+
 // State is what a node knows as a holder; it is not changed in place.
 type State struct {
 	self     ident.Incarnation
--- a/fleet/holder/sync.go
+++ b/fleet/holder/sync.go
@@ -8,10 +8,6 @@
 	"github.com/lynxshed/lynxshed/fleet/ledger"
 )
 
-// returnSlack is how far a holding may exceed its planned share before the rest
-// is returned, as a part of the share. It keeps holdings from moving to and fro.
-const returnSlack = 0.25
-
 func (s State) accountsOf(slot ident.Slot) []account {
 	var accounts []account
 	for it := s.accounts.Iterator(); !it.Done(); {
@@ -54,7 +50,7 @@
 			Returned: a.returned,
 			Settled:  a.durable,
 			Reserved: a.reserved + a.settled - a.durable,
-			Rate:     d.rate,
+			Rate:     d.perSecond(),
 			Lump:     int64(d.lump),
 			Need:     max(0, wants[a.line.Name]-a.spendable()),
 			Place:    true,
@@ -91,25 +87,12 @@
 		own, _ := b.Account(s.self)
 		a.drawn = max(a.drawn, own.Drawn)
 		a.seen = b
-		s = s.withAccount(a.returning(b, s.self))
+		a.returned += b.Surplus(s.self, a.held(), a.spendable())
+		s = s.withAccount(a)
 	}
 	return s
 }
 
-// returning moves the holding down to its planned share once it is well above it,
-// or as far as it can while a lowered limit waits.
-func (a account) returning(b ledger.Budget, self ident.Incarnation) account {
-	surplus := a.held() - b.Desired(self)
-	slack := int64(returnSlack * float64(max(0, b.Desired(self)-a.settled-a.reserved)))
-	if b.Pool() < 0 {
-		slack = 0
-	}
-	if surplus > slack {
-		a.returned += max(0, min(surplus, a.spendable()))
-	}
-	return a
-}
-
 // surrender returns tokens that another holder lacks, as far as they are free here.
 func (s State) surrender(m Surrender) (State, Effect) {
 	a, ok := s.accounts.Get(m.Budget)
--- a/fleet/keeper/flush.go
+++ b/fleet/keeper/flush.go
@@ -87,8 +87,7 @@
 		seq := k.segments.durable + 1
 		k.mu.Unlock()
 		segment := bill.Segment{Holder: self, Bills: lo.Map(billable, func(r holder.Record, _ int) bill.Bill { return r.Bill() })}
-		_, err := k.Platform.Put(ctx, segmentKey(k.Self.Zone, self, seq), 0, segment)
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err := k.putSegment(ctx, segmentKey(k.Self.Zone, self, seq), segment); err != nil {
 			return errors.Wrapf(err, "write segment %d", seq)
 		}
 		k.segmentDurable(self, seq)
@@ -104,6 +103,23 @@
 	return nil
 }
 
+// putSegment creates a segment. One that is there already must be an earlier try
+// of the same, whose answer was lost.
+func (k *Keeper) putSegment(ctx context.Context, key string, segment bill.Segment) error {
+	_, err := k.Platform.Put(ctx, key, 0, segment)
+	if !errors.Is(err, platform.ErrConflict) {
+		return err
+	}
+	there, readErr := k.segmentOf(ctx, key)
+	if readErr != nil {
+		return errors.CombineErrors(err, readErr)
+	}
+	if len(there) != len(segment.Bills) || there[0].Request != segment.Bills[0].Request {
+		return errors.Wrapf(err, "segment %s holds other bills", key)
+	}
+	return nil
+}
+
 func (k *Keeper) segmentDurable(self ident.Incarnation, seq int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/fleet/keeper/recover.go
+++ b/fleet/keeper/recover.go
@@ -80,6 +80,17 @@
 	})
 }
 
+// keptBy names the nodes to which a dead holder's records were passed on.
+func (k *Keeper) keptBy(dead ident.Incarnation) []ident.Incarnation {
+	records := k.Witness().Of(dead)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return lo.Uniq(lo.FilterMap(records, func(r holder.Record, _ int) (ident.Incarnation, bool) {
+		p, ok := k.passed[r.Request]
+		return p.to, ok
+	}))
+}
+
 // prunePassed forgets where copies of dropped records went.
 func (k *Keeper) prunePassed(ids []ident.Request) {
 	k.mu.Lock()
@@ -168,7 +179,7 @@
 
 // Recovered lists the gone incarnations of the zone that no record depends on,
 // and whether some record is known to no other VM.
-func (k *Keeper) Recovered() (recovered []ident.Incarnation, alone bool) {
+func (k *Keeper) Recovered() (recovered []membership.Recovery, alone bool) {
 	needed := map[ident.Incarnation]bool{}
 	for _, r := range k.Holding().Records() {
 		if r.Phase == holder.Pending || r.Elsewhere {
@@ -181,7 +192,7 @@
 	departed := k.View().Departed(k.Self.Zone)
 	for _, d := range departed[max(0, len(departed)-maxRecovered):] {
 		if !needed[d.Incarnation] && len(k.unpassed(d.Incarnation)) == 0 {
-			recovered = append(recovered, d.Incarnation)
+			recovered = append(recovered, membership.Recovery{Gone: d.Incarnation, KeptBy: k.keptBy(d.Incarnation)})
 		}
 	}
 	return recovered, alone
@@ -299,7 +310,8 @@
 	if !ok {
 		return nil, errors.New("no live node has heard what it last said of its records")
 	}
-	if err := complete(dead, last, view.Departed(k.Self.Zone)); err != nil {
+	answered := lo.SliceToMap(answers, func(a peer.Fenced) (ident.Incarnation, bool) { return a.From, true })
+	if err := complete(dead, last, view.Departed(k.Self.Zone), answered); err != nil {
 		return nil, err
 	}
 	return merge(answers), nil
@@ -319,26 +331,39 @@
 // complete fails where a record of the dead holder may be known to no live VM:
 // it had one alone, or another VM of the zone went in its time and neither said
 // before its end that nothing depended on that one any more.
-func complete(dead ident.Incarnation, last membership.Member, departed []membership.Departed) error {
+func complete(dead ident.Incarnation, last membership.Member, departed []membership.Departed, answered map[ident.Incarnation]bool) error {
 	if last.Alone {
 		return errors.New("some of its requests were known to no other VM")
 	}
 	born := bornAt(dead)
+	words := lo.SliceToMap(departed, func(d membership.Departed) (ident.Incarnation, membership.Member) { return d.Incarnation, d.Member })
 	for _, d := range departed {
-		if d.Incarnation == dead || lo.Contains(last.Recovered, d.Incarnation) || lo.Contains(d.Recovered, dead) {
+		if _, ok := last.Recovery(d.Incarnation); ok || d.Incarnation == dead {
 			continue
 		}
 		if d.At.Before(born.Add(-clockSkew)) {
 			continue
 		}
-		if bornAt(d.Incarnation).After(born) && d.Node == dead.Node() {
-			continue // a later life in the same place
+		if !passedOn(dead, d.Member, words, answered) {
+			return errors.Newf("node %s died with it and may have known more", d.Incarnation)
 		}
-		return errors.Newf("node %s died with it and may have known more", d.Incarnation)
 	}
 	return nil
 }
 
+// passedOn reports whether everything that a gone node knew of a dead holder is
+// with nodes that have answered, or was passed on by those to some that have.
+func passedOn(dead ident.Incarnation, gone membership.Member, words map[ident.Incarnation]membership.Member, answered map[ident.Incarnation]bool) bool {
+	word, ok := gone.Recovery(dead)
+	return ok && lo.EveryBy(word.KeptBy, func(i ident.Incarnation) bool {
+		if answered[i] {
+			return true
+		}
+		next, ok := words[i].Recovery(dead)
+		return ok && len(next.KeptBy) > 0 && lo.EveryBy(next.KeptBy, func(j ident.Incarnation) bool { return answered[j] })
+	})
+}
+
 // bornAt is when an incarnation began, from its serial.
 func bornAt(i ident.Incarnation) time.Time {
 	id, err := ulid.Parse(i.Serial())
--- a/fleet/ledger/placement.go
+++ b/fleet/ledger/placement.go
@@ -10,7 +10,11 @@
 
 // idleShare is the part of the mean demand that a holder without demand counts for,
 // so that a zone that is cut off before its first request can serve some.
-const idleShare = 0.1
+const idleShare = 0.25
+
+// returnSlack is how far a holding may exceed its planned share before the rest
+// is returned, as a part of the share. It keeps holdings from moving to and fro.
+const returnSlack = 0.05
 
 // share is a holder's claim on the tokens that are free.
 type share struct {
@@ -34,6 +38,21 @@
 	return a.Settled + a.Reserved + shareOf(h, free, b.shares())
 }
 
+// Surplus is how much of what a holder counts as held it should return, at most
+// what it can spend freely. While a lowered limit waits, nothing is kept as slack.
+func (b Budget) Surplus(h ident.Incarnation, held, spendable int64) int64 {
+	a, _ := b.Account(h)
+	desired := b.Desired(h)
+	slack := int64(returnSlack * float64(max(0, desired-a.Settled-a.Reserved)))
+	if b.Pool() < 0 {
+		slack = 0
+	}
+	if held-desired <= slack {
+		return 0
+	}
+	return max(0, min(held-desired, spendable))
+}
+
 func (b Budget) shares() []share {
 	total := lo.SumBy(b.Accounts, func(a Account) float64 { return a.Rate })
 	floor := 1.0
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -28,6 +28,18 @@
 	Gone    Phase = "gone" // told of a dead incarnation, so that new nodes know its last news
 )
 
+// Recovery is a node's word on a gone incarnation of its zone.
+type Recovery struct {
+	Gone ident.Incarnation `json:"gone"`
+	// KeptBy names the other nodes that keep copies of the gone one's records.
+	KeptBy []ident.Incarnation `json:"keptBy,omitempty"`
+}
+
+// Recovery finds a member's word on a gone incarnation.
+func (m Member) Recovery(gone ident.Incarnation) (Recovery, bool) {
+	return lo.Find(m.Recovered, func(r Recovery) bool { return r.Gone == gone })
+}
+
 // Member is what is known of a node's newest incarnation.
 type Member struct {
 	Node        ident.Node        `json:"node"`
@@ -40,7 +52,7 @@
 	// Recovered names the gone incarnations of the zone on which nothing depends
 	// any more at this node: no record of its own is known to the gone one alone,
 	// and no record of the gone one is known to this node alone.
-	Recovered []ident.Incarnation `json:"recovered,omitempty"`
+	Recovered []Recovery `json:"recovered,omitempty"`
 	// Alone says that some record of this holder is known to no other VM.
 	Alone bool `json:"alone,omitempty"`
 }
