Measure every mechanism's slope and bound what control sends

Cause: at the planned size heartbeats alone would have sent 47 kB/s a node, four times the allowed 23 kB/s being reached by control in all (89 kB/s), and ended answers would have kept 127 MB. Change: lynxctl capacity fits 14 slopes and prints the page's tables; answers to heartbeats tell only what is newer, digests and load reports are smaller, dead incarnations are told of for five minutes, ledgers may be posted more rarely than bills (ledgerMs), answers are kept a minute and their states longer.

--- /dev/null
+++ b/ctl/capacity/plan.go
@@ -0,0 +1,194 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Plan is the size that the users plan for within two years.
+type Plan struct {
+	Nodes, Zones, Engines, Budgets, Customers float64
+	Requests, Tokens                          float64 // a second at the peak
+	Changes                                   float64 // of configuration a day
+	DeadVMs, ReplacedVMs                      float64 // a day
+
+	// How the fleet would be set at that size.
+	Slots         float64
+	FlushSeconds  float64
+	LedgerSeconds float64
+	BeatSeconds   float64
+	BeatMembers   float64 // members in a heartbeat
+	BeatTargets   float64
+	Loads         float64 // load reports in a heartbeat
+	AnswerMembers float64 // members in its answer, which tells only what is newer
+	AnswerLoads   float64
+	PollSeconds   float64 // between reads of an endpoint's load
+	Stream        float64 // seconds that a request runs
+	KeyedPart     float64 // of the requests carry an idempotency key
+	ListSeconds   float64
+	Events        float64
+}
+
+// Designed is the plan of the developers' page.
+func Designed() Plan {
+	return Plan{
+		Nodes: 390, Zones: 8, Engines: 1000, Budgets: 21_000, Customers: 1900,
+		Requests: 2200, Tokens: 720_000, Changes: 1600, DeadVMs: 13, ReplacedVMs: 170,
+		Slots: 512, FlushSeconds: 10, LedgerSeconds: 300, BeatSeconds: 2, BeatMembers: 9, BeatTargets: 3, Loads: 14,
+		AnswerMembers: 4, AnswerLoads: 5, PollSeconds: 1, Stream: 15, KeyedPart: 0.2, ListSeconds: 5, Events: 20_000,
+	}
+}
+
+// limits are what the users allow a node for control, and the platform's rates.
+const (
+	coreLimit   = 0.012 // of a core
+	memoryLimit = 128e6
+	bytesLimit  = 23e3
+	writesLimit = 400
+	readsLimit  = 2000
+	valueLimit  = 1 << 20
+	// callBytes is what HTTP adds to a call and its answer.
+	callBytes = 450
+	// claimBytes is a record in a claim, reportBytes a load report.
+	claimBytes  = 700
+	reportBytes = 100
+)
+
+// Line is one row of the page's table.
+type Line struct {
+	Role, What, Formula string
+	// PerRequest marks what grows with the requests that a node serves; the rest
+	// is control, which the users' limits are for.
+	PerRequest bool
+	Value      float64
+	Unit       string
+	Mechanism  string
+}
+
+// Share is one limit and how much of it is used.
+type Share struct {
+	Limit string
+	Used  float64
+	Of    float64
+	Unit  string
+}
+
+// derived are the counts that the formulas share.
+type derived struct {
+	nodesPerZone, requestsPerNode, budgetsPerHolder, accountsPerSlot, rows float64
+	ledgerWrites, billWrites, claims, openRecords                          float64
+}
+
+func (p Plan) derive() derived {
+	d := derived{
+		nodesPerZone:    p.Nodes / p.Zones,
+		requestsPerNode: p.Requests / p.Nodes,
+		accountsPerSlot: p.Budgets / p.Slots * p.Zones,
+		rows:            p.Budgets + p.Customers + p.Engines + 200,
+		ledgerWrites:    p.Slots * p.Zones / p.LedgerSeconds,
+		billWrites:      p.Nodes / p.FlushSeconds,
+	}
+	d.budgetsPerHolder = p.Budgets / d.nodesPerZone
+	d.claims = d.requestsPerNode * p.KeyedPart * (p.Zones - 1 + 2)
+	d.openRecords = d.requestsPerNode * (p.Stream + p.FlushSeconds) * 2
+	return d
+}
+
+// Lines works out the table.
+func (p Plan) Lines(s Slopes) []Line {
+	d := p.derive()
+	beat := s.BeatBytes.At(p.BeatMembers) + s.LoadBytes.At(p.Loads) + callBytes + s.BeatBytes.At(p.AnswerMembers) + s.LoadBytes.At(p.AnswerLoads)
+	callNanos := s.Call.At(claimBytes) // both sides, as each node is caller and server in turn
+	polls := 2 * p.Engines / p.Nodes / p.PollSeconds
+	ledgerBytes := s.LedgerBytes.At(d.accountsPerSlot)
+	perNode := d.ledgerWrites / p.Nodes
+	return []Line{
+		{"entry", "calls to holders", "2 x R/N", true, d.requestsPerNode * 2, "calls/s", "admit and settle inside the zone"},
+		{"entry", "choice of an endpoint", "measured at E", true, s.Choose.At(p.Engines) / 1000, "us", "routing.Table.Choose"},
+		{"entry", "processor for admission and choice", "R/N x (2 calls + choice)", true, d.requestsPerNode * (2*callNanos + s.Choose.At(p.Engines)) / 1e9 * 100, "% of a core", "peer calls"},
+		{"slot holder", "admission and settlement", "measured at B/(N/Z)", true, s.Admission.At(d.budgetsPerHolder) / 1000, "us", "holder.State.Handle"},
+		{"slot holder", "claims of keys", "R/N x keyed x (Z+1)", true, d.claims, "calls/s", "one question to each zone and two runners-up"},
+		{"slot holder", "claims of keys", "calls x (record + HTTP)", true, d.claims * (claimBytes + callBytes) / 1e3, "kB/s", "the same"},
+		{"slot holder", "bills", "R/N x bytes", true, d.requestsPerNode * s.BillBytes.Each / 1e3, "kB/s", "one segment each flush"},
+		{"slot holder", "open and undurable records, as holder and as witness", "2 x R/N x (stream + flush)", true, s.RecordMemory.At(d.openRecords) / 1e6, "MB", "holder.State, witness.State"},
+		{"slot holder", "books", "B/(N/Z) budgets", false, s.HolderMemory.At(d.budgetsPerHolder) / 1e6, "MB", "holder.State"},
+		{"slot holder", "ledger of a slot", "B/S x Z accounts", false, ledgerBytes / 1e3, "kB", "ledger.Slot as JSON"},
+		{"slot holder", "ledger traffic", "S x Z/ledger seconds/N x 2 x bytes", false, perNode * 2 * ledgerBytes / 1e3, "kB/s", "read and conditional write"},
+		{"slot holder", "ledger processor", "updates/N x measured", false, perNode * s.LedgerTime.At(d.accountsPerSlot) / 1e9 * 100, "% of a core", "decode, apply, encode"},
+		{"member", "heartbeats, sent and taken, with answers", "2 x targets x bytes/beat seconds", false, 2 * p.BeatTargets * beat / p.BeatSeconds / 1e3, "kB/s", "fixed fan-out, bounded digest"},
+		{"member", "heartbeat processor", "(beats + 2 x targets calls)/beat seconds", false, (s.BeatTime.At(p.Nodes)*(1+2*p.BeatTargets) + 2*p.BeatTargets*callNanos) / p.BeatSeconds / 1e9 * 100, "% of a core", "membership.State.Handle"},
+		{"engine watcher", "load reads", "2 x E/N/poll seconds", false, polls, "calls/s", "two watchers for each engine"},
+		{"engine watcher", "load reads", "calls x (report + HTTP)", false, polls * (reportBytes + callBytes) / 1e3, "kB/s", "the same"},
+		{"engine watcher", "processor for load reads", "calls x call", false, polls * callNanos / 1e9 * 100, "% of a core", "the same"},
+		{"configuration", "table and catalog in force", "rows", false, s.CatalogMemory.At(d.rows) / 1e6, "MB", "config.InForce"},
+		{"configuration", "a new revision in force", "rows", false, s.CatalogTime.At(d.rows) / 1e6, "ms", "catalog.New; the whole table is indexed anew"},
+		{"configuration", "processor for changes", "changes/day x measured", false, p.Changes / 86400 * s.CatalogTime.At(d.rows) / 1e9 * 100, "% of a core", "the same"},
+		{"operator's tool", "events kept", "20,000 a node", false, s.EventMemory.At(p.Events) / 1e6, "MB", "event.Log, a ring"},
+		{"platform", "writes", "S x Z/ledger seconds + N/flush seconds", false, d.ledgerWrites + d.billWrites, "writes/s", "ledgers and segments; none for each request"},
+		{"platform", "reads", "ledgers + N/list seconds + 2 relays x Z watches", false, d.ledgerWrites + p.Nodes/p.ListSeconds + 2*p.Zones/10, "reads/s", "before conflicts"},
+		{"platform", "largest value", "a ledger", false, ledgerBytes / 1e3, "kB", "ledger.Slot"},
+	}
+}
+
+// Shares holds the sums against the users' limits.
+func (p Plan) Shares(s Slopes) []Share {
+	var core, memory, bytes, writes, reads float64
+	for _, l := range p.Lines(s) {
+		switch {
+		case l.PerRequest:
+		case l.Unit == "% of a core":
+			core += l.Value / 100
+		case l.Unit == "MB":
+			memory += l.Value * 1e6
+		case l.Unit == "kB/s":
+			bytes += l.Value * 1e3
+		case l.Unit == "writes/s":
+			writes += l.Value
+		case l.Unit == "reads/s":
+			reads += l.Value
+		}
+	}
+	return []Share{
+		{"control: processor of a node", core * 100, coreLimit * 100, "% of a core"},
+		{"control: memory of a node", memory / 1e6, memoryLimit / 1e6, "MB"},
+		{"control: traffic of a node", bytes / 1e3, bytesLimit / 1e3, "kB/s"},
+		{"platform: writes", writes, writesLimit, "writes/s"},
+		{"platform: reads", reads, readsLimit, "reads/s"},
+		{"platform: largest value", s.LedgerBytes.At(p.derive().accountsPerSlot) / 1e3, valueLimit / 1e3, "kB"},
+	}
+}
+
+// Write prints the page's three tables in Markdown.
+func Write(w io.Writer, p Plan, s Slopes) error {
+	var text strings.Builder
+	text.WriteString("| slope | per | measured (size: cost) | base | each | R² |\n|---|---|---|---|---|---|\n")
+	for _, x := range s.all() {
+		points := make([]string, 0, len(x.Points))
+		for _, point := range x.Points {
+			points = append(points, fmt.Sprintf("%.0f: %.4g", point.Size, point.Cost))
+		}
+		fmt.Fprintf(&text, "| %s, %s | %s | %s | %.4g | %.4g | %.3f |\n", x.Name, x.Unit, x.Per, strings.Join(points, ", "), x.Base, x.Each, x.Fit)
+	}
+	text.WriteString("\n| role | what | grows with | formula | at the planned size | mechanism |\n|---|---|---|---|---|---|\n")
+	for _, l := range p.Lines(s) {
+		grows := "the fleet"
+		if l.PerRequest {
+			grows = "requests"
+		}
+		fmt.Fprintf(&text, "| %s | %s | %s | %s | %.3g %s | %s |\n", l.Role, l.What, grows, l.Formula, l.Value, l.Unit, l.Mechanism)
+	}
+	text.WriteString("\n| limit | used | allowed | share |\n|---|---|---|---|\n")
+	for _, x := range p.Shares(s) {
+		fmt.Fprintf(&text, "| %s | %.3g %s | %.4g %s | %.0f%% |\n", x.Limit, x.Used, x.Unit, x.Of, x.Unit, 100*x.Used/x.Of)
+	}
+	_, err := io.WriteString(w, text.String())
+	return err
+}
+
+func (s Slopes) all() []Slope {
+	return []Slope{
+		s.Admission, s.HolderMemory, s.RecordMemory, s.LedgerBytes, s.LedgerTime, s.BillBytes, s.BeatBytes, s.BeatTime,
+		s.LoadBytes, s.Choose, s.CatalogMemory, s.CatalogTime, s.EventMemory, s.Call,
+	}
+}
--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -131,7 +131,9 @@
 	drain.Description = "planned stop of a node"
 	drain.AddPositionalValue(&a.flags.first, "node-name", 1, true, "the node's name")
 	load := a.loadCommand()
-	verbs := []verb{{demo, (*app).demo}, {status, (*app).status}, {bills, (*app).bills}, {explain, (*app).explain}, {drain, (*app).drain}, {load, (*app).load}}
+	capacity := flaggy.NewSubcommand("capacity")
+	capacity.Description = "measure every slope of docs/CAPACITY.md and print its tables anew"
+	verbs := []verb{{capacity, (*app).capacity}, {demo, (*app).demo}, {status, (*app).status}, {bills, (*app).bills}, {explain, (*app).explain}, {drain, (*app).drain}, {load, (*app).load}}
 	for _, v := range verbs {
 		parser.AttachSubcommand(v.command, 1)
 	}
--- a/ctl/demo/demo.go
+++ b/ctl/demo/demo.go
@@ -193,7 +193,7 @@
 	s := settings.Default()
 	s.Node, s.Zone, s.Advertise, s.Platform = p.Name, p.Zone, p.URL, d.info.Platform
 	s.Listen = p.URL[len("http://"):]
-	s.Timing.FlushMs = demoFlushMs
+	s.Timing.FlushMs, s.Timing.LedgerMs = demoFlushMs, demoFlushMs
 	for _, other := range d.info.Nodes {
 		if other.Name != p.Name {
 			s.Peers = append(s.Peers, other.URL)
--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -34,8 +34,9 @@
 	CallerGrace   time.Duration // how long a run lasts without a reader; 1 s when zero
 	AnswerTime    time.Duration // until an endpoint has taken the call; 2 s when zero
 	StallTime     time.Duration // between two chunks; 10 s when zero
-	Retention     time.Duration // how long ended runs are kept; 5 min when zero
-	MaxRuns       int           // runs kept; 20,000 when zero
+	Retention     time.Duration // how long ended answers are kept; 1 min when zero
+	MaxRuns       int           // answers kept; 5,000 when zero
+	MaxSummaries  int           // states and bills of ended requests kept; 20,000 when zero
 }
 
 func (o Options) withDefaults() Options {
@@ -45,8 +46,9 @@
 	o.CallerGrace = defaultTo(o.CallerGrace, time.Second)
 	o.AnswerTime = defaultTo(o.AnswerTime, 2*time.Second)
 	o.StallTime = defaultTo(o.StallTime, 10*time.Second)
-	o.Retention = defaultTo(o.Retention, 5*time.Minute)
-	o.MaxRuns = defaultTo(o.MaxRuns, 20_000)
+	o.Retention = defaultTo(o.Retention, time.Minute)
+	o.MaxRuns = defaultTo(o.MaxRuns, 5_000)
+	o.MaxSummaries = defaultTo(o.MaxSummaries, 20_000)
 	return o
 }
 
@@ -84,6 +86,7 @@
 
 	mu       sync.Mutex
 	runs     map[ident.Request]*run
+	ended    summaries
 	retries  attempt.Budget
 	outbox   []peer.Ending
 	draining bool
@@ -93,7 +96,7 @@
 // New makes an entry without runs; base ends every run when it is cancelled.
 func New(base context.Context, p Parts, o Options) *Entry {
 	base, stop := context.WithCancel(base)
-	return &Entry{Parts: p, options: o.withDefaults(), base: base, stop: stop, runs: map[ident.Request]*run{}}
+	return &Entry{Parts: p, options: o.withDefaults(), base: base, stop: stop, runs: map[ident.Request]*run{}, ended: newSummaries()}
 }
 
 // Routes puts the callers' paths on a mux.
@@ -191,7 +194,35 @@
 		r.mu.Unlock()
 		if old {
 			delete(e.runs, id)
+			e.ended.add(id, stateOf(r.look(0), r.customer), e.options.MaxSummaries)
 			over--
 		}
 	}
 }
+
+// summaries are the states and bills of requests whose answers are no longer
+// kept, at most so many.
+type summaries struct {
+	states map[ident.Request]requestState
+	order  []ident.Request
+}
+
+func newSummaries() summaries { return summaries{states: map[ident.Request]requestState{}} }
+
+func (s *summaries) add(id ident.Request, state requestState, most int) {
+	if _, ok := s.states[id]; !ok {
+		s.order = append(s.order, id)
+	}
+	s.states[id] = state
+	for len(s.order) > most {
+		delete(s.states, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+func (e *Entry) summary(id ident.Request) (requestState, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.ended.states[id]
+	return s, ok
+}
--- a/fleet/entry/serve.go
+++ b/fleet/entry/serve.go
@@ -261,6 +261,13 @@
 }
 
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if s, ok := e.summary(ident.Request(r.PathValue("id"))); ok {
+		if customer, refusal := e.authenticate(r); refusal == nil && customer.Name == s.Customer {
+			w.Header().Set(headerRequest, string(s.Request))
+			writeJSON(w, http.StatusOK, s)
+			return
+		}
+	}
 	run, record, refusal := e.own(r)
 	switch {
 	case refusal != nil:
--- a/fleet/keeper/flush.go
+++ b/fleet/keeper/flush.go
@@ -152,6 +152,9 @@
 // that has moved to another holder.
 func (k *Keeper) syncOrLeave(ctx context.Context, slot ident.Slot) error {
 	if k.holds(slot) || len(k.rank(slot)) == 0 {
+		if !k.due(slot) {
+			return nil
+		}
 		return k.SyncSlot(ctx, slot)
 	}
 	return k.LeaveSlot(ctx, slot)
--- a/fleet/keeper/keeper.go
+++ b/fleet/keeper/keeper.go
@@ -42,6 +42,7 @@
 type Options struct {
 	Slots        int           // 16 when zero
 	KeyRetention time.Duration // how long keys are kept; 15 min when zero
+	LedgerEvery  time.Duration // between posts of a slot's books that nobody waits for; each flush when zero
 	Abandon      time.Duration // how long a running request may lack an entry; 30 s when zero
 }
 
--- a/fleet/keeper/sync.go
+++ b/fleet/keeper/sync.go
@@ -35,6 +35,7 @@
 	slot    ledger.Slot
 	version platform.Version
 	read    time.Time
+	posted  time.Time // when the books were last posted or found unchanged
 }
 
 func (k *Keeper) slotSync(slot ident.Slot) *slotSync {
@@ -79,11 +80,12 @@
 			return err
 		}
 		if !s.slot.Material(next) {
+			s.posted = k.Clock.Now()
 			return nil
 		}
 		version, err := k.Platform.Put(ctx, ledger.Key(slot), s.version, next)
 		if err == nil {
-			s.slot, s.version = next, version
+			s.slot, s.version, s.posted = next, version, k.Clock.Now()
 			k.handle(holder.Synced{At: k.Clock.Now(), Slot: next})
 			return nil
 		}
@@ -98,6 +100,14 @@
 	return errors.Wrapf(last, "write ledger of slot %d", slot)
 }
 
+// due reports whether a slot's books should be posted again.
+func (k *Keeper) due(slot ident.Slot) bool {
+	s := k.slotSync(slot)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return k.Clock.Since(s.posted) >= k.options.LedgerEvery
+}
+
 // SyncSlot posts the holder's books of a slot and draws what is wanted.
 func (k *Keeper) SyncSlot(ctx context.Context, slot ident.Slot) error {
 	return k.syncSlot(ctx, slot, holder.Credit{})
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -70,16 +70,16 @@
 	SuspectAfter    time.Duration // silence in the own zone; 2 s when zero
 	FarSuspectAfter time.Duration // silence in another zone; 6 s when zero
 	FanOut          int           // peers of the zone told each beat; 2 when zero
-	FarFanOut       int           // peers of other zones told each beat; 2 when zero
-	DigestSize      int           // members in one heartbeat; 24 when zero
+	FarFanOut       int           // peers of other zones told each beat; 1 when zero
+	DigestSize      int           // members in one heartbeat; 8 when zero
 }
 
 func (o Options) withDefaults() Options {
 	o.SuspectAfter = cmp.Or(o.SuspectAfter, 2*time.Second)
 	o.FarSuspectAfter = cmp.Or(o.FarSuspectAfter, 6*time.Second)
 	o.FanOut = cmp.Or(o.FanOut, 2)
-	o.FarFanOut = cmp.Or(o.FarFanOut, 2)
-	o.DigestSize = cmp.Or(o.DigestSize, 24)
+	o.FarFanOut = cmp.Or(o.FarFanOut, 1)
+	o.DigestSize = cmp.Or(o.DigestSize, 8)
 	return o
 }
 
@@ -378,12 +378,15 @@
 	}
 }
 
-// toldGone is how many dead incarnations of the zone a heartbeat tells of.
-const toldGone = 8
+// A heartbeat tells of so many dead incarnations of the zone, for so long.
+const (
+	toldGone    = 8
+	toldGoneFor = 5 * time.Minute
+)
 
 // lately lists the incarnations of the own zone that went last.
 func (s State) lately() []Member {
-	departed := s.Departed(s.self.Zone)
+	departed := lo.Filter(s.Departed(s.self.Zone), func(d Departed, _ int) bool { return s.ticked.Sub(d.At) <= toldGoneFor })
 	slices.SortFunc(departed, func(x, y Departed) int { return y.At.Compare(x.At) })
 	return lo.Map(departed[:min(len(departed), toldGone)], func(d Departed, _ int) Member {
 		d.Phase = Gone
@@ -425,6 +428,24 @@
 	return from[:min(n, len(from))]
 }
 
+// Answer is what a heartbeat is answered with: the node itself, what is newer
+// here than what was told, and a few that were not told of.
+func (s State) Answer(told []Member) []Member {
+	known := make(map[ident.Node]bool, len(told))
+	answer := []Member{s.self}
+	for _, m := range told {
+		known[m.Node] = true
+		if own, ok := s.members[m.Node]; ok && own.newer(m) {
+			answer = append(answer, own.Member)
+		}
+	}
+	untold := lo.Filter(s.digest(), func(m Member, _ int) bool { return !known[m.Node] && m.Node != s.self.Node })
+	return append(answer, untold[:min(len(untold), untoldInAnswer)]...)
+}
+
+// untoldInAnswer is how many members an answer tells of beside those asked about.
+const untoldInAnswer = 3
+
 // Digest is what the node tells in a heartbeat: itself and the freshest others, of its own zone first.
 func (s State) Digest() []Member { return s.digest() }
 
--- a/fleet/membership/membership_test.go
+++ b/fleet/membership/membership_test.go
@@ -99,6 +99,16 @@
 	}
 }
 
+func TestAnswerTellsOnlyWhatIsNewer(t *testing.T) {
+	s := handle(membership.New(member("a", "1", 0), membership.Options{}), heard(0, member("b", "1", 5), member("c", "1", 5)))
+	answer := s.Answer([]membership.Member{member("b", "1", 3), member("c", "1", 9)})
+	names := map[ident.Node]int64{}
+	for _, m := range answer {
+		names[m.Node] = m.Beat
+	}
+	assert.Equal(t, map[ident.Node]int64{"a": 0, "b": 5}, names)
+}
+
 func TestDigestIsBounded(t *testing.T) {
 	s := membership.New(member("a", "1", 0), membership.Options{DigestSize: 5})
 	for i := range 50 {
--- a/fleet/node/run.go
+++ b/fleet/node/run.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,7 +28,7 @@
 	// so that the balancer has asked and peers have heard.
 	leaveGrace = 300 * time.Millisecond
 	// maxLoads bounds the load reports in a heartbeat.
-	maxLoads = 64
+	maxLoads = 14
 	// watchers is how many nodes of an endpoint's zone read its load.
 	watchers = 2
 )
@@ -140,7 +142,7 @@
 // hear takes a peer's heartbeat and answers with the own news.
 func (n *Node) hear(in peer.Beat) peer.Beat {
 	n.take(in)
-	return peer.Beat{Members: n.View().Digest(), Loads: n.freshLoads()}
+	return peer.Beat{Members: n.View().Answer(in.Members), Loads: n.newerLoads(in.Loads)}
 }
 
 func (n *Node) take(in peer.Beat) {
@@ -164,15 +166,19 @@
 	}
 }
 
-// freshLoads are the newest reports, at most as many as a heartbeat carries.
+// freshLoads are the reports read last, at most as many as a heartbeat carries.
 func (n *Node) freshLoads() []peer.Load {
 	n.loadsMu.Lock()
 	defer n.loadsMu.Unlock()
 	loads := lo.Values(n.loads)
-	if len(loads) <= maxLoads {
-		return loads
-	}
-	return lo.Samples(loads, maxLoads)
+	slices.SortFunc(loads, func(x, y peer.Load) int { return cmp.Compare(y.Read, x.Read) })
+	return loads[:min(len(loads), maxLoads)]
+}
+
+// newerLoads are the reports that are newer here than those told.
+func (n *Node) newerLoads(told []peer.Load) []peer.Load {
+	known := lo.SliceToMap(told, func(l peer.Load) (ident.Endpoint, int64) { return l.Endpoint, l.Read })
+	return lo.Filter(n.freshLoads(), func(l peer.Load, _ int) bool { return l.Read > known[l.Endpoint] })
 }
 
 func (n *Node) readList(ctx context.Context) {
--- a/fleet/node/wire.go
+++ b/fleet/node/wire.go
@@ -106,7 +106,7 @@
 		Clock:     n.clock,
 		Log:       n.log,
 		NewSerial: n.newSerial,
-	}, keeper.Options{Slots: n.options.Settings.Slots})
+	}, keeper.Options{Slots: n.options.Settings.Slots, LedgerEvery: n.options.Settings.Timing.Ledger()})
 	return n.keeper, nil
 }
 
--- a/fleet/settings/check.go
+++ b/fleet/settings/check.go
@@ -66,6 +66,7 @@
 		{name: "beatMs", whole: whole(10, maxMs)},
 		{name: "suspectMs", whole: whole(50, maxMs)},
 		{name: "flushMs", whole: whole(10, maxMs)},
+		{name: "ledgerMs", whole: whole(0, maxMs)},
 		{name: "pollMs", whole: whole(10, maxMs)},
 		{name: "listMs", whole: whole(10, maxMs)},
 		{name: "drainMs", whole: whole(0, maxMs)},
--- a/fleet/settings/settings.go
+++ b/fleet/settings/settings.go
@@ -34,7 +34,8 @@
 type Timing struct {
 	BeatMs    int `json:"beatMs"`    // heartbeats to peers
 	SuspectMs int `json:"suspectMs"` // silence of a peer of the zone until it is suspected
-	FlushMs   int `json:"flushMs"`   // bills and ledgers to the platform
+	FlushMs   int `json:"flushMs"`   // bills to the platform
+	LedgerMs  int `json:"ledgerMs"`  // ledgers to the platform, where no request waits for one
 	PollMs    int `json:"pollMs"`    // load reports of endpoints
 	ListMs    int `json:"listMs"`    // the platform's list of VMs
 	DrainMs   int `json:"drainMs"`   // how long a planned stop waits for running requests
@@ -49,6 +50,9 @@
 // Flush is the time between writes to the platform.
 func (t Timing) Flush() time.Duration { return ms(t.FlushMs) }
 
+// Ledger is the time between posts of a slot's ledger.
+func (t Timing) Ledger() time.Duration { return ms(t.LedgerMs) }
+
 // Poll is the time between reads of an endpoint's load.
 func (t Timing) Poll() time.Duration { return ms(t.PollMs) }
 
@@ -82,7 +86,7 @@
 func Default() Settings {
 	return Settings{
 		Slots:  16,
-		Timing: Timing{BeatMs: 500, SuspectMs: 2000, FlushMs: 2000, PollMs: 500, ListMs: 2000, DrainMs: 30_000},
+		Timing: Timing{BeatMs: 500, SuspectMs: 2000, FlushMs: 2000, LedgerMs: 2000, PollMs: 500, ListMs: 2000, DrainMs: 30_000},
 		Limits: Limits{BodyBytes: 1 << 20, HeaderBytes: 64 << 10},
 		Log:    Log{Format: "json", Level: "info"},
 	}
