--- /dev/null
+++ b/fleet/holder/holder_test.go
@@ -0,0 +1,194 @@
+package holder_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/holder"
+	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/ledger"
+	"github.com/lynxshed/lynxshed/fleet/limit"
+	"github.com/lynxshed/lynxshed/fleet/problem"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const budget = ident.Budget("b")
+
+func keyed(zone ident.Zone, unique string) holder.Record {
+	return holder.Record{Request: ident.NewRequest(zone, 0, unique), Customer: "c", Key: holder.NewKeyID("c", "k"), BodyHash: "h", At: start}
+}
+
+// funded is a holder with so many tokens of the budget.
+func funded(tokens int64) holder.State {
+	s := holder.New("n@1", "a")
+	s, _ = s.Handle(holder.Opened{At: start, Budgets: []holder.BudgetLine{{Name: budget, Limit: tokens, Version: 1}}})
+	s, _ = s.Handle(holder.Synced{At: start, Slot: ledger.Slot{Budgets: []ledger.Budget{{
+		Name: budget, Limit: tokens, Version: 1, Accounts: []ledger.Account{{Holder: "n@1", Zone: "a", Drawn: tokens}},
+	}}}})
+	return s
+}
+
+func admit(s holder.State, unique string, bound int64) (holder.State, holder.Effect) {
+	r := holder.Record{Request: ident.NewRequest("a", 0, unique), Customer: "c", Bound: bound, At: start}
+	return s.Handle(holder.Admit{At: start, Record: r, Budgets: []holder.BudgetLine{{Name: budget, Limit: 1000, Version: 1}}})
+}
+
+func TestWorstCaseIsReservedAndTheCostSettledOnce(t *testing.T) {
+	s, effect := admit(funded(1000), "1", 600)
+	admitted, ok := effect.(holder.Admitted)
+	require.True(t, ok)
+	assert.Equal(t, int64(400), s.Spendable(budget))
+	_, effect = admit(s, "2", 500)
+	assert.Equal(t, holder.Short{Budget: budget, Need: 100}, effect)
+
+	settle := holder.Settle{At: start, Request: admitted.Record.Request, Usage: holder.Usage{Prompt: 10, Output: 90}}
+	s, _ = s.Handle(settle)
+	assert.Equal(t, int64(900), s.Spendable(budget))
+	settle.Usage.Output = 500
+	s, effect = s.Handle(settle)
+	assert.Equal(t, int64(100), effect.(holder.Ended).Record.Usage.Tokens(), "the first settlement stands")
+	assert.Equal(t, int64(900), s.Spendable(budget))
+}
+
+func TestSettlementIsBoundedByTheReservation(t *testing.T) {
+	cases := []struct {
+		name  string
+		usage holder.Usage
+		want  int64
+	}{
+		{"within", holder.Usage{Prompt: 10, Output: 20}, 30},
+		{"an engine that counts too much", holder.Usage{Prompt: 10, Output: 10_000}, 100},
+		{"a prompt beyond the bound", holder.Usage{Prompt: 10_000, Output: 1}, 100},
+		{"negative counts", holder.Usage{Prompt: -5, Output: -5}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, effect := admit(funded(1000), "1", 100)
+			_, ended := s.Handle(holder.Settle{At: start, Request: effect.(holder.Admitted).Record.Request, Usage: c.usage})
+			assert.Equal(t, c.want, ended.(holder.Ended).Record.Usage.Tokens())
+		})
+	}
+}
+
+func TestReleaseGivesAllBack(t *testing.T) {
+	s, effect := admit(funded(1000), "1", 600)
+	s, _ = s.Handle(holder.Release{Request: effect.(holder.Admitted).Record.Request})
+	assert.Equal(t, int64(1000), s.Spendable(budget))
+}
+
+func TestSurrenderKeepsWhatIsReserved(t *testing.T) {
+	s, _ := admit(funded(1000), "1", 600)
+	_, effect := s.Handle(holder.Surrender{Budget: budget, Need: 900})
+	assert.Equal(t, holder.Surrendered{Tokens: 400}, effect)
+}
+
+// claim is a holder's question to another.
+func claim(s holder.State, r holder.Record) (holder.State, holder.Effect) {
+	return s.Handle(holder.Claim{Record: r, At: start})
+}
+
+func TestOfTwoZonesThatClaimAtOnceOneWins(t *testing.T) {
+	cases := []struct {
+		name        string
+		firstStarts bool // zone b has started before a asks
+		wantWinner  ident.Zone
+	}{
+		{"both pending: the lower zone", false, "a"},
+		{"one has started", true, "b"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := holder.New("n@1", "a"), holder.New("m@1", "b")
+			ra, rb := keyed("a", "1"), keyed("b", "2")
+			a, _ = a.Handle(holder.Admit{At: start, Record: ra})
+			b, _ = b.Handle(holder.Admit{At: start, Record: rb})
+			if c.firstStarts {
+				b, _ = b.Handle(holder.Admit{At: start, Record: rb, Claimed: true})
+			}
+			b, toA := claim(b, ra)
+			a, toB := claim(a, rb)
+			started := map[ident.Zone]bool{"b": c.firstStarts}
+			if _, lost := toA.(holder.Existing); !lost {
+				_, effect := a.Handle(holder.Admit{At: start, Record: ra, Claimed: true})
+				_, started["a"] = effect.(holder.Admitted)
+			}
+			if _, lost := toB.(holder.Existing); !lost && !c.firstStarts {
+				_, effect := b.Handle(holder.Admit{At: start, Record: rb, Claimed: true})
+				_, started["b"] = effect.(holder.Admitted)
+			}
+			assert.True(t, started[c.wantWinner])
+			assert.NotEqual(t, started["a"], started["b"], "exactly one runs")
+		})
+	}
+}
+
+func TestCutOffRetries(t *testing.T) {
+	cases := []struct {
+		name       string
+		try        int
+		repeatable bool
+		model      bool
+		want       problem.Outcome // of the refusal; "" runs
+	}{
+		{"a first try runs", 1, false, false, ""},
+		{"a retry may have run elsewhere", 2, false, false, problem.Unknown},
+		{"one that does not say", 0, false, false, problem.Unknown},
+		{"what may be repeated runs", 2, true, false, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := keyed("a", "1")
+			r.Repeatable, r.Model = c.repeatable, c.model
+			s, effect := holder.New("n@1", "a").Handle(holder.Admit{At: start, Record: r, Try: c.try})
+			require.IsType(t, holder.MustClaim{}, effect)
+			s, effect = s.Handle(holder.Admit{At: start, Record: r, Try: c.try, Claimed: true, Unreachable: []ident.Zone{"b"}})
+			if c.want == "" {
+				assert.IsType(t, holder.Admitted{}, effect)
+				return
+			}
+			require.IsType(t, holder.Refused{}, effect)
+			assert.Equal(t, c.want, effect.(holder.Refused).Problem.Outcome)
+			_, again := s.Handle(holder.Admit{At: start, Record: r, Try: 1})
+			assert.IsType(t, holder.MustClaim{}, again, "a refused call's key is free again")
+		})
+	}
+}
+
+func TestTheSameKeyWithAnotherBodyIsRefused(t *testing.T) {
+	s, _ := holder.New("n@1", "a").Handle(holder.Admit{At: start, Record: keyed("a", "1")})
+	other := keyed("a", "2")
+	other.BodyHash = "other"
+	_, effect := s.Handle(holder.Admit{At: start, Record: other})
+	require.IsType(t, holder.Refused{}, effect)
+	assert.Equal(t, problem.KeyReused, effect.(holder.Refused).Problem.Reason)
+}
+
+func TestRefusedByALimitCostsNothing(t *testing.T) {
+	s := funded(1000)
+	lines := []limit.Line{{Name: "l", MaxInFlight: 1}}
+	for i, unique := range []string{"1", "2"} {
+		r := holder.Record{Request: ident.NewRequest("a", 0, unique), Bound: 100, Limits: []string{"l"}, At: start}
+		var effect holder.Effect
+		s, effect = s.Handle(holder.Admit{At: start, Record: r, Budgets: []holder.BudgetLine{{Name: budget, Limit: 1000, Version: 1}}, Limits: lines, Share: 1})
+		if i == 1 {
+			require.IsType(t, holder.Refused{}, effect)
+			assert.Equal(t, problem.LimitReached, effect.(holder.Refused).Problem.Reason)
+		}
+	}
+	assert.Equal(t, int64(900), s.Spendable(budget))
+}
+
+func TestALeavingSlotAdmitsNothing(t *testing.T) {
+	s, effect := admit(funded(1000), "1", 100)
+	_, busy := s.Handle(holder.Leave{})
+	assert.IsType(t, holder.Missing{}, busy, "not while a reservation is open")
+	s, _ = s.Handle(holder.Release{Request: effect.(holder.Admitted).Record.Request})
+	s, _ = s.Handle(holder.Leave{})
+	_, effect = admit(s, "2", 100)
+	require.IsType(t, holder.Refused{}, effect)
+	assert.Equal(t, problem.NoHolder, effect.(holder.Refused).Problem.Reason)
+}
