Name every answer, tell 405 from 404, and run as separate processes

Cause: refusals before a run carried no request id, a wrong method read as not found, a cancelled request showed no bill, and the separate processes of lynxshed run had never been tried.

--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -52,6 +52,7 @@
 	nodeCount  int
 	forTime    time.Duration
 	addrFile   string
+	listen     string
 
 	kind    string
 	version int64
@@ -133,7 +134,12 @@
 	load := a.loadCommand()
 	capacity := flaggy.NewSubcommand("capacity")
 	capacity.Description = "measure every slope of docs/CAPACITY.md and print its tables anew"
-	verbs := []verb{{capacity, (*app).capacity}, {demo, (*app).demo}, {status, (*app).status}, {bills, (*app).bills}, {explain, (*app).explain}, {drain, (*app).drain}, {load, (*app).load}}
+	standin := flaggy.NewSubcommand("standin")
+	standin.Description = "run one stand-in as a process of its own: platform, engine or application"
+	standin.AddPositionalValue(&a.flags.first, "kind", 1, true, "platform, engine or application")
+	a.flags.listen = "127.0.0.1:0"
+	standin.String(&a.flags.listen, "", "listen", "address and port")
+	verbs := []verb{{capacity, (*app).capacity}, {standin, (*app).standin}, {demo, (*app).demo}, {status, (*app).status}, {bills, (*app).bills}, {explain, (*app).explain}, {drain, (*app).drain}, {load, (*app).load}}
 	for _, v := range verbs {
 		parser.AttachSubcommand(v.command, 1)
 	}
--- a/fleet/entry/chatjob.go
+++ b/fleet/entry/chatjob.go
@@ -314,10 +314,10 @@
 	j.abandonAttempt(ctx)
 	j.settle(ctx)
 	if errors.Is(cause, errOverCap) {
-		j.run.fail(problem.New(problem.EndpointFailed, "the endpoint sent more than the cap").WithOutcome(problem.Ran).At(string(event.Stream), string(j.attempt().Endpoint)), RunFailed, j.entry.Clock.Now())
+		j.run.fail(problem.New(problem.EndpointFailed, "the endpoint sent more than the cap").WithOutcome(problem.Ran).At(string(event.Stream), string(j.attempt().Endpoint)), RunFailed, j.spent, j.entry.Clock.Now())
 		return
 	}
-	j.run.fail(problem.New(problem.Cancelled, "the request was cancelled; what ran is billed").WithOutcome(problem.Ran).At(string(event.Cancel), string(j.attempt().Endpoint)), RunCancelled, j.entry.Clock.Now())
+	j.run.fail(problem.New(problem.Cancelled, "the request was cancelled; what ran is billed").WithOutcome(problem.Ran).At(string(event.Cancel), string(j.attempt().Endpoint)), RunCancelled, j.spent, j.entry.Clock.Now())
 }
 
 // giveUp ends a run whose attempts failed.
@@ -349,5 +349,5 @@
 		return
 	}
 	j.settle(ctx)
-	j.run.fail(p, RunFailed, j.entry.Clock.Now())
+	j.run.fail(p, RunFailed, j.spent, j.entry.Clock.Now())
 }
--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -101,12 +101,20 @@
 
 // Routes puts the callers' paths on a mux.
 func (e *Entry) Routes(mux *http.ServeMux) {
-	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
-	mux.HandleFunc("GET /v1/models", e.serveModels)
-	mux.HandleFunc("/v1/services/{service}/{path...}", e.serveService)
-	mux.HandleFunc("GET /v1/requests/{id}", e.serveRequest)
-	mux.HandleFunc("GET /v1/requests/{id}/stream", e.serveResume)
-	mux.HandleFunc("DELETE /v1/requests/{id}", e.serveCancel)
+	routes := []struct {
+		pattern string
+		serve   http.HandlerFunc
+	}{
+		{"POST /v1/chat/completions", e.serveChat},
+		{"GET /v1/models", e.serveModels},
+		{"/v1/services/{service}/{path...}", e.serveService},
+		{"GET /v1/requests/{id}", e.serveRequest},
+		{"GET /v1/requests/{id}/stream", e.serveResume},
+		{"DELETE /v1/requests/{id}", e.serveCancel},
+	}
+	for _, r := range routes {
+		mux.HandleFunc(r.pattern, e.named(r.serve))
+	}
 }
 
 // Drain stops taking new requests.
--- a/fleet/entry/execute.go
+++ b/fleet/entry/execute.go
@@ -135,7 +135,7 @@
 // refuseRun ends a run that did not run.
 func (e *Entry) refuseRun(r *run, p *problem.Problem) {
 	e.Events.Add(event.Event{Request: r.id, Step: event.Step(lo.CoalesceOrEmpty(p.Step, string(event.Admit))), Peer: p.Peer, Decision: "refused", Reason: string(p.Reason) + ": " + p.Detail})
-	r.fail(p, RunRefused, e.Clock.Now())
+	r.fail(p, RunRefused, holder.Usage{}, e.Clock.Now())
 }
 
 func (e *Entry) runChat(ctx context.Context, r *run, call chatCall) {
@@ -187,7 +187,7 @@
 	case ctx.Err() != nil:
 		e.Dispatch.Release(grant, dispatch.Untouched)
 		e.end(context.WithoutCancel(ctx), peer.Ending{Record: *verdict.Admitted, NotRun: true})
-		r.fail(problem.New(problem.Cancelled, "cancelled before it was sent"), RunCancelled, e.Clock.Now())
+		r.fail(problem.New(problem.Cancelled, "cancelled before it was sent"), RunCancelled, holder.Usage{}, e.Clock.Now())
 		return holder.Record{}, false
 	}
 	r.begin(*verdict.Admitted)
--- a/fleet/entry/follow.go
+++ b/fleet/entry/follow.go
@@ -99,7 +99,7 @@
 	}
 	if v := r.look(0); !v.state.Ended() {
 		p := problem.New(problem.KeyInterrupted, "the request's first try can't be reached").WithOutcome(problem.Unknown)
-		r.fail(p.At(string(event.Resume), string(record.Entry.Node())), RunFailed, e.Clock.Now())
+		r.fail(p.At(string(event.Resume), string(record.Entry.Node())), RunFailed, holder.Usage{}, e.Clock.Now())
 	}
 }
 
@@ -148,7 +148,7 @@
 
 func (e *Entry) copyEnd(r *run, end runEnd) {
 	if end.Problem != nil {
-		r.fail(end.Problem, end.State, e.Clock.Now())
+		r.fail(end.Problem, end.State, end.Usage, e.Clock.Now())
 		return
 	}
 	r.finish(end.Usage, end.Answer, e.Clock.Now())
@@ -281,7 +281,7 @@
 	}
 	if record.Answer == nil {
 		p := problem.New(problem.KeyInterrupted, "the first try may have run; its answer is lost").WithOutcome(problem.Unknown)
-		r.fail(p.At(string(event.Resume), string(record.Entry.Node())), RunFailed, e.Clock.Now())
+		r.fail(p.At(string(event.Resume), string(record.Entry.Node())), RunFailed, holder.Usage{}, e.Clock.Now())
 		return true, nil
 	}
 	r.finish(holder.Usage{}, record.Answer, e.Clock.Now())
--- a/fleet/entry/plainjob.go
+++ b/fleet/entry/plainjob.go
@@ -159,5 +159,5 @@
 		j.entry.end(context.WithoutCancel(ctx), peer.Ending{Record: j.record})
 	}
 	p := problem.New(problem.EndpointFailed, cause.Error()).At(string(event.Send), peerName)
-	j.run.fail(p.WithOutcome(problem.Unknown), RunFailed, j.entry.Clock.Now())
+	j.run.fail(p.WithOutcome(problem.Unknown), RunFailed, holder.Usage{}, j.entry.Clock.Now())
 }
--- a/fleet/entry/refuse.go
+++ b/fleet/entry/refuse.go
@@ -9,6 +9,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/catalog"
 	"github.com/lynxshed/lynxshed/fleet/event"
+	"github.com/lynxshed/lynxshed/fleet/ident"
 	"github.com/lynxshed/lynxshed/fleet/problem"
 )
 
@@ -92,8 +93,19 @@
 	return customer, nil
 }
 
+// named gives every answer a request's id; one that comes to run replaces it by its own.
+func (e *Entry) named(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerRequest, string(ident.NewRequest(e.Self.Zone, 0, e.NewSerial())))
+		next(w, r)
+	}
+}
+
 // refuse answers with a problem and counts it.
 func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, p *problem.Problem) {
+	if p.RequestID == "" {
+		p = p.WithRequest(ident.Request(w.Header().Get(headerRequest)))
+	}
 	e.Metrics.Refused(r.Context(), string(p.Reason))
 	p.Write(w)
 }
--- a/fleet/entry/run.go
+++ b/fleet/entry/run.go
@@ -105,9 +105,10 @@
 	})
 }
 
-// fail ends the run with a refusal.
-func (r *run) fail(p *problem.Problem, state RunState, now time.Time) {
+// fail ends the run with a refusal, at a cost of what ran.
+func (r *run) fail(p *problem.Problem, state RunState, usage holder.Usage, now time.Time) {
 	r.update(func() {
+		r.usage = usage
 		r.problem, r.state, r.ended = p.WithRequest(r.id), state, now
 	})
 }
--- a/fleet/node/wire.go
+++ b/fleet/node/wire.go
@@ -159,9 +159,7 @@
 	mux.Handle("GET /metrics", t.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", n.serveReady)
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		problem.New(problem.NotFound, "there is nothing at "+r.URL.Path).Write(w)
-	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { nothingThere(mux, w, r) })
 	if err := n.gauges(t.Metrics); err != nil {
 		return nil, err
 	}
@@ -174,6 +172,21 @@
 	}, nil
 }
 
+// nothingThere refuses a path that is not served, or not by this method.
+func nothingThere(mux *http.ServeMux, w http.ResponseWriter, r *http.Request) {
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
+		other := &http.Request{Method: method, URL: r.URL, Host: r.Host}
+		if _, pattern := mux.Handler(other); pattern != "/" {
+			w.Header().Add("Allow", method)
+		}
+	}
+	if w.Header().Get("Allow") != "" {
+		problem.New(problem.MethodNotAllowed, r.Method+" is not served at "+r.URL.Path).Write(w)
+		return
+	}
+	problem.New(problem.NotFound, "there is nothing at "+r.URL.Path).Write(w)
+}
+
 // accepted puts an edit in force that was accepted here.
 func (n *Node) accepted(s config.Snapshot) {
 	if err := n.inForce.AdvanceTo(s); err != nil {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -9,6 +9,7 @@
 //	GET  /objects?prefix=P         {"revision","objects":[{"key","version"}]}
 //	GET  /watch?prefix=P&after=R&waitMs=N   objects changed since revision R
 //	GET  /vms                      {"revision","vms":[...]}
+//	PUT  /vms/{name}, DELETE       what the cloud does: puts a VM on the list or takes it off
 //	GET  /weights/{name}           the model's weights, rate-limited
 //	GET  /counts                   how often each call was made
 package platform
@@ -128,10 +129,26 @@
 	mux := http.NewServeMux()
 	mux.Handle("/faults", &p.Faults)
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, p.Counts()) })
+	mux.HandleFunc("PUT /vms/{name}", p.putVM)
+	mux.HandleFunc("DELETE /vms/{name}", func(w http.ResponseWriter, r *http.Request) {
+		p.RemoveVM(r.PathValue("name"))
+		w.WriteHeader(http.StatusNoContent)
+	})
 	mux.Handle("/", p.Faults.Middleware(api))
 	return mux
 }
 
+func (p *Platform) putVM(w http.ResponseWriter, r *http.Request) {
+	var vm VM
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxValueBytes)).Decode(&vm); err != nil {
+		http.Error(w, "vm: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	vm.Name = r.PathValue("name")
+	p.SetVM(vm)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // Counts returns how often each call was made.
 func (p *Platform) Counts() Counts {
 	p.mu.Lock()
