--- a/fleet/entry/serve.go
+++ b/fleet/entry/serve.go
@@ -22,11 +22,7 @@
 	ctx, span := e.Tracer.Start(traceOf(r), "entry chat")
 	defer span.End()
 	call, refusal := e.readChat(w, r)
-	if refusal == nil && e.isDraining() {
-		refusal = problem.New(problem.Draining, "this node is stopping; ask another")
-	}
-	if refusal != nil {
-		e.refuse(w, r, refusal)
+	if e.turnedAway(w, r, refusal) {
 		return
 	}
 	e.Metrics.Arrived(ctx, string(call.service.Name))
@@ -43,11 +39,7 @@
 	ctx, span := e.Tracer.Start(traceOf(r), "entry service")
 	defer span.End()
 	call, refusal := e.readPlain(w, r)
-	if refusal == nil && e.isDraining() {
-		refusal = problem.New(problem.Draining, "this node is stopping; ask another")
-	}
-	if refusal != nil {
-		e.refuse(w, r, refusal)
+	if e.turnedAway(w, r, refusal) {
 		return
 	}
 	e.Metrics.Arrived(ctx, string(call.service.Name))
@@ -56,6 +48,17 @@
 	e.whole(w, r, run)
 }
 
+// turnedAway answers a call that is wrong, or that comes while the node stops.
+func (e *Entry) turnedAway(w http.ResponseWriter, r *http.Request, refusal *problem.Problem) bool {
+	if refusal == nil && e.isDraining() {
+		refusal = problem.New(problem.Draining, "this node is stopping; ask another")
+	}
+	if refusal != nil {
+		e.refuse(w, r, refusal)
+	}
+	return refusal != nil
+}
+
 func traceOf(r *http.Request) context.Context {
 	return propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 }
--- /dev/null
+++ b/fleet/keeper/closing.go
@@ -0,0 +1,236 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/bill"
+	"github.com/lynxshed/lynxshed/fleet/event"
+	"github.com/lynxshed/lynxshed/fleet/holder"
+	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/ledger"
+	"github.com/lynxshed/lynxshed/fleet/membership"
+	"github.com/lynxshed/lynxshed/fleet/peer"
+	"github.com/lynxshed/lynxshed/fleet/platform"
+	"github.com/lynxshed/lynxshed/fleet/witness"
+)
+
+// closeDead closes the accounts of dead holders in the slots that this node holds.
+func (k *Keeper) closeDead(ctx context.Context) {
+	for _, slot := range k.Holding().Slots() {
+		if !k.holds(slot) {
+			continue
+		}
+		s := k.slotSync(slot)
+		s.mu.Lock()
+		doc := s.slot
+		s.mu.Unlock()
+		for _, dead := range deadHolders(doc, k.Self.Zone, k.Incarnation(), k.View()) {
+			k.tryClose(ctx, slot, dead)
+		}
+	}
+}
+
+func deadHolders(doc ledger.Slot, zone ident.Zone, self ident.Incarnation, view membership.State) []ident.Incarnation {
+	return lo.Filter(doc.Holders(), func(h ident.Incarnation, _ int) bool {
+		if h == self || !inZone(doc, h, zone) {
+			return false
+		}
+		return view.Gone(h) || (h.Node() == self.Node() && h.Serial() < self.Serial())
+	})
+}
+
+func inZone(doc ledger.Slot, h ident.Incarnation, zone ident.Zone) bool {
+	return lo.SomeBy(doc.Budgets, func(b ledger.Budget) bool {
+		a, ok := b.Account(h)
+		return ok && a.Zone == zone
+	})
+}
+
+func (k *Keeper) tryClose(ctx context.Context, slot ident.Slot, dead ident.Incarnation) {
+	err := k.closeHolder(ctx, slot, dead)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err == nil {
+		delete(k.stranded, dead)
+		return
+	}
+	old, known := k.stranded[dead]
+	if !known {
+		old = Stranding{Holder: dead, Zone: k.Self.Zone, Since: k.Clock.Now()}
+	}
+	if old.Why != err.Error() {
+		old.Why = err.Error()
+		k.Events.Add(event.Event{Step: event.Close, Peer: string(dead), Decision: "not closed yet", Reason: old.Why})
+	}
+	k.stranded[dead] = old
+}
+
+// Stranded lists the dead holders whose accounts can't be closed yet.
+func (k *Keeper) Stranded() []Stranding {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return lo.Values(k.stranded)
+}
+
+// closeHolder closes one slot's accounts of a dead holder exactly: its entries
+// and witnesses tell what ran under it and promise to run nothing more.
+func (k *Keeper) closeHolder(ctx context.Context, slot ident.Slot, dead ident.Incarnation) error {
+	records, err := k.gather(ctx, dead)
+	if err != nil {
+		return err
+	}
+	records = lo.Filter(records, func(r holder.Record, _ int) bool { return r.Slot == slot })
+	records = k.endOrphans(ctx, records)
+	durable, err := k.segmentBills(ctx, slot, dead)
+	if err != nil {
+		return err
+	}
+	fresh, open := k.split(records, durable)
+	if err := k.writeClosing(ctx, slot, dead, fresh); err != nil {
+		return err
+	}
+	err = k.update(ctx, slot, func(doc ledger.Slot) (ledger.Slot, error) {
+		c := ledger.Closure{Holder: dead, Settled: settledBy(doc, dead, durable, fresh), Open: open}
+		return doc.Close(c)
+	})
+	if err != nil {
+		return err
+	}
+	k.tellDurable(ctx, fresh)
+	if len(open) > 0 {
+		return errors.Newf("%d budgets have requests that still run under it", len(open))
+	}
+	k.Events.Add(event.Event{Step: event.Close, Peer: string(dead), Decision: fmt.Sprintf("closed in slot %d", slot), Reason: "every entry of the zone has reported"})
+	return nil
+}
+
+// gather fences a dead holder at every reachable node of the zone and collects
+// what they know. It fails while a VM that may know more has not answered.
+func (k *Keeper) gather(ctx context.Context, dead ident.Incarnation) ([]holder.Record, error) {
+	answers := []peer.Fenced{k.Fence(peer.Fencing{Holder: dead})}
+	view := k.View()
+	for _, m := range view.Members() {
+		if m.Zone != k.Self.Zone || m.Incarnation == "" || m.Incarnation == dead || m.Phase == membership.Left {
+			continue
+		}
+		answer, err := k.Peers.Fence(ctx, m, peer.Fencing{Holder: dead})
+		if err != nil {
+			return nil, errors.Newf("node %s has not reported what it ran under it", m.Node)
+		}
+		answers = append(answers, answer)
+	}
+	last, ok := latest(answers)
+	if !ok {
+		return nil, errors.New("no live node has heard what it last said of its records")
+	}
+	answered := lo.SliceToMap(answers, func(a peer.Fenced) (ident.Incarnation, bool) { return a.From, true })
+	if err := complete(dead, last, view.Departed(k.Self.Zone), answered); err != nil {
+		return nil, err
+	}
+	return merge(answers), nil
+}
+
+func latest(answers []peer.Fenced) (membership.Member, bool) {
+	var last membership.Member
+	found := false
+	for _, a := range answers {
+		if a.Last != nil && (!found || a.Last.Beat > last.Beat) {
+			last, found = *a.Last, true
+		}
+	}
+	return last, found
+}
+
+// merge takes the furthest phase of each record that was reported.
+func merge(answers []peer.Fenced) []holder.Record {
+	byID := map[ident.Request]holder.Record{}
+	for _, a := range answers {
+		for _, r := range a.Records {
+			if old, ok := byID[r.Request]; !ok || old.Phase != holder.Settled {
+				byID[r.Request] = r
+			}
+		}
+	}
+	return lo.Values(byID)
+}
+
+// endOrphans asks the engines about open records whose entry is lost.
+func (k *Keeper) endOrphans(ctx context.Context, records []holder.Record) []holder.Record {
+	return lo.Map(records, func(r holder.Record, _ int) holder.Record {
+		if !k.abandoned(r) {
+			return r
+		}
+		usage, ended := k.outcome(ctx, r, k.View().Gone(r.Entry))
+		if !ended {
+			return r
+		}
+		r = r.WithEnd(usage, nil, k.Clock.Now())
+		k.testify(witness.Store{Record: r})
+		return r
+	})
+}
+
+// split parts the records into bills that are not durable yet and reservations
+// that may still run.
+func (k *Keeper) split(records []holder.Record, durable []segmentBill) (fresh []holder.Record, open map[ident.Budget]int64) {
+	known := lo.SliceToMap(durable, func(b segmentBill) (ident.Request, bool) { return b.Request, true })
+	open = map[ident.Budget]int64{}
+	for _, r := range records {
+		switch {
+		case known[r.Request]:
+		case r.Phase == holder.Settled:
+			fresh = append(fresh, r)
+		case r.Budget != "":
+			open[r.Budget] += r.Bound
+		}
+	}
+	return fresh, open
+}
+
+// settledBy is what a dead holder settled in all, by budget: the ledger's
+// counters, each later bill once, and what only witnesses knew.
+func settledBy(doc ledger.Slot, dead ident.Incarnation, durable []segmentBill, fresh []holder.Record) map[ident.Budget]int64 {
+	settled := map[ident.Budget]int64{}
+	marks := map[ident.Budget]int64{}
+	for _, b := range doc.Budgets {
+		if a, ok := b.Account(dead); ok {
+			settled[b.Name], marks[b.Name] = a.Settled, a.Segment
+		}
+	}
+	earlier := map[ident.Request]bool{}
+	for _, b := range durable {
+		if b.segment <= marks[b.Budget] {
+			earlier[b.Request] = true
+		}
+	}
+	for _, b := range lo.UniqBy(durable, func(b segmentBill) ident.Request { return b.Request }) {
+		if !earlier[b.Request] {
+			settled[b.Budget] += b.Tokens
+		}
+	}
+	for _, r := range fresh {
+		if r.Billable() {
+			settled[r.Budget] += r.Usage.Tokens()
+		}
+	}
+	return settled
+}
+
+// writeClosing makes the bills durable that only witnesses knew.
+func (k *Keeper) writeClosing(ctx context.Context, slot ident.Slot, dead ident.Incarnation, fresh []holder.Record) error {
+	billable := lo.Filter(fresh, func(r holder.Record, _ int) bool { return r.Billable() })
+	if len(billable) == 0 {
+		return nil
+	}
+	segment := bill.Segment{Holder: dead, Bills: lo.Map(billable, func(r holder.Record, _ int) bill.Bill { return r.Bill() })}
+	key := segmentPrefix(k.Self.Zone, dead) + closingPrefix + fmt.Sprintf("%d-%s", slot, k.NewSerial())
+	_, err := k.Platform.Put(ctx, key, 0, segment)
+	if errors.Is(err, platform.ErrUnknown) {
+		return errors.Wrap(err, "write closing segment") // read again at the next try
+	}
+	return errors.Wrap(err, "write closing segment")
+}
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -245,16 +245,7 @@
 
 // weight is the rendezvous weight of a node for a slot.
 func weight(n ident.Node, slot ident.Slot) uint64 {
-	return mix(xxhash.Sum64String(string(n)) ^ mix(uint64(slot)+1))
-}
-
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
+	return ident.Mix(xxhash.Sum64String(string(n)) ^ ident.Mix(uint64(slot)+1))
 }
 
 // Listed is what the platform's list said.
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -91,6 +91,7 @@
 	loadsMu sync.Mutex
 	loads   map[ident.Endpoint]peer.Load
 
+	news    chan struct{} // a revision that peers have not been told of
 	drain   chan struct{}
 	drained sync.Once
 	cancel  context.CancelFunc
@@ -106,6 +107,7 @@
 		clock:   o.Clock,
 		log:     o.Log,
 		cancel:  cancel,
+		news:    make(chan struct{}, 1),
 		drain:   make(chan struct{}),
 		loads:   map[ident.Endpoint]peer.Load{},
 	}
@@ -182,6 +184,10 @@
 func (n *Node) configured(c *catalog.Catalog) {
 	n.dispatch.Configure(c)
 	n.events.Add(event.Event{Step: event.Configure, Decision: "in force", Reason: c.Describe()})
+	select {
+	case n.news <- struct{}{}: // tell peers without waiting for the next beat
+	default:
+	}
 }
 
 var _ operator.Nodes = (*Node)(nil)
--- a/fleet/node/run.go
+++ b/fleet/node/run.go
@@ -47,6 +47,7 @@
 	n.every(ctx, recoverEvery, n.keeper.Recover)
 	n.every(ctx, tickEvery, n.entry.Tick)
 	n.every(ctx, pumpEvery, func(context.Context) { n.dispatch.Pump() })
+	n.loop(ctx, n.tellNews)
 	n.loop(ctx, n.follower.WatchOnce)
 	n.loop(ctx, n.follower.PullOnce)
 	n.log.WithField("node", n.self.Node).WithField("zone", n.self.Zone).WithField("url", n.self.URL).Info("serving")
@@ -123,6 +124,17 @@
 	}
 }
 
+// tellNews beats at once when a new revision is in force here, so that it
+// spreads at the pace of the pulls and not of the beats.
+func (n *Node) tellNews(ctx context.Context) (time.Duration, error) {
+	select {
+	case <-n.news:
+		n.beat(ctx)
+	case <-ctx.Done():
+	}
+	return 0, nil
+}
+
 // unknownSeeds are the nodes of the settings that nothing is known of yet.
 func (n *Node) unknownSeeds() []string {
 	known := map[string]bool{n.self.URL: true}
--- a/fleet/routing/routing.go
+++ b/fleet/routing/routing.go
@@ -159,7 +159,7 @@
 		}
 		load := float64(c.load()) / float64(max(1, c.Limit))
 		least.offer(at, load, load/float64(target.ServiceWeight))
-		if w := mix(q.Prefix ^ target.hash); q.Prefix != 0 && w > affineWeight {
+		if w := ident.Mix(q.Prefix ^ target.hash); q.Prefix != 0 && w > affineWeight {
 			affine, affineWeight, affineLoad = at, w, load
 		}
 	}
@@ -181,15 +181,6 @@
 	return choice, Chosen
 }
 
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // HashPrefix hashes the part of a prompt that decides its affinity.
 func HashPrefix(prompt string) uint64 {
 	return xxhash.Sum64String(prompt[:min(len(prompt), prefixBytes)])
