Lend the unused part of a limit between zones

Cause: each zone had an even share of a limit, so a customer whose calls all came to one zone of four got a quarter of it: 55 of 220 calls in 10 s. A zone that is cut off keeps its even share.

--- a/fleet/holder/holder_test.go
+++ b/fleet/holder/holder_test.go
@@ -1,6 +1,7 @@
 package holder_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -182,6 +183,44 @@
 	assert.Equal(t, int64(900), s.Spendable(budget))
 }
 
+// TestLentLimitsAreNeverUsedTwice lets one of two zones have all the demand, and
+// counts what both let through.
+func TestLentLimitsAreNeverUsedTwice(t *testing.T) {
+	line := limit.Line{Name: "l", RequestsPerSecond: 100}
+	busy, idle := holder.New("n@1", "a"), holder.New("m@1", "b")
+	const seconds, perSecond, even = 30, 400, 0.5
+	let, unique := 0, 0
+	try := func(s holder.State, at time.Time) (holder.State, bool) {
+		unique++
+		r := holder.Record{Request: ident.NewRequest("a", 0, fmt.Sprint(unique)), Limits: []string{"l"}, At: at}
+		s, effect := s.Handle(holder.Admit{At: at, Record: r, Limits: []limit.Line{line}, Share: even})
+		_, ok := effect.(holder.Admitted)
+		return s, ok
+	}
+	for tick := range seconds * perSecond {
+		at := start.Add(time.Duration(tick) * time.Second / perSecond)
+		var ok bool
+		if busy, ok = try(busy, at); ok {
+			let++
+		}
+		if tick%perSecond == 0 {
+			var effect holder.Effect
+			idle, effect = idle.Handle(holder.Lend{At: at, Line: line, Share: even})
+			if part := effect.(holder.Lent).Part; part > 0 {
+				busy, _ = busy.Handle(holder.Borrowed{At: at, Line: line, Part: part, Until: at.Add(holder.LoanTime)})
+			}
+		}
+		if tick > seconds*perSecond/2 && tick%7 == 0 {
+			if idle, ok = try(idle, at); ok {
+				let++
+			}
+		}
+	}
+	whole := int(line.RequestsPerSecond) * (seconds + 1)
+	assert.LessOrEqual(t, let, whole, "never more than the limit and one second's burst")
+	assert.Greater(t, let, whole*3/4, "and not half of it, as even shares alone would")
+}
+
 func TestALeavingSlotAdmitsNothing(t *testing.T) {
 	s, effect := admit(funded(1000), "1", 100)
 	_, busy := s.Handle(holder.Leave{})
--- a/fleet/holder/message.go
+++ b/fleet/holder/message.go
@@ -70,6 +70,21 @@
 // Release ends a request that did not run.
 type Release struct{ Request ident.Request }
 
+// Lend asks for the part of a limit that goes unused here.
+type Lend struct {
+	At    time.Time
+	Line  limit.Line
+	Share float64 // the zone's even part of the limit, 0 to 1
+}
+
+// Borrowed is a part of a limit that other zones lent until a time.
+type Borrowed struct {
+	At    time.Time
+	Line  limit.Line
+	Part  float64
+	Until time.Time
+}
+
 // Forget drops the copy of a key whose request did not run.
 type Forget struct {
 	Key     KeyID
@@ -137,6 +152,8 @@
 func (Await) message()     {}
 func (Settle) message()    {}
 func (Release) message()   {}
+func (Lend) message()      {}
+func (Borrowed) message()  {}
 func (Forget) message()    {}
 func (TakeOver) message()  {}
 func (Witnessed) message() {}
@@ -182,6 +199,9 @@
 // Missing says that the holder does not know the request.
 type Missing struct{ Request ident.Request }
 
+// Lent is the part of a limit that was lent.
+type Lent struct{ Part float64 }
+
 // Surrendered says how many tokens are on their way back to the pool.
 type Surrendered struct{ Tokens int64 }
 
@@ -193,4 +213,5 @@
 func (Short) effect()       {}
 func (Ended) effect()       {}
 func (Missing) effect()     {}
+func (Lent) effect()        {}
 func (Surrendered) effect() {}
--- a/fleet/holder/state.go
+++ b/fleet/holder/state.go
@@ -80,6 +80,7 @@
 	records  *immutable.Map[ident.Request, Record] // open, or settled and not durable
 	keyed    *immutable.Map[KeyID, Record]         // by key, until they expire
 	limits   *immutable.Map[string, limit.Usage]
+	loans    *immutable.Map[string, []loan] // by limit
 }
 
 // New is a holder without books.
@@ -91,6 +92,7 @@
 		records:  ident.NewMap[ident.Request, Record](),
 		keyed:    ident.NewMap[KeyID, Record](),
 		limits:   ident.NewMap[string, limit.Usage](),
+		loans:    ident.NewMap[string, []loan](),
 	}
 }
 
@@ -112,6 +114,10 @@
 		return s.settle(m)
 	case Release:
 		return s.release(m)
+	case Lend:
+		return s.lend(m)
+	case Borrowed:
+		return s.borrowed(m), None{}
 	case Forget:
 		return s.forget(m), None{}
 	case TakeOver:
--- a/fleet/keeper/admit.go
+++ b/fleet/keeper/admit.go
@@ -46,6 +46,10 @@
 		case holder.Existing:
 			return peer.Verdict{Existing: &effect.Record}
 		case holder.Refused:
+			if k.borrow(ctx, m, effect.Problem) {
+				m.At = k.Clock.Now()
+				continue
+			}
 			k.forget(ctx, m)
 			return peer.Verdict{Refused: effect.Problem}
 		case holder.MustClaim:
@@ -131,13 +135,19 @@
 func (k *Keeper) claimPeers(r holder.Record) []membership.Member {
 	peers := k.others(r.Slot)
 	peers = peers[:min(len(peers), claimRanks-1)]
+	return append(peers, k.otherHolders(r.Slot)...)
+}
+
+// otherHolders are the holders of a slot in the other zones.
+func (k *Keeper) otherHolders(slot ident.Slot) []membership.Member {
 	now, view := k.Clock.Now(), k.View()
+	var holders []membership.Member
 	for _, z := range view.Zones() {
-		if rank := view.Rank(z, r.Slot, now); z != k.Self.Zone && len(rank) > 0 {
-			peers = append(peers, rank[0])
+		if rank := view.Rank(z, slot, now); z != k.Self.Zone && len(rank) > 0 {
+			holders = append(holders, rank[0])
 		}
 	}
-	return peers
+	return holders
 }
 
 type claimAnswer struct {
--- /dev/null
+++ b/fleet/keeper/borrow.go
@@ -0,0 +1,68 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/holder"
+	"github.com/lynxshed/lynxshed/fleet/limit"
+	"github.com/lynxshed/lynxshed/fleet/peer"
+	"github.com/lynxshed/lynxshed/fleet/problem"
+)
+
+const (
+	// borrowEvery is the time between two rounds of asking for one limit.
+	borrowEvery   = time.Second
+	borrowTimeout = 300 * time.Millisecond
+)
+
+// borrow asks the slot's holders in the other zones for what they do not use of
+// the limit that refused a request; it reports whether trying again may help.
+func (k *Keeper) borrow(ctx context.Context, m holder.Admit, refused *problem.Problem) bool {
+	line, ok := lo.Find(m.Limits, func(l limit.Line) bool { return l.Name == refused.Peer })
+	if refused.Reason != problem.LimitReached || !ok || !k.mayAsk(line.Name) {
+		return false
+	}
+	asked := k.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var part float64
+	var wait sync.WaitGroup
+	for _, to := range k.otherHolders(m.Record.Slot) {
+		wait.Go(func() {
+			lent, err := k.Peers.Lend(ctx, to, peer.Lending{Line: line})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			part += lent.Part
+			mu.Unlock()
+		})
+	}
+	wait.Wait()
+	if part <= 0 {
+		return false
+	}
+	k.handle(holder.Borrowed{At: k.Clock.Now(), Line: line, Part: part, Until: asked.Add(holder.LoanTime)})
+	return true
+}
+
+func (k *Keeper) mayAsk(name string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.Clock.Since(k.asked[name]) < borrowEvery {
+		return false
+	}
+	k.asked[name] = k.Clock.Now()
+	return true
+}
+
+// Lend gives another zone the unused part of a limit.
+func (k *Keeper) Lend(in peer.Lending) peer.Lent {
+	lent, _ := k.handle(holder.Lend{At: k.Clock.Now(), Line: in.Line, Share: k.share()}).(holder.Lent)
+	return peer.Lent{Part: lent.Part}
+}
--- a/fleet/keeper/keeper.go
+++ b/fleet/keeper/keeper.go
@@ -29,6 +29,7 @@
 	Drop(ctx context.Context, to membership.Member, in peer.Dropping) error
 	Fence(ctx context.Context, to membership.Member, in peer.Fencing) (peer.Fenced, error)
 	Surrender(ctx context.Context, to membership.Member, in peer.Surrendering) (peer.Surrendered, error)
+	Lend(ctx context.Context, to membership.Member, in peer.Lending) (peer.Lent, error)
 	HandOver(ctx context.Context, to membership.Member, in peer.HandOver) error
 }
 
@@ -87,6 +88,7 @@
 	segments segmentWriter
 	stranded map[ident.Incarnation]Stranding
 	passed   map[ident.Request]passing
+	asked    map[string]time.Time // when other zones were last asked for a limit
 
 	slotMu sync.Map // ident.Slot -> *slotSync
 }
@@ -108,6 +110,7 @@
 		denied:   map[ident.Budget]denial{},
 		stranded: map[ident.Incarnation]Stranding{},
 		passed:   map[ident.Request]passing{},
+		asked:    map[string]time.Time{},
 	}
 }
 
--- a/fleet/keeper/world_test.go
+++ b/fleet/keeper/world_test.go
@@ -388,6 +388,14 @@
 	return other.Keeper.Surrender(ctx, in), nil
 }
 
+func (v *vm) Lend(_ context.Context, to membership.Member, in peer.Lending) (peer.Lent, error) {
+	other, err := v.reach(to)
+	if err != nil {
+		return peer.Lent{}, err
+	}
+	return other.Keeper.Lend(in), nil
+}
+
 func (v *vm) HandOver(_ context.Context, to membership.Member, in peer.HandOver) error {
 	other, err := v.reach(to)
 	if err == nil {
--- a/fleet/limit/limit.go
+++ b/fleet/limit/limit.go
@@ -76,3 +76,42 @@
 func wait(lack, rate float64) time.Duration {
 	return time.Duration(lack / rate * float64(time.Second))
 }
+
+// The part of what goes unused that is lent, and the least worth lending.
+const (
+	lentPart  = 0.9
+	leastLent = 0.01
+)
+
+// Lent is the usage after another zone was lent most of what goes unused of a
+// zone's share, and that part of the whole limit; its burst goes along.
+func (u Usage) Lent(l Line, share float64, at time.Time) (Usage, float64) {
+	u = u.refilled(l, share, at)
+	part := lentPart * u.spare(l, share)
+	if part < leastLent {
+		return u, 0
+	}
+	return u.WithBurst(l, -part), part
+}
+
+func (u Usage) spare(l Line, share float64) float64 {
+	spare := share
+	if l.RequestsPerSecond > 0 {
+		spare = min(spare, u.requests/float64(l.RequestsPerSecond))
+	}
+	if l.TokensPerSecond > 0 {
+		spare = min(spare, u.tokens/float64(l.TokensPerSecond))
+	}
+	if l.MaxInFlight > 0 {
+		spare = min(spare, share-float64(u.inFlight)/float64(l.MaxInFlight))
+	}
+	return spare
+}
+
+// WithBurst is the usage with the burst of a part of the limit more, or less
+// where the part is negative.
+func (u Usage) WithBurst(l Line, part float64) Usage {
+	u.requests += part * float64(l.RequestsPerSecond) * burst.Seconds()
+	u.tokens += part * float64(l.TokensPerSecond) * burst.Seconds()
+	return u
+}
--- a/fleet/node/peers.go
+++ b/fleet/node/peers.go
@@ -49,6 +49,11 @@
 	return peer.Call[peer.Surrendered](ctx, p.caller, to, peer.VerbSurrender, in)
 }
 
+// Lend implements keeper.Peers.
+func (p peers) Lend(ctx context.Context, to membership.Member, in peer.Lending) (peer.Lent, error) {
+	return peer.Call[peer.Lent](ctx, p.caller, to, peer.VerbLend, in)
+}
+
 // HandOver implements keeper.Peers.
 func (p peers) HandOver(ctx context.Context, to membership.Member, in peer.HandOver) error {
 	_, err := peer.Call[peer.Nothing](ctx, p.caller, to, peer.VerbHandOver, in)
@@ -126,6 +131,9 @@
 	peer.Handle(s, peer.VerbSurrender, func(ctx context.Context, in peer.Surrendering) (peer.Surrendered, error) {
 		return n.keeper.Surrender(ctx, in), nil
 	})
+	peer.Handle(s, peer.VerbLend, func(_ context.Context, in peer.Lending) (peer.Lent, error) {
+		return n.keeper.Lend(in), nil
+	})
 	peer.Handle(s, peer.VerbForget, told(n.keeper.Forget))
 	peer.Handle(s, peer.VerbDrop, told(n.keeper.Drop))
 	peer.Handle(s, peer.VerbHandOver, told(n.keeper.TakeKeys))
--- a/fleet/peer/peer.go
+++ b/fleet/peer/peer.go
@@ -34,6 +34,7 @@
 	VerbDrop      Verb = "drop"
 	VerbFence     Verb = "fence"
 	VerbSurrender Verb = "surrender"
+	VerbLend      Verb = "lend"
 	VerbBeat      Verb = "beat"
 	VerbHead      Verb = "config-head"
 	VerbShard     Verb = "config-shard"
--- a/fleet/peer/wire.go
+++ b/fleet/peer/wire.go
@@ -114,6 +114,16 @@
 	Tokens int64 `json:"tokens"`
 }
 
+// Lending asks the holder of a slot in another zone for the unused part of a limit.
+type Lending struct {
+	Line limit.Line `json:"line"`
+}
+
+// Lent is the part that was lent, 0 to 1 of the whole limit.
+type Lent struct {
+	Part float64 `json:"part"`
+}
+
 // Beat is a heartbeat and its answer.
 type Beat struct {
 	Members []membership.Member `json:"members"`
