Share limits of all customers among every node

Cause: a limit that names no customer was enforced by each slot's holder with a zone's part, so two holders in a zone let through twice the limit. Change: such a limit has a part for every node and is lent between all; a caller is told to wait 5 s at most, since shares move.

--- a/fleet/entry/execute.go
+++ b/fleet/entry/execute.go
@@ -128,7 +128,7 @@
 
 func (e *Entry) limitsFor(h headers, s ident.Service) []limit.Line {
 	return lo.Map(e.Catalog().Limits(h.customer.Name, s), func(l catalog.Limit, _ int) limit.Line {
-		return limit.Line{Name: l.Name, RequestsPerSecond: l.RequestsPerSecond, TokensPerSecond: l.TokensPerSecond, MaxInFlight: l.MaxInFlight}
+		return limit.Line{Name: l.Name, RequestsPerSecond: l.RequestsPerSecond, TokensPerSecond: l.TokensPerSecond, MaxInFlight: l.MaxInFlight, Common: l.Customer == ""}
 	})
 }
 
--- a/fleet/holder/admit.go
+++ b/fleet/holder/admit.go
@@ -109,7 +109,7 @@
 func (s State) limited(m Admit) (State, *problem.Problem) {
 	for _, line := range m.Limits {
 		usage, _ := s.limits.Get(line.Name)
-		next, wait, err := usage.With(line, s.shareOf(line.Name, m.Share, m.At), m.Record.Bound, m.At)
+		next, wait, err := usage.With(line, s.shareOf(line.Name, m.Share.of(line), m.At), m.Record.Bound, m.At)
 		if err != nil {
 			what := "rate"
 			if errors.Is(err, limit.ErrInFlight) {
--- a/fleet/holder/holder_test.go
+++ b/fleet/holder/holder_test.go
@@ -174,7 +174,7 @@
 	for i, unique := range []string{"1", "2"} {
 		r := holder.Record{Request: ident.NewRequest("a", 0, unique), Bound: 100, Limits: []string{"l"}, At: start}
 		var effect holder.Effect
-		s, effect = s.Handle(holder.Admit{At: start, Record: r, Budgets: []holder.BudgetLine{{Name: budget, Limit: 1000, Version: 1}}, Limits: lines, Share: 1})
+		s, effect = s.Handle(holder.Admit{At: start, Record: r, Budgets: []holder.BudgetLine{{Name: budget, Limit: 1000, Version: 1}}, Limits: lines, Share: holder.Shares{Zone: 1}})
 		if i == 1 {
 			require.IsType(t, holder.Refused{}, effect)
 			assert.Equal(t, problem.LimitReached, effect.(holder.Refused).Problem.Reason)
@@ -193,7 +193,7 @@
 	try := func(s holder.State, at time.Time) (holder.State, bool) {
 		unique++
 		r := holder.Record{Request: ident.NewRequest("a", 0, fmt.Sprint(unique)), Limits: []string{"l"}, At: at}
-		s, effect := s.Handle(holder.Admit{At: at, Record: r, Limits: []limit.Line{line}, Share: even})
+		s, effect := s.Handle(holder.Admit{At: at, Record: r, Limits: []limit.Line{line}, Share: holder.Shares{Zone: even}})
 		_, ok := effect.(holder.Admitted)
 		return s, ok
 	}
@@ -205,7 +205,7 @@
 		}
 		if tick%perSecond == 0 {
 			var effect holder.Effect
-			idle, effect = idle.Handle(holder.Lend{At: at, Line: line, Share: even})
+			idle, effect = idle.Handle(holder.Lend{At: at, Line: line, Share: holder.Shares{Zone: even}})
 			if part := effect.(holder.Lent).Part; part > 0 {
 				busy, _ = busy.Handle(holder.Borrowed{At: at, Line: line, Part: part, Until: at.Add(holder.LoanTime)})
 			}
--- a/fleet/holder/loan.go
+++ b/fleet/holder/loan.go
@@ -43,7 +43,7 @@
 // lend gives most of what goes unused of a limit here to a zone that is short.
 func (s State) lend(m Lend) (State, Effect) {
 	usage, _ := s.limits.Get(m.Line.Name)
-	usage, part := usage.Lent(m.Line, s.shareOf(m.Line.Name, m.Share, m.At), m.At)
+	usage, part := usage.Lent(m.Line, s.shareOf(m.Line.Name, m.Share.of(m.Line), m.At), m.At)
 	if part == 0 {
 		return s, Lent{}
 	}
--- a/fleet/holder/message.go
+++ b/fleet/holder/message.go
@@ -20,13 +20,26 @@
 // Message is something that happened to a holder.
 type Message interface{ message() }
 
+// Shares are the even parts of the limits that fall to this holder, 0 to 1.
+type Shares struct {
+	Zone float64 // of a customer's limit: one holder in each zone
+	Node float64 // of a common limit: every node
+}
+
+func (s Shares) of(l limit.Line) float64 {
+	if l.Common {
+		return s.Node
+	}
+	return s.Zone
+}
+
 // Admit asks to let a request in.
 type Admit struct {
 	At      time.Time
 	Record  Record // with Bound, Entry and the first Attempt filled in
 	Budgets []BudgetLine
 	Limits  []limit.Line
-	Share   float64 // the zone's share of the limits, 0 to 1
+	Share   Shares
 	// Try is the caller's count of its tries; 0 where it gave none.
 	Try int
 	// Claimed is set once the other zones have been asked for the key.
@@ -74,7 +87,7 @@
 type Lend struct {
 	At    time.Time
 	Line  limit.Line
-	Share float64 // the zone's even part of the limit, 0 to 1
+	Share Shares
 }
 
 // Borrowed is a part of a limit that other zones lent until a time.
--- a/fleet/keeper/admit.go
+++ b/fleet/keeper/admit.go
@@ -32,9 +32,12 @@
 	return verdict
 }
 
-// share is the zone's part of every limit: a cut zone keeps it.
-func (k *Keeper) share() float64 {
-	return 1 / float64(max(1, len(k.View().Zones())))
+// share is the part of every limit that falls to this node: a cut zone keeps its own.
+func (k *Keeper) share() holder.Shares {
+	view := k.View()
+	zone := 1 / float64(max(1, len(view.Zones())))
+	nodes := len(view.Reachable(k.Self.Zone, k.Clock.Now()))
+	return holder.Shares{Zone: zone, Node: zone / float64(max(1, nodes))}
 }
 
 func (k *Keeper) admit(ctx context.Context, m holder.Admit) peer.Verdict {
--- a/fleet/keeper/borrow.go
+++ b/fleet/keeper/borrow.go
@@ -8,7 +8,9 @@
 	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/holder"
+	"github.com/lynxshed/lynxshed/fleet/ident"
 	"github.com/lynxshed/lynxshed/fleet/limit"
+	"github.com/lynxshed/lynxshed/fleet/membership"
 	"github.com/lynxshed/lynxshed/fleet/peer"
 	"github.com/lynxshed/lynxshed/fleet/problem"
 )
@@ -32,7 +34,7 @@
 	var mu sync.Mutex
 	var part float64
 	var wait sync.WaitGroup
-	for _, to := range k.otherHolders(m.Record.Slot) {
+	for _, to := range k.lenders(m.Record.Slot, line) {
 		wait.Go(func() {
 			lent, err := k.Peers.Lend(ctx, to, peer.Lending{Line: line})
 			if err != nil {
@@ -51,6 +53,22 @@
 	return true
 }
 
+// maxLenders bounds how many nodes are asked for a common limit.
+const maxLenders = 16
+
+// lenders are the nodes that have another part of a limit: the slot's holders of
+// a customer's, and all nodes of a common one.
+func (k *Keeper) lenders(slot ident.Slot, line limit.Line) []membership.Member {
+	if !line.Common {
+		return k.otherHolders(slot)
+	}
+	view := k.View()
+	nodes := lo.Filter(view.Members(), func(m membership.Member, _ int) bool {
+		return view.StatusOf(m.Node, k.Clock.Now()) == membership.StatusLive
+	})
+	return nodes[:min(len(nodes), maxLenders)]
+}
+
 func (k *Keeper) mayAsk(name string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/fleet/limit/limit.go
+++ b/fleet/limit/limit.go
@@ -24,6 +24,9 @@
 	RequestsPerSecond int64  `json:"requestsPerSecond,omitempty"`
 	TokensPerSecond   int64  `json:"tokensPerSecond,omitempty"`
 	MaxInFlight       int64  `json:"maxInFlight,omitempty"`
+	// Common marks a limit of all customers together, of which every node and not
+	// only every zone has a part.
+	Common bool `json:"common,omitempty"`
 }
 
 // Usage is what a limit has let through; it is not changed in place.
@@ -73,8 +76,11 @@
 	return u
 }
 
+// longestWait bounds what a caller is told to wait: shares move in the meantime.
+const longestWait = 5 * time.Second
+
 func wait(lack, rate float64) time.Duration {
-	return time.Duration(lack / rate * float64(time.Second))
+	return min(longestWait, time.Duration(lack/max(rate, lack/longestWait.Seconds())*float64(time.Second)))
 }
 
 // The part of what goes unused that is lent, and the least worth lending.
