Take a double bill back once zones see each other again

Cause: a keyed model call that ran in two zones cut from each other stayed billed twice for ever. Change: a holder that could not ask a zone for a key asks it later; of two runs the later one's bill is taken back by its own holder: it costs nothing if it is not durable yet, else a line with negative tokens follows and the ledger's counter falls.

--- a/fleet/bill/bill.go
+++ b/fleet/bill/bill.go
@@ -21,6 +21,8 @@
 	Tokens       int64          `json:"tokens"`
 	Node         ident.Node     `json:"node"`
 	At           time.Time      `json:"at"`
+	// Void marks a line that takes a durable bill back: its tokens are negative.
+	Void bool `json:"void,omitempty"`
 }
 
 // Segment is a batch of bills of one incarnation, an immutable object of the platform.
@@ -29,9 +31,15 @@
 	Bills  []Bill            `json:"bills"`
 }
 
-// Unique drops the bills of requests that stand twice and orders the rest by time.
+// Unique drops the bills of requests that stand twice or were taken back, and
+// orders the rest by time.
 func Unique(bills []Bill) []Bill {
-	unique := lo.UniqBy(bills, func(b Bill) ident.Request { return b.Request })
+	voided := map[ident.Request]bool{}
+	for _, b := range bills {
+		voided[b.Request] = voided[b.Request] || b.Void
+	}
+	standing := lo.Filter(bills, func(b Bill, _ int) bool { return !voided[b.Request] })
+	unique := lo.UniqBy(standing, func(b Bill) ident.Request { return b.Request })
 	sort.Slice(unique, func(i, j int) bool {
 		if unique[i].At.Equal(unique[j].At) {
 			return unique[i].Request < unique[j].Request
@@ -40,12 +48,3 @@
 	})
 	return unique
 }
-
-// Sum adds the tokens of the bills by budget.
-func Sum(bills []Bill) map[ident.Budget]int64 {
-	sums := map[ident.Budget]int64{}
-	for _, b := range bills {
-		sums[b.Budget] += b.Tokens
-	}
-	return sums
-}
--- a/fleet/holder/admit.go
+++ b/fleet/holder/admit.go
@@ -31,6 +31,7 @@
 	if p := cutOff(m); p != nil {
 		return s.dropped(m.Record), Refused{Problem: p}
 	}
+	m.Record.Unasked = m.Unreachable
 	return s.reserve(m)
 }
 
--- a/fleet/holder/holder_test.go
+++ b/fleet/holder/holder_test.go
@@ -231,3 +231,43 @@
 	require.IsType(t, holder.Refused{}, effect)
 	assert.Equal(t, problem.NoHolder, effect.(holder.Refused).Problem.Reason)
 }
+
+func TestATakenBackBillCostsNothing(t *testing.T) {
+	cases := []struct {
+		name     string
+		durable  bool
+		wantLine int64 // tokens of the line that is still to be written
+	}{
+		{"before it is durable no line is written", false, 0},
+		{"after that a line takes it back", true, -100},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := keyed("a", "1")
+			r.Bound, r.Model = 600, true
+			ask := holder.Admit{At: start, Record: r, Budgets: []holder.BudgetLine{{Name: budget, Limit: 1000, Version: 1}}}
+			s, _ := funded(1000).Handle(ask)
+			ask.Claimed, ask.Unreachable = true, []ident.Zone{"b"}
+			s, _ = s.Handle(ask)
+			s, _ = s.Handle(holder.Settle{At: start, Request: r.Request, Usage: holder.Usage{Prompt: 10, Output: 90}})
+			require.Len(t, s.Doubtful(), 1)
+			if c.durable {
+				s, _ = s.Handle(holder.Durable{Requests: []ident.Request{r.Request}})
+			}
+			s, _ = s.Handle(holder.Void{Key: r.Key})
+			s, again := s.Handle(holder.Void{Key: r.Key})
+			assert.Equal(t, holder.None{}, again, "it is taken back once")
+			assert.Equal(t, int64(1000), s.Spendable(budget))
+			assert.Empty(t, s.Doubtful())
+			var line int64
+			for _, left := range s.Records() {
+				if left.Billable() {
+					line += left.Bill().Tokens
+				}
+			}
+			assert.Equal(t, c.wantLine, line)
+			s, _ = s.Handle(holder.Durable{Requests: []ident.Request{r.Request}})
+			assert.Zero(t, s.Post(0, nil, holder.Credit{}, 1, start).Lines[0].Settled, "the ledger's counter falls with it")
+		})
+	}
+}
--- a/fleet/holder/message.go
+++ b/fleet/holder/message.go
@@ -98,6 +98,15 @@
 	Until time.Time
 }
 
+// Asked notes that a zone has been asked for a key after all.
+type Asked struct {
+	Key  KeyID
+	Zone ident.Zone
+}
+
+// Void takes the bill of a request back; the same one ran earlier elsewhere.
+type Void struct{ Key KeyID }
+
 // Forget drops the copy of a key whose request did not run.
 type Forget struct {
 	Key     KeyID
@@ -167,6 +176,8 @@
 func (Release) message()   {}
 func (Lend) message()      {}
 func (Borrowed) message()  {}
+func (Asked) message()     {}
+func (Void) message()      {}
 func (Forget) message()    {}
 func (TakeOver) message()  {}
 func (Witnessed) message() {}
--- a/fleet/holder/record.go
+++ b/fleet/holder/record.go
@@ -81,6 +81,12 @@
 	Limits   []string  `json:"limits,omitempty"`
 	// Witness is the other VM that knows the record, where the entry does not serve as one.
 	Witness ident.Incarnation `json:"witness,omitempty"`
+	// Unasked names the zones that could not be asked for the key before it ran.
+	Unasked []ident.Zone `json:"unasked,omitempty"`
+	// Voided marks a request whose bill was taken back, since the same one had run
+	// earlier in a zone that was cut off. A record that only carries the line that
+	// takes a durable bill back is Voided too, with the cost it had.
+	Voided bool `json:"voided,omitempty"`
 	// Elsewhere marks a copy kept for another holder of the same slot.
 	Elsewhere bool `json:"elsewhere,omitempty"`
 }
@@ -140,6 +146,9 @@
 
 // Bill is what the settled request cost.
 func (r Record) Bill() bill.Bill {
+	if r.Voided {
+		r.Usage = Usage{Prompt: -r.Usage.Prompt, Output: -r.Usage.Output}
+	}
 	return bill.Bill{
 		Request:      r.Request,
 		Customer:     r.Customer,
@@ -150,6 +159,7 @@
 		Tokens:       r.Usage.Tokens(),
 		Node:         r.Entry.Node(),
 		At:           r.EndedAt,
+		Void:         r.Voided,
 	}
 }
 
--- a/fleet/holder/settle.go
+++ b/fleet/holder/settle.go
@@ -124,7 +124,7 @@
 	for _, id := range m.Requests {
 		r, ok := s.records.Get(id)
 		if a, found := s.accounts.Get(r.Budget); ok && found && r.Billable() {
-			a.durable += r.Usage.Tokens()
+			a.durable += r.Bill().Tokens
 			s = s.withAccount(a)
 		}
 		s.records = s.records.Delete(id)
--- a/fleet/holder/state.go
+++ b/fleet/holder/state.go
@@ -118,6 +118,10 @@
 		return s.lend(m)
 	case Borrowed:
 		return s.borrowed(m), None{}
+	case Asked:
+		return s.asked(m), None{}
+	case Void:
+		return s.void(m)
 	case Forget:
 		return s.forget(m), None{}
 	case TakeOver:
--- /dev/null
+++ b/fleet/holder/void.go
@@ -0,0 +1,59 @@
+package holder
+
+import (
+	"slices"
+
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/ident"
+)
+
+// Doubtful lists the settled records whose key some zone has not been asked for.
+func (s State) Doubtful() []Record {
+	return lo.Filter(s.Keyed(), func(r Record, _ int) bool {
+		return len(r.Unasked) > 0 && r.Phase == Settled && !r.Elsewhere && !r.Voided
+	})
+}
+
+// Before orders two runs of the same request that zones cut off from each other
+// let in: the later is taken back, and of two at the same time the higher zone's.
+func (r Record) Before(other Record) bool {
+	if !r.At.Equal(other.At) {
+		return r.At.Before(other.At)
+	}
+	return r.Request < other.Request
+}
+
+func (s State) asked(m Asked) State {
+	r, ok := s.keyed.Get(m.Key)
+	if !ok {
+		return s
+	}
+	r.Unasked = slices.DeleteFunc(slices.Clone(r.Unasked), func(z ident.Zone) bool { return z == m.Zone })
+	s.keyed = s.keyed.Set(m.Key, r)
+	if open, ok := s.records.Get(r.Request); ok {
+		open.Unasked = r.Unasked
+		s.records = s.records.Set(r.Request, open)
+	}
+	return s
+}
+
+// void takes a bill back. One that is not durable yet just costs nothing; for a
+// durable one a line with negative tokens is written with the next segment.
+func (s State) void(m Void) (State, Effect) {
+	r, ok := s.keyed.Get(m.Key)
+	if !ok || r.Phase != Settled || r.Voided || r.Elsewhere {
+		return s, None{}
+	}
+	a, held := s.accounts.Get(r.Budget)
+	if !held {
+		return s, Missing{Request: r.Request}
+	}
+	a.settled -= r.Usage.Tokens()
+	s = s.withAccount(a)
+	r.Voided, r.Unasked = true, nil
+	if _, fresh := s.records.Get(r.Request); fresh {
+		r.Usage = Usage{}
+	}
+	return s.withRecord(r), Ended{Record: r}
+}
--- a/fleet/keeper/closing.go
+++ b/fleet/keeper/closing.go
@@ -201,14 +201,14 @@
 			settled[b.Name], marks[b.Name] = a.Settled, a.Segment
 		}
 	}
-	earlier := map[ident.Request]bool{}
+	earlier := map[billLine]bool{}
 	for _, b := range durable {
 		if b.segment <= marks[b.Budget] {
-			earlier[b.Request] = true
+			earlier[b.line()] = true
 		}
 	}
-	for _, b := range lo.UniqBy(durable, func(b segmentBill) ident.Request { return b.Request }) {
-		if !earlier[b.Request] {
+	for _, b := range lo.UniqBy(durable, segmentBill.line) {
+		if !earlier[b.line()] {
 			settled[b.Budget] += b.Tokens
 		}
 	}
--- a/fleet/keeper/recover.go
+++ b/fleet/keeper/recover.go
@@ -36,6 +36,7 @@
 	k.entrustAgain(ctx)
 	k.passOn(ctx)
 	k.closeDead(ctx)
+	k.reconcile(ctx)
 }
 
 // passOn copies the records of holders that are over to another node of the
--- a/fleet/keeper/segments.go
+++ b/fleet/keeper/segments.go
@@ -12,11 +12,20 @@
 	"github.com/lynxshed/lynxshed/fleet/ident"
 )
 
+// segmentBill is a line of a segment and where it stands.
 type segmentBill struct {
 	bill.Bill
 	segment int64
 }
 
+// billLine tells a bill from the line that takes it back.
+type billLine struct {
+	request ident.Request
+	void    bool
+}
+
+func (b segmentBill) line() billLine { return billLine{request: b.Request, void: b.Void} }
+
 // segmentBills reads the bills that a dead holder or its closers made durable lately.
 func (k *Keeper) segmentBills(ctx context.Context, slot ident.Slot, dead ident.Incarnation) ([]segmentBill, error) {
 	prefix := segmentPrefix(k.Self.Zone, dead)
--- a/fleet/ledger/post.go
+++ b/fleet/ledger/post.go
@@ -67,7 +67,7 @@
 	a.Holder, a.Zone = p.Holder, p.Zone
 	returning := max(0, line.Returned-a.Returned)
 	a.Returned += returning
-	a.Settled = max(a.Settled, line.Settled)
+	a.Settled = line.Settled // only its holder posts it; a bill that is taken back lowers it
 	a.Segment = max(a.Segment, p.Segment)
 	a.Reserved, a.Rate, a.Lump = line.Reserved, line.Rate, line.Lump
 	b = b.WithAccount(a).credited(line.CreditTo, min(line.Credit, returning))
