Keep a budget's last tokens for its heaviest use

Cause: operators' weights decided turns in queues only, not who gets a budget's last tokens. Change: while heavier use was seen within a minute, a lighter request must leave its part of the last 5% of the limit in the holding. Figures: table test; nothing is kept a minute after the last heavier request, so no request is refused in vain for longer than that.

--- a/fleet/entry/execute.go
+++ b/fleet/entry/execute.go
@@ -162,7 +162,7 @@
 	record.Bound = call.bound
 	limits := e.limitsFor(call.headers, call.service.Name)
 	record.Limits = lo.Map(limits, func(l limit.Line, _ int) string { return l.Name })
-	admitted, ok := e.admitRun(ctx, r, grant, peer.Admission{Record: record, Budgets: budgets, Limits: limits, Try: call.try})
+	admitted, ok := e.admitRun(ctx, r, grant, peer.Admission{Record: record, Budgets: budgets, Limits: limits, Weight: ask.Weight, Try: call.try})
 	if !ok {
 		return
 	}
--- a/fleet/holder/admit.go
+++ b/fleet/holder/admit.go
@@ -77,6 +77,7 @@
 	for _, line := range m.Budgets {
 		a := before.accountOf(m.Record, line)
 		a.demand = a.demand.with(m.Record.Bound, m.At)
+		a.heaviest = a.heaviest.with(m.Weight, m.At)
 		before, s = before.withAccount(a), s.withAccount(a)
 	}
 	for _, line := range m.Budgets {
@@ -84,7 +85,7 @@
 		if a.leaving {
 			return before, Refused{Problem: problem.New(problem.NoHolder, "the slot is moving to another holder")}
 		}
-		if a.spendable() < m.Record.Bound {
+		if a.spendable() < m.Record.Bound+a.kept(m.Weight) {
 			continue
 		}
 		a.reserved += m.Record.Bound
@@ -93,7 +94,7 @@
 		return s.withAccount(a).withRecord(r), Admitted{Record: r}
 	}
 	first, _ := before.accounts.Get(m.Budgets[0].Name)
-	return before, Short{Slot: m.Record.Slot, Budget: m.Budgets[0].Name, Need: m.Record.Bound - max(0, first.spendable())}
+	return before, Short{Slot: m.Record.Slot, Budget: m.Budgets[0].Name, Need: m.Record.Bound + first.kept(m.Weight) - max(0, first.spendable())}
 }
 
 func (s State) accountOf(r Record, line BudgetLine) account {
--- a/fleet/holder/holder_test.go
+++ b/fleet/holder/holder_test.go
@@ -185,6 +185,25 @@
 
 // TestLentLimitsAreNeverUsedTwice lets one of two zones have all the demand, and
 // counts what both let through.
+func TestTheLastTokensGoToTheHeaviestUse(t *testing.T) {
+	ask := func(s holder.State, unique string, weight, bound int64, at time.Time) (holder.State, bool) {
+		r := holder.Record{Request: ident.NewRequest("a", 0, unique), Bound: bound, At: at}
+		s, effect := s.Handle(holder.Admit{At: at, Record: r, Weight: weight, Budgets: []holder.BudgetLine{{Name: budget, Limit: 1000, Version: 1}}})
+		_, ok := effect.(holder.Admitted)
+		return s, ok
+	}
+	s, ok := ask(funded(1000), "heavy", 4, 940, start)
+	require.True(t, ok)
+	s, ok = ask(s, "light", 1, 30, start)
+	assert.False(t, ok, "60 tokens are left, 37 of them kept for the weight of 4")
+	s, ok = ask(s, "small", 1, 20, start)
+	assert.True(t, ok)
+	s, ok = ask(s, "heavy again", 4, 30, start)
+	assert.True(t, ok)
+	_, ok = ask(s, "light later", 1, 10, start.Add(2*time.Minute))
+	assert.True(t, ok, "after a minute without heavier use nothing is kept")
+}
+
 func TestLentLimitsAreNeverUsedTwice(t *testing.T) {
 	line := limit.Line{Name: "l", RequestsPerSecond: 100}
 	busy, idle := holder.New("n@1", "a"), holder.New("m@1", "b")
--- a/fleet/holder/message.go
+++ b/fleet/holder/message.go
@@ -40,6 +40,9 @@
 	Budgets []BudgetLine
 	Limits  []limit.Line
 	Share   Shares
+	// Weight is the operator's weight of this customer's use of the service; it
+	// decides who gets a budget's last tokens.
+	Weight int64
 	// Try is the caller's count of its tries; 0 where it gave none.
 	Try int
 	// Claimed is set once the other zones have been asked for the key.
--- a/fleet/holder/state.go
+++ b/fleet/holder/state.go
@@ -23,12 +23,41 @@
 	reserved int64
 	leaving  bool // the books are being closed; nothing more is admitted
 	demand   demand
+	heaviest heaviest
 	seen     ledger.Budget // the line as last seen
 }
 
 // spendable is what a new reservation may take.
 func (a account) spendable() int64 { return a.drawn - a.returned - a.settled - a.reserved }
 
+// The last tokens of a budget are kept for the heaviest use seen lately.
+const (
+	lastPart       = 0.05 // of the limit
+	heaviestMemory = time.Minute
+)
+
+// heaviest is the greatest weight of late requests.
+type heaviest struct {
+	weight int64
+	at     time.Time
+}
+
+func (h heaviest) with(weight int64, at time.Time) heaviest {
+	if weight >= h.weight || at.Sub(h.at) > heaviestMemory {
+		return heaviest{weight: weight, at: at}
+	}
+	return h
+}
+
+// kept is how many free tokens a request of a weight must leave here for heavier ones.
+func (a account) kept(weight int64) int64 {
+	if weight >= a.heaviest.weight || weight <= 0 {
+		return 0
+	}
+	part := 1 - float64(weight)/float64(a.heaviest.weight)
+	return int64(part * lastPart * float64(a.line.Limit) / float64(max(1, len(a.seen.Accounts))))
+}
+
 // demandMemory is how long past demand counts. It is long, since what is placed
 // must last through a cut; short moves are met by calling tokens back.
 const demandMemory = 30 * time.Minute
--- a/fleet/peer/wire.go
+++ b/fleet/peer/wire.go
@@ -15,6 +15,7 @@
 	Record  holder.Record       `json:"record"`
 	Budgets []holder.BudgetLine `json:"budgets,omitempty"`
 	Limits  []limit.Line        `json:"limits,omitempty"`
+	Weight  int64               `json:"weight,omitempty"`
 	Try     int                 `json:"try,omitempty"`
 }
 
