Give engines fenced orders to load what rows ask for

Cause: orders to engines were planned only. Change: package orders decides, package node runs it: one giver in a zone under a lease whose version is the fence, one order in 2 s after the weight store let the weights through, the longest line first; engines that do not check fences wait the old giver out. Unused functions went.

--- a/fleet/catalog/catalog.go
+++ b/fleet/catalog/catalog.go
@@ -291,9 +291,6 @@
 	return budgets
 }
 
-// BudgetsOf lists a customer's budgets in order.
-func (c *Catalog) BudgetsOf(customer ident.Customer) []Budget { return c.budgets[customer] }
-
 // Fitting lists the budgets that may pay for a customer's call, best first:
 // those that name the service go before those that cover all.
 func (c *Catalog) Fitting(customer ident.Customer, s ident.Service) []Budget {
--- a/fleet/dispatch/dispatch.go
+++ b/fleet/dispatch/dispatch.go
@@ -186,14 +186,6 @@
 	t.window = t.window.WithGap(gap)
 }
 
-// Leaving marks an endpoint that refused work since it is leaving.
-func (d *Dispatcher) Leaving(name ident.Endpoint) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	t := d.tracker(name)
-	t.report.Leaving, t.reportAt = true, d.clock.Now()
-}
-
 func (d *Dispatcher) look(name ident.Endpoint) routing.Condition {
 	t := d.tracker(name)
 	now := d.clock.Now()
@@ -376,6 +368,16 @@
 	return time.Duration(float64(ahead) / q.rate * float64(time.Second))
 }
 
+// Waiting is how many calls wait for a service here.
+func (d *Dispatcher) Waiting(s ident.Service) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if q, ok := d.queues[s]; ok {
+		return q.Len()
+	}
+	return 0
+}
+
 // State is how an endpoint looks from this node.
 type State struct {
 	Name     ident.Endpoint `json:"name"`
--- a/fleet/entry/holder.go
+++ b/fleet/entry/holder.go
@@ -75,7 +75,9 @@
 	if err := e.tryEnd(ctx, in); err != nil {
 		e.Events.Add(event.Event{Request: in.Record.Request, Step: event.Settle, Peer: string(in.Record.Holder), Decision: "will be reported again", Reason: err.Error()})
 		e.post(in)
+		return
 	}
+	e.Metrics.Settled(ctx)
 }
 
 func (e *Entry) tryEnd(ctx context.Context, in peer.Ending) error {
@@ -92,7 +94,6 @@
 		}
 		_, err := peer.Call[peer.Known](ctx, e.Caller, to, peer.VerbEnd, in)
 		if err == nil {
-			e.Metrics.Settled(ctx)
 			return nil
 		}
 		last = err
--- a/fleet/keeper/closing.go
+++ b/fleet/keeper/closing.go
@@ -124,6 +124,9 @@
 		answers = append(answers, answer)
 	}
 	last, ok := latest(answers)
+	if !ok {
+		last, ok = latest(k.askAfar(ctx, dead))
+	}
 	if !ok {
 		return nil, errors.New("no live node has heard what it last said of its records")
 	}
@@ -134,6 +137,25 @@
 	return merge(answers), nil
 }
 
+// maxAfar is how many nodes of other zones are asked for a dead holder's last words.
+const maxAfar = 6
+
+// askAfar asks nodes of other zones what a dead holder last said, where none of
+// its own zone has heard it: in a zone of one VM nobody else is there to.
+func (k *Keeper) askAfar(ctx context.Context, dead ident.Incarnation) []peer.Fenced {
+	view := k.View()
+	far := lo.Filter(view.Members(), func(m membership.Member, _ int) bool {
+		return m.Zone != k.Self.Zone && view.StatusOf(m.Node, k.Clock.Now()) == membership.StatusLive
+	})
+	var answers []peer.Fenced
+	for _, m := range far[:min(len(far), maxAfar)] {
+		if answer, err := k.Peers.Fence(ctx, m, peer.Fencing{Holder: dead}); err == nil {
+			answers = append(answers, answer)
+		}
+	}
+	return answers
+}
+
 func latest(answers []peer.Fenced) (membership.Member, bool) {
 	var last membership.Member
 	found := false
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/lynxshed/lynxshed/fleet/keeper"
 	"github.com/lynxshed/lynxshed/fleet/membership"
 	"github.com/lynxshed/lynxshed/fleet/operator"
+	"github.com/lynxshed/lynxshed/fleet/orders"
 	"github.com/lynxshed/lynxshed/fleet/peer"
 	"github.com/lynxshed/lynxshed/fleet/platform"
 	"github.com/lynxshed/lynxshed/fleet/settings"
@@ -82,6 +83,7 @@
 	dispatch  *dispatch.Dispatcher
 	keeper    *keeper.Keeper
 	entry     *entry.Entry
+	giver     *orders.Giver
 	listener  net.Listener
 	server    *http.Server
 
--- a/fleet/node/run.go
+++ b/fleet/node/run.go
@@ -45,6 +45,7 @@
 	n.every(ctx, timing.Poll(), n.pollLoads)
 	n.every(ctx, timing.Flush(), n.flush)
 	n.every(ctx, recoverEvery, n.keeper.Recover)
+	n.every(ctx, orderEvery, n.giveOrders)
 	n.every(ctx, tickEvery, n.entry.Tick)
 	n.every(ctx, pumpEvery, func(context.Context) { n.dispatch.Pump() })
 	n.loop(ctx, n.tellNews)
--- a/fleet/node/wire.go
+++ b/fleet/node/wire.go
@@ -16,6 +16,7 @@
 	"github.com/lynxshed/lynxshed/fleet/entry"
 	"github.com/lynxshed/lynxshed/fleet/keeper"
 	"github.com/lynxshed/lynxshed/fleet/operator"
+	"github.com/lynxshed/lynxshed/fleet/orders"
 	"github.com/lynxshed/lynxshed/fleet/peer"
 	"github.com/lynxshed/lynxshed/fleet/platform"
 	"github.com/lynxshed/lynxshed/fleet/problem"
@@ -36,6 +37,7 @@
 	do.Lazy(provideEntry),
 	do.Lazy(provideDesk),
 	do.Lazy(provideEditor),
+	do.Lazy(provideGiver),
 	do.Lazy(provideServer),
 )
 
@@ -147,6 +149,7 @@
 	n := do.MustInvoke[*Node](i)
 	t := do.MustInvoke[*telemetry.Telemetry](i)
 	e := do.MustInvoke[*entry.Entry](i)
+	do.MustInvoke[*orders.Giver](i)
 	mux := http.NewServeMux()
 	api := humago.New(mux, huma.DefaultConfig("lynxshed", Version))
 	operators := operator.NewAPI(n.options.OperatorHashes, do.MustInvoke[*operator.Desk](i), n.inForce, do.MustInvoke[*config.Editor](i), n.accepted)
--- a/fleet/routing/routing.go
+++ b/fleet/routing/routing.go
@@ -55,12 +55,6 @@
 	return t
 }
 
-// Targets lists the endpoints of a service, near ones first.
-func (t Table) Targets(s ident.Service) []Target {
-	ts := t.services[s]
-	return slices.Concat(ts.near, ts.far)
-}
-
 // Condition is how an endpoint stands at the moment of a choice.
 type Condition struct {
 	Own     int64 // calls in flight from this node
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -38,13 +38,6 @@
 	writeJSON(w, http.StatusOK, o)
 }
 
-// Orders returns the orders that the engine took.
-func (e *Engine) Orders() []Order {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]Order{}, e.orders.taken...)
-}
-
 func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	data, ok := e.kv[r.PathValue("prefix")]
