--- a/ctl/capacity/plan.go
+++ b/ctl/capacity/plan.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"strings"
+
+	"github.com/lynxshed/lynxshed/fleet/config"
 )
 
 // Plan is the size that the users plan for within two years.
@@ -53,6 +55,10 @@
 	// claimBytes is a record in a claim, reportBytes a load report.
 	claimBytes  = 700
 	reportBytes = 100
+	// headBytes is a head with its shards and its history of 40 edits, rowBytes a
+	// row of a shard.
+	headBytes = 12_500
+	rowBytes  = 200
 )
 
 // Line is one row of the page's table.
@@ -121,11 +127,14 @@
 		{"engine watcher", "load reads", "2 x E/N/poll seconds", false, polls, "calls/s", "two watchers for each engine"},
 		{"engine watcher", "load reads", "calls x (report + HTTP)", false, polls * (reportBytes + callBytes) / 1e3, "kB/s", "the same"},
 		{"engine watcher", "processor for load reads", "calls x call", false, polls * callNanos / 1e9 * 100, "% of a core", "the same"},
+		{"configuration relay", "waiting watches", "1 call in 10 s", false, 0.1, "calls/s", "two relays in each zone"},
+		{"configuration relay", "heads and shards taken and handed on", "2 x changes/day x (head + shard)", false, 2 * p.Changes / 86400 * (headBytes + d.rows/config.Shards*rowBytes) / 1e3, "kB/s", "each node pulls once and serves one on average; a relay some more"},
+		{"order giver", "lease renewals and orders", "1 in 7.5 s, orders only where rows change", false, 1 / 7.5, "calls/s", "orders.Giver, one in each zone"},
 		{"configuration", "table and catalog in force", "rows", false, s.CatalogMemory.At(d.rows) / 1e6, "MB", "config.InForce"},
 		{"configuration", "a new revision in force", "rows", false, s.CatalogTime.At(d.rows) / 1e6, "ms", "catalog.New; the whole table is indexed anew"},
 		{"configuration", "processor for changes", "changes/day x measured", false, p.Changes / 86400 * s.CatalogTime.At(d.rows) / 1e9 * 100, "% of a core", "the same"},
 		{"operator's tool", "events kept", "20,000 a node", false, s.EventMemory.At(p.Events) / 1e6, "MB", "event.Log, a ring"},
-		{"platform", "writes", "S x Z/ledger seconds + N/flush seconds", false, d.ledgerWrites + d.billWrites, "writes/s", "ledgers and segments; none for each request"},
+		{"platform", "writes", "S x Z/ledger seconds + N/flush seconds + Z/7.5", false, d.ledgerWrites + d.billWrites + p.Zones/7.5, "writes/s", "ledgers and segments; none for each request"},
 		{"platform", "reads", "ledgers + N/list seconds + 2 relays x Z watches", false, d.ledgerWrites + p.Nodes/p.ListSeconds + 2*p.Zones/10, "reads/s", "before conflicts"},
 		{"platform", "largest value", "a ledger", false, ledgerBytes / 1e3, "kB", "ledger.Slot"},
 	}
@@ -178,9 +187,9 @@
 		}
 		fmt.Fprintf(&text, "| %s | %s | %s | %s | %.3g %s | %s |\n", l.Role, l.What, grows, l.Formula, l.Value, l.Unit, l.Mechanism)
 	}
-	text.WriteString("\n| limit | used | allowed | share |\n|---|---|---|---|\n")
+	text.WriteString("\n| limit | used | allowed | share | breaks at, times the planned size |\n|---|---|---|---|---|\n")
 	for _, x := range p.Shares(s) {
-		fmt.Fprintf(&text, "| %s | %.3g %s | %.4g %s | %.0f%% |\n", x.Limit, x.Used, x.Unit, x.Of, x.Unit, 100*x.Used/x.Of)
+		fmt.Fprintf(&text, "| %s | %.3g %s | %.4g %s | %.0f%% | %.1f |\n", x.Limit, x.Used, x.Unit, x.Of, x.Unit, 100*x.Used/x.Of, x.Of/x.Used)
 	}
 	_, err := io.WriteString(w, text.String())
 	return err
--- a/fleet/config/config.go
+++ b/fleet/config/config.go
@@ -24,10 +24,10 @@
 )
 
 // Shards is how many objects the table is split into.
-const Shards = 64
+const Shards = 128
 
 // maxHistory is how many edits the head remembers.
-const maxHistory = 100
+const maxHistory = 40
 
 // Change is one accepted set of edits.
 type Change struct {
