Answer 503 where no endpoint would start a request

Cause: a request that three endpoints refused to start was answered 502 endpoint-failed, though its outcome was not-run and waiting helps. Change: with nothing run and nothing unknown the reason is no-endpoint.

--- a/fleet/entry/chatjob.go
+++ b/fleet/entry/chatjob.go
@@ -330,6 +330,8 @@
 		reason = problem.EndpointRefused
 	case j.run.relayed() > 0:
 		reason = problem.StreamBroken
+	case j.spent.Tokens() == 0 && len(j.awaiting) == 0:
+		reason = problem.NoEndpoint // nothing has run: another time may do
 	}
 	j.finishWithout(ctx, problem.New(reason, cause.Error()))
 }
