Forget strandings that another node has closed

Cause: after 35 s of random faults status still named a stranded account that another node had closed meanwhile; the money was right. Change: each round keeps only the strandings whose accounts are still open.

--- a/fleet/keeper/closing.go
+++ b/fleet/keeper/closing.go
@@ -20,6 +20,8 @@
 
 // closeDead closes the accounts of dead holders in the slots that this node holds.
 func (k *Keeper) closeDead(ctx context.Context) {
+	found := map[ident.Incarnation]bool{}
+	defer func() { k.keepStranded(found) }()
 	for _, slot := range k.Holding().Slots() {
 		if !k.holds(slot) {
 			continue
@@ -29,11 +31,23 @@
 		doc := s.slot
 		s.mu.Unlock()
 		for _, dead := range deadHolders(doc, k.Self.Zone, k.Incarnation(), k.View()) {
+			found[dead] = true
 			k.tryClose(ctx, slot, dead)
 		}
 	}
 }
 
+// keepStranded forgets strandings whose accounts another node has closed by now.
+func (k *Keeper) keepStranded(found map[ident.Incarnation]bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for dead := range k.stranded {
+		if !found[dead] {
+			delete(k.stranded, dead)
+		}
+	}
+}
+
 func deadHolders(doc ledger.Slot, zone ident.Zone, self ident.Incarnation, view membership.State) []ident.Incarnation {
 	return lo.Filter(doc.Holders(), func(h ident.Incarnation, _ int) bool {
 		if h == self || !inZone(doc, h, zone) {
--- a/fleet/keeper/matrix_test.go
+++ b/fleet/keeper/matrix_test.go
@@ -183,6 +183,26 @@
 	holds(t, w, false)
 }
 
+// TestAStrandingThatAnotherNodeClosedIsForgotten lets one node fail to close an
+// account that another closes.
+func TestAStrandingThatAnotherNodeClosedIsForgotten(t *testing.T) {
+	w := newWorld(t, "n1", "n2", "n3")
+	h, entry := w.roles()
+	q, _ := w.admit(h, entry)
+	w.end(q, 20)
+	w.die(h, false)
+	w.forgetVM(h)
+	w.store.down = true
+	w.settle()
+	waiting := 0
+	w.eachLive(func(v *vm) { waiting += len(v.Stranded()) })
+	require.Positive(t, waiting, "the platform is out: the account waits, with its reason")
+	w.store.down = false
+	w.settle()
+	w.eachLive(func(v *vm) { assert.Empty(t, v.Stranded()) })
+	holds(t, w, false)
+}
+
 // admitRemembering is admit where the entry may refuse to remember.
 func (w *world) admitRemembering(h, entry *vm) (holder.Record, peer.Verdict) {
 	r := holder.Record{Request: "z.0.x", Customer: customer, Bound: bound, Model: true, Entry: entry.Incarnation(), At: w.clock.Now()}
