--- a/fleet/keeper/matrix_test.go
+++ b/fleet/keeper/matrix_test.go
@@ -192,12 +192,12 @@
 	w.end(q, 20)
 	w.die(h, false)
 	w.forgetVM(h)
-	w.store.down = true
+	entry.cut = true
 	w.settle()
 	waiting := 0
 	w.eachLive(func(v *vm) { waiting += len(v.Stranded()) })
-	require.Positive(t, waiting, "the platform is out: the account waits, with its reason")
-	w.store.down = false
+	require.Positive(t, waiting, "a node that may know more is cut off: the account waits, with its reason")
+	entry.cut = false
 	w.settle()
 	w.eachLive(func(v *vm) { assert.Empty(t, v.Stranded()) })
 	holds(t, w, false)
