Share what the attempts of any call have in common

Cause: the jobs of chat and of plain calls each had the same five fields and three functions. Change: both embed job.

--- a/fleet/entry/chatjob.go
+++ b/fleet/entry/chatjob.go
@@ -26,12 +26,8 @@
 
 // chatJob takes an admitted chat completion through its attempts.
 type chatJob struct {
-	entry  *Entry
-	run    *run
-	call   chatCall
-	ask    dispatch.Ask
-	record holder.Record
-	grant  dispatch.Grant
+	job
+	call chatCall
 
 	resumes  int
 	spent    holder.Usage     // of earlier attempts
@@ -40,8 +36,6 @@
 	last     string           // the chunk with the usage
 }
 
-func (j *chatJob) attempt() holder.Attempt { return j.record.Attempts[len(j.record.Attempts)-1] }
-
 // do runs attempts until one is whole or the policy gives up.
 func (j *chatJob) do(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, j.call.service.Timeout)
@@ -90,10 +84,6 @@
 	}
 }
 
-func (j *chatJob) explain(step event.Step, decision, reason string) {
-	j.entry.Events.Add(event.Event{Request: j.record.Request, Step: step, Peer: string(j.attempt().Endpoint), Decision: decision, Reason: reason})
-}
-
 // once sends or resumes an attempt and relays it to its end.
 func (j *chatJob) once(ctx context.Context, resume bool) (holder.Usage, error) {
 	ctx, stop := context.WithCancelCause(ctx)
@@ -122,8 +112,8 @@
 	if resume {
 		return j.entry.Backend.Resume(ctx, j.attempt(), j.record.Request, j.run.relayed())
 	}
-	if j.record.Entry != j.entry.Keeper.Incarnation() {
-		return nil, errors.Mark(errors.New("this node's incarnation is over"), backend.ErrNotStarted)
+	if j.isOver() {
+		return nil, errOver
 	}
 	j.explain(event.Send, "sent", "")
 	return j.entry.Backend.Start(ctx, j.attempt(), j.record.Request, j.record.Customer, j.call.body)
--- a/fleet/entry/execute.go
+++ b/fleet/entry/execute.go
@@ -166,8 +166,8 @@
 	if !ok {
 		return
 	}
-	job := &chatJob{entry: e, run: r, call: call, ask: ask, record: admitted, grant: grant}
-	job.do(ctx)
+	j := &chatJob{job: job{entry: e, run: r, ask: ask, record: admitted, grant: grant}, call: call}
+	j.do(ctx)
 }
 
 // admitRun asks for admission and deals with every answer but the one to run.
--- a/fleet/entry/plainjob.go
+++ b/fleet/entry/plainjob.go
@@ -25,19 +25,15 @@
 
 // plainJob takes a call of a plain service through its attempts.
 type plainJob struct {
-	entry  *Entry
-	run    *run
-	call   plainCall
-	ask    dispatch.Ask
-	record holder.Record
-	grant  dispatch.Grant
-	held   bool // the slot's holder knows the call
+	job
+	call plainCall
+	held bool // the slot's holder knows the call
 	// started is set once an attempt may have started.
 	started bool
 }
 
 func (e *Entry) runPlain(ctx context.Context, r *run, call plainCall) {
-	j := &plainJob{entry: e, run: r, call: call}
+	j := &plainJob{job: job{entry: e, run: r}, call: call}
 	j.ask = dispatch.Ask{
 		Customer: call.customer.Name,
 		Service:  call.service.Name,
@@ -67,8 +63,6 @@
 	j.do(ctx)
 }
 
-func (j *plainJob) attempt() holder.Attempt { return j.record.Attempts[len(j.record.Attempts)-1] }
-
 func (j *plainJob) do(ctx context.Context) {
 	timeout := min(j.call.service.Timeout, plainTimeout)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -90,8 +84,8 @@
 }
 
 func (j *plainJob) once(ctx context.Context) (holder.Answer, error) {
-	if j.held && j.record.Entry != j.entry.Keeper.Incarnation() {
-		return holder.Answer{}, errors.Mark(errors.New("this node's incarnation is over"), backend.ErrNotStarted)
+	if j.held && j.isOver() {
+		return holder.Answer{}, errOver
 	}
 	j.explain(event.Send, "sent", "")
 	call := j.call.call
@@ -99,10 +93,6 @@
 	return j.entry.Backend.Plain(ctx, j.attempt(), call)
 }
 
-func (j *plainJob) explain(step event.Step, decision, reason string) {
-	j.entry.Events.Add(event.Event{Request: j.record.Request, Step: step, Peer: string(j.attempt().Endpoint), Decision: decision, Reason: reason})
-}
-
 func (j *plainJob) next(err error) attempt.Step {
 	failure := lo.Ternary(errors.Is(err, backend.ErrNotStarted), attempt.NotStarted, attempt.Broken)
 	return attempt.Next(attempt.Situation{
