--- a/fleet/ledger/ledger_test.go
+++ b/fleet/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -15,6 +16,15 @@
 
 const budget = ident.Budget("b")
 
+// The property test runs the same interleavings every time; -rapid.seed tries others.
+const propertySeed = "20260101"
+
+func init() {
+	if err := flag.Set("rapid.seed", propertySeed); err != nil {
+		panic(err)
+	}
+}
+
 func post(h ident.Incarnation, line ledger.Line) ledger.Post {
 	line.Budget = budget
 	return ledger.Post{Holder: h, Zone: "z", Lines: []ledger.Line{line}}
