Count a segment and its bills at once; gather a dead holder once a round

Cause: read again, four things. A segment was noted as durable before its bills were counted, so a ledger post between the two named a segment whose bills it lacked; had the holder died then, its closer would have skipped them and returned spent tokens. What nodes know of a dead holder was gathered anew for each slot. Strandings were dropped in two places, so one slot's success forgot another's reason. The same filter of live nodes stood twice. Change: one locked step counts both; one gathering for each dead holder and round; strandings are what failed in the round; membership.Live. The race has no test: it lies between two steps that are one now.

--- a/fleet/keeper/borrow.go
+++ b/fleet/keeper/borrow.go
@@ -62,10 +62,7 @@
 	if !line.Common {
 		return k.otherHolders(slot)
 	}
-	view := k.View()
-	nodes := lo.Filter(view.Members(), func(m membership.Member, _ int) bool {
-		return view.StatusOf(m.Node, k.Clock.Now()) == membership.StatusLive
-	})
+	nodes := k.View().Live(k.Clock.Now())
 	return nodes[:min(len(nodes), maxLenders)]
 }
 
--- a/fleet/keeper/closing.go
+++ b/fleet/keeper/closing.go
@@ -18,10 +18,17 @@
 	"github.com/lynxshed/lynxshed/fleet/witness"
 )
 
-// closeDead closes the accounts of dead holders in the slots that this node holds.
+// gathering is what the zone's nodes know of a dead holder, or why that is not all.
+type gathering struct {
+	records []holder.Record
+	err     error
+}
+
+// closeDead closes the accounts of dead holders in the slots that this node
+// holds. Each is gathered once in a round: nothing more runs under it after that.
 func (k *Keeper) closeDead(ctx context.Context) {
-	found := map[ident.Incarnation]bool{}
-	defer func() { k.keepStranded(found) }()
+	gathered := map[ident.Incarnation]gathering{}
+	failed := map[ident.Incarnation]error{}
 	for _, slot := range k.Holding().Slots() {
 		if !k.holds(slot) {
 			continue
@@ -31,21 +38,37 @@
 		doc := s.slot
 		s.mu.Unlock()
 		for _, dead := range deadHolders(doc, k.Self.Zone, k.Incarnation(), k.View()) {
-			found[dead] = true
-			k.tryClose(ctx, slot, dead)
+			g, ok := gathered[dead]
+			if !ok {
+				g.records, g.err = k.gather(ctx, dead)
+				gathered[dead] = g
+			}
+			if err := k.closeHolder(ctx, slot, dead, g); err != nil {
+				failed[dead] = err
+			}
 		}
 	}
+	k.strand(failed)
 }
 
-// keepStranded forgets strandings whose accounts another node has closed by now.
-func (k *Keeper) keepStranded(found map[ident.Incarnation]bool) {
+// strand keeps just the dead holders whose accounts could not be closed in this
+// round; another node may have closed the others.
+func (k *Keeper) strand(failed map[ident.Incarnation]error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for dead := range k.stranded {
-		if !found[dead] {
-			delete(k.stranded, dead)
+	stranded := map[ident.Incarnation]Stranding{}
+	for dead, err := range failed {
+		s, known := k.stranded[dead]
+		if !known {
+			s = Stranding{Holder: dead, Zone: k.Self.Zone, Since: k.Clock.Now()}
 		}
+		if s.Why != err.Error() {
+			s.Why = err.Error()
+			k.Events.Add(event.Event{Step: event.Close, Peer: string(dead), Decision: "not closed yet", Reason: s.Why})
+		}
+		stranded[dead] = s
 	}
+	k.stranded = stranded
 }
 
 func deadHolders(doc ledger.Slot, zone ident.Zone, self ident.Incarnation, view membership.State) []ident.Incarnation {
@@ -64,25 +87,6 @@
 	})
 }
 
-func (k *Keeper) tryClose(ctx context.Context, slot ident.Slot, dead ident.Incarnation) {
-	err := k.closeHolder(ctx, slot, dead)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if err == nil {
-		delete(k.stranded, dead)
-		return
-	}
-	old, known := k.stranded[dead]
-	if !known {
-		old = Stranding{Holder: dead, Zone: k.Self.Zone, Since: k.Clock.Now()}
-	}
-	if old.Why != err.Error() {
-		old.Why = err.Error()
-		k.Events.Add(event.Event{Step: event.Close, Peer: string(dead), Decision: "not closed yet", Reason: old.Why})
-	}
-	k.stranded[dead] = old
-}
-
 // Stranded lists the dead holders whose accounts can't be closed yet.
 func (k *Keeper) Stranded() []Stranding {
 	k.mu.Lock()
@@ -92,12 +96,11 @@
 
 // closeHolder closes one slot's accounts of a dead holder exactly: its entries
 // and witnesses tell what ran under it and promise to run nothing more.
-func (k *Keeper) closeHolder(ctx context.Context, slot ident.Slot, dead ident.Incarnation) error {
-	records, err := k.gather(ctx, dead)
-	if err != nil {
-		return err
+func (k *Keeper) closeHolder(ctx context.Context, slot ident.Slot, dead ident.Incarnation, g gathering) error {
+	if g.err != nil {
+		return g.err
 	}
-	records = lo.Filter(records, func(r holder.Record, _ int) bool { return r.Slot == slot })
+	records := lo.Filter(g.records, func(r holder.Record, _ int) bool { return r.Slot == slot })
 	records = k.endOrphans(ctx, records)
 	durable, err := k.segmentBills(ctx, slot, dead)
 	if err != nil {
@@ -157,10 +160,7 @@
 // askAfar asks nodes of other zones what a dead holder last said, where none of
 // its own zone has heard it: in a zone of one VM nobody else is there to.
 func (k *Keeper) askAfar(ctx context.Context, dead ident.Incarnation) []peer.Fenced {
-	view := k.View()
-	far := lo.Filter(view.Members(), func(m membership.Member, _ int) bool {
-		return m.Zone != k.Self.Zone && view.StatusOf(m.Node, k.Clock.Now()) == membership.StatusLive
-	})
+	far := lo.Filter(k.View().Live(k.Clock.Now()), func(m membership.Member, _ int) bool { return m.Zone != k.Self.Zone })
 	var answers []peer.Fenced
 	for _, m := range far[:min(len(far), maxAfar)] {
 		if answer, err := k.Peers.Fence(ctx, m, peer.Fencing{Holder: dead}); err == nil {
--- a/fleet/keeper/flush.go
+++ b/fleet/keeper/flush.go
@@ -80,29 +80,35 @@
 }
 
 func (k *Keeper) writeSegment(ctx context.Context, records []holder.Record) error {
-	self := k.Incarnation()
+	k.mu.Lock()
+	self, seq := k.holding.Self(), k.segments.durable
+	k.mu.Unlock()
 	billable := lo.Filter(records, func(r holder.Record, _ int) bool { return r.Billable() })
 	if len(billable) > 0 {
-		k.mu.Lock()
-		seq := k.segments.durable + 1
-		k.mu.Unlock()
+		seq++
 		segment := bill.Segment{Holder: self, Bills: lo.Map(billable, func(r holder.Record, _ int) bill.Bill { return r.Bill() })}
 		if err := k.putSegment(ctx, segmentKey(k.Self.Zone, self, seq), segment); err != nil {
 			return errors.Wrapf(err, "write segment %d", seq)
 		}
-		k.segmentDurable(self, seq)
-	}
-	k.mu.Lock()
-	if k.holding.Self() == self {
-		k.segments.pending = nil
 	}
-	k.mu.Unlock()
-	ids := lo.Map(records, func(r holder.Record, _ int) ident.Request { return r.Request })
-	k.handle(holder.Durable{Requests: ids})
+	k.segmentWritten(self, seq, records)
 	k.tellDurable(ctx, records)
 	return nil
 }
 
+// segmentWritten counts a segment and its bills at once: a post to the ledger that
+// named the segment without its bills would let a closer of the account miss them.
+func (k *Keeper) segmentWritten(self ident.Incarnation, seq int64, records []holder.Record) {
+	ids := lo.Map(records, func(r holder.Record, _ int) ident.Request { return r.Request })
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.holding.Self() != self {
+		return
+	}
+	k.segments = segmentWriter{durable: seq}
+	k.holding, _ = k.holding.Handle(holder.Durable{Requests: ids})
+}
+
 // putSegment creates a segment. One that is there already must be an earlier try
 // of the same, whose answer was lost.
 func (k *Keeper) putSegment(ctx context.Context, key string, segment bill.Segment) error {
@@ -120,14 +126,6 @@
 	return nil
 }
 
-func (k *Keeper) segmentDurable(self ident.Incarnation, seq int64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.holding.Self() == self {
-		k.segments.durable = seq
-	}
-}
-
 // tellDurable lets the witnesses forget what lies in the platform.
 func (k *Keeper) tellDurable(ctx context.Context, records []holder.Record) {
 	byNode := map[ident.Node][]ident.Request{}
--- a/fleet/membership/membership.go
+++ b/fleet/membership/membership.go
@@ -179,6 +179,11 @@
 	return members
 }
 
+// Live lists the other nodes of all zones that are live at a time, in order.
+func (s State) Live(at time.Time) []Member {
+	return lo.Filter(s.Members(), func(m Member, _ int) bool { return s.StatusOf(m.Node, at) == StatusLive })
+}
+
 // Member finds a node.
 func (s State) Member(n ident.Node) (Member, bool) {
 	if n == s.self.Node {
--- a/fleet/orders/orders.go
+++ b/fleet/orders/orders.go
@@ -96,7 +96,7 @@
 	switch {
 	case mine && s.Lease.Until.Sub(s.At) > LeaseTime/2:
 		return s.next()
-	case mine || s.Lease.Giver == "" || s.Lease.Giver == s.Self || s.GiverGone || s.At.After(s.Lease.Until.Add(clockSkew)):
+	case s.Lease.Giver == "" || s.Lease.Giver == s.Self || s.GiverGone || s.At.After(s.Lease.Until.Add(clockSkew)):
 		lease := s.Lease
 		lease.Giver, lease.Until = s.Self, s.At.Add(LeaseTime)
 		return Take{Lease: lease, Version: s.Version}
