--- a/fleet/cmd/lynxshed/main.go
+++ b/fleet/cmd/lynxshed/main.go
@@ -41,7 +41,10 @@
 	checkCommand.String(&file, "s", "settings", "file of settings, JSON with comments")
 	versionCommand := flaggy.NewSubcommand("version")
 	versionCommand.Description = "print version, commit and Go version"
-	for _, c := range []*flaggy.Subcommand{runCommand, checkCommand, versionCommand} {
+	relayCommand := flaggy.NewSubcommand("relay")
+	relayCommand.Description = "run a relaying node on the users' platform until SIGTERM"
+	relayCommand.String(&file, "s", "settings", "file of settings, JSON with comments; else where the platform lays it")
+	for _, c := range []*flaggy.Subcommand{runCommand, checkCommand, relayCommand, versionCommand} {
 		flaggy.AttachSubcommand(c, 1)
 	}
 	flaggy.Parse()
@@ -49,8 +52,10 @@
 	case versionCommand.Used:
 		fmt.Println(versionLine())
 		return exitDone
+	case relayCommand.Used:
+		return serveRelay(file)
 	case !runCommand.Used && !checkCommand.Used:
-		return usage("want one of run, check, version")
+		return usage("want one of run, relay, check, version")
 	case file == "":
 		return usage("want --settings FILE")
 	case checkCommand.Used:
--- /dev/null
+++ b/fleet/cmd/lynxshed/relay.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+
+	"github.com/lynxshed/lynxshed/fleet/relay"
+	"github.com/lynxshed/lynxshed/platform"
+)
+
+// serveRelay runs a relaying node on the users' platform until SIGTERM (a
+// planned stop; a second one ends at once).
+func serveRelay(file string) int {
+	if file == "" {
+		file = platform.SettingsPath()
+	}
+	s, err := relay.LoadSettings(file)
+	if err != nil {
+		return failed(err)
+	}
+	sink := relay.NewSink(os.Stdout)
+	logger := relay.NewLogger(sink, s.LogLevel)
+	n, err := relay.New(s, platform.New(s.Store), logger)
+	if err != nil {
+		return failed(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go stopRelay(ctx, n, cancel)
+	go reloadRelay(file, logger)
+	if err := n.Run(ctx); err != nil {
+		return failed(err)
+	}
+	return exitDone
+}
+
+func stopRelay(ctx context.Context, n *relay.Node, cancel context.CancelFunc) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	go func() {
+		n.Leave(ctx)
+		cancel()
+	}()
+	<-signals
+	cancel()
+}
+
+// reloadRelay answers SIGHUP: the file is checked and what it says is logged.
+// What a node listens on and where its store lies hold for its life.
+func reloadRelay(file string, logger log.Interface) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for range signals {
+		s, err := relay.LoadSettings(file)
+		if err != nil {
+			logger.WithError(err).Error("settings changed, and are not sound: the former ones hold")
+			continue
+		}
+		logger.WithField("node", s.Node).Info("settings read again")
+	}
+}
--- /dev/null
+++ b/fleet/relay/account/book.go
@@ -0,0 +1,102 @@
+// Package account keeps prepaid budgets for nodes that keep nothing: a book in
+// the store says what each life of a node has drawn, a purse on the node says
+// what it has spent of that, and a keeper moves tokens between the two.
+//
+// What a life has drawn and not given back counts as spent for ever, so that no
+// loss of nodes, however many at once, lets a budget be exceeded.
+package account
+
+import (
+	"slices"
+
+	"github.com/samber/lo"
+)
+
+// Book is what the store keeps: an immutable value, tokens everywhere.
+type Book struct {
+	Accounts []Account `json:"accounts"`
+}
+
+// Account is the part of a book for one tenant.
+type Account struct {
+	Tenant      string `json:"tenant"`
+	ClosedDrawn int64  `json:"closedDrawn"` // by lives that have ended: spent for ever
+	ClosedSpent int64  `json:"closedSpent"` // of it, what they had reported as spent
+	Rows        []Row  `json:"rows"`
+}
+
+// Row is what one life of a node has drawn. Only that life writes it, until it
+// has ended.
+type Row struct {
+	Node  string `json:"node"`
+	Life  string `json:"life"`
+	Drawn int64  `json:"drawn"`
+	Spent int64  `json:"spent"` // as of the last report; at most Drawn
+}
+
+// Account finds a tenant's account; an empty one where there is none.
+func (b Book) Account(tenant string) Account {
+	a, ok := lo.Find(b.Accounts, func(a Account) bool { return a.Tenant == tenant })
+	if !ok {
+		return Account{Tenant: tenant}
+	}
+	return a
+}
+
+// WithAccount returns the book with one account replaced.
+func (b Book) WithAccount(a Account) Book {
+	accounts := slices.Clone(b.Accounts)
+	i := slices.IndexFunc(accounts, func(x Account) bool { return x.Tenant == a.Tenant })
+	if i < 0 {
+		return Book{Accounts: append(accounts, a)}
+	}
+	accounts[i] = a
+	return Book{Accounts: accounts}
+}
+
+// Row finds the row of a life.
+func (a Account) Row(life string) (Row, bool) {
+	return lo.Find(a.Rows, func(r Row) bool { return r.Life == life })
+}
+
+// WithRow returns the account with one row replaced or added.
+func (a Account) WithRow(r Row) Account {
+	rows := slices.Clone(a.Rows)
+	i := slices.IndexFunc(rows, func(x Row) bool { return x.Life == r.Life })
+	if i < 0 {
+		rows = append(rows, r)
+	} else {
+		rows[i] = r
+	}
+	a.Rows = rows
+	return a
+}
+
+// WithClosed returns the account with the rows of ended lives moved to what is
+// closed: all they had drawn counts as spent.
+func (a Account) WithClosed(ended func(Row) bool) Account {
+	rows := make([]Row, 0, len(a.Rows))
+	for _, r := range a.Rows {
+		if !ended(r) {
+			rows = append(rows, r)
+			continue
+		}
+		a.ClosedDrawn += r.Drawn
+		a.ClosedSpent += r.Spent
+	}
+	a.Rows = rows
+	return a
+}
+
+// Drawn is all that was drawn and not given back.
+func (a Account) Drawn() int64 {
+	return a.ClosedDrawn + lo.SumBy(a.Rows, func(r Row) int64 { return r.Drawn })
+}
+
+// Spent is what was reported as spent: at most what was spent in truth.
+func (a Account) Spent() int64 {
+	return a.ClosedSpent + lo.SumBy(a.Rows, func(r Row) int64 { return r.Spent })
+}
+
+// Pool is what can still be drawn.
+func (a Account) Pool(prepaid int64) int64 { return max(prepaid-a.Drawn(), 0) }
--- /dev/null
+++ b/fleet/relay/account/demand.go
@@ -0,0 +1,93 @@
+package account
+
+import (
+	"math"
+	"time"
+)
+
+// Tuning says how much a node holds of each budget.
+type Tuning struct {
+	Horizon time.Duration // holdings last this long at the present demand
+	First   float64       // part of a budget that all nodes together draw before any demand is known
+	Step    float64       // least draw worth a write, as a part of what is then free
+	Surplus float64       // a holding this many times its target is given back
+	Report  float64       // spending that is worth a report, as a part of the budget
+}
+
+// DefaultTuning is what measurements led to; docs/design/07-platform.md.
+func DefaultTuning() Tuning {
+	return Tuning{Horizon: 10 * time.Second, First: 0.25, Step: 0.2, Surplus: 3, Report: 0.02}
+}
+
+// target is how many free tokens a node should hold of a budget.
+func (t Tuning) target(k *pocket, nodes int, now time.Time) int64 {
+	first := t.First * float64(k.prepaid) / float64(max(nodes, 1))
+	if !k.demand.known {
+		return int64(first)
+	}
+	byDemand := k.demand.rate(now) * t.Horizon.Seconds()
+	floor := max(float64(2*k.demand.largest), first/4)
+	return int64(max(byDemand, floor))
+}
+
+// share is how much of a pool one node may draw: what it wants while much is
+// left, a fair part as the pool runs low.
+func (t Tuning) share(pool int64, nodes int, want int64) int64 {
+	if pool <= 0 {
+		return 0
+	}
+	fair := max(pool/int64(max(nodes, 1)), 1)
+	if want*int64(max(nodes, 1)) <= pool {
+		return want
+	}
+	return fair
+}
+
+// demand follows how many tokens a second are asked for: the greater of a fast
+// and a slow average, so that a sudden rise shows within a second.
+type demand struct {
+	known      bool
+	since      time.Time
+	bucket     float64
+	fast, slow float64
+	largest    int64
+}
+
+const (
+	demandBucket = 500 * time.Millisecond
+	fastKeep     = 0.5 // of the fast average for each bucket
+	slowKeep     = 0.93
+)
+
+func (d *demand) add(tokens int64, now time.Time) {
+	if !d.known {
+		d.known, d.since = true, now
+	}
+	d.roll(now)
+	d.bucket += float64(tokens)
+	d.largest = max(d.largest, tokens)
+}
+
+func (d *demand) refund(tokens int64) { d.bucket -= float64(tokens) }
+
+func (d *demand) roll(now time.Time) {
+	n := int(now.Sub(d.since) / demandBucket)
+	if n <= 0 {
+		return
+	}
+	perSecond := d.bucket / demandBucket.Seconds()
+	d.fast = d.fast*fastKeep + perSecond*(1-fastKeep)
+	d.slow = d.slow*slowKeep + perSecond*(1-slowKeep)
+	if n > 1 {
+		d.fast *= math.Pow(fastKeep, float64(n-1))
+		d.slow *= math.Pow(slowKeep, float64(n-1))
+	}
+	d.bucket = 0
+	d.since = d.since.Add(time.Duration(n) * demandBucket)
+}
+
+// rate is tokens a second.
+func (d *demand) rate(now time.Time) float64 {
+	d.roll(now)
+	return max(d.fast, d.slow, 0)
+}
--- /dev/null
+++ b/fleet/relay/account/keeper.go
@@ -0,0 +1,160 @@
+package account
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// Where the book lies, and how often the keeper looks at it.
+const (
+	Kind        = "lynxshed-accounts"
+	bookName    = "book"
+	tick        = 150 * time.Millisecond
+	pace        = 1100 * time.Millisecond // between writes that no request waits for
+	urgentPace  = 300 * time.Millisecond
+	callTimeout = 700 * time.Millisecond
+	conflicts   = 4 // tries in a row before the keeper pauses
+)
+
+// Keeper moves tokens between the store's book and a purse.
+type Keeper struct {
+	store store.Store
+	purse *Purse
+	nodes func() int
+	log   log.Interface
+
+	book     Book
+	revision int64
+	fresh    bool // book and revision are as the store last showed them
+	last     time.Time
+	out      bool // the store does not answer
+}
+
+// NewKeeper returns a keeper; nodes tells how many nodes share the budgets.
+func NewKeeper(s store.Store, p *Purse, nodes func() int, l log.Interface) *Keeper {
+	return &Keeper{store: s, purse: p, nodes: nodes, log: l}
+}
+
+// Run keeps the purse filled until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	wait := time.NewTicker(tick)
+	defer wait.Stop()
+	backoff := time.Duration(0)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-wait.C:
+			if now.Sub(k.last) < max(k.pace(), backoff) {
+				continue
+			}
+			k.last = now
+			backoff = k.round(ctx, now, backoff)
+		}
+	}
+}
+
+func (k *Keeper) pace() time.Duration {
+	if k.purse.Short() {
+		return urgentPace
+	}
+	return pace
+}
+
+func (k *Keeper) round(ctx context.Context, now time.Time, backoff time.Duration) time.Duration {
+	err := k.settle(ctx, now, false)
+	if err == nil {
+		k.tell(false, nil)
+		return 0
+	}
+	k.tell(true, err)
+	return min(max(2*backoff, urgentPace), 2*time.Second)
+}
+
+// tell logs when the store is lost or regained.
+func (k *Keeper) tell(out bool, err error) {
+	if out == k.out {
+		return
+	}
+	k.out = out
+	entry := k.log.WithField("dependency", "store").WithField("revision", k.revision)
+	if out {
+		entry.WithError(err).Warn("accounts: store lost")
+		return
+	}
+	entry.Info("accounts: store regained")
+}
+
+// Leave gives back all that is not in use.
+func (k *Keeper) Leave(ctx context.Context) error { return k.settle(ctx, time.Now(), true) }
+
+func (k *Keeper) settle(ctx context.Context, now time.Time, leaving bool) error {
+	var err error
+	for range conflicts {
+		if !k.fresh {
+			if err = k.read(ctx); err != nil {
+				return err
+			}
+		}
+		next, worth := k.purse.Propose(k.book, k.nodes(), now, leaving)
+		if !worth && !leaving {
+			return nil
+		}
+		if err = k.write(ctx, next); err == nil || !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+		pauseBriefly()
+	}
+	return err
+}
+
+func pauseBriefly() { time.Sleep(time.Duration(2+rand.IntN(10)) * time.Millisecond) }
+
+func (k *Keeper) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o, err := k.store.Get(ctx, Kind, bookName)
+	if errors.Is(err, store.ErrNotFound) {
+		k.book, k.revision, k.fresh = Book{}, 0, true
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read accounts")
+	}
+	return k.saw(o)
+}
+
+func (k *Keeper) saw(o store.Object) error {
+	if o.Revision < k.revision {
+		return errors.Newf("accounts at revision %d are older than %d", o.Revision, k.revision)
+	}
+	var b Book
+	if err := json.Unmarshal(o.Data, &b); err != nil {
+		return errors.Wrap(err, "accounts")
+	}
+	k.book, k.revision, k.fresh = b, o.Revision, true
+	k.purse.Saw(b, o.Revision)
+	return nil
+}
+
+func (k *Keeper) write(ctx context.Context, next Book) error {
+	data, err := json.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "accounts")
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	k.fresh = false
+	o, err := k.store.Put(ctx, store.Object{Kind: Kind, Name: bookName, Revision: k.revision, Data: data})
+	if err != nil {
+		return errors.Wrap(err, "write accounts")
+	}
+	return k.saw(o)
+}
--- /dev/null
+++ b/fleet/relay/account/purse.go
@@ -0,0 +1,233 @@
+package account
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Purse is one node's part of the budgets: what it may spend without asking
+// anyone. It is safe for concurrent use.
+type Purse struct {
+	node, life string
+	tuning     Tuning
+
+	mu       sync.Mutex
+	pockets  map[string]*pocket
+	revision int64 // newest revision of the book that was seen
+	short    bool  // a reservation failed since the last proposal
+}
+
+// pocket is the part of one tenant.
+type pocket struct {
+	prepaid  int64
+	limit    int64 // what may be spent in all: the least of what the store may hold
+	spent    int64
+	reserved int64
+	reported int64
+	demand   demand
+	left     int64 // of the whole budget by the last book, at most
+	pool     int64 // not drawn by anyone, by the last book
+}
+
+func (p *pocket) free() int64 { return p.limit - p.spent - p.reserved }
+
+// NewPurse returns the empty purse of one life of a node.
+func NewPurse(node, life string, t Tuning) *Purse {
+	return &Purse{node: node, life: life, tuning: t, pockets: map[string]*pocket{}}
+}
+
+// Answer is what the purse says to a reservation.
+type Answer int
+
+// The answers.
+const (
+	Reserved  Answer = iota
+	Short            // this node's part is short, the whole budget may not be
+	Exhausted        // the whole budget can't hold the request
+)
+
+// Holding is a tenant's state on this node, for logs.
+type Holding struct {
+	Tenant                         string
+	Prepaid, Limit, Spent, Reserve int64
+	Pool                           int64
+	Rate                           float64 // tokens a second
+}
+
+// Budget sets the prepaid budgets in force.
+func (p *Purse) Budget(prepaid map[string]int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for tenant, tokens := range prepaid {
+		k := p.pocket(tenant)
+		if k.prepaid != tokens {
+			k.left += tokens - k.prepaid
+			k.pool = max(k.pool+tokens-k.prepaid, 0)
+		}
+		k.prepaid = tokens
+	}
+	for tenant, k := range p.pockets {
+		if _, ok := prepaid[tenant]; !ok {
+			k.prepaid = 0
+		}
+	}
+}
+
+func (p *Purse) pocket(tenant string) *pocket {
+	k, ok := p.pockets[tenant]
+	if !ok {
+		k = &pocket{}
+		p.pockets[tenant] = k
+	}
+	return k
+}
+
+// Reserve sets the most that a call can cost aside.
+func (p *Purse) Reserve(tenant string, tokens int64, now time.Time) Answer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := p.pocket(tenant)
+	k.demand.add(tokens, now)
+	if k.free() >= tokens {
+		k.reserved += tokens
+		return Reserved
+	}
+	p.short = true
+	if k.left < tokens {
+		return Exhausted
+	}
+	return Short
+}
+
+// Settle turns a reservation into what was used of it.
+func (p *Purse) Settle(tenant string, reserved, used int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := p.pocket(tenant)
+	k.reserved -= reserved
+	k.spent += min(used, reserved)
+	k.demand.refund(reserved - min(used, reserved))
+}
+
+// Short is whether a reservation has failed since the last proposal.
+func (p *Purse) Short() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.short
+}
+
+// Holdings lists what is held, by tenant.
+func (p *Purse) Holdings(now time.Time) []Holding {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]Holding, 0, len(p.pockets))
+	for tenant, k := range p.pockets {
+		all = append(all, Holding{Tenant: tenant, Prepaid: k.prepaid, Limit: k.limit, Spent: k.spent, Reserve: k.reserved, Pool: k.pool, Rate: k.demand.rate(now)})
+	}
+	slices.SortFunc(all, func(a, b Holding) int { return compare(a.Tenant, b.Tenant) })
+	return all
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Saw takes in the book as the store holds it. Only a newer revision tells what
+// became of proposals: until then the least of them bounds what is spent.
+func (p *Purse) Saw(b Book, revision int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if revision <= p.revision {
+		return
+	}
+	p.revision = revision
+	for tenant, k := range p.pockets {
+		a := b.Account(tenant)
+		row, _ := a.Row(p.life)
+		k.limit, k.reported = row.Drawn, row.Spent
+		k.pool = a.Pool(k.prepaid)
+		k.left = k.prepaid - a.Spent()
+	}
+}
+
+// Propose returns the book as this node would have it, and whether that is
+// worth a write. What it gives back is out of the purse from now on, whatever
+// becomes of the write.
+func (p *Purse) Propose(b Book, nodes int, now time.Time, leaving bool) (Book, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.short = false
+	worth := false
+	for _, tenant := range p.tenants() {
+		k := p.pockets[tenant]
+		a := b.Account(tenant).WithClosed(p.isEarlierLife)
+		before, known := a.Row(p.life)
+		after := Row{Node: p.node, Life: p.life, Spent: k.spent}
+		after.Drawn = p.wanted(k, a, before.Drawn, nodes, now, leaving)
+		if after == before || (!known && after.Drawn == 0) {
+			continue
+		}
+		worth = worth || p.matters(k, before, after)
+		k.limit = min(k.limit, after.Drawn)
+		a = a.WithRow(after)
+		if leaving && k.reserved == 0 {
+			a = a.WithClosed(func(r Row) bool { return r.Life == p.life })
+		}
+		b = b.WithAccount(a)
+	}
+	return b, worth
+}
+
+func (p *Purse) tenants() []string {
+	names := make([]string, 0, len(p.pockets))
+	for tenant := range p.pockets {
+		names = append(names, tenant)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// isEarlierLife is true for rows of this VM's lives before this one: they have
+// ended, since a VM runs one process at a time.
+func (p *Purse) isEarlierLife(r Row) bool { return r.Node == p.node && r.Life != p.life }
+
+// wanted is what the row should say as drawn.
+func (p *Purse) wanted(k *pocket, a Account, drawn int64, nodes int, now time.Time, leaving bool) int64 {
+	busy := k.spent + k.reserved
+	if leaving {
+		return busy
+	}
+	target := p.tuning.target(k, nodes, now)
+	free := drawn - busy
+	pool := a.Pool(k.prepaid)
+	switch {
+	case free < target:
+		return drawn + min(target-free, p.tuning.share(pool, nodes, target-free))
+	case over(a, k.prepaid) > 0:
+		return max(busy, drawn-over(a, k.prepaid))
+	case float64(free) > p.tuning.Surplus*float64(target) && pool < k.prepaid/4:
+		return max(busy+target, busy)
+	default:
+		return drawn
+	}
+}
+
+// over is how much more is drawn than a budget that was lowered holds.
+func over(a Account, prepaid int64) int64 { return max(a.Drawn()-prepaid, 0) }
+
+// matters is whether a change of a row is worth a write.
+func (p *Purse) matters(k *pocket, before, after Row) bool {
+	if after.Drawn < before.Drawn {
+		return true
+	}
+	free := before.Drawn - k.spent - k.reserved
+	drawn := after.Drawn - before.Drawn
+	return float64(drawn) > p.tuning.Step*float64(max(free+drawn, 1)) || float64(after.Spent-before.Spent) > p.tuning.Report*float64(max(k.prepaid, 1))
+}
--- /dev/null
+++ b/fleet/relay/engine/engine.go
@@ -0,0 +1,64 @@
+// Package engine is what the relay knows of endpoints: what they say of
+// themselves in the store, and what this node has seen of them.
+package engine
+
+import (
+	"slices"
+	"strings"
+)
+
+// State is what an endpoint says of itself.
+type State int
+
+// The states.
+const (
+	Ready State = iota
+	Draining
+)
+
+// Engine is one life of an endpoint: a restart has another id.
+type Engine struct {
+	ID      string
+	Service string
+	Address string // IP:PORT
+	Zone    string
+	Slots   int
+	State   State
+}
+
+// Directory is an immutable set of endpoints.
+type Directory struct {
+	Revision  int64
+	byService map[string][]Engine
+	byID      map[string]Engine
+}
+
+// NewDirectory builds a directory of endpoints, in order of their ids.
+func NewDirectory(revision int64, engines []Engine) *Directory {
+	d := &Directory{Revision: revision, byService: map[string][]Engine{}, byID: map[string]Engine{}}
+	sorted := slices.Clone(engines)
+	slices.SortFunc(sorted, func(a, b Engine) int { return strings.Compare(a.ID, b.ID) })
+	for _, e := range sorted {
+		d.byID[e.ID] = e
+		d.byService[e.Service] = append(d.byService[e.Service], e)
+	}
+	return d
+}
+
+// Of lists the endpoints of a service.
+func (d *Directory) Of(service string) []Engine { return d.byService[service] }
+
+// Get finds an endpoint by id.
+func (d *Directory) Get(id string) (Engine, bool) {
+	e, ok := d.byID[id]
+	return e, ok
+}
+
+// All lists every endpoint, in no order.
+func (d *Directory) All() []Engine {
+	all := make([]Engine, 0, len(d.byID))
+	for _, e := range d.byID {
+		all = append(all, e)
+	}
+	return all
+}
--- /dev/null
+++ b/fleet/relay/forward/answer.go
@@ -0,0 +1,49 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+)
+
+const eventStream = "text/event-stream"
+
+func isStream(resp *http.Response) bool {
+	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && kind == eventStream
+}
+
+// whole passes an answer on once all of it is here, so that it is never half.
+func (j *job) whole(ctx context.Context, t *choice.Ticket, o answered) (*refusal, bool) {
+	defer drop(o.resp)
+	body, err := io.ReadAll(o.resp.Body)
+	if err != nil {
+		t.Close(resultOf(ctx), time.Now())
+		j.note = at("body", t, err).Error()
+		j.used = j.reserved
+		if j.route.MayRepeat() && j.mayRepeat(ctx) {
+			return nil, true
+		}
+		return j.afterFailure(ctx), false
+	}
+	t.Close(resultOfStatus(o.resp.StatusCode), time.Now())
+	j.used = j.reserved
+	j.Wire.Answer(j.w.Header(), o.resp)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	j.w.WriteHeader(o.resp.StatusCode)
+	_, _ = j.w.Write(body)
+	j.finish("answered", o.resp.StatusCode)
+	return nil, false
+}
+
+func resultOfStatus(status int) choice.Result {
+	if status >= http.StatusInternalServerError {
+		return choice.Bad
+	}
+	return choice.Good
+}
--- /dev/null
+++ b/fleet/relay/forward/handler.go
@@ -0,0 +1,216 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/policy"
+)
+
+// Handler takes callers' calls.
+type Handler struct {
+	Options
+	leaving atomic.Bool
+	open    atomic.Int64
+}
+
+// New returns a handler.
+func New(o Options) *Handler { return &Handler{Options: o} }
+
+// Leave makes the handler ask callers to use another connection next.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
+// Open is how many calls are in progress.
+func (h *Handler) Open() int64 { return h.open.Load() }
+
+// job is one call on its way.
+type job struct {
+	*Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	call    call.Call
+	policy  *policy.Policy
+	route   policy.Route
+	service policy.Service
+	tenant  policy.Tenant
+	body    []byte
+	start   time.Time
+	end     time.Time // the caller's deadline or the route's timeout, the earlier
+
+	reserved int64
+	used     int64
+	attempts int // endpoints that the call was sent to
+	engine   string
+	note     string // what decided, for the log
+}
+
+// maxDeadline bounds calls that state no deadline on routes without a timeout.
+const maxDeadline = 60 * time.Second
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.open.Add(1)
+	defer h.open.Add(-1)
+	j := &job{Handler: h, w: w, r: r, start: time.Now(), policy: h.Policy.Load()}
+	if h.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if refused, ok := j.admit(); !ok {
+		j.refuse(refused)
+		return
+	}
+	defer j.settle()
+	j.run()
+}
+
+// admit reads the call and decides whether it may run at all.
+func (j *job) admit() (refusal, bool) {
+	c, err := j.Wire.Parse(j.r)
+	j.call = c
+	if err != nil {
+		j.note = err.Error()
+		return refuseHead, false
+	}
+	if j.policy == nil {
+		return refuseNoPolicy, false
+	}
+	route, ok := j.policy.Match(j.r.Host, j.r.URL.Path)
+	if !ok {
+		return refuseNoRoute, false
+	}
+	j.route = route
+	if refused, ok := j.authenticate(); !ok {
+		return refused, false
+	}
+	j.setEnd()
+	if refused, ok := j.readBody(); !ok {
+		return refused, false
+	}
+	return j.reserve()
+}
+
+func (j *job) authenticate() (refusal, bool) {
+	if j.route.Public || !j.policy.Keyed {
+		return refusal{}, true
+	}
+	tenant, ok := j.policy.TenantOf(j.call.Key)
+	if !ok {
+		return refuseKey, false
+	}
+	j.tenant = tenant
+	return refusal{}, true
+}
+
+func (j *job) setEnd() {
+	wait := maxDeadline
+	if j.call.Deadline > 0 {
+		wait = min(wait, j.call.Deadline)
+	}
+	if j.route.Timeout > 0 {
+		wait = min(wait, j.route.Timeout)
+	}
+	j.end = j.start.Add(wait)
+}
+
+func (j *job) readBody() (refusal, bool) {
+	limit := j.policy.Limits.BodyBytes
+	if limit <= 0 {
+		limit = 4 << 20
+	}
+	if j.r.ContentLength > limit {
+		return refuseTooLarge, false
+	}
+	if j.r.ContentLength == 0 {
+		return refusal{}, true
+	}
+	body, err := readAll(http.MaxBytesReader(j.w, j.r.Body, limit), j.r.ContentLength)
+	if err != nil {
+		if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
+			return refuseTooLarge, false
+		}
+		j.note = err.Error()
+		return refuseHead, false
+	}
+	j.body = body
+	return refusal{}, true
+}
+
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+// reserve sets the most that the call can cost aside.
+func (j *job) reserve() (refusal, bool) {
+	j.service, _ = j.policy.Service(j.route.Pick(xxhash.Sum64String(j.call.ID)))
+	if !j.tenant.HasPrepaid || j.call.Cost() == 0 {
+		return refusal{}, true
+	}
+	switch j.Purse.Reserve(j.tenant.Name, j.call.Cost(), j.start) {
+	case account.Exhausted:
+		return refuseBudget, false
+	case account.Short:
+		return refuseShort, false
+	case account.Reserved:
+	}
+	j.reserved = j.call.Cost()
+	return refusal{}, true
+}
+
+// settle gives back what the call did not use.
+func (j *job) settle() {
+	if j.reserved > 0 {
+		j.Purse.Settle(j.tenant.Name, j.reserved, j.used)
+		j.reserved = 0
+	}
+}
+
+// refuse ends the call with an answer of the relay's own, at once.
+func (j *job) refuse(f refusal) {
+	header := j.w.Header()
+	j.Wire.Refuse(header, j.call)
+	if f.after > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(f.after.Seconds(), 'f', 2, 64))
+	}
+	body := `{"reason":"` + f.reason + `"}`
+	header.Set("Content-Type", "application/problem+json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	j.w.WriteHeader(f.status)
+	_, _ = io.WriteString(j.w, body)
+	j.finish(f.reason, f.status)
+}
+
+// finish logs how the call ended: one line a call.
+func (j *job) finish(reason string, status int) {
+	took := time.Since(j.start)
+	j.Metrics.Finished(j.route.Name, reason, took)
+	fields := log.Fields{
+		"request": j.call.ID, "route": j.route.Name, "tenant": j.tenant.Name, "reason": reason, "status": status,
+		"ms": took.Milliseconds(), "attempts": j.attempts, "endpoint": j.engine, "reserved": j.call.Cost(), "used": j.used,
+	}
+	if j.policy != nil {
+		fields["policy"] = j.policy.Version
+	}
+	if j.note != "" {
+		fields["note"] = j.note
+	}
+	j.Log.WithFields(fields).Info("call ended")
+}
+
+// context of the call: it ends with the caller's connection or the deadline.
+func (j *job) context() (context.Context, context.CancelFunc) {
+	return context.WithDeadline(j.r.Context(), j.end)
+}
--- /dev/null
+++ b/fleet/relay/forward/options.go
@@ -0,0 +1,85 @@
+// Package forward carries one call from its caller to an endpoint and the
+// answer back: admission, attempts, the stream, and the refusal where none ran.
+package forward
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sys/unix"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/policy"
+	"github.com/lynxshed/lynxshed/fleet/relay/retry"
+)
+
+// Options are what a handler works with.
+type Options struct {
+	Node      string
+	Wire      call.Wire
+	Policy    *atomic.Pointer[policy.Policy]
+	Engines   *atomic.Pointer[engine.Directory]
+	Purse     *account.Purse
+	Picker    *choice.Picker
+	Retries   *retry.Budget
+	Nodes     func() int // how many nodes share the endpoints' connections
+	Transport http.RoundTripper
+	Log       log.Interface
+	Metrics   Metrics
+}
+
+// Metrics counts what the handler does.
+type Metrics interface {
+	Finished(route, outcome string, took time.Duration)
+	FirstEvent(route string, took time.Duration)
+}
+
+// Bounds of connections to endpoints. Every wait has an end of its own, so that
+// a silent partition is felt.
+const (
+	dialTimeout    = 300 * time.Millisecond
+	idleConnection = 20 * time.Second
+	probeAfter     = time.Second // of silence on a connection
+	probeEvery     = time.Second
+	probeCount     = 2
+	unackedTimeout = 2 * time.Second
+	idlePerHost    = 64
+)
+
+// NewTransport returns the transport to endpoints. It neither compresses nor
+// repeats: see onceBody.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount},
+		Control:         limitUnacked,
+	}
+	return &http.Transport{
+		DialContext:           dialer.DialContext,
+		DisableCompression:    true,
+		MaxIdleConns:          0,
+		MaxIdleConnsPerHost:   idlePerHost,
+		IdleConnTimeout:       idleConnection,
+		ExpectContinueTimeout: 0,
+		WriteBufferSize:       16 << 10,
+		ReadBufferSize:        4 << 10,
+	}
+}
+
+func limitUnacked(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- /dev/null
+++ b/fleet/relay/forward/outcome.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+)
+
+// outcome is how an attempt ended: sealed.
+type outcome interface{ outcome() }
+
+// neverSent: not a byte of the call reached the endpoint.
+type neverSent struct{ err error }
+
+// rejected: the endpoint's own word that the call did not run there.
+type rejected struct {
+	verdict call.Verdict
+	status  int
+}
+
+// failed: the call may have run, and there is no answer to pass on.
+type failed struct {
+	err      error
+	timedOut bool
+}
+
+// answered: the head of an answer to this call has come.
+type answered struct {
+	resp    *http.Response
+	verdict call.Verdict
+}
+
+func (neverSent) outcome() {}
+func (rejected) outcome()  {}
+func (failed) outcome()    {}
+func (answered) outcome()  {}
+
+// refusal is an answer of the relay's own.
+type refusal struct {
+	status int
+	reason string        // a stable word
+	after  time.Duration // when to come back; 0 is not said
+}
+
+// The refusals.
+var (
+	refuseNoPolicy  = refusal{http.StatusServiceUnavailable, "no-configuration", 500 * time.Millisecond}
+	refuseLeaving   = refusal{http.StatusServiceUnavailable, "leaving", 50 * time.Millisecond}
+	refuseNoRoute   = refusal{http.StatusNotFound, "unknown-route", 0}
+	refuseKey       = refusal{http.StatusUnauthorized, "unknown-key", 0}
+	refuseHead      = refusal{http.StatusBadRequest, "bad-head", 0}
+	refuseTooLarge  = refusal{http.StatusRequestEntityTooLarge, "too-large", 0}
+	refuseBudget    = refusal{http.StatusPaymentRequired, "budget-exhausted", 0}
+	refuseShort     = refusal{http.StatusServiceUnavailable, "budget-short-here", 400 * time.Millisecond}
+	refuseNoEngine  = refusal{http.StatusServiceUnavailable, "no-endpoint", 300 * time.Millisecond}
+	refuseFull      = refusal{http.StatusServiceUnavailable, "endpoints-full", 200 * time.Millisecond}
+	refuseUnknown   = refusal{http.StatusBadGateway, "endpoint-failed", 0}
+	refuseTimedOut  = refusal{http.StatusGatewayTimeout, "timed-out", 0}
+	refuseUnstarted = refusal{http.StatusServiceUnavailable, "not-sent-in-time", 200 * time.Millisecond}
+)
--- /dev/null
+++ b/fleet/relay/forward/run.go
@@ -0,0 +1,149 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+)
+
+// Bounds of one call's attempts.
+const (
+	maxUnreached = 3                     // endpoints that could not be reached before the call is refused
+	leastLeft    = 10 * time.Millisecond // less than this until the deadline is not worth an attempt
+)
+
+// run sends the call until it has an answer or may not be sent again.
+func (j *job) run() {
+	j.Retries.Arrived(j.service.Name, j.start)
+	ctx, cancel := j.context()
+	defer cancel()
+	tried := map[string]bool{}
+	unreached := 0
+	for {
+		ticket, ok := j.pick(tried)
+		if !ok {
+			j.refuse(j.whenNone(tried))
+			return
+		}
+		tried[ticket.Engine.ID] = true
+		j.engine = ticket.Engine.ID
+		out := j.send(ctx, ticket, "")
+		next, again := j.judge(ctx, ticket, out)
+		if again {
+			if _, lost := out.(neverSent); lost {
+				if unreached++; unreached >= maxUnreached {
+					j.refuse(refuseNoEngine)
+					return
+				}
+			}
+			continue
+		}
+		if next != nil {
+			j.refuse(*next)
+		}
+		return
+	}
+}
+
+func (j *job) pick(tried map[string]bool) (*choice.Ticket, bool) {
+	engines := j.Engines.Load()
+	if engines == nil {
+		return nil, false
+	}
+	return j.Picker.Pick(choice.Ask{
+		Call: j.call, Engines: engines.Of(j.service.Name), Exclude: tried, Tokens: j.service.KVCapacity > 0,
+		Capacity: j.service.KVCapacity, Cap: j.cap(), Now: time.Now(),
+	})
+}
+
+// cap is this node's part of an endpoint's connections.
+func (j *job) cap() int {
+	if j.service.MaxConnections <= 0 {
+		return idlePerHost
+	}
+	return min(max(j.service.MaxConnections/(max(j.Nodes(), 1)+2), 2), idlePerHost)
+}
+
+func (j *job) whenNone(tried map[string]bool) refusal {
+	if len(tried) > 0 {
+		return refuseFull
+	}
+	return refuseNoEngine
+}
+
+// judge decides what an attempt's outcome means for the call: send it again,
+// refuse it (nil: it is already answered).
+func (j *job) judge(ctx context.Context, t *choice.Ticket, out outcome) (*refusal, bool) {
+	switch o := out.(type) {
+	case neverSent:
+		t.Close(choice.Bad, time.Now())
+		j.note = o.err.Error()
+		return j.ifOver(ctx, refuseUnstarted)
+	case rejected:
+		t.Close(choice.Rejected, time.Now())
+		if j.mayRepeat(ctx) {
+			return nil, true
+		}
+		return &refuseFull, false
+	case failed:
+		t.Close(resultOf(ctx), time.Now())
+		j.note = o.err.Error()
+		j.used = j.reserved
+		if j.route.MayRepeat() && j.mayRepeat(ctx) {
+			return nil, true
+		}
+		return j.afterFailure(ctx), false
+	case answered:
+		return j.answer(ctx, t, o)
+	}
+	return &refuseUnknown, false
+}
+
+// resultOf an attempt that failed: where the caller left, it says nothing.
+func resultOf(ctx context.Context) choice.Result {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return choice.Neutral
+	}
+	return choice.Bad
+}
+
+func (j *job) ifOver(ctx context.Context, f refusal) (*refusal, bool) {
+	if ctx.Err() != nil {
+		return &f, false
+	}
+	return nil, true
+}
+
+func (j *job) afterFailure(ctx context.Context) *refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &refuseTimedOut
+	}
+	return &refuseUnknown
+}
+
+// mayRepeat is whether the call may be sent to one more endpoint; true counts it.
+func (j *job) mayRepeat(ctx context.Context) bool {
+	if ctx.Err() != nil || time.Until(j.end) < leastLeft || j.attempts >= max(j.route.Attempts, 1) {
+		return false
+	}
+	return j.Retries.Take(j.service.Name, time.Now())
+}
+
+// answer passes an endpoint's answer on.
+func (j *job) answer(ctx context.Context, t *choice.Ticket, o answered) (*refusal, bool) {
+	if o.resp.StatusCode >= http.StatusInternalServerError && j.route.MayRepeat() && j.mayRepeat(ctx) {
+		drop(o.resp)
+		t.Close(choice.Bad, time.Now())
+		j.used = j.reserved
+		return nil, true
+	}
+	if isStream(o.resp) {
+		j.stream(ctx, t, o)
+		return nil, false
+	}
+	return j.whole(ctx, t, o)
+}
--- /dev/null
+++ b/fleet/relay/forward/send.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+)
+
+// errTwice ends an attempt that the transport was about to send a second time.
+var errTwice = errors.New("the transport would have sent the call twice")
+
+// onceBody is a body that the transport can't rewind, so that it never sends a
+// call again by itself on a kept connection that died.
+type onceBody struct{ *bytes.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// send makes one attempt and waits for the head of its answer.
+func (j *job) send(ctx context.Context, t *choice.Ticket, lastEventID string) outcome {
+	sent := false
+	connections := 0
+	ctx, cancel := context.WithCancelCause(ctx)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			if connections++; connections > 1 {
+				cancel(errTwice)
+			}
+			sent = true
+		},
+	})
+	started := time.Now()
+	resp, err := j.Transport.RoundTrip(j.request(ctx, t, lastEventID))
+	if !sent && err != nil {
+		cancel(nil)
+		return neverSent{err: at("connect", t, err)}
+	}
+	j.attempts++
+	if err != nil {
+		cancel(nil)
+		return failed{err: at("send", t, err)}
+	}
+	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
+	return j.judgeHead(t, resp, started)
+}
+
+// cancelBody ends the attempt's context with its body.
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+func (b *cancelBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel(nil)
+	return err
+}
+
+func (j *job) judgeHead(t *choice.Ticket, resp *http.Response, started time.Time) outcome {
+	v := j.Wire.Judge(resp)
+	now := time.Now()
+	if v.HasLoad {
+		j.Picker.Report(t.Engine.ID, v.Load, now)
+	}
+	if v.CallID != j.call.ID {
+		drop(resp)
+		return failed{err: at("answer", t, errors.Newf("the answer is to call %q, status %d", v.CallID, resp.StatusCode))}
+	}
+	if v.NotExecuted || v.Moved {
+		finishSmall(resp)
+		return rejected{verdict: v, status: resp.StatusCode}
+	}
+	t.Took(now.Sub(started))
+	return answered{resp: resp, verdict: v}
+}
+
+// request builds the attempt: method, target and body are the caller's.
+func (j *job) request(ctx context.Context, t *choice.Ticket, lastEventID string) *http.Request {
+	header := j.Wire.Prepare(j.r.Header, j.call, call.Send{
+		Tenant: j.tenant.Name, Instance: t.Engine.ID, Left: time.Until(j.end), Priority: j.priority(), LastEventID: lastEventID,
+	})
+	req := &http.Request{
+		Method: j.r.Method, URL: target(t.Engine.Address, j.r.RequestURI), Host: j.r.Host, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: onceBody{bytes.NewReader(j.body)}, ContentLength: int64(len(j.body)),
+	}
+	return req.WithContext(ctx)
+}
+
+// target keeps the caller's path and query to the letter.
+func target(address, uri string) *url.URL {
+	path, query, hasQuery := strings.Cut(uri, "?")
+	return &url.URL{Scheme: "http", Host: address, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
+}
+
+func (j *job) priority() int {
+	if j.tenant.HasPriority {
+		return j.tenant.Priority
+	}
+	return j.route.Priority
+}
+
+// at adds the step and the peer to an error.
+func at(step string, t *choice.Ticket, err error) error {
+	return errors.Wrapf(err, "step %s, endpoint %s at %s", step, t.Engine.ID, t.Engine.Address)
+}
+
+// smallBody is what is read of a refused attempt's body to keep its connection.
+const smallBody = 4 << 10
+
+func finishSmall(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, smallBody)
+	_ = resp.Body.Close()
+}
+
+// drop gives an answer up, and its connection with it.
+func drop(resp *http.Response) { _ = resp.Body.Close() }
--- /dev/null
+++ b/fleet/relay/forward/stream.go
@@ -0,0 +1,154 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+)
+
+// stream passes events on as they come, whole ones only. Where the stream
+// breaks, it goes on at another endpoint if the route allows that; else the
+// caller's connection is broken off, so that nothing half looks whole.
+func (j *job) stream(ctx context.Context, t *choice.Ticket, o answered) {
+	j.Wire.Answer(j.w.Header(), o.resp)
+	j.w.WriteHeader(o.resp.StatusCode)
+	s := &relayed{job: j, lastID: j.call.LastEventID}
+	for {
+		err := s.copy(ctx, t, o.resp.Body)
+		drop(o.resp)
+		if err == nil {
+			t.Close(choice.Good, time.Now())
+			j.used = j.charge(s.events)
+			j.finish("streamed", o.resp.StatusCode)
+			return
+		}
+		t.Close(resultOf(ctx), time.Now())
+		j.note = at("stream", t, err).Error()
+		next, out, ok := j.resume(ctx, t, s)
+		if !ok {
+			j.used = j.reserved
+			j.finish("broken-off", o.resp.StatusCode)
+			panic(http.ErrAbortHandler)
+		}
+		t, o = next, out
+	}
+}
+
+// charge is what a stream that came to its end cost: every event is counted
+// full, since how full the last one was is not said.
+func (j *job) charge(events int64) int64 {
+	if j.service.Stride <= 0 {
+		return j.reserved
+	}
+	return min(j.reserved, j.call.PromptMax+min(events*j.service.Stride, j.call.OutputMax))
+}
+
+// resume takes a broken stream up at another endpoint.
+func (j *job) resume(ctx context.Context, broken *choice.Ticket, s *relayed) (*choice.Ticket, answered, bool) {
+	if !j.route.Resumable || s.caller != nil || !j.mayRepeat(ctx) {
+		return nil, answered{}, false
+	}
+	t, ok := j.pick(map[string]bool{broken.Engine.ID: true})
+	if !ok {
+		return nil, answered{}, false
+	}
+	j.engine = t.Engine.ID
+	out, ok := j.send(ctx, t, s.lastID).(answered)
+	if !ok {
+		t.Close(resultOf(ctx), time.Now())
+		return nil, answered{}, false
+	}
+	if out.resp.StatusCode != http.StatusOK || !isStream(out.resp) {
+		drop(out.resp)
+		t.Close(choice.Neutral, time.Now())
+		return nil, answered{}, false
+	}
+	return t, out, true
+}
+
+// relayed is how far a stream has come.
+type relayed struct {
+	*job
+	events int64
+	lastID string
+	caller error // the caller's connection failed
+	rest   []byte
+}
+
+const streamBuffer = 8 << 10
+
+var eventEnd = []byte("\n\n")
+
+// copy passes on one endpoint's part of the stream; nil where it came to its end.
+func (s *relayed) copy(ctx context.Context, t *choice.Ticket, body io.Reader) error {
+	flusher := http.NewResponseController(s.w)
+	buffer := make([]byte, streamBuffer)
+	s.rest = s.rest[:0]
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if failure := s.pass(t, flusher, buffer[:n]); failure != nil {
+				s.caller = failure
+				return failure
+			}
+		}
+		if err == io.EOF {
+			return s.atEnd(ctx)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// pass forwards the whole events among what has come so far.
+func (s *relayed) pass(t *choice.Ticket, flusher *http.ResponseController, data []byte) error {
+	s.rest = append(s.rest, data...)
+	end := bytes.LastIndex(s.rest, eventEnd)
+	if end < 0 {
+		return nil
+	}
+	whole := s.rest[:end+len(eventEnd)]
+	if s.events == 0 {
+		t.First()
+		s.Metrics.FirstEvent(s.route.Name, time.Since(s.start))
+	}
+	s.count(whole)
+	if _, err := s.w.Write(whole); err != nil {
+		return err
+	}
+	if err := flusher.Flush(); err != nil {
+		return err
+	}
+	s.rest = append(s.rest[:0], s.rest[end+len(eventEnd):]...)
+	return nil
+}
+
+// count counts events and keeps the last id.
+func (s *relayed) count(whole []byte) {
+	for event := range bytes.SplitSeq(whole, eventEnd) {
+		if len(event) == 0 {
+			continue
+		}
+		s.events++
+		for line := range bytes.SplitSeq(event, []byte("\n")) {
+			if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+				s.lastID = string(bytes.TrimSpace(id))
+			}
+		}
+	}
+}
+
+func (s *relayed) atEnd(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if len(s.rest) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/relay/log.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+)
+
+func engineFields(e engine.Engine) log.Fields {
+	return log.Fields{"endpoint": e.ID, "service": e.Service, "address": e.Address, "zone": e.Zone, "draining": e.State == engine.Draining}
+}
+
+// logLines is how many lines may wait for a slow reader of the log.
+const logLines = 2048
+
+// Sink writes log lines without ever holding a caller up: where the reader is
+// slow, lines are dropped and counted.
+type Sink struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewSink returns a sink that writes to w.
+func NewSink(w io.Writer) *Sink {
+	s := &Sink{lines: make(chan []byte, logLines)}
+	go func() {
+		for line := range s.lines {
+			_, _ = w.Write(line)
+		}
+	}()
+	return s
+}
+
+// Write implements io.Writer for one line.
+func (s *Sink) Write(line []byte) (int, error) {
+	select {
+	case s.lines <- append([]byte(nil), line...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped is how many lines were lost.
+func (s *Sink) Dropped() int64 { return s.dropped.Load() }
+
+// NewLogger returns a logger of JSON lines to a sink.
+func NewLogger(s *Sink, level string) log.Interface {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		parsed = log.InfoLevel
+	}
+	return &log.Logger{Handler: json.New(s), Level: parsed}
+}
--- /dev/null
+++ b/fleet/relay/peer/registry.go
@@ -0,0 +1,140 @@
+// Package peer lets relaying nodes find each other through the store and tell
+// each other, by small datagrams, what they have sent to which endpoint.
+package peer
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// Kind is the store's kind in which nodes register.
+const Kind = "lynxshed-nodes"
+
+// Member is one node as it registers.
+type Member struct {
+	Name    string `json:"name"`
+	Life    string `json:"life"` // differs for each start
+	Zone    string `json:"zone"`
+	Address string `json:"address"` // for datagrams, IP:PORT
+}
+
+// Registry is the nodes that the store lists.
+type Registry struct {
+	store   store.Store
+	self    Member
+	log     log.Interface
+	members atomic.Pointer[[]Member]
+	byName  map[string]Member // of the follower's goroutine only
+}
+
+// NewRegistry returns a registry that knows no other node yet.
+func NewRegistry(s store.Store, self Member, l log.Interface) *Registry {
+	r := &Registry{store: s, self: self, log: l, byName: map[string]Member{}}
+	r.publish()
+	return r
+}
+
+// Members lists the nodes, this one included, by name.
+func (r *Registry) Members() []Member { return *r.members.Load() }
+
+// Count is how many nodes there are, this one included.
+func (r *Registry) Count() int { return len(r.Members()) }
+
+// Run registers this node and follows the others until ctx ends.
+func (r *Registry) Run(ctx context.Context) {
+	go r.register(ctx)
+	store.Follow(ctx, r.store, Kind, r.apply)
+}
+
+// registerPause is the time between tries to register.
+const registerPause = 500 * time.Millisecond
+
+func (r *Registry) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := r.write(ctx); err == nil {
+			r.log.WithField("life", r.self.Life).Info("registered")
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerPause):
+		}
+	}
+}
+
+func (r *Registry) write(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	data, err := json.Marshal(r.self)
+	if err != nil {
+		return errors.Wrap(err, "register")
+	}
+	o := store.Object{Kind: Kind, Name: r.self.Name, Data: data}
+	_, err = r.store.Put(ctx, o)
+	if !errors.Is(err, store.ErrConflict) {
+		return err
+	}
+	before, err := r.store.Get(ctx, Kind, r.self.Name)
+	if err != nil {
+		return err
+	}
+	o.Revision = before.Revision
+	_, err = r.store.Put(ctx, o)
+	return err
+}
+
+// Leave takes this node off the list.
+func (r *Registry) Leave(ctx context.Context) error {
+	return r.store.Delete(ctx, Kind, r.self.Name)
+}
+
+func (r *Registry) apply(c store.Change) {
+	switch c := c.(type) {
+	case store.Snapshot:
+		r.byName = map[string]Member{}
+		for _, o := range c.Objects {
+			r.put(o)
+		}
+	case store.Update:
+		for _, e := range c.Events {
+			if e.Gone {
+				delete(r.byName, e.Object.Name)
+				continue
+			}
+			r.put(e.Object)
+		}
+	case store.Lost:
+		return
+	}
+	r.publish()
+}
+
+func (r *Registry) put(o store.Object) {
+	var m Member
+	if err := json.Unmarshal(o.Data, &m); err != nil || m.Name == "" {
+		r.log.WithField("object", o.Name).Warn("registration not understood")
+		return
+	}
+	r.byName[o.Name] = m
+}
+
+func (r *Registry) publish() {
+	members := make([]Member, 0, len(r.byName)+1)
+	members = append(members, r.self)
+	for _, m := range r.byName {
+		if m.Name != r.self.Name {
+			members = append(members, m)
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	r.members.Store(&members)
+}
--- /dev/null
+++ b/fleet/relay/relay.go
@@ -0,0 +1,180 @@
+// Package relay is one node of the fleet on a platform that keeps all that must
+// last: it relays calls as bytes between callers and endpoints under prepaid
+// budgets, and keeps nothing itself. An adapter speaks the platform's words.
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/forward"
+	"github.com/lynxshed/lynxshed/fleet/relay/peer"
+	"github.com/lynxshed/lynxshed/fleet/relay/policy"
+	"github.com/lynxshed/lynxshed/fleet/relay/retry"
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// Adapter is what a platform brings.
+type Adapter interface {
+	Store() store.Store
+	Wire() call.Wire
+	// PolicyAt names the object that holds the policy.
+	PolicyAt() (kind, name string)
+	Policy(store.Object) (policy.Policy, error)
+	// EngineKind names the kind in which endpoints register.
+	EngineKind() string
+	Engine(store.Object) (engine.Engine, error)
+}
+
+// Node is one relaying node.
+type Node struct {
+	settings Settings
+	adapter  Adapter
+	log      log.Interface
+
+	policy   atomic.Pointer[policy.Policy]
+	engines  atomic.Pointer[engine.Directory]
+	purse    *account.Purse
+	keeper   *account.Keeper
+	picker   *choice.Picker
+	registry *peer.Registry
+	talk     *peer.Talk
+	handler  *forward.Handler
+	metrics  *Metrics
+	leaving  atomic.Bool
+}
+
+// Bounds of the servers towards callers and the balancer.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	headerBytes   = 64 << 10
+	memoryShare   = 0.8 // of the bound, for the collector's aim
+)
+
+// New builds a node.
+func New(s Settings, a Adapter, l log.Interface) (*Node, error) {
+	limitMemory(s.MemoryMB)
+	n := &Node{settings: s, adapter: a, log: l, metrics: NewMetrics()}
+	life := uuid.NewString()
+	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer}
+	n.purse = account.NewPurse(s.Node, life, account.DefaultTuning())
+	n.picker = choice.NewPicker(s.Zone, choice.DefaultTuning())
+	n.registry = peer.NewRegistry(a.Store(), self, l)
+	n.keeper = account.NewKeeper(a.Store(), n.purse, n.registry.Count, l)
+	talk, err := peer.Listen(s.Peer, n.registry, n.picker, l)
+	if err != nil {
+		return nil, err
+	}
+	n.talk = talk
+	n.handler = forward.New(forward.Options{
+		Node: s.Node, Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Purse: n.purse, Picker: n.picker,
+		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
+		Nodes:   n.registry.Count, Transport: forward.NewTransport(), Log: l, Metrics: n.metrics,
+	})
+	return n, nil
+}
+
+func limitMemory(mb int) {
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(float64(mb) * memoryShare * (1 << 20)))
+	}
+}
+
+// Run serves until ctx ends or the planned stop that Leave begins is over.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	callers, err := net.Listen("tcp4", n.settings.Listen)
+	if err != nil {
+		return errors.Wrapf(err, "listen for callers at %s", n.settings.Listen)
+	}
+	balancer, err := net.Listen("tcp4", n.settings.Ready.Address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for the balancer at %s", n.settings.Ready.Address)
+	}
+	n.follow(ctx)
+	front := &http.Server{Handler: n.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: nil}
+	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 2)
+	go func() { failed <- front.Serve(callers) }()
+	go func() { failed <- ready.Serve(balancer) }()
+	n.log.WithField("node", n.settings.Node).WithField("listen", n.settings.Listen).Info("started")
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	_ = front.Close()
+	_ = ready.Close()
+	return err
+}
+
+func (n *Node) follow(ctx context.Context) {
+	s := n.adapter.Store()
+	kind, name := n.adapter.PolicyAt()
+	go store.Follow(ctx, s, kind, func(c store.Change) { n.applyPolicy(name, c) })
+	engines := newEngineTable(n)
+	go store.Follow(ctx, s, n.adapter.EngineKind(), engines.apply)
+	go n.registry.Run(ctx)
+	go n.talk.Run(ctx)
+	go n.keeper.Run(ctx)
+}
+
+// readyHandler answers what the balancer asks, and serves the metrics.
+func (n *Node) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.settings.Ready.Path, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", n.metrics.Handler())
+	return mux
+}
+
+// Ready is whether new callers are welcome.
+func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.policy.Load() != nil && n.engines.Load() != nil
+}
+
+// Bounds of a planned stop.
+const (
+	unreadyBefore = 2500 * time.Millisecond // until the balancer has noticed
+	drainPoll     = 50 * time.Millisecond
+	handBack      = time.Second // kept of the stop for giving budgets back
+)
+
+// Leave is a planned stop: new callers go elsewhere, open calls end, what is
+// left of the budgets goes back. It returns when the node may stop.
+func (n *Node) Leave(ctx context.Context) {
+	n.leaving.Store(true)
+	started := time.Now()
+	n.log.WithField("open", n.handler.Open()).Info("planned stop begins")
+	end := started.Add(n.settings.Drain() - handBack)
+	n.handler.Leave()
+	for time.Now().Before(end) && (time.Since(started) < unreadyBefore || n.handler.Open() > 0) {
+		time.Sleep(drainPoll)
+	}
+	ctx, cancel := context.WithTimeout(ctx, handBack*3/4)
+	defer cancel()
+	err := n.keeper.Leave(ctx)
+	err = errors.CombineErrors(err, n.registry.Leave(ctx))
+	entry := n.log.WithField("open", n.handler.Open()).WithField("ms", time.Since(started).Milliseconds())
+	if err != nil {
+		entry.WithError(err).Warn("planned stop ends, something was not given back")
+		return
+	}
+	entry.Info("planned stop ends")
+}
--- /dev/null
+++ b/fleet/relay/retry/budget.go
@@ -0,0 +1,102 @@
+// Package retry bounds what the whole fleet sends a second time: a share of the
+// calls of each service over a sliding window, divided among the nodes.
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// Rule is the bound for all nodes together.
+type Rule struct {
+	Ratio  float64       // of a service's calls
+	Slack  float64       // calls beyond the ratio
+	Window time.Duration // over which both are counted
+}
+
+// Budget is one node's part. It is safe for concurrent use.
+type Budget struct {
+	rule  Rule
+	nodes func() int
+
+	mu       sync.Mutex
+	services map[string]*window
+}
+
+// safety is the part of the bound that a node uses, since windows of nodes and
+// of the judge do not begin together and shares are uneven.
+const safety = 0.7
+
+// NewBudget returns a node's part; nodes tells how many share the slack.
+func NewBudget(r Rule, nodes func() int) *Budget {
+	return &Budget{rule: r, nodes: nodes, services: map[string]*window{}}
+}
+
+// Arrived counts a call for a service.
+func (b *Budget) Arrived(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.window(service).calls.add(now, b.rule.Window)
+}
+
+// Take asks to send a call again; true counts it.
+func (b *Budget) Take(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service)
+	allowed := b.rule.Ratio*float64(w.calls.count(now, b.rule.Window)) + b.rule.Slack/float64(max(b.nodes(), 1))
+	if float64(w.repeats.count(now, b.rule.Window)+1) > safety*allowed {
+		return false
+	}
+	w.repeats.add(now, b.rule.Window)
+	return true
+}
+
+func (b *Budget) window(service string) *window {
+	w, ok := b.services[service]
+	if !ok {
+		w = &window{}
+		b.services[service] = w
+	}
+	return w
+}
+
+type window struct{ calls, repeats ring }
+
+// ring counts events in slices of a window, by the steady clock.
+type ring struct {
+	start  time.Time
+	slices [ringSlices]int
+	at     int64 // index of the newest slice
+}
+
+const ringSlices = 20
+
+func (r *ring) roll(now time.Time, window time.Duration) {
+	if r.start.IsZero() {
+		r.start = now
+	}
+	at := int64(now.Sub(r.start) / (window / ringSlices))
+	if at-r.at >= ringSlices {
+		r.slices, r.at = [ringSlices]int{}, at
+		return
+	}
+	for r.at < at {
+		r.at++
+		r.slices[r.at%ringSlices] = 0
+	}
+}
+
+func (r *ring) add(now time.Time, window time.Duration) {
+	r.roll(now, window)
+	r.slices[r.at%ringSlices]++
+}
+
+func (r *ring) count(now time.Time, window time.Duration) int {
+	r.roll(now, window)
+	total := 0
+	for _, n := range r.slices {
+		total += n
+	}
+	return total
+}
--- /dev/null
+++ b/fleet/relay/store/store.go
@@ -0,0 +1,50 @@
+// Package store is what the relay needs of a service that keeps objects with
+// revisions, conditional writes and watches. An adapter fills it.
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Object is one kept value.
+type Object struct {
+	Kind     string
+	Name     string
+	Revision int64           // of its last change; 0 is an object that is not there yet
+	Data     json.RawMessage // the value as JSON
+}
+
+// Event is a change of one object.
+type Event struct {
+	Object Object
+	Gone   bool
+}
+
+// Store keeps objects. Every method is safe for concurrent use.
+type Store interface {
+	// List returns all objects of a kind and the store's revision.
+	List(ctx context.Context, kind string) ([]Object, int64, error)
+	// Watch waits at most wait for changes after revision since; it returns
+	// them and the revision to go on from. ErrCompacted means: list again.
+	Watch(ctx context.Context, kind string, since int64, wait time.Duration) ([]Event, int64, error)
+	// Get returns one object; ErrNotFound where there is none.
+	Get(ctx context.Context, kind, name string) (Object, error)
+	// Put writes the object if its revision still holds (0: if there is none).
+	// ErrConflict and ErrRefused say that nothing was done; after any other
+	// error the write may have taken effect, or may yet.
+	Put(ctx context.Context, o Object) (Object, error)
+	// Delete removes an object; ErrNotFound where there is none.
+	Delete(ctx context.Context, kind, name string) error
+}
+
+// What a store may say.
+var (
+	ErrNotFound  = errors.New("store: no such object")
+	ErrConflict  = errors.New("store: the revision does not hold")
+	ErrCompacted = errors.New("store: the history is gone")
+	ErrRefused   = errors.New("store: refused, nothing was done")
+)
