Lend tokens between nodes; hand a caller's place in a stream on

Change: a node that is short asks the peers that told of free tokens; the giver counts them out before it answers, the taker counts them in once by the ask's id. The first attempt carries the caller's Last-Event-Id.

--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -26,8 +26,7 @@
 		return int64(first)
 	}
 	byDemand := k.demand.rate(now) * t.Horizon.Seconds()
-	floor := max(float64(2*k.demand.largest), first/4)
-	return int64(max(byDemand, floor))
+	return int64(max(byDemand, 2*k.demand.mean, first/4))
 }
 
 // share is how much of a pool one node may draw: what it wants while much is
@@ -51,12 +50,14 @@
 	bucket     float64
 	fast, slow float64
 	largest    int64
+	mean       float64 // tokens of a call
 }
 
 const (
 	demandBucket = 500 * time.Millisecond
 	fastKeep     = 0.5 // of the fast average for each bucket
 	slowKeep     = 0.93
+	meanWeight   = 0.1
 )
 
 func (d *demand) add(tokens int64, now time.Time) {
@@ -66,8 +67,12 @@
 	d.roll(now)
 	d.bucket += float64(tokens)
 	d.largest = max(d.largest, tokens)
+	d.mean += (float64(tokens) - d.mean) * meanWeight
 }
 
+// typical is the size of a call.
+func (d *demand) typical() int64 { return int64(d.mean) }
+
 func (d *demand) refund(tokens int64) { d.bucket -= float64(tokens) }
 
 func (d *demand) roll(now time.Time) {
--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/keeper.go
@@ -30,6 +30,7 @@
 	nodes func() int
 	log   log.Interface
 
+	nudged   chan struct{}
 	book     Book
 	revision int64
 	fresh    bool // book and revision are as the store last showed them
@@ -39,7 +40,7 @@
 
 // NewKeeper returns a keeper; nodes tells how many nodes share the budgets.
 func NewKeeper(s store.Store, p *Purse, nodes func() int, l log.Interface) *Keeper {
-	return &Keeper{store: s, purse: p, nodes: nodes, log: l}
+	return &Keeper{store: s, purse: p, nodes: nodes, log: l, nudged: make(chan struct{}, 1)}
 }
 
 // Run keeps the purse filled until ctx ends.
@@ -51,13 +52,26 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-wait.C:
-			if now.Sub(k.last) < max(k.pace(), backoff) {
-				continue
+		case <-k.nudged:
+			if backoff == 0 {
+				pauseBriefly()
 			}
-			k.last = now
-			backoff = k.round(ctx, now, backoff)
+		case <-wait.C:
 		}
+		now := time.Now()
+		if now.Sub(k.last) < max(k.pace(), backoff) {
+			continue
+		}
+		k.last = now
+		backoff = k.round(ctx, now, backoff)
+	}
+}
+
+// Nudge tells the keeper that a request lacks tokens.
+func (k *Keeper) Nudge() {
+	select {
+	case k.nudged <- struct{}{}:
+	default:
 	}
 }
 
@@ -152,9 +166,25 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	k.fresh = false
+	k.logMoves(next)
 	o, err := k.store.Put(ctx, store.Object{Kind: Kind, Name: bookName, Revision: k.revision, Data: data})
 	if err != nil {
 		return errors.Wrap(err, "write accounts")
 	}
 	return k.saw(o)
 }
+
+// logMoves tells what a write asks for, one line for all tenants.
+func (k *Keeper) logMoves(next Book) {
+	moves := map[string]int64{}
+	pools := map[string]int64{}
+	for _, h := range k.purse.Holdings(time.Now()) {
+		before, _ := k.book.Account(h.Tenant).Row(k.purse.life)
+		after, _ := next.Account(h.Tenant).Row(k.purse.life)
+		if after.Drawn != before.Drawn {
+			moves[h.Tenant] = after.Drawn - before.Drawn
+			pools[h.Tenant] = next.Account(h.Tenant).Pool(h.Prepaid)
+		}
+	}
+	k.log.WithField("revision", k.revision).WithField("tokens", moves).WithField("pools", pools).Info("accounts: asking")
+}
--- a/fleet/relay/account/purse.go
+++ b/fleet/relay/account/purse.go
@@ -21,16 +21,21 @@
 // pocket is the part of one tenant.
 type pocket struct {
 	prepaid  int64
-	limit    int64 // what may be spent in all: the least of what the store may hold
+	limit    int64 // drawn: the least of what the store may hold for this life
+	lent     int64 // net of what peers gave: counted out here before the message left
 	spent    int64
 	reserved int64
 	reported int64
 	demand   demand
+	short    int64 // tokens that reservations lacked since the last proposal
 	left     int64 // of the whole budget by the last book, at most
 	pool     int64 // not drawn by anyone, by the last book
 }
 
-func (p *pocket) free() int64 { return p.limit - p.spent - p.reserved }
+// busy is what can't be given back, net of tokens that came from peers.
+func (p *pocket) busy() int64 { return p.spent + p.reserved + p.lent }
+
+func (p *pocket) free() int64 { return p.limit - p.busy() }
 
 // NewPurse returns the empty purse of one life of a node.
 func NewPurse(node, life string, t Tuning) *Purse {
@@ -93,13 +98,57 @@
 		k.reserved += tokens
 		return Reserved
 	}
-	p.short = true
 	if k.left < tokens {
 		return Exhausted
 	}
+	k.short = max(k.short, tokens-k.free())
+	p.short = p.short || k.pool > 0
 	return Short
 }
 
+// Missing is how many tokens a reservation would lack now.
+func (p *Purse) Missing(tenant string, tokens int64) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(tokens-p.pocket(tenant).free(), 0)
+}
+
+// Give counts tokens out for a peer before they are sent: at least need and at
+// most want, as far as the peer's want leaves this node its half; else nothing.
+func (p *Purse) Give(tenant string, need, want int64) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := p.pocket(tenant)
+	free := k.free()
+	if need <= 0 || free < need {
+		return 0
+	}
+	tokens := max(need, min(want, free/2))
+	k.lent += tokens
+	return tokens
+}
+
+// Take counts tokens in that a peer has given. The caller sees to it that each
+// gift is counted once.
+func (p *Purse) Take(tenant string, tokens int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pocket(tenant).lent -= tokens
+}
+
+// Free lists what this node could give, by tenant.
+func (p *Purse) Free() map[string]int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	free := make(map[string]int64, len(p.pockets))
+	for tenant, k := range p.pockets {
+		if k.free() > 0 {
+			free[tenant] = k.free()
+		}
+	}
+	return free
+}
+
 // Settle turns a reservation into what was used of it.
 func (p *Purse) Settle(tenant string, reserved, used int64) {
 	p.mu.Lock()
@@ -171,10 +220,12 @@
 		before, known := a.Row(p.life)
 		after := Row{Node: p.node, Life: p.life, Spent: k.spent}
 		after.Drawn = p.wanted(k, a, before.Drawn, nodes, now, leaving)
+		matters := p.matters(k, before, after)
+		k.short = 0
 		if after == before || (!known && after.Drawn == 0) {
 			continue
 		}
-		worth = worth || p.matters(k, before, after)
+		worth = worth || matters
 		k.limit = min(k.limit, after.Drawn)
 		a = a.WithRow(after)
 		if leaving && k.reserved == 0 {
@@ -200,20 +251,20 @@
 
 // wanted is what the row should say as drawn.
 func (p *Purse) wanted(k *pocket, a Account, drawn int64, nodes int, now time.Time, leaving bool) int64 {
-	busy := k.spent + k.reserved
+	busy := k.busy()
 	if leaving {
 		return busy
 	}
-	target := p.tuning.target(k, nodes, now)
+	target := p.tuning.target(k, nodes, now) + k.short
 	free := drawn - busy
 	pool := a.Pool(k.prepaid)
 	switch {
 	case free < target:
-		return drawn + min(target-free, p.tuning.share(pool, nodes, target-free))
+		return drawn + max(p.tuning.share(pool, nodes, target-free), min(k.short, pool))
 	case over(a, k.prepaid) > 0:
 		return max(busy, drawn-over(a, k.prepaid))
 	case float64(free) > p.tuning.Surplus*float64(target) && pool < k.prepaid/4:
-		return max(busy+target, busy)
+		return busy + target
 	default:
 		return drawn
 	}
@@ -227,7 +278,8 @@
 	if after.Drawn < before.Drawn {
 		return true
 	}
-	free := before.Drawn - k.spent - k.reserved
 	drawn := after.Drawn - before.Drawn
-	return float64(drawn) > p.tuning.Step*float64(max(free+drawn, 1)) || float64(after.Spent-before.Spent) > p.tuning.Report*float64(max(k.prepaid, 1))
+	free := before.Drawn - k.busy()
+	return drawn > 0 && (k.short > 0 || float64(drawn) > p.tuning.Step*float64(max(free+drawn, 1)) && drawn >= k.demand.typical()) ||
+		float64(after.Spent-before.Spent) > p.tuning.Report*float64(max(k.prepaid, 1))
 }
--- a/fleet/relay/apply.go
+++ b/fleet/relay/apply.go
@@ -38,7 +38,7 @@
 	}
 	n.policy.Store(p.Indexed())
 	n.purse.Budget(budgets(p))
-	n.log.WithField("policy", p.Version).WithField("revision", o.Revision).WithField("routes", len(p.Routes)).Info("policy in force")
+	n.log.WithField("policy", p.Version).WithField("revision", o.Revision).WithField("routes", len(p.Routes)).WithField("prepaid", budgets(p)).Info("policy in force")
 }
 
 func budgets(p policy.Policy) map[string]int64 {
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -159,7 +159,12 @@
 	if !j.tenant.HasPrepaid || j.call.Cost() == 0 {
 		return refusal{}, true
 	}
-	switch j.Purse.Reserve(j.tenant.Name, j.call.Cost(), j.start) {
+	answer := j.Purse.Reserve(j.tenant.Name, j.call.Cost(), j.start)
+	if answer == account.Short && j.Lender.Borrow(j.r.Context(), j.tenant.Name, j.call.Cost()) {
+		j.note = "borrowed"
+		answer = j.Purse.Reserve(j.tenant.Name, j.call.Cost(), time.Now())
+	}
+	switch answer {
 	case account.Exhausted:
 		return refuseBudget, false
 	case account.Short:
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -3,6 +3,7 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -27,6 +28,7 @@
 	Policy    *atomic.Pointer[policy.Policy]
 	Engines   *atomic.Pointer[engine.Directory]
 	Purse     *account.Purse
+	Lender    Lender
 	Picker    *choice.Picker
 	Retries   *retry.Budget
 	Nodes     func() int // how many nodes share the endpoints' connections
@@ -35,6 +37,12 @@
 	Metrics   Metrics
 }
 
+// Lender finds tokens elsewhere for a request that the purse is too short for;
+// true where the purse may hold it now.
+type Lender interface {
+	Borrow(ctx context.Context, tenant string, tokens int64) bool
+}
+
 // Metrics counts what the handler does.
 type Metrics interface {
 	Finished(route, outcome string, took time.Duration)
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -31,7 +31,7 @@
 		}
 		tried[ticket.Engine.ID] = true
 		j.engine = ticket.Engine.ID
-		out := j.send(ctx, ticket, "")
+		out := j.send(ctx, ticket, j.call.LastEventID)
 		next, again := j.judge(ctx, ticket, out)
 		if again {
 			if _, lost := out.(neverSent); lost {
--- a/fleet/relay/peer/digest.go
+++ b/fleet/relay/peer/digest.go
@@ -17,6 +17,7 @@
 const (
 	beat       = 200 * time.Millisecond
 	fanOut     = 10
+	freeEvery  = 3 // beats between words on what the node could give
 	maxMessage = 16 << 10
 )
 
@@ -25,7 +26,10 @@
 	Node    string                   `json:"node"`
 	Life    string                   `json:"life"`
 	Number  uint64                   `json:"number"` // rises; an older one is dropped
-	Digests map[string]choice.Digest `json:"digests"`
+	Digests map[string]choice.Digest `json:"digests,omitempty"`
+	Free    map[string]int64         `json:"free,omitempty"` // tokens that the node could give
+	Ask     *ask                     `json:"ask,omitempty"`
+	Gift    *gift                    `json:"gift,omitempty"`
 }
 
 // Talk tells peers what this node has in flight, and hears what they have.
@@ -35,7 +39,8 @@
 	log      log.Interface
 	socket   net.PacketConn
 	number   uint64
-	heard    map[string]heard
+	heard    map[string]heard // of the listening goroutine only
+	loans    *loans
 }
 
 type heard struct {
@@ -44,12 +49,12 @@
 }
 
 // Listen opens the socket for datagrams.
-func Listen(address string, r *Registry, p *choice.Picker, l log.Interface) (*Talk, error) {
+func Listen(address string, r *Registry, p *choice.Picker, purse Purse, l log.Interface) (*Talk, error) {
 	socket, err := net.ListenPacket("udp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	return &Talk{registry: r, picker: p, log: l, socket: socket, heard: map[string]heard{}}, nil
+	return &Talk{registry: r, picker: p, log: l, socket: socket, heard: map[string]heard{}, loans: newLoans(purse)}, nil
 }
 
 // Run talks and listens until ctx ends.
@@ -71,15 +76,25 @@
 func (t *Talk) tell() {
 	self := t.registry.self
 	t.number++
-	data, err := json.Marshal(message{Node: self.Name, Life: self.Life, Number: t.number, Digests: t.picker.Digests()})
+	m := message{Node: self.Name, Life: self.Life, Number: t.number, Digests: t.picker.Digests()}
+	if t.number%freeEvery == 0 {
+		m.Free = t.loans.purse.Free()
+	}
+	for _, to := range t.some() {
+		t.send(to.Address, m)
+	}
+}
+
+func (t *Talk) send(address string, m message) {
+	data, err := json.Marshal(m)
 	if err != nil || len(data) > maxMessage {
 		return
 	}
-	for _, m := range t.some() {
-		if to, err := net.ResolveUDPAddr("udp4", m.Address); err == nil {
-			_, _ = t.socket.WriteTo(data, to)
-		}
+	to, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return
 	}
+	_, _ = t.socket.WriteTo(data, to)
 }
 
 // some picks the peers of one beat.
@@ -100,7 +115,7 @@
 func (t *Talk) listen() {
 	buffer := make([]byte, maxMessage)
 	for {
-		n, _, err := t.socket.ReadFrom(buffer)
+		n, from, err := t.socket.ReadFrom(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -109,16 +124,31 @@
 		}
 		var m message
 		if json.Unmarshal(buffer[:n], &m) == nil && m.Node != "" {
-			t.hear(m)
+			t.hear(m, from.String())
 		}
 	}
 }
 
-func (t *Talk) hear(m message) {
+func (t *Talk) hear(m message, from string) {
+	switch {
+	case m.Ask != nil:
+		self := t.registry.self
+		t.send(from, message{Node: self.Name, Life: self.Life, Gift: t.loans.answer(*m.Ask, time.Now())})
+	case m.Gift != nil:
+		t.loans.arrived(*m.Gift)
+	default:
+		t.hearDigest(m, from)
+	}
+}
+
+func (t *Talk) hearDigest(m message, from string) {
 	before := t.heard[m.Node]
 	if before.life == m.Life && m.Number <= before.number {
 		return
 	}
 	t.heard[m.Node] = heard{life: m.Life, number: m.Number}
 	t.picker.Heard(m.Node, m.Digests, time.Now())
+	if m.Number%freeEvery == 0 {
+		t.loans.told(from, m.Free, time.Now())
+	}
 }
--- /dev/null
+++ b/fleet/relay/peer/loan.go
@@ -0,0 +1,183 @@
+package peer
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Purse is what loans need of a node's budgets.
+type Purse interface {
+	Missing(tenant string, tokens int64) int64
+	Give(tenant string, need, want int64) int64
+	Take(tenant string, tokens int64)
+	Free() map[string]int64
+}
+
+// ask is a node's wish for a peer's tokens. Sent again, it has the same id.
+type ask struct {
+	ID     string `json:"id"`
+	Tenant string `json:"tenant"`
+	Need   int64  `json:"need"` // less is of no use
+	Want   int64  `json:"want"`
+}
+
+// gift is the answer: the giver has counted the tokens out already.
+type gift struct {
+	ID     string `json:"id"` // of the ask
+	Tenant string `json:"tenant"`
+	Tokens int64  `json:"tokens"`
+}
+
+// How loans are asked for.
+const (
+	giftTimeout = 30 * time.Millisecond // for one try at a peer
+	giftTries   = 2                     // at a peer, with the same id
+	giftPeers   = 3                     // asked one after another
+	freeAge     = 2 * time.Second       // a peer's word on what it could give counts so long
+	giftKept    = 10 * time.Second      // answers are repeated, and late gifts taken, so long
+	wantFactor  = 2                     // asked for, as a multiple of the request's tokens
+)
+
+// loans moves tokens between nodes without the store. A gift is counted out
+// once before it is sent, and in once for its id: a lost message loses tokens,
+// and none is ever made.
+type loans struct {
+	purse Purse
+
+	mu      sync.Mutex
+	free    map[string]offer // by the peer's address
+	asked   map[string]asked // by the ask's id
+	answers map[string]answer
+}
+
+type offer struct {
+	tokens map[string]int64
+	at     time.Time
+}
+
+type asked struct {
+	done chan int64
+	at   time.Time
+}
+
+type answer struct {
+	gift gift
+	at   time.Time
+}
+
+func newLoans(p Purse) *loans {
+	return &loans{purse: p, free: map[string]offer{}, asked: map[string]asked{}, answers: map[string]answer{}}
+}
+
+// told notes what a peer could give.
+func (l *loans) told(peer string, free map[string]int64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.free[peer] = offer{tokens: free, at: now}
+}
+
+// answer gives tokens to a peer; an ask that comes again gets the same answer.
+func (l *loans) answer(a ask, now time.Time) *gift {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	if before, ok := l.answers[a.ID]; ok {
+		return &before.gift
+	}
+	g := gift{ID: a.ID, Tenant: a.Tenant, Tokens: l.purse.Give(a.Tenant, a.Need, a.Want)}
+	l.answers[a.ID] = answer{gift: g, at: now}
+	return &g
+}
+
+// expire drops what is too old to matter.
+func (l *loans) expire(now time.Time) {
+	for id, a := range l.answers {
+		if now.Sub(a.at) > giftKept {
+			delete(l.answers, id)
+		}
+	}
+	for id, a := range l.asked {
+		if now.Sub(a.at) > giftKept {
+			delete(l.asked, id)
+		}
+	}
+}
+
+// arrived counts a gift in, once.
+func (l *loans) arrived(g gift) {
+	l.mu.Lock()
+	a, ok := l.asked[g.ID]
+	delete(l.asked, g.ID)
+	if ok && g.Tokens > 0 {
+		l.purse.Take(g.Tenant, g.Tokens)
+	}
+	l.mu.Unlock()
+	if ok {
+		a.done <- g.Tokens
+	}
+}
+
+// lenders lists the peers that could give so much, the richest first.
+func (l *loans) lenders(tenant string, need int64, now time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	type rich struct {
+		peer   string
+		tokens int64
+	}
+	var all []rich
+	for peer, o := range l.free {
+		if tokens := o.tokens[tenant]; tokens >= need && now.Sub(o.at) < freeAge {
+			all = append(all, rich{peer: peer, tokens: tokens})
+		}
+	}
+	slices.SortFunc(all, func(a, b rich) int { return cmp.Or(cmp.Compare(b.tokens, a.tokens), cmp.Compare(a.peer, b.peer)) })
+	peers := make([]string, 0, giftPeers)
+	for _, r := range all[:min(len(all), giftPeers)] {
+		peers = append(peers, r.peer)
+	}
+	return peers
+}
+
+func (l *loans) open(id string, now time.Time) chan int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	done := make(chan int64, 1)
+	l.asked[id] = asked{done: done, at: now}
+	return done
+}
+
+// Borrow asks peers for what a reservation of tokens lacks; true where it came.
+func (t *Talk) Borrow(ctx context.Context, tenant string, tokens int64) bool {
+	for _, peer := range t.loans.lenders(tenant, 1, time.Now()) {
+		need := t.loans.purse.Missing(tenant, tokens)
+		if need == 0 {
+			return true
+		}
+		t.borrowFrom(ctx, peer, ask{ID: uuid.NewString(), Tenant: tenant, Need: need, Want: need + wantFactor*tokens})
+	}
+	return t.loans.purse.Missing(tenant, tokens) == 0
+}
+
+func (t *Talk) borrowFrom(ctx context.Context, peer string, a ask) {
+	self := t.registry.self
+	done := t.loans.open(a.ID, time.Now())
+	for range giftTries {
+		t.send(peer, message{Node: self.Name, Life: self.Life, Ask: &a})
+		timer := time.NewTimer(giftTimeout)
+		select {
+		case <-done:
+			timer.Stop()
+			return
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -74,7 +74,7 @@
 	n.picker = choice.NewPicker(s.Zone, choice.DefaultTuning())
 	n.registry = peer.NewRegistry(a.Store(), self, l)
 	n.keeper = account.NewKeeper(a.Store(), n.purse, n.registry.Count, l)
-	talk, err := peer.Listen(s.Peer, n.registry, n.picker, l)
+	talk, err := peer.Listen(s.Peer, n.registry, n.picker, n.purse, l)
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +82,7 @@
 	n.handler = forward.New(forward.Options{
 		Node: s.Node, Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Purse: n.purse, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
-		Nodes:   n.registry.Count, Transport: forward.NewTransport(), Log: l, Metrics: n.metrics,
+		Nodes:   n.registry.Count, Transport: forward.NewTransport(), Lender: lender{n}, Log: l, Metrics: n.metrics,
 	})
 	return n, nil
 }
@@ -178,3 +178,15 @@
 	}
 	entry.Info("planned stop ends")
 }
+
+// lender finds tokens for a request that this node's part does not hold.
+type lender struct{ *Node }
+
+// Borrow implements forward.Lender: peers first, then the store.
+func (l lender) Borrow(ctx context.Context, tenant string, tokens int64) bool {
+	if l.talk.Borrow(ctx, tenant, tokens) {
+		return true
+	}
+	l.keeper.Nudge()
+	return false
+}
