Refuse what is new late in a planned stop; close idle connections at its start

Change: idle connections are closed at once, new calls are refused as not run after 2.8 s, budgets go back then.

--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -30,7 +31,10 @@
 	nodes func() int
 	log   log.Interface
 
-	nudged   chan struct{}
+	nudged chan struct{}
+
+	rounds   sync.Mutex // one at a time
+	left     bool       // the node is leaving
 	book     Book
 	revision int64
 	fresh    bool // book and revision are as the store last showed them
@@ -83,6 +87,11 @@
 }
 
 func (k *Keeper) round(ctx context.Context, now time.Time, backoff time.Duration) time.Duration {
+	k.rounds.Lock()
+	defer k.rounds.Unlock()
+	if k.left {
+		return 0
+	}
 	err := k.settle(ctx, now, false)
 	if err == nil {
 		k.tell(false, nil)
@@ -106,8 +115,13 @@
 	entry.Info("accounts: store regained")
 }
 
-// Leave gives back all that is not in use.
-func (k *Keeper) Leave(ctx context.Context) error { return k.settle(ctx, time.Now(), true) }
+// Leave gives back all that is not in use, and draws nothing any more.
+func (k *Keeper) Leave(ctx context.Context) error {
+	k.rounds.Lock()
+	defer k.rounds.Unlock()
+	k.left = true
+	return k.settle(ctx, time.Now(), true)
+}
 
 func (k *Keeper) settle(ctx context.Context, now time.Time, leaving bool) error {
 	var err error
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -19,8 +19,9 @@
 // Handler takes callers' calls.
 type Handler struct {
 	Options
-	leaving atomic.Bool
-	open    atomic.Int64
+	leaving  atomic.Bool
+	refusing atomic.Bool
+	open     atomic.Int64
 }
 
 // New returns a handler.
@@ -29,6 +30,10 @@
 // Leave makes the handler ask callers to use another connection next.
 func (h *Handler) Leave() { h.leaving.Store(true) }
 
+// RefuseNew makes the handler refuse calls that are new: what they need could
+// not be served before the stop.
+func (h *Handler) RefuseNew() { h.refusing.Store(true) }
+
 // Open is how many calls are in progress.
 func (h *Handler) Open() int64 { return h.open.Load() }
 
@@ -83,6 +88,9 @@
 	if j.policy == nil {
 		return refuseNoPolicy, false
 	}
+	if j.refusing.Load() {
+		return refuseLeaving, false
+	}
 	route, ok := j.policy.Match(j.r.Host, j.r.URL.Path)
 	if !ok {
 		return refuseNoRoute, false
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -52,6 +52,7 @@
 	registry *peer.Registry
 	talk     *peer.Talk
 	handler  *forward.Handler
+	front    *http.Server
 	metrics  *Metrics
 	leaving  atomic.Bool
 }
@@ -84,6 +85,7 @@
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
 		Nodes:   n.registry.Count, Transport: forward.NewTransport(), Lender: lender{n}, Log: l, Metrics: n.metrics,
 	})
+	n.front = &http.Server{Handler: n.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
 	return n, nil
 }
 
@@ -106,17 +108,16 @@
 		return errors.Wrapf(err, "listen for the balancer at %s", n.settings.Ready.Address)
 	}
 	n.follow(ctx)
-	front := &http.Server{Handler: n.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: nil}
 	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 2)
-	go func() { failed <- front.Serve(callers) }()
+	go func() { failed <- n.front.Serve(callers) }()
 	go func() { failed <- ready.Serve(balancer) }()
 	n.log.WithField("node", n.settings.Node).WithField("listen", n.settings.Listen).Info("started")
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	_ = front.Close()
+	_ = n.front.Close()
 	_ = ready.Close()
 	return err
 }
@@ -151,9 +152,9 @@
 
 // Bounds of a planned stop.
 const (
-	unreadyBefore = 2500 * time.Millisecond // until the balancer has noticed
-	drainPoll     = 50 * time.Millisecond
-	handBack      = time.Second // kept of the stop for giving budgets back
+	acceptWhile = 2800 * time.Millisecond // until the balancer has surely noticed
+	drainPoll   = 50 * time.Millisecond
+	handBack    = 600 * time.Millisecond // kept of the stop for giving budgets back
 )
 
 // Leave is a planned stop: new callers go elsewhere, open calls end, what is
@@ -162,21 +163,27 @@
 	n.leaving.Store(true)
 	started := time.Now()
 	n.log.WithField("open", n.handler.Open()).Info("planned stop begins")
-	end := started.Add(n.settings.Drain() - handBack)
 	n.handler.Leave()
-	for time.Now().Before(end) && (time.Since(started) < unreadyBefore || n.handler.Open() > 0) {
+	n.front.SetKeepAlivesEnabled(false)
+	sleepUntil(started.Add(acceptWhile))
+	n.handler.RefuseNew()
+	n.giveBack(ctx)
+	for time.Since(started) < n.settings.Drain()-handBack && n.handler.Open() > 0 {
 		time.Sleep(drainPoll)
 	}
-	ctx, cancel := context.WithTimeout(ctx, handBack*3/4)
+	n.giveBack(ctx)
+	n.log.WithField("open", n.handler.Open()).WithField("ms", time.Since(started).Milliseconds()).Info("planned stop ends")
+}
+
+func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
+
+// giveBack returns what is left of the budgets, and takes the node off the list.
+func (n *Node) giveBack(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handBack/2)
 	defer cancel()
-	err := n.keeper.Leave(ctx)
-	err = errors.CombineErrors(err, n.registry.Leave(ctx))
-	entry := n.log.WithField("open", n.handler.Open()).WithField("ms", time.Since(started).Milliseconds())
-	if err != nil {
-		entry.WithError(err).Warn("planned stop ends, something was not given back")
-		return
+	if err := errors.CombineErrors(n.keeper.Leave(ctx), n.registry.Leave(ctx)); err != nil {
+		n.log.WithError(err).Warn("planned stop: something was not given back")
 	}
-	entry.Info("planned stop ends")
 }
 
 // lender finds tokens for a request that this node's part does not hold.
