Hold less of a budget as it runs out; gather loans from several peers; cover a repeat's output

Change: all nodes together hold at most 0.35 of what is left; averages are corrected for their start; partial loans; one more output reserved for each repeat.

--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -7,26 +7,32 @@
 
 // Tuning says how much a node holds of each budget.
 type Tuning struct {
-	Horizon time.Duration // holdings last this long at the present demand
-	First   float64       // part of a budget that all nodes together draw before any demand is known
-	Step    float64       // least draw worth a write, as a part of what is then free
-	Surplus float64       // a holding this many times its target is given back
-	Report  float64       // spending that is worth a report, as a part of the budget
+	Horizon  time.Duration // holdings last this long at the present demand
+	Exposure float64       // of what is left of a budget, the part that all nodes together hold at most
+	First    float64       // part of a budget that all nodes together draw before any demand is known
+	Step     float64       // least draw worth a write, as a part of the target
+	Surplus  float64       // a holding this many times its target is given back
+	Report   float64       // spending that is worth a report, as a part of the budget
 }
 
 // DefaultTuning is what measurements led to; docs/design/07-platform.md.
 func DefaultTuning() Tuning {
-	return Tuning{Horizon: 10 * time.Second, First: 0.25, Step: 0.2, Surplus: 3, Report: 0.02}
+	return Tuning{Horizon: 10 * time.Second, Exposure: 0.35, First: 0.1, Step: 0.2, Surplus: 1.5, Report: 0.02}
 }
 
-// target is how many free tokens a node should hold of a budget.
+// target is how many free tokens a node should hold of a budget: what its own
+// demand takes for the horizon, within this node's part of the exposure.
 func (t Tuning) target(k *pocket, nodes int, now time.Time) int64 {
-	first := t.First * float64(k.prepaid) / float64(max(nodes, 1))
-	if !k.demand.known {
-		return int64(first)
+	if !k.demand.known && k.others <= 0 {
+		return int64(t.First * float64(k.prepaid) / float64(max(nodes, 1)))
 	}
-	byDemand := k.demand.rate(now) * t.Horizon.Seconds()
-	return int64(max(byDemand, 2*k.demand.mean, first/4))
+	steady := k.demand.steady(now)
+	all := steady + k.others
+	if all <= 0 {
+		return 0
+	}
+	exposed := t.Exposure * float64(max(k.left, 0)) * steady / all
+	return int64(min(k.demand.rate(now)*t.Horizon.Seconds(), exposed))
 }
 
 // share is how much of a pool one node may draw: what it wants while much is
@@ -49,6 +55,7 @@
 	since      time.Time
 	bucket     float64
 	fast, slow float64
+	weight     float64 // of the slow average that real buckets have filled
 	largest    int64
 	mean       float64 // tokens of a call
 }
@@ -56,7 +63,7 @@
 const (
 	demandBucket = 500 * time.Millisecond
 	fastKeep     = 0.5 // of the fast average for each bucket
-	slowKeep     = 0.93
+	slowKeep     = 0.95
 	meanWeight   = 0.1
 )
 
@@ -83,6 +90,7 @@
 	perSecond := d.bucket / demandBucket.Seconds()
 	d.fast = d.fast*fastKeep + perSecond*(1-fastKeep)
 	d.slow = d.slow*slowKeep + perSecond*(1-slowKeep)
+	d.weight = 1 - (1-d.weight)*math.Pow(slowKeep, float64(n))
 	if n > 1 {
 		d.fast *= math.Pow(fastKeep, float64(n-1))
 		d.slow *= math.Pow(slowKeep, float64(n-1))
@@ -91,8 +99,16 @@
 	d.since = d.since.Add(time.Duration(n) * demandBucket)
 }
 
-// rate is tokens a second.
-func (d *demand) rate(now time.Time) float64 {
+// steady is tokens a second over some seconds.
+func (d *demand) steady(now time.Time) float64 {
 	d.roll(now)
-	return max(d.fast, d.slow, 0)
+	if d.weight == 0 {
+		return 0
+	}
+	return max(d.slow/d.weight, 0)
+}
+
+// rate is tokens a second, with a sudden rise in it at once.
+func (d *demand) rate(now time.Time) float64 {
+	return max(d.steady(now), d.fast)
 }
--- a/fleet/relay/account/purse.go
+++ b/fleet/relay/account/purse.go
@@ -1,6 +1,7 @@
 package account
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -27,9 +28,10 @@
 	reserved int64
 	reported int64
 	demand   demand
-	short    int64 // tokens that reservations lacked since the last proposal
-	left     int64 // of the whole budget by the last book, at most
-	pool     int64 // not drawn by anyone, by the last book
+	short    int64   // tokens that reservations lacked since the last proposal
+	others   float64 // tokens a second that the other nodes are asked for
+	left     int64   // of the whole budget by the last book, at most
+	pool     int64   // not drawn by anyone, by the last book
 }
 
 // busy is what can't be given back, net of tokens that came from peers.
@@ -52,12 +54,17 @@
 	Exhausted        // the whole budget can't hold the request
 )
 
-// Holding is a tenant's state on this node, for logs.
+// Holding is a tenant's state on this node, for logs: tokens, and tokens a second.
 type Holding struct {
-	Tenant                         string
-	Prepaid, Limit, Spent, Reserve int64
-	Pool                           int64
-	Rate                           float64 // tokens a second
+	Tenant   string
+	Prepaid  int64
+	Free     int64 // can be reserved now
+	Reserved int64
+	Pool     int64 // not drawn by anyone, by the last book
+	Left     int64 // of the whole budget at most, by the last book
+	Revision int64 // of that book
+	Rate     float64
+	Others   float64 // rate of the other nodes together
 }
 
 // Budget sets the prepaid budgets in force.
@@ -79,6 +86,10 @@
 	}
 }
 
+func (p *pocket) holding(tenant string, now time.Time) Holding {
+	return Holding{Tenant: tenant, Prepaid: p.prepaid, Free: p.free(), Reserved: p.reserved, Pool: p.pool, Left: p.left, Rate: p.demand.rate(now), Others: p.others}
+}
+
 func (p *Purse) pocket(tenant string) *pocket {
 	k, ok := p.pockets[tenant]
 	if !ok {
@@ -106,6 +117,15 @@
 	return Short
 }
 
+// State tells what decides about a tenant's reservations now.
+func (p *Purse) State(tenant string) Holding {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.pocket(tenant).holding(tenant, time.Now())
+	h.Revision = p.revision
+	return h
+}
+
 // Missing is how many tokens a reservation would lack now.
 func (p *Purse) Missing(tenant string, tokens int64) int64 {
 	p.mu.Lock()
@@ -113,17 +133,15 @@
 	return max(tokens-p.pocket(tenant).free(), 0)
 }
 
-// Give counts tokens out for a peer before they are sent: at least need and at
-// most want, as far as the peer's want leaves this node its half; else nothing.
+// Give counts tokens out for a peer before they are sent: what it needs, or all
+// that is free if that is less, and of what it wants beyond that so much as
+// leaves this node its half.
 func (p *Purse) Give(tenant string, need, want int64) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	k := p.pocket(tenant)
-	free := k.free()
-	if need <= 0 || free < need {
-		return 0
-	}
-	tokens := max(need, min(want, free/2))
+	free := max(k.free(), 0)
+	tokens := min(free, max(need, min(want, free/2)))
 	k.lent += tokens
 	return tokens
 }
@@ -136,17 +154,32 @@
 	p.pocket(tenant).lent -= tokens
 }
 
-// Free lists what this node could give, by tenant.
-func (p *Purse) Free() map[string]int64 {
+// Offer is what a node tells its peers about one budget.
+type Offer struct {
+	Free int64   `json:"f,omitempty"` // tokens that it could give
+	Rate float64 `json:"r,omitempty"` // tokens a second that it is asked for
+}
+
+// Offers lists what this node could give and is asked for, by tenant.
+func (p *Purse) Offers(now time.Time) map[string]Offer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	free := make(map[string]int64, len(p.pockets))
+	offers := make(map[string]Offer, len(p.pockets))
 	for tenant, k := range p.pockets {
-		if k.free() > 0 {
-			free[tenant] = k.free()
+		if o := (Offer{Free: max(k.free(), 0), Rate: math.Round(k.demand.steady(now))}); o != (Offer{}) {
+			offers[tenant] = o
 		}
 	}
-	return free
+	return offers
+}
+
+// Others sets what the other nodes are asked for, in tokens a second by tenant.
+func (p *Purse) Others(rates map[string]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for tenant, k := range p.pockets {
+		k.others = rates[tenant]
+	}
 }
 
 // Settle turns a reservation into what was used of it.
@@ -172,7 +205,7 @@
 	defer p.mu.Unlock()
 	all := make([]Holding, 0, len(p.pockets))
 	for tenant, k := range p.pockets {
-		all = append(all, Holding{Tenant: tenant, Prepaid: k.prepaid, Limit: k.limit, Spent: k.spent, Reserve: k.reserved, Pool: k.pool, Rate: k.demand.rate(now)})
+		all = append(all, k.holding(tenant, now))
 	}
 	slices.SortFunc(all, func(a, b Holding) int { return compare(a.Tenant, b.Tenant) })
 	return all
@@ -263,7 +296,7 @@
 		return drawn + max(p.tuning.share(pool, nodes, target-free), min(k.short, pool))
 	case over(a, k.prepaid) > 0:
 		return max(busy, drawn-over(a, k.prepaid))
-	case float64(free) > p.tuning.Surplus*float64(target) && pool < k.prepaid/4:
+	case float64(free) > p.tuning.Surplus*float64(target) && free-target >= k.demand.typical():
 		return busy + target
 	default:
 		return drawn
@@ -280,6 +313,6 @@
 	}
 	drawn := after.Drawn - before.Drawn
 	free := before.Drawn - k.busy()
-	return drawn > 0 && (k.short > 0 || float64(drawn) > p.tuning.Step*float64(max(free+drawn, 1)) && drawn >= k.demand.typical()) ||
+	return drawn > 0 && (k.short > 0 || float64(drawn) > p.tuning.Step*float64(max(free+drawn, 1)) && drawn >= k.demand.typical()/2) ||
 		float64(after.Spent-before.Spent) > p.tuning.Report*float64(max(k.prepaid, 1))
 }
--- a/fleet/relay/forward/answer.go
+++ b/fleet/relay/forward/answer.go
@@ -26,7 +26,7 @@
 		t.Close(resultOf(ctx), time.Now())
 		j.note = at("body", t, err).Error()
 		j.used = j.reserved
-		if j.route.MayRepeat() && j.mayRepeat(ctx) {
+		if j.mayRunAgain(ctx) {
 			return nil, true
 		}
 		return j.afterFailure(ctx), false
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -53,6 +54,7 @@
 
 	reserved int64
 	used     int64
+	unseen   int64 // output of attempts that may have run and were given up
 	attempts int // endpoints that the call was sent to
 	engine   string
 	note     string // what decided, for the log
@@ -174,8 +176,10 @@
 	}
 	switch answer {
 	case account.Exhausted:
+		j.noteBudget()
 		return refuseBudget, false
 	case account.Short:
+		j.noteBudget()
 		return refuseShort, false
 	case account.Reserved:
 	}
@@ -183,6 +187,27 @@
 	return refusal{}, true
 }
 
+// coverRepeat sets the output of one more attempt aside, since one that was
+// given up may have generated all of its own. The prompt is charged once.
+func (j *job) coverRepeat() bool {
+	if j.reserved == 0 {
+		return true
+	}
+	if j.Purse.Reserve(j.tenant.Name, j.call.OutputMax, time.Now()) != account.Reserved {
+		return false
+	}
+	j.reserved += j.call.OutputMax
+	j.unseen += j.call.OutputMax
+	return true
+}
+
+// noteBudget keeps what decided a refusal, for the log.
+func (j *job) noteBudget() {
+	h := j.Purse.State(j.tenant.Name)
+	j.note = fmt.Sprintf("free %d, reserved %d, pool %d and left %d of %d at accounts revision %d; asked for %.0f a second here, %.0f elsewhere",
+		h.Free, h.Reserved, h.Pool, h.Left, h.Prepaid, h.Revision, h.Rate, h.Others)
+}
+
 // settle gives back what the call did not use.
 func (j *job) settle() {
 	if j.reserved > 0 {
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -93,7 +93,7 @@
 		t.Close(resultOf(ctx), time.Now())
 		j.note = o.err.Error()
 		j.used = j.reserved
-		if j.route.MayRepeat() && j.mayRepeat(ctx) {
+		if j.mayRunAgain(ctx) {
 			return nil, true
 		}
 		return j.afterFailure(ctx), false
@@ -125,6 +125,11 @@
 	return &refuseUnknown
 }
 
+// mayRunAgain is whether a call that may have run may run once more.
+func (j *job) mayRunAgain(ctx context.Context) bool {
+	return j.route.MayRepeat() && j.mayRepeat(ctx) && j.coverRepeat()
+}
+
 // mayRepeat is whether the call may be sent to one more endpoint; true counts it.
 func (j *job) mayRepeat(ctx context.Context) bool {
 	if ctx.Err() != nil || time.Until(j.end) < leastLeft || j.attempts >= max(j.route.Attempts, 1) {
@@ -135,7 +140,7 @@
 
 // answer passes an endpoint's answer on.
 func (j *job) answer(ctx context.Context, t *choice.Ticket, o answered) (*refusal, bool) {
-	if o.resp.StatusCode >= http.StatusInternalServerError && j.route.MayRepeat() && j.mayRepeat(ctx) {
+	if o.resp.StatusCode >= http.StatusInternalServerError && j.mayRunAgain(ctx) {
 		drop(o.resp)
 		t.Close(choice.Bad, time.Now())
 		j.used = j.reserved
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -44,12 +44,12 @@
 	if j.service.Stride <= 0 {
 		return j.reserved
 	}
-	return min(j.reserved, j.call.PromptMax+min(events*j.service.Stride, j.call.OutputMax))
+	return min(j.reserved, j.call.PromptMax+j.unseen+min(events*j.service.Stride, j.call.OutputMax))
 }
 
 // resume takes a broken stream up at another endpoint.
 func (j *job) resume(ctx context.Context, broken *choice.Ticket, s *relayed) (*choice.Ticket, answered, bool) {
-	if !j.route.Resumable || s.caller != nil || !j.mayRepeat(ctx) {
+	if !j.route.Resumable || s.caller != nil || !j.mayRepeat(ctx) || !j.coverRepeat() {
 		return nil, answered{}, false
 	}
 	t, ok := j.pick(map[string]bool{broken.Engine.ID: true})
--- a/fleet/relay/peer/digest.go
+++ b/fleet/relay/peer/digest.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 )
 
@@ -27,7 +28,7 @@
 	Life    string                   `json:"life"`
 	Number  uint64                   `json:"number"` // rises; an older one is dropped
 	Digests map[string]choice.Digest `json:"digests,omitempty"`
-	Free    map[string]int64         `json:"free,omitempty"` // tokens that the node could give
+	Offers  map[string]account.Offer `json:"offers,omitempty"`
 	Ask     *ask                     `json:"ask,omitempty"`
 	Gift    *gift                    `json:"gift,omitempty"`
 }
@@ -78,7 +79,7 @@
 	t.number++
 	m := message{Node: self.Name, Life: self.Life, Number: t.number, Digests: t.picker.Digests()}
 	if t.number%freeEvery == 0 {
-		m.Free = t.loans.purse.Free()
+		m.Offers = t.loans.offers(time.Now())
 	}
 	for _, to := range t.some() {
 		t.send(to.Address, m)
@@ -149,6 +150,6 @@
 	t.heard[m.Node] = heard{life: m.Life, number: m.Number}
 	t.picker.Heard(m.Node, m.Digests, time.Now())
 	if m.Number%freeEvery == 0 {
-		t.loans.told(from, m.Free, time.Now())
+		t.loans.told(from, m.Offers, time.Now())
 	}
 }
--- a/fleet/relay/peer/loan.go
+++ b/fleet/relay/peer/loan.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
 )
 
 // Purse is what loans need of a node's budgets.
@@ -15,14 +17,15 @@
 	Missing(tenant string, tokens int64) int64
 	Give(tenant string, need, want int64) int64
 	Take(tenant string, tokens int64)
-	Free() map[string]int64
+	Offers(now time.Time) map[string]account.Offer
+	Others(rates map[string]float64)
 }
 
 // ask is a node's wish for a peer's tokens. Sent again, it has the same id.
 type ask struct {
 	ID     string `json:"id"`
 	Tenant string `json:"tenant"`
-	Need   int64  `json:"need"` // less is of no use
+	Need   int64  `json:"need"` // given if it is there
 	Want   int64  `json:"want"`
 }
 
@@ -37,8 +40,9 @@
 const (
 	giftTimeout = 30 * time.Millisecond // for one try at a peer
 	giftTries   = 2                     // at a peer, with the same id
-	giftPeers   = 3                     // asked one after another
+	giftPeers   = 6                     // asked one after another
 	freeAge     = 2 * time.Second       // a peer's word on what it could give counts so long
+	rateAge     = 10 * time.Second      // and its word on what it is asked for
 	giftKept    = 10 * time.Second      // answers are repeated, and late gifts taken, so long
 	wantFactor  = 2                     // asked for, as a multiple of the request's tokens
 )
@@ -50,14 +54,14 @@
 	purse Purse
 
 	mu      sync.Mutex
-	free    map[string]offer // by the peer's address
+	offered map[string]offer // by the peer's address
 	asked   map[string]asked // by the ask's id
 	answers map[string]answer
 }
 
 type offer struct {
-	tokens map[string]int64
-	at     time.Time
+	budgets map[string]account.Offer
+	at      time.Time
 }
 
 type asked struct {
@@ -71,14 +75,31 @@
 }
 
 func newLoans(p Purse) *loans {
-	return &loans{purse: p, free: map[string]offer{}, asked: map[string]asked{}, answers: map[string]answer{}}
+	return &loans{purse: p, offered: map[string]offer{}, asked: map[string]asked{}, answers: map[string]answer{}}
 }
 
 // told notes what a peer could give.
-func (l *loans) told(peer string, free map[string]int64, now time.Time) {
+func (l *loans) told(peer string, budgets map[string]account.Offer, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.free[peer] = offer{tokens: free, at: now}
+	l.offered[peer] = offer{budgets: budgets, at: now}
+}
+
+// offers takes stock of what the peers are asked for, and lists this node's own.
+func (l *loans) offers(now time.Time) map[string]account.Offer {
+	l.mu.Lock()
+	rates := map[string]float64{}
+	for _, o := range l.offered {
+		if now.Sub(o.at) > rateAge {
+			continue
+		}
+		for tenant, b := range o.budgets {
+			rates[tenant] += b.Rate
+		}
+	}
+	l.mu.Unlock()
+	l.purse.Others(rates)
+	return l.purse.Offers(now)
 }
 
 // answer gives tokens to a peer; an ask that comes again gets the same answer.
@@ -131,8 +152,8 @@
 		tokens int64
 	}
 	var all []rich
-	for peer, o := range l.free {
-		if tokens := o.tokens[tenant]; tokens >= need && now.Sub(o.at) < freeAge {
+	for peer, o := range l.offered {
+		if tokens := o.budgets[tenant].Free; tokens >= need && now.Sub(o.at) < freeAge {
 			all = append(all, rich{peer: peer, tokens: tokens})
 		}
 	}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -71,7 +71,7 @@
 	n := &Node{settings: s, adapter: a, log: l, metrics: NewMetrics()}
 	life := uuid.NewString()
 	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer}
-	n.purse = account.NewPurse(s.Node, life, account.DefaultTuning())
+	n.purse = account.NewPurse(s.Node, life, s.Budget.Tuning())
 	n.picker = choice.NewPicker(s.Zone, choice.DefaultTuning())
 	n.registry = peer.NewRegistry(a.Store(), self, l)
 	n.keeper = account.NewKeeper(a.Store(), n.purse, n.registry.Count, l)
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -7,21 +7,24 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
 )
 
 // Settings of one relaying node: JSON with comments. Fields that are not known
 // are passed over, so that an older node reads a newer file.
 type Settings struct {
-	Node     string        `json:"node"`     // the VM's name, unlike every other
-	Zone     string        `json:"zone"`     // its availability zone
-	Listen   string        `json:"listen"`   // where callers connect, IP:PORT
-	Ready    ReadySettings `json:"ready"`    // what the balancer asks
-	Peer     string        `json:"peer"`     // for datagrams between nodes, IP:PORT
-	Store    string        `json:"store"`    // the platform's store, IP:PORT
-	MemoryMB int           `json:"memoryMB"` // what the process may use; 0 is no bound
-	DrainMs  int           `json:"drainMs"`  // how long a planned stop may take
-	Retry    RetrySettings `json:"retry"`    // the fleet's bound on what is sent again
-	LogLevel string        `json:"logLevel"` // debug, info, warn or error
+	Node     string         `json:"node"`     // the VM's name, unlike every other
+	Zone     string         `json:"zone"`     // its availability zone
+	Listen   string         `json:"listen"`   // where callers connect, IP:PORT
+	Ready    ReadySettings  `json:"ready"`    // what the balancer asks
+	Peer     string         `json:"peer"`     // for datagrams between nodes, IP:PORT
+	Store    string         `json:"store"`    // the platform's store, IP:PORT
+	MemoryMB int            `json:"memoryMB"` // what the process may use; 0 is no bound
+	DrainMs  int            `json:"drainMs"`  // how long a planned stop may take
+	Retry    RetrySettings  `json:"retry"`    // the fleet's bound on what is sent again
+	Budget   BudgetSettings `json:"budget"`   // how much of the budgets a node holds
+	LogLevel string         `json:"logLevel"` // debug, info, warn or error
 }
 
 // ReadySettings say where a node answers whether it is ready.
@@ -37,6 +40,28 @@
 	WindowS float64 `json:"windowS"` // seconds over which both are counted
 }
 
+// BudgetSettings say how much of the budgets the nodes hold; 0 is the default.
+type BudgetSettings struct {
+	HorizonS float64 `json:"horizonS"` // seconds that holdings last at the present demand
+	Exposure float64 `json:"exposure"` // of what is left of a budget, the part held at most
+	First    float64 `json:"first"`    // part of a budget held before any demand is known
+}
+
+// Tuning fills in the defaults.
+func (b BudgetSettings) Tuning() account.Tuning {
+	t := account.DefaultTuning()
+	if b.HorizonS > 0 {
+		t.Horizon = time.Duration(b.HorizonS * float64(time.Second))
+	}
+	if b.Exposure > 0 {
+		t.Exposure = b.Exposure
+	}
+	if b.First > 0 {
+		t.First = b.First
+	}
+	return t
+}
+
 // DefaultSettings hold where the file says nothing.
 func DefaultSettings() Settings {
 	return Settings{
