Charge a tenant what its caller received

Ruled out: that lost runs count. Change: nothing for a call of which no event was passed on; else the prompt and the events passed on, each counted full.

--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/keeper.go
@@ -200,5 +200,22 @@
 			pools[h.Tenant] = next.Account(h.Tenant).Pool(h.Prepaid)
 		}
 	}
+	if lost := k.lost(next); len(lost) > 0 {
+		k.log.WithField("revision", k.revision).WithField("tokens", lost).Warn("accounts: an earlier life of this node ended with tokens that it had drawn and not reported as spent")
+	}
 	k.log.WithField("revision", k.revision).WithField("tokens", moves).WithField("pools", pools).Info("accounts: asking")
 }
+
+// lost lists, by tenant, what rows that the next book closes had drawn beyond
+// what they had reported as spent.
+func (k *Keeper) lost(next Book) map[string]int64 {
+	lost := map[string]int64{}
+	for _, after := range next.Accounts {
+		before := k.book.Account(after.Tenant)
+		tokens := (after.ClosedDrawn - after.ClosedSpent) - (before.ClosedDrawn - before.ClosedSpent)
+		if tokens > 0 {
+			lost[after.Tenant] = tokens
+		}
+	}
+	return lost
+}
--- a/fleet/relay/forward/answer.go
+++ b/fleet/relay/forward/answer.go
@@ -25,14 +25,15 @@
 	if err != nil {
 		t.Close(resultOf(ctx), time.Now())
 		j.note = at("body", t, err).Error()
-		j.used = j.reserved
 		if j.mayRunAgain(ctx) {
 			return nil, true
 		}
 		return j.afterFailure(ctx), false
 	}
 	t.Close(resultOfStatus(o.resp.StatusCode), time.Now())
-	j.used = j.reserved
+	if o.resp.StatusCode < http.StatusBadRequest {
+		j.used = j.reserved
+	}
 	j.Wire.Answer(j.w.Header(), o.resp)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	j.w.WriteHeader(o.resp.StatusCode)
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -53,9 +53,8 @@
 	end     time.Time // the caller's deadline or the route's timeout, the earlier
 
 	reserved int64
-	used     int64
-	unseen   int64 // output of attempts that may have run and were given up
-	attempts int // endpoints that the call was sent to
+	used     int64 // of it, what the caller received
+	attempts int   // endpoints that the call was sent to
 	engine   string
 	note     string // what decided, for the log
 }
@@ -187,20 +186,6 @@
 	return refusal{}, true
 }
 
-// coverRepeat sets the output of one more attempt aside, since one that was
-// given up may have generated all of its own. The prompt is charged once.
-func (j *job) coverRepeat() bool {
-	if j.reserved == 0 {
-		return true
-	}
-	if j.Purse.Reserve(j.tenant.Name, j.call.OutputMax, time.Now()) != account.Reserved {
-		return false
-	}
-	j.reserved += j.call.OutputMax
-	j.unseen += j.call.OutputMax
-	return true
-}
-
 // noteBudget keeps what decided a refusal, for the log.
 func (j *job) noteBudget() {
 	h := j.Purse.State(j.tenant.Name)
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -56,6 +56,7 @@
 	refuseNoEngine  = refusal{http.StatusServiceUnavailable, "no-endpoint", 300 * time.Millisecond}
 	refuseFull      = refusal{http.StatusServiceUnavailable, "endpoints-full", 200 * time.Millisecond}
 	refuseUnknown   = refusal{http.StatusBadGateway, "endpoint-failed", 0}
+	refuseLeft      = refusal{http.StatusBadGateway, "caller-left", 0} // nobody reads it
 	refuseTimedOut  = refusal{http.StatusGatewayTimeout, "timed-out", 0}
 	refuseUnstarted = refusal{http.StatusServiceUnavailable, "not-sent-in-time", 200 * time.Millisecond}
 )
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -92,7 +92,6 @@
 	case failed:
 		t.Close(resultOf(ctx), time.Now())
 		j.note = o.err.Error()
-		j.used = j.reserved
 		if j.mayRunAgain(ctx) {
 			return nil, true
 		}
@@ -119,6 +118,9 @@
 }
 
 func (j *job) afterFailure(ctx context.Context) *refusal {
+	if j.r.Context().Err() != nil {
+		return &refuseLeft
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &refuseTimedOut
 	}
@@ -127,7 +129,7 @@
 
 // mayRunAgain is whether a call that may have run may run once more.
 func (j *job) mayRunAgain(ctx context.Context) bool {
-	return j.route.MayRepeat() && j.mayRepeat(ctx) && j.coverRepeat()
+	return j.route.MayRepeat() && j.mayRepeat(ctx)
 }
 
 // mayRepeat is whether the call may be sent to one more endpoint; true counts it.
@@ -143,7 +145,6 @@
 	if o.resp.StatusCode >= http.StatusInternalServerError && j.mayRunAgain(ctx) {
 		drop(o.resp)
 		t.Close(choice.Bad, time.Now())
-		j.used = j.reserved
 		return nil, true
 	}
 	if isStream(o.resp) {
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -30,7 +30,7 @@
 		j.note = at("stream", t, err).Error()
 		next, out, ok := j.resume(ctx, t, s)
 		if !ok {
-			j.used = j.reserved
+			j.used = j.charge(s.events)
 			j.finish("broken-off", o.resp.StatusCode)
 			panic(http.ErrAbortHandler)
 		}
@@ -38,18 +38,22 @@
 	}
 }
 
-// charge is what a stream that came to its end cost: every event is counted
-// full, since how full the last one was is not said.
+// charge is what a stream cost: the prompt, and the events that were passed on.
+// Each is counted full, since how full the last one was is not said. What an
+// endpoint generated and the caller never got is not the caller's to pay.
 func (j *job) charge(events int64) int64 {
+	if events == 0 {
+		return 0
+	}
 	if j.service.Stride <= 0 {
 		return j.reserved
 	}
-	return min(j.reserved, j.call.PromptMax+j.unseen+min(events*j.service.Stride, j.call.OutputMax))
+	return min(j.reserved, j.call.PromptMax+min(events*j.service.Stride, j.call.OutputMax))
 }
 
 // resume takes a broken stream up at another endpoint.
 func (j *job) resume(ctx context.Context, broken *choice.Ticket, s *relayed) (*choice.Ticket, answered, bool) {
-	if !j.route.Resumable || s.caller != nil || !j.mayRepeat(ctx) || !j.coverRepeat() {
+	if !j.route.Resumable || s.caller != nil || !j.mayRepeat(ctx) {
 		return nil, answered{}, false
 	}
 	t, ok := j.pick(map[string]bool{broken.Engine.ID: true})
