--- a/fleet/relay/account/purse.go
+++ b/fleet/relay/account/purse.go
@@ -27,6 +27,7 @@
 	spent    int64
 	reserved int64
 	reported int64
+	closed   bool // this life's row was closed, or may be: nothing can be spent any more
 	demand   demand
 	short    int64   // tokens that reservations lacked since the last proposal
 	others   float64 // tokens a second that the other nodes are asked for
@@ -37,7 +38,12 @@
 // busy is what can't be given back, net of tokens that came from peers.
 func (p *pocket) busy() int64 { return p.spent + p.reserved + p.lent }
 
-func (p *pocket) free() int64 { return p.limit - p.busy() }
+func (p *pocket) free() int64 {
+	if p.closed {
+		return 0
+	}
+	return p.limit - p.busy()
+}
 
 // NewPurse returns the empty purse of one life of a node.
 func NewPurse(node, life string, t Tuning) *Purse {
@@ -251,17 +257,21 @@
 		k := p.pockets[tenant]
 		a := b.Account(tenant).WithClosed(p.isEarlierLife)
 		before, known := a.Row(p.life)
+		if k.closed && !known {
+			continue
+		}
 		after := Row{Node: p.node, Life: p.life, Spent: k.spent}
 		after.Drawn = p.wanted(k, a, before.Drawn, nodes, now, leaving)
 		matters := p.matters(k, before, after)
 		k.short = 0
-		if after == before || (!known && after.Drawn == 0) {
+		if after == before && !leaving || !known && after.Drawn == 0 {
 			continue
 		}
 		worth = worth || matters
 		k.limit = min(k.limit, after.Drawn)
 		a = a.WithRow(after)
 		if leaving && k.reserved == 0 {
+			k.closed = true
 			a = a.WithClosed(func(r Row) bool { return r.Life == p.life })
 		}
 		b = b.WithAccount(a)
