Test forwarding against scripted endpoints

Faults of an attempt, streams broken and resumed, what a tenant is charged, the caller's leaving, the planned stop, and a kept connection that dies under a call.

--- /dev/null
+++ b/fleet/relay/forward/harness_test.go
@@ -0,0 +1,269 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/forward"
+	"github.com/lynxshed/lynxshed/fleet/relay/policy"
+	"github.com/lynxshed/lynxshed/fleet/relay/retry"
+)
+
+// plainWire is the least wire that the relay can speak.
+type plainWire struct{}
+
+func (plainWire) Parse(r *http.Request) (call.Call, error) {
+	c := call.Call{ID: r.Header.Get("Call"), Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last")}
+	deadline, _ := strconv.Atoi(r.Header.Get("Deadline"))
+	c.Deadline = time.Duration(deadline) * time.Millisecond
+	c.PromptMax, _ = strconv.ParseInt(r.Header.Get("Prompt"), 10, 64)
+	c.OutputMax, _ = strconv.ParseInt(r.Header.Get("Output"), 10, 64)
+	return c, nil
+}
+
+func (plainWire) Prepare(from http.Header, c call.Call, s call.Send) http.Header {
+	to := http.Header{}
+	to.Set("Call", c.ID)
+	to.Set("Tenant", s.Tenant)
+	to.Set("Instance", s.Instance)
+	to.Set("Left", strconv.FormatInt(s.Left.Milliseconds(), 10))
+	if s.LastEventID != "" {
+		to.Set("Last", s.LastEventID)
+	}
+	return to
+}
+
+func (plainWire) Judge(resp *http.Response) call.Verdict {
+	return call.Verdict{CallID: resp.Header.Get("Call"), NotExecuted: resp.Header.Get("Not-Run") != "", Moved: resp.StatusCode == http.StatusMisdirectedRequest}
+}
+
+func (plainWire) Answer(to http.Header, resp *http.Response) {
+	to.Set("Content-Type", resp.Header.Get("Content-Type"))
+	to.Set("Seal", resp.Header.Get("Seal"))
+}
+
+func (plainWire) Refuse(to http.Header, c call.Call) { to.Set("Call", c.ID) }
+
+// noMetrics counts nothing.
+type noMetrics struct{}
+
+func (noMetrics) Finished(string, string, time.Duration) {}
+func (noMetrics) FirstEvent(string, time.Duration)       {}
+
+// noLender has nothing to lend.
+type noLender struct{}
+
+func (noLender) Borrow(context.Context, string, int64) bool { return false }
+
+// run is one call as an endpoint saw it.
+type run struct {
+	engine string
+	method string
+	uri    string
+	body   string
+	header http.Header
+}
+
+// fleet is one handler before some endpoints that a test scripts.
+type fleet struct {
+	*httptest.Server
+	handler *forward.Handler
+	purse   *account.Purse
+	policy  policy.Policy
+
+	mu   sync.Mutex
+	runs []run
+	left atomic.Int32 // endpoints that felt the caller leave
+}
+
+// script is what an endpoint does with a call; it returns for "answered".
+type script func(f *fleet, w http.ResponseWriter, r *http.Request)
+
+// routes of every test: what may run once, what may be repeated, and streams.
+func testPolicy() policy.Policy {
+	split := func(s string) []policy.Split { return []policy.Split{{Service: s, Weight: 1}} }
+	return policy.Policy{
+		Version: 7, Keyed: true,
+		Routes: []policy.Route{
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: policy.Once, Attempts: 2, Splits: split("s")},
+			{Name: "repeat", Host: "h", Prefix: "/repeat/", Kind: policy.Repeatable, Attempts: 2, Splits: split("s")},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: policy.Streaming, Attempts: 1, Splits: split("s"), PrefixPart: true},
+			{Name: "resume", Host: "h", Prefix: "/resume/", Kind: policy.Streaming, Resumable: true, Attempts: 2, Splits: split("s")},
+			{Name: "single", Host: "h", Prefix: "/single/", Kind: policy.Once, Attempts: 1, Splits: split("s")},
+			{Name: "brief", Host: "h", Prefix: "/brief/", Kind: policy.Once, Attempts: 1, Timeout: 150 * time.Millisecond, Splits: split("s")},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: policy.Once, Public: true, Attempts: 1, Splits: split("s")},
+			{Name: "empty", Host: "h", Prefix: "/empty/", Kind: policy.Once, Attempts: 1, Splits: split("nowhere")},
+		},
+		Services: []policy.Service{{Name: "s", MaxConnections: 100, Stride: 3}},
+		Tenants:  []policy.Tenant{{Name: "t", Keys: []string{"k"}, Prepaid: 1000, HasPrepaid: true}},
+		Limits:   policy.Limits{BodyBytes: 1 << 10},
+	}
+}
+
+// newFleet starts a handler before one endpoint for each script.
+func newFleet(t *testing.T, held int64, scripts ...script) *fleet {
+	t.Helper()
+	f := &fleet{policy: testPolicy(), purse: account.NewPurse("n", "n/1", account.DefaultTuning())}
+	f.purse.Budget(map[string]int64{"t": 1000})
+	f.purse.Saw(account.Book{Accounts: []account.Account{{Tenant: "t", Rows: []account.Row{{Node: "n", Life: "n/1", Drawn: held}}}}}, 1)
+	var engines []engine.Engine
+	for i, s := range scripts {
+		engines = append(engines, f.startEngine(t, "e"+strconv.Itoa(i), s))
+	}
+	f.start(t, engines)
+	return f
+}
+
+func (f *fleet) startEngine(t *testing.T, id string, s script) engine.Engine {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		f.mu.Lock()
+		f.runs = append(f.runs, run{engine: id, method: r.Method, uri: r.RequestURI, body: string(body), header: r.Header.Clone()})
+		f.mu.Unlock()
+		s(f, w, r)
+	}))
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	return engine.Engine{ID: id, Service: "s", Address: server.Listener.Addr().String(), Slots: 8}
+}
+
+func (f *fleet) start(t *testing.T, engines []engine.Engine) {
+	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	one := func() int { return 1 }
+	var p atomic.Pointer[policy.Policy]
+	var d atomic.Pointer[engine.Directory]
+	p.Store(f.policy.Indexed())
+	d.Store(engine.NewDirectory(1, engines))
+	f.handler = forward.New(forward.Options{
+		Node: "n", Wire: plainWire{}, Policy: &p, Engines: &d, Purse: f.purse, Lender: noLender{},
+		Picker:  choice.NewPicker("z", choice.DefaultTuning()),
+		Retries: retry.NewBudget(retry.Rule{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one),
+		Nodes:   one, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
+	})
+	f.Server = httptest.NewServer(f.handler)
+	t.Cleanup(f.Server.Close)
+}
+
+func (f *fleet) seen() []run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]run(nil), f.runs...)
+}
+
+// request builds a caller's call.
+func (f *fleet) request(t *testing.T, method, path, body string, header ...string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(method, f.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set("Call", "c1")
+	req.Header.Set("Key", "k")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return req
+}
+
+// answer is what a caller got; err where it was not whole.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (f *fleet) do(t *testing.T, req *http.Request) answer {
+	t.Helper()
+	resp, err := f.Client().Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// The scripts.
+
+func good(body string) script {
+	return func(_ *fleet, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Call", r.Header.Get("Call"))
+		w.Header().Set("Seal", "seal")
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func status(code int, notRun bool) script {
+	return func(_ *fleet, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Call", r.Header.Get("Call"))
+		if notRun {
+			w.Header().Set("Not-Run", "1")
+		}
+		w.WriteHeader(code)
+	}
+}
+
+func reset(_ *fleet, w http.ResponseWriter, _ *http.Request) {
+	connection, _, _ := w.(http.Hijacker).Hijack()
+	_ = connection.(*net.TCPConn).SetLinger(0)
+	_ = connection.Close()
+}
+
+func foreign(_ *fleet, w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Call", "another")
+	_, _ = io.WriteString(w, "not yours")
+}
+
+func truncated(_ *fleet, w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Call", r.Header.Get("Call"))
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "half")
+}
+
+// hang waits until the caller is gone.
+func hang(f *fleet, _ http.ResponseWriter, r *http.Request) {
+	<-r.Context().Done()
+	f.left.Add(1)
+}
+
+// events streams events from..to-1 and then ends well or breaks off.
+func events(from, to int, whole bool) script {
+	return func(_ *fleet, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Call", r.Header.Get("Call"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := from; i < to; i++ {
+			_, _ = io.WriteString(w, "id: "+strconv.Itoa(i)+"\ndata: x\n\n")
+			w.(http.Flusher).Flush()
+		}
+		if !whole {
+			_, _ = io.WriteString(w, "id: ")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// eventsThenHang streams and then waits for the caller to leave.
+func eventsThenHang(n int) script {
+	return func(f *fleet, w http.ResponseWriter, r *http.Request) {
+		events(0, n, true)(f, w, r)
+		hang(f, w, r)
+	}
+}
