Test the store's client, the wire, choice, retries and loans; choose among samples at scale

Change: hashes of ids are kept, homes found by mixing them, and among more than 36 endpoints the home and 24 drawn by the call's id are compared. A gift is never below nothing. Figures: see the benchmark in fleet/relay/choice.

--- a/fleet/relay/account/purse.go
+++ b/fleet/relay/account/purse.go
@@ -147,7 +147,7 @@
 	defer p.mu.Unlock()
 	k := p.pocket(tenant)
 	free := max(k.free(), 0)
-	tokens := min(free, max(need, min(want, free/2)))
+	tokens := max(min(free, max(need, min(want, free/2))), 0)
 	k.lent += tokens
 	return tokens
 }
--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -4,6 +4,8 @@
 package choice
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -115,8 +117,9 @@
 	var best Ticket
 	bestRank := uint64(0)
 	found := false
-	homes := p.homes(a)
-	for _, e := range a.Engines {
+	key := xxhash.Sum64String(a.Call.ID)
+	home := p.home(a)
+	for _, e := range candidates(a, home, key) {
 		if e.State != engine.Ready || a.Exclude[e.ID] {
 			continue
 		}
@@ -124,8 +127,8 @@
 		if s.inFlight >= a.Cap || (!suspects && a.Now.Before(s.suspected)) {
 			continue
 		}
-		t := p.expect(a, e, s, homes)
-		rank := xxhash.Sum64String(a.Call.ID + e.ID)
+		t := p.expect(a, e, s, home)
+		rank := mix(key ^ e.Hash)
 		if !found || t.Expect < best.Expect || t.Expect == best.Expect && rank > bestRank {
 			best, bestRank, found = t, rank, true
 		}
@@ -133,7 +136,35 @@
 	return best, found
 }
 
-func (p *Picker) expect(a Ask, e engine.Engine, s *state, homes []string) Ticket {
+// sample is how many endpoints are compared where there are many: the home of
+// the prompt's parts, and others drawn by the call's id.
+const sample = 24
+
+func candidates(a Ask, home string, key uint64) []engine.Engine {
+	if len(a.Engines) <= sample+sample/2 {
+		return a.Engines
+	}
+	some := make([]engine.Engine, 0, sample+1)
+	for i := range sample {
+		some = append(some, a.Engines[mix(key+uint64(i))%uint64(len(a.Engines))])
+	}
+	at, ok := slices.BinarySearchFunc(a.Engines, home, func(e engine.Engine, id string) int { return strings.Compare(e.ID, id) })
+	if ok {
+		some = append(some, a.Engines[at])
+	}
+	return some
+}
+
+// mix spreads a hash (the finalizer of splitmix64).
+func mix(h uint64) uint64 {
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+func (p *Picker) expect(a Ask, e engine.Engine, s *state, home string) Ticket {
 	t := Ticket{Engine: e, picker: p}
 	inFlight, waiting := s.total(a.Now)
 	if e.Zone != p.zone {
@@ -144,12 +175,13 @@
 		return t
 	}
 	read, believed := a.Call.PromptMax, 0.0
+	shared := len(a.Call.Parts) - 1 // the last part is the call's own
 	for i, part := range a.Call.Parts {
 		if s.memory.has(part.ID) {
 			read -= part.Tokens
 			continue
 		}
-		if i < len(homes) && homes[i] == e.ID {
+		if i < shared && home == e.ID {
 			believed += p.tuning.HomeBelief * float64(part.Tokens)
 			continue
 		}
@@ -171,28 +203,17 @@
 	return max(s.slow, 1) * (full + 1) / slots * 10
 }
 
-// homes names the endpoint where each shared part of the prompt lies, by
-// rendezvous hashing, so that every node agrees without a word.
-func (p *Picker) homes(a Ask) []string {
+// home names the endpoint where the shared parts of the prompt lie, by
+// rendezvous hashing of the deepest one, so that every node agrees unasked.
+func (p *Picker) home(a Ask) string {
 	if !a.Tokens || len(a.Call.Parts) < 2 {
-		return nil
-	}
-	shared := a.Call.Parts[:len(a.Call.Parts)-1]
-	home := rendezvous(shared[len(shared)-1].ID, a)
-	homes := make([]string, len(shared))
-	for i := range shared {
-		homes[i] = home
+		return ""
 	}
-	return homes
-}
-
-func rendezvous(key string, a Ask) string {
+	key := xxhash.Sum64String(a.Call.Parts[len(a.Call.Parts)-2].ID)
 	best, score := "", uint64(0)
-	for _, e := range a.Engines {
-		if e.State != engine.Ready {
-			continue
-		}
-		if h := xxhash.Sum64String(key + "\x00" + e.ID); best == "" || h > score {
+	for i := range a.Engines {
+		e := &a.Engines[i]
+		if h := mix(key ^ e.Hash); e.State == engine.Ready && (best == "" || h > score) {
 			best, score = e.ID, h
 		}
 	}
--- /dev/null
+++ b/fleet/relay/choice/choice_test.go
@@ -0,0 +1,163 @@
+package choice_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+)
+
+func engines(n int) []engine.Engine {
+	all := make([]engine.Engine, 0, n)
+	for i := range n {
+		all = append(all, engine.Engine{ID: fmt.Sprint("e", i), Zone: fmt.Sprint("z", i%4), Slots: 8})
+	}
+	return engine.NewDirectory(1, withService(all)).Of("s")
+}
+
+func withService(all []engine.Engine) []engine.Engine {
+	for i := range all {
+		all[i].Service = "s"
+	}
+	return all
+}
+
+func prompt(id, session string) call.Call {
+	return call.Call{ID: id, PromptMax: 9000, OutputMax: 50, Parts: []call.Part{{ID: "system", Tokens: 2500}, {ID: session, Tokens: 3500}, {ID: id, Tokens: 3000}}}
+}
+
+func ask(c call.Call, all []engine.Engine, now time.Time) choice.Ask {
+	return choice.Ask{Call: c, Engines: all, Tokens: true, Capacity: 400_000, Cap: 40, Now: now}
+}
+
+func TestSessionsStayWhereTheirPartsAre(t *testing.T) {
+	now := time.Now()
+	all := engines(9)
+	// Two nodes that never spoke send a session to the same endpoint.
+	one, two := choice.NewPicker("z0", choice.DefaultTuning()), choice.NewPicker("z3", choice.DefaultTuning())
+	for i := range 20 {
+		session := fmt.Sprint("session-", i)
+		first, ok := one.Pick(ask(prompt(fmt.Sprint("a", i), session), all, now))
+		require.True(t, ok)
+		first.First()
+		second, ok := two.Pick(ask(prompt(fmt.Sprint("b", i), session), all, now))
+		require.True(t, ok)
+		second.First()
+		assert.Equal(t, first.Engine.ID, second.Engine.ID)
+		first.Close(choice.Good, now)
+		second.Close(choice.Good, now)
+	}
+}
+
+func TestHotSessionSpreadsUnderLoad(t *testing.T) {
+	now := time.Now()
+	p := choice.NewPicker("z0", choice.DefaultTuning())
+	used := map[string]int{}
+	for i := range 40 {
+		ticket, ok := p.Pick(ask(prompt(fmt.Sprint("c", i), "hot"), engines(9), now))
+		require.True(t, ok)
+		used[ticket.Engine.ID]++
+	}
+	assert.Greater(t, len(used), 3, "forty prompts at once do not wait at one endpoint: %v", used)
+}
+
+func TestNoNewWork(t *testing.T) {
+	now := time.Now()
+	all := engines(2)
+	cases := []struct {
+		name string
+		ask  func(p *choice.Picker) choice.Ask
+		want string // "" is none
+	}{
+		{"draining endpoints", func(*choice.Picker) choice.Ask {
+			drained := engines(2)
+			drained[0].State = engine.Draining
+			return ask(prompt("a", "s"), drained, now)
+		}, "e1"},
+		{"endpoints already tried", func(*choice.Picker) choice.Ask {
+			a := ask(prompt("a", "s"), all, now)
+			a.Exclude = map[string]bool{"e1": true}
+			return a
+		}, "e0"},
+		{"none left", func(*choice.Picker) choice.Ask {
+			a := ask(prompt("a", "s"), all, now)
+			a.Exclude = map[string]bool{"e0": true, "e1": true}
+			return a
+		}, ""},
+		{"none at all", func(*choice.Picker) choice.Ask { return ask(prompt("a", "s"), nil, now) }, ""},
+		{"endpoints at this node's bound", func(p *choice.Picker) choice.Ask {
+			a := ask(prompt("a", "s"), all, now)
+			a.Cap = 1
+			for range 2 {
+				_, ok := p.Pick(a)
+				require.True(t, ok)
+			}
+			return a
+		}, ""},
+		{"an endpoint that failed", func(p *choice.Picker) choice.Ask {
+			a := ask(prompt("a", "s"), all, now)
+			a.Exclude = map[string]bool{"e1": true}
+			ticket, _ := p.Pick(a)
+			ticket.Close(choice.Bad, now)
+			return ask(prompt("b", "s"), all, now)
+		}, "e1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := choice.NewPicker("z0", choice.DefaultTuning())
+			ticket, ok := p.Pick(c.ask(p))
+			assert.Equal(t, c.want != "", ok)
+			if ok {
+				assert.Equal(t, c.want, ticket.Engine.ID)
+			}
+		})
+	}
+}
+
+func TestSuspectsServeWhereNothingElseIsLeft(t *testing.T) {
+	now := time.Now()
+	p := choice.NewPicker("z0", choice.DefaultTuning())
+	a := ask(prompt("a", "s"), engines(1), now)
+	ticket, _ := p.Pick(a)
+	ticket.Close(choice.Bad, now)
+	_, ok := p.Pick(a)
+	assert.True(t, ok)
+}
+
+func TestPeersWordCountsWhileItIsFresh(t *testing.T) {
+	now := time.Now()
+	all := engines(2)
+	p := choice.NewPicker("z", choice.DefaultTuning())
+	home, _ := p.Pick(ask(prompt("a", "s"), all, now))
+	home.First()
+	home.Close(choice.Good, now)
+	p.Heard("peer", map[string]choice.Digest{home.Engine.ID: {InFlight: 5, Waiting: 40_000}}, now)
+	away, _ := p.Pick(ask(prompt("b", "s"), all, now))
+	assert.NotEqual(t, home.Engine.ID, away.Engine.ID)
+	old := choice.NewPicker("z", choice.DefaultTuning())
+	old.Heard("peer", map[string]choice.Digest{home.Engine.ID: {InFlight: 5, Waiting: 40_000}}, now.Add(-3*time.Second))
+	back, _ := old.Pick(ask(prompt("c", "s"), all, now))
+	assert.Equal(t, home.Engine.ID, back.Engine.ID, "an old word says nothing")
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n, "-engines"), func(b *testing.B) {
+			p := choice.NewPicker("z0", choice.DefaultTuning())
+			all := engines(n)
+			now := time.Now()
+			b.ReportAllocs()
+			for i := range b.N {
+				ticket, _ := p.Pick(ask(prompt(fmt.Sprint(i%500), fmt.Sprint("s", i%50)), all, now))
+				ticket.First()
+				ticket.Close(choice.Good, now)
+			}
+		})
+	}
+}
--- a/fleet/relay/engine/engine.go
+++ b/fleet/relay/engine/engine.go
@@ -5,6 +5,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State is what an endpoint says of itself.
@@ -24,6 +26,7 @@
 	Zone    string
 	Slots   int
 	State   State
+	Hash    uint64 // of the id, for placement; a directory fills it in
 }
 
 // Directory is an immutable set of endpoints.
@@ -39,6 +42,7 @@
 	sorted := slices.Clone(engines)
 	slices.SortFunc(sorted, func(a, b Engine) int { return strings.Compare(a.ID, b.ID) })
 	for _, e := range sorted {
+		e.Hash = xxhash.Sum64String(e.ID)
 		d.byID[e.ID] = e
 		d.byService[e.Service] = append(d.byService[e.Service], e)
 	}
--- a/fleet/relay/forward/forward_test.go
+++ b/fleet/relay/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,9 +111,9 @@
 	cases := []struct{ name, method, body string }{{"get without body", "GET", ""}, {"post", "POST", "b"}}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			served := 0
+			var served atomic.Int32
 			f := newFleet(t, 1000, func(f *fleet, w http.ResponseWriter, r *http.Request) {
-				if served++; served == 1 {
+				if served.Add(1) == 1 {
 					good("warm")(f, w, r)
 					return
 				}
--- /dev/null
+++ b/fleet/relay/store/follow_test.go
@@ -0,0 +1,90 @@
+package store_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// scripted is a store that answers lists and watches in turn.
+type scripted struct {
+	store.Store
+	mu    sync.Mutex
+	steps []answer
+	calls []string
+	done  context.CancelFunc
+}
+
+type answer struct {
+	objects []store.Object
+	events  []store.Event
+	at      int64
+	err     error
+}
+
+func (s *scripted) next(call string) answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.steps) == 0 {
+		s.done()
+		return answer{err: context.Canceled}
+	}
+	s.calls = append(s.calls, call)
+	a := s.steps[0]
+	s.steps = s.steps[1:]
+	return a
+}
+
+func (s *scripted) List(context.Context, string) ([]store.Object, int64, error) {
+	a := s.next("list")
+	return a.objects, a.at, a.err
+}
+
+func (s *scripted) Watch(_ context.Context, _ string, since int64, _ time.Duration) ([]store.Event, int64, error) {
+	a := s.next("watch")
+	return a.events, a.at, a.err
+}
+
+func TestFollow(t *testing.T) {
+	lost := errors.New("lost")
+	cases := []struct {
+		name  string
+		steps []answer
+		calls []string
+		seen  []string
+	}{
+		{"list, then watch", []answer{{at: 5}, {at: 6}, {at: 7}}, []string{"list", "watch", "watch"}, []string{"snapshot 5", "update 6", "update 7"}},
+		{"history is gone", []answer{{at: 5}, {err: store.ErrCompacted}, {at: 9}}, []string{"list", "watch", "list"}, []string{"snapshot 5", "snapshot 9"}},
+		{"an older list is dropped", []answer{{at: 5}, {err: store.ErrCompacted}, {at: 4}, {at: 6}}, []string{"list", "watch", "list", "list"}, []string{"snapshot 5", "lost", "snapshot 6"}},
+		{"a watch that goes back is dropped", []answer{{at: 5}, {at: 3}, {at: 6}}, []string{"list", "watch", "watch"}, []string{"snapshot 5", "lost", "update 6"}},
+		{"lost is told once", []answer{{err: lost}, {err: lost}, {at: 5}}, []string{"list", "list", "list"}, []string{"lost", "snapshot 5"}},
+		{"a lost watch goes on from where it was", []answer{{at: 5}, {err: lost}, {at: 6}}, []string{"list", "watch", "watch"}, []string{"snapshot 5", "lost", "update 6"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &scripted{steps: c.steps, done: cancel}
+			var seen []string
+			store.Follow(ctx, s, "kind", func(change store.Change) { seen = append(seen, describe(change)) })
+			assert.Equal(t, c.calls, s.calls)
+			assert.Equal(t, c.seen, seen)
+		})
+	}
+}
+
+func describe(c store.Change) string {
+	switch c := c.(type) {
+	case store.Snapshot:
+		return "snapshot " + string(rune('0'+c.Revision))
+	case store.Update:
+		return "update " + string(rune('0'+c.Revision))
+	default:
+		return "lost"
+	}
+}
