--- /dev/null
+++ b/ctl/command/story.go
@@ -0,0 +1,77 @@
+package command
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"github.com/lynxshed/lynxshed/ctl/story"
+)
+
+func (a *app) storyCommand() *flaggy.Subcommand {
+	c := flaggy.NewSubcommand("story")
+	c.Description = "what happened to one call, from the logs of relaying nodes"
+	c.AddPositionalValue(&a.flags.first, "request-id", 1, true, "the call's id")
+	c.StringSlice(&a.flags.logs, "f", "file", "a log file; may be given more than once; standard input where none is")
+	return c
+}
+
+func (a *app) story() error {
+	lines, err := a.readLogs()
+	if err != nil {
+		return err
+	}
+	told := story.Tell(lines, a.flags.first)
+	if len(told) == 0 {
+		return errors.Newf("no line tells of call %s", a.flags.first)
+	}
+	cells := make([][]string, 0, len(told))
+	for _, l := range told {
+		cells = append(cells, []string{l.Time.Format(time.RFC3339Nano), l.Node(), l.Message, fieldsOf(l)})
+	}
+	return a.print(told, []string{"AT", "NODE", "WHAT", "WITH"}, cells)
+}
+
+// fieldsOf is what a line says beside its node, as JSON.
+func fieldsOf(l story.Line) string {
+	fields := map[string]any{}
+	for name, value := range l.Fields {
+		if name != "node" && name != "request" && name != "source" {
+			fields[name] = value
+		}
+	}
+	data, err := json.Marshal(fields)
+	if err != nil {
+		return err.Error()
+	}
+	return strings.Trim(string(data), "{}")
+}
+
+func (a *app) readLogs() ([]story.Line, error) {
+	if len(a.flags.logs) == 0 {
+		return story.Read(os.Stdin)
+	}
+	var all []story.Line
+	for _, path := range a.flags.logs {
+		lines, err := readLog(path)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func readLog(path string) ([]story.Line, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	defer file.Close()
+	return story.Read(io.Reader(file))
+}
--- /dev/null
+++ b/ctl/story/story_test.go
@@ -0,0 +1,45 @@
+package story_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/ctl/story"
+)
+
+// Two nodes' logs, mixed and out of order, with what is no line between them.
+const logs = `building
+  4.0 node-a {"fields":{"node":"a","request":"other","reason":"streamed"},"level":"info","timestamp":"2026-01-01T00:00:04Z","message":"call ended"}
+  1.0 node-a {"fields":{"node":"a","policy":2},"level":"info","timestamp":"2026-01-01T00:00:01Z","message":"policy in force"}
+{"fields":{"node":"b","policy":3},"level":"info","timestamp":"2026-01-01T00:00:02Z","message":"policy in force"}
+{"fields":{"node":"a","policy":3},"level":"info","timestamp":"2026-01-01T00:00:03Z","message":"policy in force"}
+{"fields":{"node":"a","dependency":"store"},"level":"warn","timestamp":"2026-01-01T00:00:03.5Z","message":"accounts: store lost"}
+{"fields":{"node":"a","request":"c","endpoint":"e1"},"level":"info","timestamp":"2026-01-01T00:00:05Z","message":"attempt failed"}
+{"fields":{"node":"a","request":"c","reason":"budget-short-here"},"level":"info","timestamp":"2026-01-01T00:00:05.1Z","message":"call ended"}
+{"fields":{"node":"c","request":"d"},"level":"info","timestamp":"2026-01-01T00:00:06Z","message":"call ended"}
+{half
+`
+
+func TestTell(t *testing.T) {
+	lines, err := story.Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	cases := []struct {
+		request string
+		want    []string
+	}{
+		{"c", []string{"a policy in force", "a accounts: store lost", "a attempt failed", "a call ended"}},
+		{"d", []string{"c call ended"}},
+		{"unheard", nil},
+	}
+	for _, c := range cases {
+		var got []string
+		for _, l := range story.Tell(lines, c.request) {
+			got = append(got, l.Node()+" "+l.Message)
+		}
+		assert.Equal(t, c.want, got)
+	}
+	assert.EqualValues(t, 3, story.Tell(lines, "c")[0].Fields["policy"], "the policy of that moment")
+}
--- a/fleet/cmd/lynxshed/relay.go
+++ b/fleet/cmd/lynxshed/relay.go
@@ -23,7 +23,7 @@
 		return failed(err)
 	}
 	sink := relay.NewSink(os.Stdout)
-	logger := relay.NewLogger(sink, s.LogLevel)
+	logger := relay.NewLogger(sink, s.Node, s.LogLevel)
 	n, err := relay.New(s, platform.New(s.Store), logger)
 	if err != nil {
 		return failed(err)
@@ -61,6 +61,6 @@
 			logger.WithError(err).Error("settings changed, and are not sound: the former ones hold")
 			continue
 		}
-		logger.WithField("node", s.Node).Info("settings read again")
+		logger.WithField("zone", s.Zone).Info("settings read again")
 	}
 }
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
@@ -33,6 +34,7 @@
 		j.engine = ticket.Engine.ID
 		out := j.send(ctx, ticket, j.call.LastEventID)
 		next, again := j.judge(ctx, ticket, out)
+		j.logAttempt(ticket, out, again)
 		if again {
 			if _, lost := out.(neverSent); lost {
 				if unreached++; unreached >= maxUnreached {
@@ -49,6 +51,20 @@
 	}
 }
 
+// logAttempt tells of an attempt that brought no answer, and what follows.
+func (j *job) logAttempt(t *choice.Ticket, out outcome, again bool) {
+	fields := log.Fields{"request": j.call.ID, "endpoint": t.Engine.ID, "address": t.Engine.Address, "attempt": j.attempts, "again": again, "expectedMs": int64(t.Expect)}
+	switch o := out.(type) {
+	case neverSent:
+		j.Log.WithFields(fields).WithField("error", o.err.Error()).Info("attempt not sent")
+	case rejected:
+		j.Log.WithFields(fields).WithField("status", o.status).Info("attempt refused as not run")
+	case failed:
+		j.Log.WithFields(fields).WithField("error", o.err.Error()).Info("attempt failed")
+	case answered:
+	}
+}
+
 func (j *job) pick(tried map[string]bool) (*choice.Ticket, bool) {
 	engines := j.Engines.Load()
 	if engines == nil {
--- a/fleet/relay/log.go
+++ b/fleet/relay/log.go
@@ -48,11 +48,11 @@
 // Dropped is how many lines were lost.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
-// NewLogger returns a logger of JSON lines to a sink.
-func NewLogger(s *Sink, level string) log.Interface {
+// NewLogger returns a node's logger of JSON lines to a sink.
+func NewLogger(s *Sink, node, level string) log.Interface {
 	parsed, err := log.ParseLevel(level)
 	if err != nil {
 		parsed = log.InfoLevel
 	}
-	return &log.Logger{Handler: json.New(s), Level: parsed}
+	return (&log.Logger{Handler: json.New(s), Level: parsed}).WithField("node", node)
 }
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -112,7 +112,7 @@
 	failed := make(chan error, 2)
 	go func() { failed <- n.front.Serve(callers) }()
 	go func() { failed <- ready.Serve(balancer) }()
-	n.log.WithField("node", n.settings.Node).WithField("listen", n.settings.Listen).Info("started")
+	n.log.WithField("zone", n.settings.Zone).WithField("listen", n.settings.Listen).Info("started")
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
