--- /dev/null
+++ b/fleet/relay/relay_test.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/policy"
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// numbers is an adapter whose objects are told apart by their revision alone.
+type numbers struct{}
+
+func (numbers) Store() store.Store            { return nil }
+func (numbers) Wire() call.Wire               { return nil }
+func (numbers) PolicyAt() (kind, name string) { return "policy", "main" }
+func (numbers) EngineKind() string            { return "engine" }
+func (numbers) Policy(o store.Object) (policy.Policy, error) {
+	if o.Revision == 0 {
+		return policy.Policy{}, errors.New("not understood")
+	}
+	return policy.Policy{Version: o.Revision}, nil
+}
+
+func (numbers) Engine(o store.Object) (engine.Engine, error) {
+	if o.Revision == 0 {
+		return engine.Engine{}, errors.New("not understood")
+	}
+	return engine.Engine{ID: o.Name, Service: "s", Address: "a"}, nil
+}
+
+func testNode() *Node {
+	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	return &Node{
+		adapter: numbers{}, log: quiet, purse: account.NewPurse("n", "n/1", account.DefaultTuning()),
+		picker: choice.NewPicker("z", choice.DefaultTuning()),
+	}
+}
+
+func TestPolicyNeverGoesBack(t *testing.T) {
+	n := testNode()
+	main := func(revision int64) store.Object { return store.Object{Name: "main", Revision: revision} }
+	cases := []struct {
+		name   string
+		change store.Change
+		want   int64
+	}{
+		{"the first", store.Snapshot{Objects: []store.Object{{Name: "other", Revision: 9}, main(3)}}, 3},
+		{"a newer one", store.Update{Events: []store.Event{{Object: main(5)}}}, 5},
+		{"an older list", store.Snapshot{Objects: []store.Object{main(4)}}, 5},
+		{"an older event", store.Update{Events: []store.Event{{Object: main(4)}}}, 5},
+		{"removed", store.Update{Events: []store.Event{{Object: main(6), Gone: true}}}, 5},
+		{"not understood", store.Update{Events: []store.Event{{Object: main(0)}}}, 5},
+		{"the store is lost", store.Lost{Err: errors.New("lost")}, 5},
+	}
+	assert.Nil(t, n.policy.Load())
+	for _, c := range cases {
+		n.applyPolicy("main", c.change)
+		require.NotNil(t, n.policy.Load(), c.name)
+		assert.Equal(t, c.want, n.policy.Load().Version, c.name)
+	}
+}
+
+func TestEnginesFollowTheStore(t *testing.T) {
+	n := testNode()
+	table := newEngineTable(n)
+	object := func(name string, revision int64) store.Object { return store.Object{Name: name, Revision: revision} }
+	cases := []struct {
+		name   string
+		change store.Change
+		want   []string
+	}{
+		{"listed", store.Snapshot{Objects: []store.Object{object("a", 1), object("b", 1)}}, []string{"a", "b"}},
+		{"added and gone at once", store.Update{Events: []store.Event{{Object: object("c", 2)}, {Object: object("a", 1), Gone: true}}}, []string{"b", "c"}},
+		{"one that is not understood", store.Update{Events: []store.Event{{Object: object("d", 0)}}}, []string{"b", "c"}},
+		{"the store is lost", store.Lost{Err: errors.New("lost")}, []string{"b", "c"}},
+		{"listed anew", store.Snapshot{Objects: []store.Object{object("e", 9)}}, []string{"e"}},
+	}
+	for _, c := range cases {
+		table.apply(c.change)
+		var got []string
+		for _, e := range n.engines.Load().Of("s") {
+			got = append(got, e.ID)
+		}
+		assert.Equal(t, c.want, got, c.name)
+	}
+}
+
+func TestSettingsNameWhatIsMissing(t *testing.T) {
+	sound := `{"node":"n","zone":"z","listen":"a:1","ready":{"address":"a:2"},"peer":"a:3","store":"a:4", // comment
+		"budget":{"exposure":0.5},"of tomorrow":1}`
+	s, err := ParseSettings([]byte(sound))
+	require.NoError(t, err)
+	assert.Equal(t, 0.5, s.Budget.Tuning().Exposure)
+	assert.Equal(t, account.DefaultTuning().Horizon, s.Budget.Tuning().Horizon)
+	cases := []struct{ name, text, fault string }{
+		{"no JSON", "{", "settings"},
+		{"nothing", "{}", "node is missing"},
+		{"no store", `{"node":"n","zone":"z","listen":"a:1","ready":{"address":"a:2"},"peer":"a:3"}`, "store is missing"},
+		{"a word for a number", `{"memoryMB":"x"}`, "settings"},
+	}
+	for _, c := range cases {
+		_, err := ParseSettings([]byte(c.text))
+		assert.ErrorContains(t, err, c.fault, c.name)
+	}
+}
+
+func TestSinkNeverHoldsAWriterUp(t *testing.T) {
+	blocked := make(chan struct{})
+	defer close(blocked)
+	s := NewSink(writerFunc(func(p []byte) (int, error) { <-blocked; return len(p), nil }))
+	for range 2 * logLines {
+		_, err := s.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	assert.Greater(t, s.Dropped(), int64(0))
+}
+
+type writerFunc func([]byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
