--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -8,7 +8,6 @@
 // Tuning says how much a node holds of each budget.
 type Tuning struct {
 	Horizon  time.Duration // holdings last this long at the present demand
-	Spread   float64       // standard deviations of that demand that are held beyond it
 	Exposure float64       // of what is left of a budget, the part that all nodes together hold at most
 	First    float64       // part of a budget that all nodes together draw before any demand is known
 	Step     float64       // least draw worth a write, as a part of the target
@@ -18,7 +17,7 @@
 
 // DefaultTuning is what measurements led to; docs/design/07-platform.md.
 func DefaultTuning() Tuning {
-	return Tuning{Horizon: 10 * time.Second, Spread: 1.5, Exposure: 0.35, First: 0.1, Step: 0.2, Surplus: 1.5, Report: 0.02}
+	return Tuning{Horizon: 10 * time.Second, Exposure: 0.35, First: 0.1, Step: 0.2, Surplus: 1.5, Report: 0.02}
 }
 
 // target is how many free tokens a node should hold of a budget: what its own
@@ -33,18 +32,7 @@
 		return 0
 	}
 	exposed := t.Exposure * float64(max(k.left, 0)) * steady / all
-	expected := k.demand.rate(now) * t.Horizon.Seconds()
-	return int64(min(expected+t.spread(k, all)*steady/all, exposed))
-}
-
-// spread is what the whole fleet's demand over the horizon may exceed its mean
-// by: calls come at random, and their sizes differ by much.
-func (t Tuning) spread(k *pocket, all float64) float64 {
-	if k.demand.mean <= 0 {
-		return 0
-	}
-	size := k.demand.square / k.demand.mean // of the call that a token belongs to
-	return t.Spread * math.Sqrt(all*t.Horizon.Seconds()*size)
+	return int64(min(k.demand.rate(now)*t.Horizon.Seconds(), exposed))
 }
 
 // share is how much of a pool one node may draw: what it wants while much is
@@ -70,7 +58,6 @@
 	weight     float64 // of the slow average that real buckets have filled
 	largest    int64
 	mean       float64 // tokens of a call
-	square     float64 // mean of their squares
 }
 
 const (
@@ -88,7 +75,6 @@
 	d.bucket += float64(tokens)
 	d.largest = max(d.largest, tokens)
 	d.mean += (float64(tokens) - d.mean) * meanWeight
-	d.square += (float64(tokens)*float64(tokens) - d.square) * meanWeight
 }
 
 // typical is the size of a call.
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -43,7 +43,6 @@
 // BudgetSettings say how much of the budgets the nodes hold; 0 is the default.
 type BudgetSettings struct {
 	HorizonS float64 `json:"horizonS"` // seconds that holdings last at the present demand
-	Spread   float64 `json:"spread"`   // standard deviations of that demand held beyond it
 	Exposure float64 `json:"exposure"` // of what is left of a budget, the part held at most
 	First    float64 `json:"first"`    // part of a budget held before any demand is known
 }
@@ -54,9 +53,6 @@
 	if b.HorizonS > 0 {
 		t.Horizon = time.Duration(b.HorizonS * float64(time.Second))
 	}
-	if b.Spread > 0 {
-		t.Spread = b.Spread
-	}
 	if b.Exposure > 0 {
 		t.Exposure = b.Exposure
 	}
