--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/keeper.go
@@ -200,7 +200,7 @@
 			pools[h.Tenant] = next.Account(h.Tenant).Pool(h.Prepaid)
 		}
 	}
-	if lost := k.lost(next); len(lost) > 0 {
+	if lost := k.lost(next); len(lost) > 0 && !k.left {
 		k.log.WithField("revision", k.revision).WithField("tokens", lost).Warn("accounts: an earlier life of this node ended with tokens that it had drawn and not reported as spent")
 	}
 	k.log.WithField("revision", k.revision).WithField("tokens", moves).WithField("pools", pools).Info("accounts: asking")
--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -94,7 +94,11 @@
 
 // Leave takes this node off the list.
 func (r *Registry) Leave(ctx context.Context) error {
-	return r.store.Delete(ctx, Kind, r.self.Name)
+	err := r.store.Delete(ctx, Kind, r.self.Name)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	return err
 }
 
 func (r *Registry) apply(c store.Change) {
