Let some nodes of a large fleet write the book, and the others borrow

Change: beyond 12 nodes two of each zone write, chosen by hash among those heard of; the others stock up from these by loans every 600 ms, and hear from them what the fleet is asked for.

--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/keeper.go
@@ -26,10 +26,11 @@
 
 // Keeper moves tokens between the store's book and a purse.
 type Keeper struct {
-	store store.Store
-	purse *Purse
-	nodes func() int
-	log   log.Interface
+	store  store.Store
+	purse  *Purse
+	nodes  func() int
+	writes func() bool // whether this node writes the book, or borrows from those that do
+	log    log.Interface
 
 	nudged chan struct{}
 
@@ -42,9 +43,10 @@
 	out      bool // the store does not answer
 }
 
-// NewKeeper returns a keeper; nodes tells how many nodes share the budgets.
-func NewKeeper(s store.Store, p *Purse, nodes func() int, l log.Interface) *Keeper {
-	return &Keeper{store: s, purse: p, nodes: nodes, log: l, nudged: make(chan struct{}, 1)}
+// NewKeeper returns a keeper; nodes tells how many nodes share the budgets, and
+// writes whether this one draws from the book.
+func NewKeeper(s store.Store, p *Purse, nodes func() int, writes func() bool, l log.Interface) *Keeper {
+	return &Keeper{store: s, purse: p, nodes: nodes, writes: writes, log: l, nudged: make(chan struct{}, 1)}
 }
 
 // Run keeps the purse filled until ctx ends.
@@ -89,7 +91,7 @@
 func (k *Keeper) round(ctx context.Context, now time.Time, backoff time.Duration) time.Duration {
 	k.rounds.Lock()
 	defer k.rounds.Unlock()
-	if k.left {
+	if k.left || !k.writes() {
 		return 0
 	}
 	err := k.settle(ctx, now, false)
--- a/fleet/relay/account/purse.go
+++ b/fleet/relay/account/purse.go
@@ -31,6 +31,7 @@
 	demand   demand
 	short    int64   // tokens that reservations lacked since the last proposal
 	others   float64 // tokens a second that the other nodes are asked for
+	clients  float64 // of these, what this node draws for
 	left     int64   // of the whole budget by the last book, at most
 	pool     int64   // not drawn by anyone, by the last book
 }
@@ -160,10 +161,13 @@
 	p.pocket(tenant).lent -= tokens
 }
 
-// Offer is what a node tells its peers about one budget.
+// Offer is what a node tells its peers about one budget: tokens, and tokens a
+// second. All and Left are told by nodes that write the book for others.
 type Offer struct {
-	Free int64   `json:"f,omitempty"` // tokens that it could give
-	Rate float64 `json:"r,omitempty"` // tokens a second that it is asked for
+	Free int64   `json:"f,omitempty"` // that it could give
+	Rate float64 `json:"r,omitempty"` // that it is asked for
+	All  float64 `json:"a,omitempty"` // that all nodes it heard of are asked for
+	Left int64   `json:"l,omitempty"` // of the whole budget at most
 }
 
 // Offers lists what this node could give and is asked for, by tenant.
@@ -179,13 +183,39 @@
 	return offers
 }
 
-// Others sets what the other nodes are asked for, in tokens a second by tenant.
-func (p *Purse) Others(rates map[string]float64) {
+// Fleet is what a node knows of the others' part in one budget.
+type Fleet struct {
+	Others  float64 // tokens a second that they are asked for
+	Clients float64 // of these, what this node draws for
+	Left    int64   // of the whole budget at most, by a node that reads the book; 0 is not known
+}
+
+// Fleets sets what is known of the other nodes, by tenant.
+func (p *Purse) Fleets(fleets map[string]Fleet) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for tenant, k := range p.pockets {
+		f := fleets[tenant]
+		k.others, k.clients = f.Others, f.Clients
+		if f.Left > 0 && p.revision == 0 {
+			k.left = f.Left
+		}
+	}
+}
+
+// Lacking lists by tenant what a node that does not write the book should
+// borrow: what its holding is short of its target, where that is much.
+func (p *Purse) Lacking(nodes int, fraction float64, now time.Time) map[string]int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	lacking := map[string]int64{}
 	for tenant, k := range p.pockets {
-		k.others = rates[tenant]
+		target := p.tuning.target(k, nodes, now)
+		if short := target - k.free(); target > 0 && float64(k.free()) < fraction*float64(target) {
+			lacking[tenant] = short
+		}
 	}
+	return lacking
 }
 
 // Settle turns a reservation into what was used of it.
--- a/fleet/relay/peer/digest.go
+++ b/fleet/relay/peer/digest.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
@@ -17,7 +21,6 @@
 // Digests are told this often, to so many peers at a time.
 const (
 	beat       = 200 * time.Millisecond
-	fanOut     = 10
 	freeEvery  = 3 // beats between words on what the node could give
 	maxMessage = 16 << 10
 )
@@ -29,8 +32,8 @@
 	Number  uint64                   `json:"number"` // rises; an older one is dropped
 	Digests map[string]choice.Digest `json:"digests,omitempty"`
 	Offers  map[string]account.Offer `json:"offers,omitempty"`
-	Ask     *ask                     `json:"ask,omitempty"`
-	Gift    *gift                    `json:"gift,omitempty"`
+	Asks    []ask                    `json:"asks,omitempty"`
+	Gifts   []gift                   `json:"gifts,omitempty"`
 }
 
 // Talk tells peers what this node has in flight, and hears what they have.
@@ -40,13 +43,17 @@
 	log      log.Interface
 	socket   net.PacketConn
 	number   uint64
-	heard    map[string]heard // of the listening goroutine only
 	loans    *loans
+	writes   atomic.Bool
+
+	mu    sync.Mutex
+	heard map[string]heard // by the node's name
 }
 
 type heard struct {
 	life   string
 	number uint64
+	at     time.Time
 }
 
 // Listen opens the socket for datagrams.
@@ -78,14 +85,87 @@
 	self := t.registry.self
 	t.number++
 	m := message{Node: self.Name, Life: self.Life, Number: t.number, Digests: t.picker.Digests()}
+	writers := Writers(t.live())
 	if t.number%freeEvery == 0 {
-		m.Offers = t.loans.offers(time.Now())
+		m.Offers = t.takeStock(writers)
 	}
-	for _, to := range t.some() {
+	for _, to := range t.listeners(writers) {
 		t.send(to.Address, m)
 	}
 }
 
+// takeStock tells the purse what the peers told, borrows where others write the
+// book, and returns what this node offers.
+func (t *Talk) takeStock(writers map[string]bool) map[string]account.Offer {
+	self := t.registry.self
+	now := time.Now()
+	var near, any []Member // that write the book
+	clients := map[string]bool{}
+	for _, m := range t.registry.Members() {
+		switch {
+		case m.Name == self.Name:
+		case !writers[m.Name] && m.Zone == self.Zone:
+			clients[m.Address] = true
+		case writers[m.Name] && m.Zone == self.Zone:
+			near = append(near, m)
+			any = append(any, m)
+		case writers[m.Name]:
+			any = append(any, m)
+		}
+	}
+	t.writes.Store(writers[self.Name])
+	if !writers[self.Name] {
+		t.loans.purse.Fleets(t.loans.fleets(nil, 1, now))
+		t.stockUp(lo.Ternary(len(near) > 0, near, any))
+		return t.loans.purse.Offers(now)
+	}
+	fleets := t.loans.fleets(clients, len(near)+1, now)
+	t.loans.purse.Fleets(fleets)
+	offers := t.loans.purse.Offers(now)
+	if len(clients) > 0 {
+		for tenant, o := range offers {
+			o.All, o.Left = math.Round(fleets[tenant].Others+o.Rate), t.loans.purse.State(tenant).Left
+			offers[tenant] = o
+		}
+	}
+	return offers
+}
+
+// Writes is whether this node writes the book.
+func (t *Talk) Writes() bool { return t.writes.Load() }
+
+// silentAfter is how long a node that was heard of may say nothing before
+// another one writes the book in its place.
+const silentAfter = 4 * time.Second
+
+// live lists the members but those that fell silent.
+func (t *Talk) live() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	return lo.Filter(t.registry.Members(), func(m Member, _ int) bool {
+		h, ok := t.heard[m.Name]
+		return m.Name == t.registry.self.Name || !ok || now.Sub(h.at) < silentAfter
+	})
+}
+
+// listeners picks the peers of one beat: all of them in a small fleet and for a
+// node that others borrow from, else those and a few at random.
+func (t *Talk) listeners(writers map[string]bool) []Member {
+	var sure, others []Member
+	for _, m := range t.registry.Members() {
+		switch {
+		case m.Name == t.registry.self.Name:
+		case writers[m.Name] || writers[t.registry.self.Name]:
+			sure = append(sure, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return append(sure, others[:min(len(others), randomOthers)]...)
+}
+
 func (t *Talk) send(address string, m message) {
 	data, err := json.Marshal(m)
 	if err != nil || len(data) > maxMessage {
@@ -98,21 +178,6 @@
 	_, _ = t.socket.WriteTo(data, to)
 }
 
-// some picks the peers of one beat.
-func (t *Talk) some() []Member {
-	peers := make([]Member, 0, t.registry.Count())
-	for _, m := range t.registry.Members() {
-		if m.Name != t.registry.self.Name {
-			peers = append(peers, m)
-		}
-	}
-	if len(peers) > fanOut {
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		peers = peers[:fanOut]
-	}
-	return peers
-}
-
 func (t *Talk) listen() {
 	buffer := make([]byte, maxMessage)
 	for {
@@ -132,24 +197,33 @@
 
 func (t *Talk) hear(m message, from string) {
 	switch {
-	case m.Ask != nil:
+	case len(m.Asks) > 0:
 		self := t.registry.self
-		t.send(from, message{Node: self.Name, Life: self.Life, Gift: t.loans.answer(*m.Ask, time.Now())})
-	case m.Gift != nil:
-		t.loans.arrived(*m.Gift)
+		gifts := lo.Map(m.Asks, func(a ask, _ int) gift { return *t.loans.answer(a, time.Now()) })
+		t.send(from, message{Node: self.Name, Life: self.Life, Gifts: gifts})
+	case len(m.Gifts) > 0:
+		for _, g := range m.Gifts {
+			t.loans.arrived(g)
+		}
 	default:
 		t.hearDigest(m, from)
 	}
 }
 
 func (t *Talk) hearDigest(m message, from string) {
+	now := time.Now()
+	t.mu.Lock()
 	before := t.heard[m.Node]
-	if before.life == m.Life && m.Number <= before.number {
+	old := before.life == m.Life && m.Number <= before.number
+	if !old {
+		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now}
+	}
+	t.mu.Unlock()
+	if old {
 		return
 	}
-	t.heard[m.Node] = heard{life: m.Life, number: m.Number}
-	t.picker.Heard(m.Node, m.Digests, time.Now())
+	t.picker.Heard(m.Node, m.Digests, now)
 	if m.Number%freeEvery == 0 {
-		t.loans.told(from, m.Offers, time.Now())
+		t.loans.told(from, m.Offers, now)
 	}
 }
--- a/fleet/relay/peer/loan.go
+++ b/fleet/relay/peer/loan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -18,7 +19,9 @@
 	Give(tenant string, need, want int64) int64
 	Take(tenant string, tokens int64)
 	Offers(now time.Time) map[string]account.Offer
-	Others(rates map[string]float64)
+	Fleets(fleets map[string]account.Fleet)
+	Lacking(nodes int, fraction float64, now time.Time) map[string]int64
+	State(tenant string) account.Holding
 }
 
 // ask is a node's wish for a peer's tokens. Sent again, it has the same id.
@@ -85,21 +88,34 @@
 	l.offered[peer] = offer{budgets: budgets, at: now}
 }
 
-// offers takes stock of what the peers are asked for, and lists this node's own.
-func (l *loans) offers(now time.Time) map[string]account.Offer {
+// fleets sums up what the peers told, by tenant. Clients are the nodes, by
+// address, that this one draws for, together with writers-1 others.
+func (l *loans) fleets(clients map[string]bool, writers int, now time.Time) map[string]account.Fleet {
 	l.mu.Lock()
-	rates := map[string]float64{}
-	for _, o := range l.offered {
+	defer l.mu.Unlock()
+	fleets := map[string]account.Fleet{}
+	for peer, o := range l.offered {
 		if now.Sub(o.at) > rateAge {
 			continue
 		}
 		for tenant, b := range o.budgets {
-			rates[tenant] += b.Rate
+			f := fleets[tenant]
+			f.Others += b.Rate
+			f.Left = max(f.Left, b.Left)
+			if clients[peer] {
+				f.Clients += b.Rate / float64(max(writers, 1))
+			}
+			fleets[tenant] = f
 		}
 	}
-	l.mu.Unlock()
-	l.purse.Others(rates)
-	return l.purse.Offers(now)
+	for _, o := range l.offered {
+		for tenant, b := range o.budgets {
+			f := fleets[tenant]
+			f.Others = max(f.Others, b.All)
+			fleets[tenant] = f
+		}
+	}
+	return fleets
 }
 
 // answer gives tokens to a peer; an ask that comes again gets the same answer.
@@ -173,6 +189,25 @@
 	return done
 }
 
+// stockUp asks one node that writes the book for what this node's holdings
+// lack, without waiting: gifts are counted in as they come.
+func (t *Talk) stockUp(writers []Member) {
+	if len(writers) == 0 {
+		return
+	}
+	now := time.Now()
+	from := writers[rand.IntN(len(writers))]
+	var asks []ask
+	for tenant, tokens := range t.loans.purse.Lacking(t.registry.Count(), stockFraction, now) {
+		a := ask{ID: uuid.NewString(), Tenant: tenant, Want: tokens}
+		t.loans.open(a.ID, now)
+		asks = append(asks, a)
+	}
+	if len(asks) > 0 {
+		t.send(from.Address, message{Node: t.registry.self.Name, Life: t.registry.self.Life, Asks: asks})
+	}
+}
+
 // Borrow asks peers for what a reservation of tokens lacks; true where it came.
 func (t *Talk) Borrow(ctx context.Context, tenant string, tokens int64) bool {
 	for _, peer := range t.loans.lenders(tenant, 1, time.Now()) {
@@ -189,7 +224,7 @@
 	self := t.registry.self
 	done := t.loans.open(a.ID, time.Now())
 	for range giftTries {
-		t.send(peer, message{Node: self.Name, Life: self.Life, Ask: &a})
+		t.send(peer, message{Node: self.Name, Life: self.Life, Asks: []ask{a}})
 		timer := time.NewTimer(giftTimeout)
 		select {
 		case <-done:
--- /dev/null
+++ b/fleet/relay/peer/writers.go
@@ -0,0 +1,41 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Small fleets write the book from every node; larger ones from some, of every
+// zone, and the others borrow from these. Writers differ for nodes whose lists
+// differ, which costs collisions and nothing else.
+const (
+	allWrite      = 12 // nodes up to which every one writes
+	zoneWriters   = 2  // in each zone beyond that
+	randomOthers  = 4  // peers told by a node that does not write, beside the writers
+	stockFraction = 0.6
+)
+
+// Writers names the members that write the book.
+func Writers(members []Member) map[string]bool {
+	writers := make(map[string]bool, len(members))
+	if len(members) <= allWrite {
+		for _, m := range members {
+			writers[m.Name] = true
+		}
+		return writers
+	}
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int {
+		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+	})
+	inZone := map[string]int{}
+	for _, m := range sorted {
+		if inZone[m.Zone] < zoneWriters {
+			inZone[m.Zone]++
+			writers[m.Name] = true
+		}
+	}
+	return writers
+}
