Redirect borrowers to richer nodes; rest after a burst of events; watch for longer

Cause: in a cut a node that borrows knows few lenders; and a watch that returns at each of 70 registrations costs 70 x 70 calls. Change: a giver that has too little names richer ones; a watch rests 20 to 700 ms after events and waits 25 s, since keep-alive probes feel a silent cut.

--- a/fleet/relay/account/purse.go
+++ b/fleet/relay/account/purse.go
@@ -150,6 +150,10 @@
 	free := max(k.free(), 0)
 	tokens := max(min(free, max(need, min(want, free/2))), 0)
 	k.lent += tokens
+	if k.clients > 0 && tokens < want/2 {
+		k.short = max(k.short, want-tokens)
+		p.short = p.short || k.pool > 0
+	}
 	return tokens
 }
 
--- a/fleet/relay/peer/digest.go
+++ b/fleet/relay/peer/digest.go
@@ -38,13 +38,15 @@
 
 // Talk tells peers what this node has in flight, and hears what they have.
 type Talk struct {
-	registry *Registry
-	picker   *choice.Picker
-	log      log.Interface
-	socket   net.PacketConn
-	number   uint64
-	loans    *loans
-	writes   atomic.Bool
+	registry    *Registry
+	picker      *choice.Picker
+	log         log.Interface
+	socket      net.PacketConn
+	number      uint64
+	loans       *loans
+	address     string // of this node's socket
+	writes      atomic.Bool
+	writerCount atomic.Int64
 
 	mu    sync.Mutex
 	heard map[string]heard // by the node's name
@@ -62,7 +64,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	return &Talk{registry: r, picker: p, log: l, socket: socket, heard: map[string]heard{}, loans: newLoans(purse)}, nil
+	return &Talk{registry: r, picker: p, log: l, socket: socket, heard: map[string]heard{}, loans: newLoans(purse), address: address}, nil
 }
 
 // Run talks and listens until ctx ends.
@@ -86,7 +88,7 @@
 	t.number++
 	m := message{Node: self.Name, Life: self.Life, Number: t.number, Digests: t.picker.Digests()}
 	writers := Writers(t.live())
-	if t.number%freeEvery == 0 {
+	if t.number%freeEvery == 1 {
 		m.Offers = t.takeStock(writers)
 	}
 	for _, to := range t.listeners(writers) {
@@ -114,6 +116,7 @@
 		}
 	}
 	t.writes.Store(writers[self.Name])
+	t.writerCount.Store(int64(len(writers)))
 	if !writers[self.Name] {
 		t.loans.purse.Fleets(t.loans.fleets(nil, 1, now))
 		t.stockUp(lo.Ternary(len(near) > 0, near, any))
@@ -131,6 +134,9 @@
 	return offers
 }
 
+// WriterCount is how many nodes write the book, this one's own view.
+func (t *Talk) WriterCount() int { return int(t.writerCount.Load()) }
+
 // Writes is whether this node writes the book.
 func (t *Talk) Writes() bool { return t.writes.Load() }
 
@@ -223,7 +229,7 @@
 		return
 	}
 	t.picker.Heard(m.Node, m.Digests, now)
-	if m.Number%freeEvery == 0 {
+	if m.Number%freeEvery == 1 {
 		t.loans.told(from, m.Offers, now)
 	}
 }
--- a/fleet/relay/peer/loan.go
+++ b/fleet/relay/peer/loan.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 )
@@ -34,9 +35,10 @@
 
 // gift is the answer: the giver has counted the tokens out already.
 type gift struct {
-	ID     string `json:"id"` // of the ask
-	Tenant string `json:"tenant"`
-	Tokens int64  `json:"tokens"`
+	ID     string   `json:"id"` // of the ask
+	Tenant string   `json:"tenant"`
+	Tokens int64    `json:"tokens"`
+	Try    []string `json:"try,omitempty"` // addresses of nodes that are richer, where this was not enough
 }
 
 // How loans are asked for.
@@ -68,7 +70,7 @@
 }
 
 type asked struct {
-	done chan int64
+	done chan gift
 	at   time.Time
 }
 
@@ -127,6 +129,9 @@
 		return &before.gift
 	}
 	g := gift{ID: a.ID, Tenant: a.Tenant, Tokens: l.purse.Give(a.Tenant, a.Need, a.Want)}
+	if g.Tokens < a.Need {
+		g.Try = l.richest(a.Tenant, 1, now)
+	}
 	l.answers[a.ID] = answer{gift: g, at: now}
 	return &g
 }
@@ -155,7 +160,7 @@
 	}
 	l.mu.Unlock()
 	if ok {
-		a.done <- g.Tokens
+		a.done <- g
 	}
 }
 
@@ -163,6 +168,11 @@
 func (l *loans) lenders(tenant string, need int64, now time.Time) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.richest(tenant, need, now)
+}
+
+// richest is lenders with the lock held.
+func (l *loans) richest(tenant string, need int64, now time.Time) []string {
 	type rich struct {
 		peer   string
 		tokens int64
@@ -181,10 +191,10 @@
 	return peers
 }
 
-func (l *loans) open(id string, now time.Time) chan int64 {
+func (l *loans) open(id string, now time.Time) chan gift {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	done := make(chan int64, 1)
+	done := make(chan gift, 1)
 	l.asked[id] = asked{done: done, at: now}
 	return done
 }
@@ -209,31 +219,36 @@
 }
 
 // Borrow asks peers for what a reservation of tokens lacks; true where it came.
+// A peer that has too little names richer ones.
 func (t *Talk) Borrow(ctx context.Context, tenant string, tokens int64) bool {
-	for _, peer := range t.loans.lenders(tenant, 1, time.Now()) {
+	peers := t.loans.lenders(tenant, 1, time.Now())
+	for i := 0; i < len(peers) && i < giftPeers; i++ {
 		need := t.loans.purse.Missing(tenant, tokens)
 		if need == 0 {
 			return true
 		}
-		t.borrowFrom(ctx, peer, ask{ID: uuid.NewString(), Tenant: tenant, Need: need, Want: need + wantFactor*tokens})
+		richer := t.borrowFrom(ctx, peers[i], ask{ID: uuid.NewString(), Tenant: tenant, Need: need, Want: need + wantFactor*tokens})
+		peers = append(peers[:i+1:i+1], lo.Uniq(append(lo.Without(richer, append(peers[:i+1:i+1], t.address)...), peers[i+1:]...))...)
 	}
 	return t.loans.purse.Missing(tenant, tokens) == 0
 }
 
-func (t *Talk) borrowFrom(ctx context.Context, peer string, a ask) {
+// borrowFrom asks one peer, and returns the richer ones that it names.
+func (t *Talk) borrowFrom(ctx context.Context, peer string, a ask) []string {
 	self := t.registry.self
 	done := t.loans.open(a.ID, time.Now())
 	for range giftTries {
 		t.send(peer, message{Node: self.Name, Life: self.Life, Asks: []ask{a}})
 		timer := time.NewTimer(giftTimeout)
 		select {
-		case <-done:
+		case g := <-done:
 			timer.Stop()
-			return
+			return g.Try
 		case <-ctx.Done():
 			timer.Stop()
-			return
+			return nil
 		case <-timer.C:
 		}
 	}
+	return nil
 }
--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -52,9 +52,12 @@
 // Run registers this node and follows the others until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
 	go r.register(ctx)
-	store.Follow(ctx, r.store, Kind, r.apply)
+	store.Follow(ctx, r.store, Kind, registryRest, r.apply)
 }
 
+// registryRest is how long the list of nodes may lag behind.
+const registryRest = 700 * time.Millisecond
+
 // registerPause is the time between tries to register.
 const registerPause = 500 * time.Millisecond
 
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -65,6 +65,12 @@
 	memoryShare   = 0.8 // of the bound, for the collector's aim
 )
 
+// How long a watch rests after events, within what they may take to be in force.
+const (
+	policyRest = 20 * time.Millisecond
+	engineRest = 150 * time.Millisecond
+)
+
 // New builds a node.
 func New(s Settings, a Adapter, l log.Interface) (*Node, error) {
 	limitMemory(s.MemoryMB)
@@ -79,7 +85,7 @@
 		return nil, err
 	}
 	n.talk = talk
-	n.keeper = account.NewKeeper(a.Store(), n.purse, n.registry.Count, talk.Writes, l)
+	n.keeper = account.NewKeeper(a.Store(), n.purse, talk.WriterCount, talk.Writes, l)
 	n.handler = forward.New(forward.Options{
 		Node: s.Node, Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Purse: n.purse, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
@@ -125,9 +131,9 @@
 func (n *Node) follow(ctx context.Context) {
 	s := n.adapter.Store()
 	kind, name := n.adapter.PolicyAt()
-	go store.Follow(ctx, s, kind, func(c store.Change) { n.applyPolicy(name, c) })
+	go store.Follow(ctx, s, kind, policyRest, func(c store.Change) { n.applyPolicy(name, c) })
 	engines := newEngineTable(n)
-	go store.Follow(ctx, s, n.adapter.EngineKind(), engines.apply)
+	go store.Follow(ctx, s, n.adapter.EngineKind(), engineRest, engines.apply)
 	go n.registry.Run(ctx)
 	go n.talk.Run(ctx)
 	go n.keeper.Run(ctx)
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -11,7 +11,7 @@
 // How a follower waits. A watch is shorter than the store's own bound, so that
 // a silent partition is felt; an error backs off, with jitter.
 const (
-	watchWait   = 10 * time.Second
+	watchWait   = 25 * time.Second
 	watchSlack  = 1500 * time.Millisecond
 	callTimeout = 2 * time.Second
 	backoffMin  = 150 * time.Millisecond
@@ -41,9 +41,10 @@
 func (Lost) change()     {}
 
 // Follow lists a kind and then watches it until ctx ends. It never hands on a
-// revision older than one it handed on before: an older list is dropped.
-func Follow(ctx context.Context, s Store, kind string, apply func(Change)) {
-	f := follower{store: s, kind: kind, apply: apply, backoff: backoffMin}
+// revision older than one it handed on before: an older list is dropped. After
+// events it rests, so that a burst of them costs few calls.
+func Follow(ctx context.Context, s Store, kind string, rest time.Duration, apply func(Change)) {
+	f := follower{store: s, kind: kind, rest: rest, apply: apply, backoff: backoffMin}
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(ctx, err)
@@ -56,6 +57,7 @@
 type follower struct {
 	store   Store
 	kind    string
+	rest    time.Duration
 	apply   func(Change)
 	at      int64
 	listed  bool
@@ -85,12 +87,12 @@
 	return nil
 }
 
-func (f *follower) watch(ctx context.Context) error {
+func (f *follower) watch(parent context.Context) error {
 	wait := watchWait
 	if f.lost {
 		wait = time.Millisecond
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	ctx, cancel := context.WithTimeout(parent, wait+watchSlack)
 	defer cancel()
 	events, at, err := f.store.Watch(ctx, f.kind, f.at, wait)
 	if err != nil {
@@ -101,6 +103,9 @@
 	}
 	f.at, f.lost = at, false
 	f.apply(Update{Events: events, Revision: at})
+	if len(events) > 0 {
+		pause(parent, f.rest)
+	}
 	return nil
 }
 
