--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -44,7 +44,6 @@
 type state struct {
 	inFlight  int
 	waiting   int64 // uncached prompt tokens sent, without a first event yet
-	streams   int
 	peers     map[string]Digest
 	memory    *memory
 	load      call.Load
@@ -87,7 +86,6 @@
 	Expect   float64 // ms until the first event, as expected
 	picker   *Picker
 	first    bool
-	stream   bool
 }
 
 // Pick chooses an endpoint and counts the call there; false where none may take it.
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -20,10 +20,7 @@
 }
 
 // failed: the call may have run, and there is no answer to pass on.
-type failed struct {
-	err      error
-	timedOut bool
-}
+type failed struct{ err error }
 
 // answered: the head of an answer to this call has come.
 type answered struct {
