Hold a large fleet's small budgets together at the nodes that write the book

Cause: spread over 73 nodes, a small tenant's holdings were each less than one prompt. Change: nodes that do not write the book borrow for each call what it lacks, and ahead only where their own target is good for eight calls; writers hold the whole horizon for their zone.

--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -31,9 +31,8 @@
 	if all <= 0 {
 		return 0
 	}
-	buffered := k.clients * clientBuffer.Seconds() / t.Horizon.Seconds()
-	exposed := t.Exposure * float64(max(k.left, 0)) * (steady + buffered) / all
-	return int64(min((k.demand.rate(now)+buffered)*t.Horizon.Seconds(), exposed))
+	exposed := t.Exposure * float64(max(k.left, 0)) * (steady + k.clients) / all
+	return int64(min((k.demand.rate(now)+k.clients)*t.Horizon.Seconds(), exposed))
 }
 
 // share is how much of a pool one node may draw: what it wants while much is
@@ -61,10 +60,6 @@
 	mean       float64 // tokens of a call
 }
 
-// clientBuffer is what a node that draws for others holds of their demand: they
-// hold their own for the horizon.
-const clientBuffer = 3 * time.Second
-
 const (
 	demandBucket = 500 * time.Millisecond
 	fastKeep     = 0.5 // of the fast average for each bucket
--- a/fleet/relay/account/purse.go
+++ b/fleet/relay/account/purse.go
@@ -207,16 +207,21 @@
 	}
 }
 
+// worthHolding is how many calls a holding must be good for, in a fleet in which
+// some nodes draw for the others: less is better held together by these.
+const worthHolding = 8
+
 // Lacking lists by tenant what a node that does not write the book should
-// borrow: what its holding is short of its target, where that is much.
+// borrow ahead: what its holding is short of its target, where that is much and
+// the target is worth holding apart.
 func (p *Purse) Lacking(nodes int, fraction float64, now time.Time) map[string]int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	lacking := map[string]int64{}
 	for tenant, k := range p.pockets {
 		target := p.tuning.target(k, nodes, now)
-		if short := target - k.free(); target > 0 && float64(k.free()) < fraction*float64(target) {
-			lacking[tenant] = short
+		if k.demand.known && target >= worthHolding*k.demand.typical() && float64(k.free()) < fraction*float64(target) {
+			lacking[tenant] = target - k.free()
 		}
 	}
 	return lacking
--- a/fleet/relay/peer/loan.go
+++ b/fleet/relay/peer/loan.go
@@ -49,7 +49,7 @@
 	freeAge     = 2 * time.Second       // a peer's word on what it could give counts so long
 	rateAge     = 10 * time.Second      // and its word on what it is asked for
 	giftKept    = 10 * time.Second      // answers are repeated, and late gifts taken, so long
-	wantFactor  = 2                     // asked for, as a multiple of the request's tokens
+	wantFactor  = 2                     // asked for beyond the need by a node that writes the book, as a multiple of the request's tokens
 )
 
 // loans moves tokens between nodes without the store. A gift is counted out
@@ -227,7 +227,11 @@
 		if need == 0 {
 			return true
 		}
-		richer := t.borrowFrom(ctx, peers[i], ask{ID: uuid.NewString(), Tenant: tenant, Need: need, Want: need + wantFactor*tokens})
+		want := need
+		if t.Writes() {
+			want += wantFactor * tokens
+		}
+		richer := t.borrowFrom(ctx, peers[i], ask{ID: uuid.NewString(), Tenant: tenant, Need: need, Want: want})
 		peers = append(peers[:i+1:i+1], lo.Uniq(append(lo.Without(richer, append(peers[:i+1:i+1], t.address)...), peers[i+1:]...))...)
 	}
 	return t.loans.purse.Missing(tenant, tokens) == 0
