Let nodes that do not reach the store leave the book to others

Change: digests say whether a node reaches the store, and writers are chosen among those that do; other nodes hold a quarter of their target ahead.

--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/keeper.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -40,7 +41,7 @@
 	revision int64
 	fresh    bool // book and revision are as the store last showed them
 	last     time.Time
-	out      bool // the store does not answer
+	out      atomic.Bool // the store does not answer
 }
 
 // NewKeeper returns a keeper; nodes tells how many nodes share the budgets, and
@@ -91,7 +92,7 @@
 func (k *Keeper) round(ctx context.Context, now time.Time, backoff time.Duration) time.Duration {
 	k.rounds.Lock()
 	defer k.rounds.Unlock()
-	if k.left || !k.writes() {
+	if k.left || !k.writes() && !k.Out() { // a node that is out goes on asking, to learn when it is not
 		return 0
 	}
 	err := k.settle(ctx, now, false)
@@ -103,12 +104,14 @@
 	return min(max(2*backoff, urgentPace), 2*time.Second)
 }
 
+// Out is whether the store did not answer when it was last asked.
+func (k *Keeper) Out() bool { return k.out.Load() }
+
 // tell logs when the store is lost or regained.
 func (k *Keeper) tell(out bool, err error) {
-	if out == k.out {
+	if k.out.Swap(out) == out {
 		return
 	}
-	k.out = out
 	entry := k.log.WithField("dependency", "store").WithField("revision", k.revision)
 	if out {
 		entry.WithError(err).Warn("accounts: store lost")
--- a/fleet/relay/account/purse.go
+++ b/fleet/relay/account/purse.go
@@ -207,9 +207,13 @@
 	}
 }
 
+// aheadPart is the part of a node's target that it borrows ahead: the nodes that
+// draw for it hold the rest.
+const aheadPart = 4
+
 // worthHolding is how many calls a holding must be good for, in a fleet in which
 // some nodes draw for the others: less is better held together by these.
-const worthHolding = 8
+const worthHolding = 4
 
 // Lacking lists by tenant what a node that does not write the book should
 // borrow ahead: what its holding is short of its target, where that is much and
@@ -219,7 +223,7 @@
 	defer p.mu.Unlock()
 	lacking := map[string]int64{}
 	for tenant, k := range p.pockets {
-		target := p.tuning.target(k, nodes, now)
+		target := p.tuning.target(k, nodes, now) / aheadPart
 		if k.demand.known && target >= worthHolding*k.demand.typical() && float64(k.free()) < fraction*float64(target) {
 			lacking[tenant] = target - k.free()
 		}
--- a/fleet/relay/peer/digest.go
+++ b/fleet/relay/peer/digest.go
@@ -32,6 +32,7 @@
 	Number  uint64                   `json:"number"` // rises; an older one is dropped
 	Digests map[string]choice.Digest `json:"digests,omitempty"`
 	Offers  map[string]account.Offer `json:"offers,omitempty"`
+	Out     bool                     `json:"out,omitempty"` // the node does not reach the store
 	Asks    []ask                    `json:"asks,omitempty"`
 	Gifts   []gift                   `json:"gifts,omitempty"`
 }
@@ -44,7 +45,8 @@
 	socket      net.PacketConn
 	number      uint64
 	loans       *loans
-	address     string // of this node's socket
+	address     string      // of this node's socket
+	out         func() bool // whether this node does not reach the store
 	writes      atomic.Bool
 	writerCount atomic.Int64
 
@@ -56,15 +58,16 @@
 	life   string
 	number uint64
 	at     time.Time
+	out    bool
 }
 
 // Listen opens the socket for datagrams.
-func Listen(address string, r *Registry, p *choice.Picker, purse Purse, l log.Interface) (*Talk, error) {
+func Listen(address string, r *Registry, p *choice.Picker, purse Purse, out func() bool, l log.Interface) (*Talk, error) {
 	socket, err := net.ListenPacket("udp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	return &Talk{registry: r, picker: p, log: l, socket: socket, heard: map[string]heard{}, loans: newLoans(purse), address: address}, nil
+	return &Talk{registry: r, picker: p, log: l, socket: socket, heard: map[string]heard{}, loans: newLoans(purse), address: address, out: out}, nil
 }
 
 // Run talks and listens until ctx ends.
@@ -86,8 +89,8 @@
 func (t *Talk) tell() {
 	self := t.registry.self
 	t.number++
-	m := message{Node: self.Name, Life: self.Life, Number: t.number, Digests: t.picker.Digests()}
-	writers := Writers(t.live())
+	m := message{Node: self.Name, Life: self.Life, Number: t.number, Digests: t.picker.Digests(), Out: t.out()}
+	writers := Writers(t.registry.Members(), t.fit)
 	if t.number%freeEvery == 1 {
 		m.Offers = t.takeStock(writers)
 	}
@@ -144,15 +147,24 @@
 // another one writes the book in its place.
 const silentAfter = 4 * time.Second
 
-// live lists the members but those that fell silent.
-func (t *Talk) live() []Member {
+// fit lists the members that may write the book: not those that fell silent, nor
+// those that do not reach the store, unless no member does.
+func (t *Talk) fit() []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	return lo.Filter(t.registry.Members(), func(m Member, _ int) bool {
+	members := t.registry.Members()
+	fit := lo.Filter(members, func(m Member, _ int) bool {
+		if m.Name == t.registry.self.Name {
+			return !t.out()
+		}
 		h, ok := t.heard[m.Name]
-		return m.Name == t.registry.self.Name || !ok || now.Sub(h.at) < silentAfter
+		return !ok || !h.out && now.Sub(h.at) < silentAfter
 	})
+	if len(fit) == 0 {
+		return members
+	}
+	return fit
 }
 
 // listeners picks the peers of one beat: all of them in a small fleet and for a
@@ -222,7 +234,7 @@
 	before := t.heard[m.Node]
 	old := before.life == m.Life && m.Number <= before.number
 	if !old {
-		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now}
+		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out}
 	}
 	t.mu.Unlock()
 	if old {
--- a/fleet/relay/peer/writers.go
+++ b/fleet/relay/peer/writers.go
@@ -17,8 +17,9 @@
 	stockFraction = 0.6
 )
 
-// Writers names the members that write the book.
-func Writers(members []Member) map[string]bool {
+// Writers names the members that write the book; fit picks, in a large fleet,
+// those that may.
+func Writers(members []Member, fit func() []Member) map[string]bool {
 	writers := make(map[string]bool, len(members))
 	if len(members) <= allWrite {
 		for _, m := range members {
@@ -26,6 +27,7 @@
 		}
 		return writers
 	}
+	members = fit()
 	sorted := slices.Clone(members)
 	slices.SortFunc(sorted, func(a, b Member) int {
 		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -80,7 +80,7 @@
 	n.purse = account.NewPurse(s.Node, life, s.Budget.Tuning())
 	n.picker = choice.NewPicker(s.Zone, choice.DefaultTuning())
 	n.registry = peer.NewRegistry(a.Store(), self, l)
-	talk, err := peer.Listen(s.Peer, n.registry, n.picker, n.purse, l)
+	talk, err := peer.Listen(s.Peer, n.registry, n.picker, n.purse, func() bool { return n.keeper.Out() }, l)
 	if err != nil {
 		return nil, err
 	}
