--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -49,7 +49,7 @@
 	refuseHead      = refusal{http.StatusBadRequest, "bad-head", 0}
 	refuseTooLarge  = refusal{http.StatusRequestEntityTooLarge, "too-large", 0}
 	refuseBudget    = refusal{http.StatusPaymentRequired, "budget-exhausted", 0}
-	refuseShort     = refusal{http.StatusServiceUnavailable, "budget-short-here", 400 * time.Millisecond}
+	refuseShort     = refusal{http.StatusServiceUnavailable, "budget-short-here", 2 * time.Second}
 	refuseNoEngine  = refusal{http.StatusServiceUnavailable, "no-endpoint", 300 * time.Millisecond}
 	refuseFull      = refusal{http.StatusServiceUnavailable, "endpoints-full", 200 * time.Millisecond}
 	refuseUnknown   = refusal{http.StatusBadGateway, "endpoint-failed", 0}
