--- /dev/null
+++ b/fleet/relay/account/propose.go
@@ -0,0 +1,106 @@
+package account
+
+import (
+	"slices"
+	"time"
+)
+
+// Saw takes in the book as the store holds it. Only a newer revision tells what
+// became of proposals: until then the least of them bounds what is spent.
+func (p *Purse) Saw(b Book, revision int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if revision <= p.revision {
+		return
+	}
+	p.revision = revision
+	for tenant, k := range p.pockets {
+		a := b.Account(tenant)
+		row, _ := a.Row(p.life)
+		k.limit, k.reported = row.Drawn, row.Spent
+		k.pool = a.Pool(k.prepaid)
+		k.left = k.prepaid - a.Spent()
+	}
+}
+
+// Propose returns the book as this node would have it, and whether that is
+// worth a write. What it gives back is out of the purse from now on, whatever
+// becomes of the write.
+func (p *Purse) Propose(b Book, nodes int, now time.Time, leaving bool) (Book, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.short = false
+	worth := false
+	for _, tenant := range p.tenants() {
+		k := p.pockets[tenant]
+		a := b.Account(tenant).WithClosed(p.isEarlierLife)
+		before, known := a.Row(p.life)
+		if k.closed && !known {
+			continue
+		}
+		after := Row{Node: p.node, Life: p.life, Spent: k.spent}
+		after.Drawn = p.wanted(k, a, before.Drawn, nodes, now, leaving)
+		matters := p.matters(k, before, after)
+		k.short = 0
+		if after == before && !leaving || !known && after.Drawn == 0 {
+			continue
+		}
+		worth = worth || matters
+		k.limit = min(k.limit, after.Drawn)
+		a = a.WithRow(after)
+		if leaving && k.reserved == 0 {
+			k.closed = true
+			a = a.WithClosed(func(r Row) bool { return r.Life == p.life })
+		}
+		b = b.WithAccount(a)
+	}
+	return b, worth
+}
+
+func (p *Purse) tenants() []string {
+	names := make([]string, 0, len(p.pockets))
+	for tenant := range p.pockets {
+		names = append(names, tenant)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// isEarlierLife is true for rows of this VM's lives before this one: they have
+// ended, since a VM runs one process at a time.
+func (p *Purse) isEarlierLife(r Row) bool { return r.Node == p.node && r.Life != p.life }
+
+// wanted is what the row should say as drawn.
+func (p *Purse) wanted(k *pocket, a Account, drawn int64, nodes int, now time.Time, leaving bool) int64 {
+	busy := k.busy()
+	if leaving {
+		return busy
+	}
+	target := p.tuning.target(k, nodes, now) + k.short
+	free := drawn - busy
+	pool := a.Pool(k.prepaid)
+	switch {
+	case free < target:
+		return drawn + max(p.tuning.share(pool, nodes, target-free), min(k.short, pool))
+	case over(a, k.prepaid) > 0:
+		return max(busy, drawn-over(a, k.prepaid))
+	case float64(free) > p.tuning.Surplus*float64(target) && free-target >= k.demand.typical():
+		return busy + target
+	default:
+		return drawn
+	}
+}
+
+// over is how much more is drawn than a budget that was lowered holds.
+func over(a Account, prepaid int64) int64 { return max(a.Drawn()-prepaid, 0) }
+
+// matters is whether a change of a row is worth a write.
+func (p *Purse) matters(k *pocket, before, after Row) bool {
+	if after.Drawn < before.Drawn {
+		return true
+	}
+	drawn := after.Drawn - before.Drawn
+	free := before.Drawn - k.busy()
+	return drawn > 0 && (k.short > 0 || float64(drawn) > p.tuning.Step*float64(max(free+drawn, 1)) && drawn >= k.demand.typical()/2) ||
+		float64(after.Spent-before.Spent) > p.tuning.Report*float64(max(k.prepaid, 1))
+}
--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lynxshed/lynxshed/fleet/ident"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
@@ -126,7 +127,7 @@
 			continue
 		}
 		t := p.expect(a, e, s, home)
-		rank := mix(key ^ e.Hash)
+		rank := ident.Mix(key ^ e.Hash)
 		if !found || t.Expect < best.Expect || t.Expect == best.Expect && rank > bestRank {
 			best, bestRank, found = t, rank, true
 		}
@@ -144,7 +145,7 @@
 	}
 	some := make([]engine.Engine, 0, sample+1)
 	for i := range sample {
-		some = append(some, a.Engines[mix(key+uint64(i))%uint64(len(a.Engines))])
+		some = append(some, a.Engines[ident.Mix(key+uint64(i))%uint64(len(a.Engines))])
 	}
 	at, ok := slices.BinarySearchFunc(a.Engines, home, func(e engine.Engine, id string) int { return strings.Compare(e.ID, id) })
 	if ok {
@@ -153,15 +154,6 @@
 	return some
 }
 
-// mix spreads a hash (the finalizer of splitmix64).
-func mix(h uint64) uint64 {
-	h ^= h >> 30
-	h *= 0xbf58476d1ce4e5b9
-	h ^= h >> 27
-	h *= 0x94d049bb133111eb
-	return h ^ h>>31
-}
-
 func (p *Picker) expect(a Ask, e engine.Engine, s *state, home string) Ticket {
 	t := Ticket{Engine: e, picker: p}
 	inFlight, waiting := s.total(a.Now)
@@ -211,7 +203,7 @@
 	best, score := "", uint64(0)
 	for i := range a.Engines {
 		e := &a.Engines[i]
-		if h := mix(key ^ e.Hash); e.State == engine.Ready && (best == "" || h > score) {
+		if h := ident.Mix(key ^ e.Hash); e.State == engine.Ready && (best == "" || h > score) {
 			best, score = e.ID, h
 		}
 	}
@@ -241,68 +233,6 @@
 	return inFlight, waiting
 }
 
-// First notes the first event of an attempt.
-func (t *Ticket) First() {
-	t.picker.mu.Lock()
-	defer t.picker.mu.Unlock()
-	t.endWaiting()
-}
-
-func (t *Ticket) endWaiting() {
-	if t.first {
-		return
-	}
-	t.first = true
-	if s, ok := t.picker.states[t.Engine.ID]; ok {
-		s.waiting -= t.Uncached
-	}
-}
-
-// Result is how an attempt ended, for the ranking.
-type Result int
-
-// The results.
-const (
-	Good     Result = iota
-	Rejected        // refused as full
-	Bad             // failed, broke off or could not be reached
-	Neutral         // says nothing about the endpoint
-)
-
-// Close ends an attempt.
-func (t *Ticket) Close(r Result, now time.Time) {
-	t.picker.mu.Lock()
-	defer t.picker.mu.Unlock()
-	t.endWaiting()
-	s, ok := t.picker.states[t.Engine.ID]
-	if !ok {
-		return
-	}
-	s.inFlight--
-	switch r {
-	case Good:
-		s.failures = 0
-	case Rejected:
-		s.suspected = now.Add(t.picker.tuning.Suspect / 4)
-	case Bad:
-		s.failures++
-		s.suspected = now.Add(t.picker.tuning.Suspect * time.Duration(min(s.failures, 6)))
-	case Neutral:
-	}
-}
-
-// Took notes how long the first event took against what was expected.
-func (t *Ticket) Took(d time.Duration) {
-	t.picker.mu.Lock()
-	defer t.picker.mu.Unlock()
-	s, ok := t.picker.states[t.Engine.ID]
-	if !ok {
-		return
-	}
-	ratio := (float64(d.Milliseconds()) + 1) / (t.Expect + 20)
-	s.slow = 0.8*s.slow + 0.2*min(max(ratio, 0.5), 20)
-}
-
 // Report takes in a load that the endpoint told.
 func (p *Picker) Report(id string, l call.Load, now time.Time) {
 	p.mu.Lock()
