--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -56,7 +56,6 @@
 	bucket     float64
 	fast, slow float64
 	weight     float64 // of the slow average that real buckets have filled
-	largest    int64
 	mean       float64 // tokens of a call
 }
 
@@ -73,7 +72,6 @@
 	}
 	d.roll(now)
 	d.bucket += float64(tokens)
-	d.largest = max(d.largest, tokens)
 	d.mean += (float64(tokens) - d.mean) * meanWeight
 }
 
--- a/fleet/relay/account/propose.go
+++ b/fleet/relay/account/propose.go
@@ -17,7 +17,7 @@
 	for tenant, k := range p.pockets {
 		a := b.Account(tenant)
 		row, _ := a.Row(p.life)
-		k.limit, k.reported = row.Drawn, row.Spent
+		k.limit = row.Drawn
 		k.pool = a.Pool(k.prepaid)
 		k.left = k.prepaid - a.Spent()
 	}
--- a/fleet/relay/account/purse.go
+++ b/fleet/relay/account/purse.go
@@ -26,7 +26,6 @@
 	lent     int64 // net of what peers gave: counted out here before the message left
 	spent    int64
 	reserved int64
-	reported int64
 	closed   bool // this life's row was closed, or may be: nothing can be spent any more
 	demand   demand
 	short    int64   // tokens that reservations lacked since the last proposal
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -152,7 +152,7 @@
 	p.Store(f.policy.Indexed())
 	d.Store(engine.NewDirectory(1, engines))
 	f.handler = forward.New(forward.Options{
-		Node: "n", Wire: plainWire{}, Policy: &p, Engines: &d, Purse: f.purse, Lender: noLender{},
+		Wire: plainWire{}, Policy: &p, Engines: &d, Purse: f.purse, Lender: noLender{},
 		Picker:  choice.NewPicker("z", choice.DefaultTuning()),
 		Retries: retry.NewBudget(retry.Rule{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one),
 		Nodes:   one, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -23,7 +23,6 @@
 
 // Options are what a handler works with.
 type Options struct {
-	Node      string
 	Wire      call.Wire
 	Policy    *atomic.Pointer[policy.Policy]
 	Engines   *atomic.Pointer[engine.Directory]
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -3,8 +3,6 @@
 import (
 	"net/http"
 	"time"
-
-	"github.com/lynxshed/lynxshed/fleet/relay/call"
 )
 
 // outcome is how an attempt ended: sealed.
@@ -14,19 +12,13 @@
 type neverSent struct{ err error }
 
 // rejected: the endpoint's own word that the call did not run there.
-type rejected struct {
-	verdict call.Verdict
-	status  int
-}
+type rejected struct{ status int }
 
 // failed: the call may have run, and there is no answer to pass on.
 type failed struct{ err error }
 
 // answered: the head of an answer to this call has come.
-type answered struct {
-	resp    *http.Response
-	verdict call.Verdict
-}
+type answered struct{ resp *http.Response }
 
 func (neverSent) outcome() {}
 func (rejected) outcome()  {}
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -77,10 +77,10 @@
 	}
 	if v.NotExecuted || v.Moved {
 		finishSmall(resp)
-		return rejected{verdict: v, status: resp.StatusCode}
+		return rejected{status: resp.StatusCode}
 	}
 	t.Took(now.Sub(started))
-	return answered{resp: resp, verdict: v}
+	return answered{resp: resp}
 }
 
 // request builds the attempt: method, target and body are the caller's.
--- a/fleet/relay/peer/digest.go
+++ b/fleet/relay/peer/digest.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
@@ -41,7 +40,6 @@
 type Talk struct {
 	registry    *Registry
 	picker      *choice.Picker
-	log         log.Interface
 	socket      net.PacketConn
 	number      uint64
 	loans       *loans
@@ -62,12 +60,12 @@
 }
 
 // Listen opens the socket for datagrams.
-func Listen(address string, r *Registry, p *choice.Picker, purse Purse, out func() bool, l log.Interface) (*Talk, error) {
+func Listen(address string, r *Registry, p *choice.Picker, purse Purse, out func() bool) (*Talk, error) {
 	socket, err := net.ListenPacket("udp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	return &Talk{registry: r, picker: p, log: l, socket: socket, heard: map[string]heard{}, loans: newLoans(purse), address: address, out: out}, nil
+	return &Talk{registry: r, picker: p, socket: socket, heard: map[string]heard{}, loans: newLoans(purse), address: address, out: out}, nil
 }
 
 // Run talks and listens until ctx ends.
@@ -87,9 +85,8 @@
 }
 
 func (t *Talk) tell() {
-	self := t.registry.self
 	t.number++
-	m := message{Node: self.Name, Life: self.Life, Number: t.number, Digests: t.picker.Digests(), Out: t.out()}
+	m := t.signed(message{Number: t.number, Digests: t.picker.Digests(), Out: t.out()})
 	writers := Writers(t.registry.Members(), t.fit)
 	if t.number%freeEvery == 1 {
 		m.Offers = t.takeStock(writers)
@@ -184,6 +181,12 @@
 	return append(sure, others[:min(len(others), randomOthers)]...)
 }
 
+// signed fills in who sends a message.
+func (t *Talk) signed(m message) message {
+	m.Node, m.Life = t.registry.self.Name, t.registry.self.Life
+	return m
+}
+
 func (t *Talk) send(address string, m message) {
 	data, err := json.Marshal(m)
 	if err != nil || len(data) > maxMessage {
@@ -216,9 +219,8 @@
 func (t *Talk) hear(m message, from string) {
 	switch {
 	case len(m.Asks) > 0:
-		self := t.registry.self
 		gifts := lo.Map(m.Asks, func(a ask, _ int) gift { return *t.loans.answer(a, time.Now()) })
-		t.send(from, message{Node: self.Name, Life: self.Life, Gifts: gifts})
+		t.send(from, t.signed(message{Gifts: gifts}))
 	case len(m.Gifts) > 0:
 		for _, g := range m.Gifts {
 			t.loans.arrived(g)
--- a/fleet/relay/peer/loan.go
+++ b/fleet/relay/peer/loan.go
@@ -214,7 +214,7 @@
 		asks = append(asks, a)
 	}
 	if len(asks) > 0 {
-		t.send(from.Address, message{Node: t.registry.self.Name, Life: t.registry.self.Life, Asks: asks})
+		t.send(from.Address, t.signed(message{Asks: asks}))
 	}
 }
 
@@ -239,10 +239,9 @@
 
 // borrowFrom asks one peer, and returns the richer ones that it names.
 func (t *Talk) borrowFrom(ctx context.Context, peer string, a ask) []string {
-	self := t.registry.self
 	done := t.loans.open(a.ID, time.Now())
 	for range giftTries {
-		t.send(peer, message{Node: self.Name, Life: self.Life, Asks: []ask{a}})
+		t.send(peer, t.signed(message{Asks: []ask{a}}))
 		timer := time.NewTimer(giftTimeout)
 		select {
 		case g := <-done:
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -80,14 +80,14 @@
 	n.purse = account.NewPurse(s.Node, life, s.Budget.Tuning())
 	n.picker = choice.NewPicker(s.Zone, choice.DefaultTuning())
 	n.registry = peer.NewRegistry(a.Store(), self, l)
-	talk, err := peer.Listen(s.Peer, n.registry, n.picker, n.purse, func() bool { return n.keeper.Out() }, l)
+	talk, err := peer.Listen(s.Peer, n.registry, n.picker, n.purse, func() bool { return n.keeper.Out() })
 	if err != nil {
 		return nil, err
 	}
 	n.talk = talk
 	n.keeper = account.NewKeeper(a.Store(), n.purse, talk.WriterCount, talk.Writes, l)
 	n.handler = forward.New(forward.Options{
-		Node: s.Node, Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Purse: n.purse, Picker: n.picker,
+		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Purse: n.purse, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
 		Nodes:   n.registry.Count, Transport: forward.NewTransport(), Lender: lender{n}, Log: l, Metrics: n.metrics,
 	})
