Ask a lost store once for all kinds; let a conflict tell the book; keep what was lacking through conflicts

The new keeper test found two faults on the way: a proposal forgot what reservations lacked even where the write conflicted, and four conflicts in a row counted as a lost store. Change: followers share a Health and leave asking to the policy's; a watch waits for 0.8 of the history; endpoints' events rest for 500 ms; a conflict brings the book along; shortage is kept until it was answered; calls are counted by kind, verb and outcome; rows tell what was lent, which counts as gone where the rest of a budget is estimated.

--- a/fleet/relay/account/book.go
+++ b/fleet/relay/account/book.go
@@ -20,8 +20,9 @@
 // Account is the part of a book for one tenant.
 type Account struct {
 	Tenant      string `json:"tenant"`
-	ClosedDrawn int64  `json:"closedDrawn"` // by lives that have ended: spent for ever
-	ClosedSpent int64  `json:"closedSpent"` // of it, what they had reported as spent
+	ClosedDrawn int64  `json:"closedDrawn"`          // by lives that have ended: spent for ever
+	ClosedSpent int64  `json:"closedSpent"`          // of it, what they had reported as spent
+	ClosedLent  int64  `json:"closedLent,omitempty"` // and what they had handed to other nodes, less what they took
 	Rows        []Row  `json:"rows"`
 }
 
@@ -31,7 +32,8 @@
 	Node  string `json:"node"`
 	Life  string `json:"life"`
 	Drawn int64  `json:"drawn"`
-	Spent int64  `json:"spent"` // as of the last report; at most Drawn
+	Spent int64  `json:"spent"`          // as of the last report; at most Drawn
+	Lent  int64  `json:"lent,omitempty"` // handed to other nodes, less what was taken from them, as of the last report
 }
 
 // Account finds a tenant's account; an empty one where there is none.
@@ -83,6 +85,7 @@
 		}
 		a.ClosedDrawn += r.Drawn
 		a.ClosedSpent += r.Spent
+		a.ClosedLent += r.Lent
 	}
 	a.Rows = rows
 	return a
@@ -98,5 +101,11 @@
 	return a.ClosedSpent + lo.SumBy(a.Rows, func(r Row) int64 { return r.Spent })
 }
 
+// Lent is what rows have handed to nodes that have none: these spend it without
+// reporting it, so that it counts as gone where the rest of a budget is estimated.
+func (a Account) Lent() int64 {
+	return max(a.ClosedLent+lo.SumBy(a.Rows, func(r Row) int64 { return r.Lent }), 0)
+}
+
 // Pool is what can still be drawn.
 func (a Account) Pool(prepaid int64) int64 { return max(prepaid-a.Drawn(), 0) }
--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -31,7 +31,7 @@
 	if all <= 0 {
 		return 0
 	}
-	exposed := t.Exposure * float64(max(k.left, 0)) * (steady + k.clients) / all
+	exposed := t.Exposure * float64(max(k.rest, 0)) * (steady + k.clients) / all
 	return int64(min((k.demand.rate(now)+k.clients)*t.Horizon.Seconds(), exposed))
 }
 
--- a/fleet/relay/account/fleet.go
+++ b/fleet/relay/account/fleet.go
@@ -42,7 +42,7 @@
 		f := fleets[tenant]
 		k.others, k.clients = f.Others, f.Clients
 		if f.Left > 0 && p.revision == 0 {
-			k.left = f.Left
+			k.left, k.rest = f.Left, f.Left
 		}
 	}
 }
--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/keeper.go
@@ -96,7 +96,7 @@
 		return 0
 	}
 	err := k.settle(ctx, now, false)
-	if err == nil {
+	if err == nil || errors.Is(err, store.ErrConflict) { // a conflict is an answer too
 		k.tell(false, nil)
 		return 0
 	}
@@ -138,9 +138,14 @@
 		}
 		next, worth := k.purse.Propose(k.book, k.nodes(), now, leaving)
 		if !worth && !leaving {
+			k.purse.Answered()
 			return nil
 		}
-		if err = k.write(ctx, next); err == nil || !errors.Is(err, store.ErrConflict) {
+		if err = k.write(ctx, next); err == nil {
+			k.purse.Answered()
+			return nil
+		}
+		if !errors.Is(err, store.ErrConflict) {
 			return err
 		}
 		pauseBriefly()
@@ -185,15 +190,18 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	k.fresh = false
-	k.logMoves(next)
 	o, err := k.store.Put(ctx, store.Object{Kind: Kind, Name: bookName, Revision: k.revision, Data: data})
+	if errors.Is(err, store.ErrConflict) && o.Revision > k.revision {
+		return errors.CombineErrors(k.saw(o), err)
+	}
 	if err != nil {
 		return errors.Wrap(err, "write accounts")
 	}
+	k.logMoves(next)
 	return k.saw(o)
 }
 
-// logMoves tells what a write asks for, one line for all tenants.
+// logMoves tells what a write that took effect has moved, one line for all tenants.
 func (k *Keeper) logMoves(next Book) {
 	moves := map[string]int64{}
 	pools := map[string]int64{}
@@ -208,7 +216,7 @@
 	if lost := k.lost(next); len(lost) > 0 && !k.left {
 		k.log.WithField("revision", k.revision).WithField("tokens", lost).Warn("accounts: an earlier life of this node ended with tokens that it had drawn and not reported as spent")
 	}
-	k.log.WithField("revision", k.revision).WithField("tokens", moves).WithField("pools", pools).Info("accounts: asking")
+	k.log.WithField("revision", k.revision).WithField("tokens", moves).WithField("pools", pools).Info("accounts: written")
 }
 
 // lost lists, by tenant, what rows that the next book closes had drawn beyond
--- /dev/null
+++ b/fleet/relay/account/keeper_test.go
@@ -0,0 +1,101 @@
+package account
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// shelf is a store of one object, which others may change between two calls.
+type shelf struct {
+	store.Store
+	object store.Object
+	mute   bool // a conflict does not tell the object
+	calls  []string
+	before func() // each put
+}
+
+func (s *shelf) Get(context.Context, string, string) (store.Object, error) {
+	s.calls = append(s.calls, "get")
+	if s.object.Revision == 0 {
+		return store.Object{}, store.ErrNotFound
+	}
+	return s.object, nil
+}
+
+func (s *shelf) Put(_ context.Context, o store.Object) (store.Object, error) {
+	s.calls = append(s.calls, "put")
+	if s.before != nil {
+		s.before()
+	}
+	if o.Revision != s.object.Revision {
+		if s.mute {
+			return store.Object{}, store.ErrConflict
+		}
+		return s.object, store.ErrConflict
+	}
+	o.Revision++
+	s.object = o
+	return o, nil
+}
+
+// changedByAnother puts a row of another node into the book.
+func (s *shelf) changedByAnother(t *testing.T, drawn int64) {
+	t.Helper()
+	var b Book
+	require.NoError(t, json.Unmarshal(s.object.Data, &b))
+	data, err := json.Marshal(b.WithAccount(b.Account(modelTenant).WithRow(Row{Node: "other", Life: "other/1", Drawn: drawn})))
+	require.NoError(t, err)
+	s.object = store.Object{Kind: Kind, Name: bookName, Revision: s.object.Revision + 1, Data: data}
+}
+
+func quiet() log.Interface { return &log.Logger{Handler: discard.New(), Level: log.ErrorLevel} }
+
+func TestAConflictCostsNoRead(t *testing.T) {
+	cases := []struct {
+		name string
+		mute bool
+		want []string
+	}{
+		{"the store tells the book", false, []string{"put", "put"}},
+		{"it does not", true, []string{"put", "get", "put"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := &shelf{mute: c.mute}
+			p := NewPurse("n", "n/1", DefaultTuning())
+			p.Budget(map[string]int64{modelTenant: 1000})
+			k := NewKeeper(s, p, func() int { return 1 }, func() bool { return true }, quiet())
+			require.NoError(t, k.settle(t.Context(), testStart, false))
+			s.changedByAnother(t, 300)
+			p.Reserve(modelTenant, 500, testStart) // more than the node holds
+			s.calls = nil
+			require.NoError(t, k.settle(t.Context(), testStart, false))
+			assert.Equal(t, c.want, s.calls)
+			assert.GreaterOrEqual(t, p.State(modelTenant).Free, int64(500))
+		})
+	}
+}
+
+func TestConflictsAreNoLostStore(t *testing.T) {
+	s := &shelf{}
+	p := NewPurse("n", "n/1", DefaultTuning())
+	p.Budget(map[string]int64{modelTenant: 1000})
+	k := NewKeeper(s, p, func() int { return 1 }, func() bool { return true }, quiet())
+	require.NoError(t, k.settle(t.Context(), testStart, false))
+	s.before = func() { s.changedByAnother(t, 300) }
+	p.Reserve(modelTenant, 500, testStart)
+	assert.Zero(t, k.round(t.Context(), testStart, 0), "no backoff")
+	assert.False(t, k.Out())
+	assert.True(t, p.Short(), "what was lacking is still to be drawn")
+	s.before = nil
+	k.round(t.Context(), testStart, 0)
+	assert.GreaterOrEqual(t, p.State(modelTenant).Free, int64(500))
+}
--- a/fleet/relay/account/model_test.go
+++ b/fleet/relay/account/model_test.go
@@ -17,6 +17,9 @@
 
 const modelTenant = "tenant"
 
+// testStart is when the tests' clocks begin.
+var testStart = time.Unix(0, 0)
+
 // world is the whole of what the model knows.
 type world struct {
 	random   *rand.Rand
@@ -135,6 +138,7 @@
 		w.put(put)
 	default:
 		if w.put(put) {
+			n.purse.Answered()
 			w.read(n)
 		}
 	}
--- a/fleet/relay/account/propose.go
+++ b/fleet/relay/account/propose.go
@@ -20,6 +20,7 @@
 		k.limit = row.Drawn
 		k.pool = a.Pool(k.prepaid)
 		k.left = k.prepaid - a.Spent()
+		k.rest = k.left - a.Lent()
 	}
 }
 
@@ -29,7 +30,6 @@
 func (p *Purse) Propose(b Book, nodes int, now time.Time, leaving bool) (Book, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.short = false
 	worth := false
 	for _, tenant := range p.tenants() {
 		k := p.pockets[tenant]
@@ -38,10 +38,9 @@
 		if k.closed && !known {
 			continue
 		}
-		after := Row{Node: p.node, Life: p.life, Spent: k.spent}
+		after := Row{Node: p.node, Life: p.life, Spent: k.spent, Lent: k.lent}
 		after.Drawn = p.wanted(k, a, before.Drawn, nodes, now, leaving)
 		matters := p.matters(k, before, after)
-		k.short = 0
 		if after == before && !leaving || !known && after.Drawn == 0 {
 			continue
 		}
@@ -57,6 +56,17 @@
 	return b, worth
 }
 
+// Answered notes that what reservations lacked was proposed, and the proposal
+// written or not worth a write.
+func (p *Purse) Answered() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.short = false
+	for _, k := range p.pockets {
+		k.short = 0
+	}
+}
+
 func (p *Purse) tenants() []string {
 	names := make([]string, 0, len(p.pockets))
 	for tenant := range p.pockets {
@@ -102,5 +112,5 @@
 	drawn := after.Drawn - before.Drawn
 	free := before.Drawn - k.busy()
 	return drawn > 0 && (k.short > 0 || float64(drawn) > p.tuning.Step*float64(max(free+drawn, 1)) && drawn >= k.demand.typical()/2) ||
-		float64(after.Spent-before.Spent) > p.tuning.Report*float64(max(k.prepaid, 1))
+		float64(after.Spent-before.Spent+after.Lent-before.Lent) > p.tuning.Report*float64(max(k.prepaid, 1))
 }
--- a/fleet/relay/account/purse.go
+++ b/fleet/relay/account/purse.go
@@ -16,7 +16,7 @@
 	mu       sync.Mutex
 	pockets  map[string]*pocket
 	revision int64 // newest revision of the book that was seen
-	short    bool  // a reservation failed since the last proposal
+	short    bool  // a reservation failed since the last proposal that was answered
 }
 
 // pocket is the part of one tenant.
@@ -28,10 +28,11 @@
 	reserved int64
 	closed   bool // this life's row was closed, or may be: nothing can be spent any more
 	demand   demand
-	short    int64   // tokens that reservations lacked since the last proposal
+	short    int64   // tokens that reservations lacked since the last proposal that was answered
 	others   float64 // tokens a second that the other nodes are asked for
 	clients  float64 // of these, what this node draws for
 	left     int64   // of the whole budget by the last book, at most
+	rest     int64   // of the whole budget by the last book, as estimated: left, less what was lent to nodes that do not report
 	pool     int64   // not drawn by anyone, by the last book
 }
 
@@ -81,6 +82,7 @@
 		k := p.pocket(tenant)
 		if k.prepaid != tokens {
 			k.left += tokens - k.prepaid
+			k.rest += tokens - k.prepaid
 			k.pool = max(k.pool+tokens-k.prepaid, 0)
 		}
 		k.prepaid = tokens
--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -32,13 +32,16 @@
 	store   store.Store
 	self    Member
 	log     log.Interface
+	health  *store.Health
+	history time.Duration
 	members atomic.Pointer[[]Member]
 	byName  map[string]Member // of the follower's goroutine only
 }
 
-// NewRegistry returns a registry that knows no other node yet.
-func NewRegistry(s store.Store, self Member, l log.Interface) *Registry {
-	r := &Registry{store: s, self: self, log: l, byName: map[string]Member{}}
+// NewRegistry returns a registry that knows no other node yet; health is shared
+// with the node's other followers, and history is how long the store keeps it.
+func NewRegistry(s store.Store, self Member, health *store.Health, history time.Duration, l log.Interface) *Registry {
+	r := &Registry{store: s, self: self, log: l, health: health, history: history, byName: map[string]Member{}}
 	r.publish()
 	return r
 }
@@ -52,7 +55,7 @@
 // Run registers this node and follows the others until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
 	go r.register(ctx)
-	store.Follow(ctx, r.store, Kind, registryRest, r.apply)
+	store.Follow(ctx, r.store, store.Watching{Kind: Kind, Rest: registryRest, History: r.history, Health: r.health}, r.apply)
 }
 
 // registryRest is how long the list of nodes may lag behind.
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -42,6 +42,8 @@
 type Node struct {
 	settings Settings
 	adapter  Adapter
+	store    store.Store // the adapter's, counted
+	health   *store.Health
 	log      log.Interface
 
 	policy   atomic.Pointer[policy.Policy]
@@ -67,25 +69,26 @@
 
 // How long a watch rests after events, within what they may take to be in force.
 const (
-	policyRest = 20 * time.Millisecond
-	engineRest = 150 * time.Millisecond
+	policyRest = 150 * time.Millisecond
+	engineRest = 500 * time.Millisecond
 )
 
 // New builds a node.
 func New(s Settings, a Adapter, l log.Interface) (*Node, error) {
 	limitMemory(s.MemoryMB)
-	n := &Node{settings: s, adapter: a, log: l, metrics: NewMetrics()}
+	n := &Node{settings: s, adapter: a, health: store.NewHealth(), log: l, metrics: NewMetrics()}
+	n.store = store.Counted(a.Store(), n.metrics)
 	life := uuid.NewString()
 	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer}
 	n.purse = account.NewPurse(s.Node, life, s.Budget.Tuning())
 	n.picker = choice.NewPicker(s.Zone, choice.DefaultTuning())
-	n.registry = peer.NewRegistry(a.Store(), self, l)
+	n.registry = peer.NewRegistry(n.store, self, n.health, s.History(), l)
 	talk, err := peer.Listen(s.Peer, n.registry, n.picker, n.purse, func() bool { return n.keeper.Out() })
 	if err != nil {
 		return nil, err
 	}
 	n.talk = talk
-	n.keeper = account.NewKeeper(a.Store(), n.purse, talk.WriterCount, talk.Writes, l)
+	n.keeper = account.NewKeeper(n.store, n.purse, talk.WriterCount, talk.Writes, l)
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Purse: n.purse, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
@@ -129,11 +132,12 @@
 }
 
 func (n *Node) follow(ctx context.Context) {
-	s := n.adapter.Store()
+	s := n.store
 	kind, name := n.adapter.PolicyAt()
-	go store.Follow(ctx, s, kind, policyRest, func(c store.Change) { n.applyPolicy(name, c) })
-	engines := newEngineTable(n)
-	go store.Follow(ctx, s, n.adapter.EngineKind(), engineRest, engines.apply)
+	policies := store.Watching{Kind: kind, Rest: policyRest, History: n.settings.History(), Health: n.health, Leads: true}
+	go store.Follow(ctx, s, policies, func(c store.Change) { n.applyPolicy(name, c) })
+	engines := store.Watching{Kind: n.adapter.EngineKind(), Rest: engineRest, History: n.settings.History(), Health: n.health}
+	go store.Follow(ctx, s, engines, newEngineTable(n).apply)
 	go n.registry.Run(ctx)
 	go n.talk.Run(ctx)
 	go n.keeper.Run(ctx)
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -20,6 +20,7 @@
 	Ready    ReadySettings  `json:"ready"`    // what the balancer asks
 	Peer     string         `json:"peer"`     // for datagrams between nodes, IP:PORT
 	Store    string         `json:"store"`    // the platform's store, IP:PORT
+	HistoryS float64        `json:"historyS"` // seconds of history that the store keeps; 0 is not known
 	MemoryMB int            `json:"memoryMB"` // what the process may use; 0 is no bound
 	DrainMs  int            `json:"drainMs"`  // how long a planned stop may take
 	Retry    RetrySettings  `json:"retry"`    // the fleet's bound on what is sent again
@@ -107,6 +108,11 @@
 	return faults
 }
 
+// History is how long the store keeps its history; 0 is not known.
+func (s Settings) History() time.Duration {
+	return time.Duration(s.HistoryS * float64(time.Second))
+}
+
 // Drain is how long a planned stop may take.
 func (s Settings) Drain() time.Duration { return time.Duration(s.DrainMs) * time.Millisecond }
 
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -11,13 +11,33 @@
 // How a follower waits. A watch is shorter than the store's own bound, so that
 // a silent partition is felt; an error backs off, with jitter.
 const (
-	watchWait   = 25 * time.Second
+	longestWait = 25 * time.Second
+	historyPart = 0.8 // of the store's history that a watch waits at most, so that it can go on from where it was
 	watchSlack  = 1500 * time.Millisecond
 	callTimeout = 2 * time.Second
 	backoffMin  = 150 * time.Millisecond
 	backoffMax  = 1200 * time.Millisecond
+	aloneTries  = 2               // failures in a row after which a follower leaves asking to the leader
+	leaderWait  = 3 * time.Second // for the leader, before a follower asks again by itself
 )
 
+// Watching says what is followed, and how.
+type Watching struct {
+	Kind    string
+	Rest    time.Duration // after events, so that a burst of them costs few calls
+	History time.Duration // how long the store keeps history; 0 is not known
+	Health  *Health       // shared by a node's followers; nil is none
+	Leads   bool          // asks for all of them while the store is lost
+}
+
+// wait is how long one watch waits for events.
+func (w Watching) wait() time.Duration {
+	if w.History <= 0 {
+		return longestWait
+	}
+	return min(longestWait, time.Duration(historyPart*float64(w.History)))
+}
+
 // Change is what a follower hands on: sealed.
 type Change interface{ change() }
 
@@ -41,28 +61,38 @@
 func (Lost) change()     {}
 
 // Follow lists a kind and then watches it until ctx ends. It never hands on a
-// revision older than one it handed on before: an older list is dropped. After
-// events it rests, so that a burst of them costs few calls.
-func Follow(ctx context.Context, s Store, kind string, rest time.Duration, apply func(Change)) {
-	f := follower{store: s, kind: kind, rest: rest, apply: apply, backoff: backoffMin}
+// revision older than one it handed on before: an older list is dropped.
+func Follow(ctx context.Context, s Store, w Watching, apply func(Change)) {
+	f := follower{Watching: w, store: s, apply: apply, backoff: backoffMin}
+	if f.Health == nil {
+		f.Health = NewHealth()
+	}
 	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+		err := f.step(ctx)
+		if err != nil && ctx.Err() == nil {
 			f.failed(ctx, err)
 			continue
 		}
-		f.backoff = backoffMin
+		f.succeeded()
 	}
 }
 
 type follower struct {
-	store   Store
-	kind    string
-	rest    time.Duration
-	apply   func(Change)
-	at      int64
-	listed  bool
-	lost    bool
-	backoff time.Duration
+	Watching
+	store    Store
+	apply    func(Change)
+	at       int64
+	listed   bool
+	lost     bool
+	failures int // in a row
+	backoff  time.Duration
+}
+
+func (f *follower) succeeded() {
+	f.backoff, f.failures = backoffMin, 0
+	if f.Leads {
+		f.Health.leaderAnswered()
+	}
 }
 
 func (f *follower) step(ctx context.Context) error {
@@ -75,12 +105,12 @@
 func (f *follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	objects, at, err := f.store.List(ctx, f.kind)
+	objects, at, err := f.store.List(ctx, f.Kind)
 	if err != nil {
 		return err
 	}
 	if at < f.at {
-		return errors.Newf("list of %s at revision %d is older than %d", f.kind, at, f.at)
+		return errors.Newf("list of %s at revision %d is older than %d", f.Kind, at, f.at)
 	}
 	f.at, f.listed, f.lost = at, true, false
 	f.apply(Snapshot{Objects: objects, Revision: at})
@@ -88,23 +118,23 @@
 }
 
 func (f *follower) watch(parent context.Context) error {
-	wait := watchWait
+	wait := f.wait()
 	if f.lost {
 		wait = time.Millisecond
 	}
 	ctx, cancel := context.WithTimeout(parent, wait+watchSlack)
 	defer cancel()
-	events, at, err := f.store.Watch(ctx, f.kind, f.at, wait)
+	events, at, err := f.store.Watch(ctx, f.Kind, f.at, wait)
 	if err != nil {
 		return err
 	}
 	if at < f.at {
-		return errors.Newf("watch of %s went back from revision %d to %d", f.kind, f.at, at)
+		return errors.Newf("watch of %s went back from revision %d to %d", f.Kind, f.at, at)
 	}
 	f.at, f.lost = at, false
 	f.apply(Update{Events: events, Revision: at})
 	if len(events) > 0 {
-		pause(parent, f.rest)
+		pause(parent, f.Rest)
 	}
 	return nil
 }
@@ -118,6 +148,13 @@
 		f.apply(Lost{Err: err})
 	}
 	f.lost = true
+	f.failures++
+	if f.Leads {
+		f.Health.leaderLost()
+	} else if f.failures > aloneTries && f.Health.wait(ctx, leaderWait) {
+		pause(ctx, rand.N(backoffMin))
+		return
+	}
 	pause(ctx, f.backoff/2+rand.N(f.backoff/2))
 	f.backoff = min(2*f.backoff, backoffMax)
 }
--- a/fleet/relay/store/store.go
+++ b/fleet/relay/store/store.go
@@ -35,7 +35,8 @@
 	Get(ctx context.Context, kind, name string) (Object, error)
 	// Put writes the object if its revision still holds (0: if there is none).
 	// ErrConflict and ErrRefused say that nothing was done; after any other
-	// error the write may have taken effect, or may yet.
+	// error the write may have taken effect, or may yet. With ErrConflict comes
+	// the object as it is, where the store tells it.
 	Put(ctx context.Context, o Object) (Object, error)
 	// Delete removes an object; ErrNotFound where there is none.
 	Delete(ctx context.Context, kind, name string) error
