Let a node draw what mostly it is asked for; share a low pool by demand

Cause: on the grown sites a third of the demand comes from callers that keep to one node (one tenant asked one node for 312,000 tokens a second), which had to borrow all of it from eight nodes that write the book; and a pool that ran low was handed out evenly, though demand is not even.

--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -36,16 +36,19 @@
 }
 
 // share is how much of a pool one node may draw: what it wants while much is
-// left, a fair part as the pool runs low.
-func (t Tuning) share(pool int64, nodes int, want int64) int64 {
+// left, a part by its demand as the pool runs low.
+func (t Tuning) share(k *pocket, pool int64, nodes int, want int64, now time.Time) int64 {
 	if pool <= 0 {
 		return 0
 	}
-	fair := max(pool/int64(max(nodes, 1)), 1)
 	if want*int64(max(nodes, 1)) <= pool {
 		return want
 	}
-	return fair
+	part := 1 / float64(max(nodes, 1))
+	if own := k.demand.steady(now) + k.clients; own > 0 {
+		part = max(part, own/(own-k.clients+k.others))
+	}
+	return min(want, max(int64(part*float64(pool)), 1))
 }
 
 // demand follows how many tokens a second are asked for: the greater of a fast
--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/keeper.go
@@ -30,7 +30,7 @@
 	store  store.Store
 	purse  *Purse
 	nodes  func() int
-	writes func() bool // whether this node writes the book, or borrows from those that do
+	writes func() bool // whether this node draws every budget, or borrows from those that do
 	log    log.Interface
 
 	nudged chan struct{}
@@ -92,7 +92,7 @@
 func (k *Keeper) round(ctx context.Context, now time.Time, backoff time.Duration) time.Duration {
 	k.rounds.Lock()
 	defer k.rounds.Unlock()
-	if k.left || !k.writes() && !k.Out() { // a node that is out goes on asking, to learn when it is not
+	if k.left || !k.writes() && !k.purse.DrawsAny() && !k.Out() { // a node that is out goes on asking, to learn when it is not
 		return 0
 	}
 	err := k.settle(ctx, now, false)
@@ -136,7 +136,7 @@
 				return err
 			}
 		}
-		next, worth := k.purse.Propose(k.book, k.nodes(), now, leaving)
+		next, worth := k.purse.Propose(k.book, Round{Nodes: k.nodes(), Now: now, All: k.writes(), Leaving: leaving})
 		if !worth && !leaving {
 			k.purse.Answered()
 			return nil
--- a/fleet/relay/account/model_test.go
+++ b/fleet/relay/account/model_test.go
@@ -125,7 +125,7 @@
 
 // write makes a conditional write, whose effect or answer may be lost or late.
 func (w *world) write(n *modelNode) {
-	next, worth := n.purse.Propose(n.seen, len(w.nodes), w.now, n.leaving)
+	next, worth := n.purse.Propose(n.seen, Round{Nodes: len(w.nodes), Now: w.now, All: true, Leaving: n.leaving})
 	if !worth && !n.leaving {
 		return
 	}
--- a/fleet/relay/account/propose.go
+++ b/fleet/relay/account/propose.go
@@ -24,10 +24,18 @@
 	}
 }
 
+// Round is what a proposal depends on beside the book and the purse.
+type Round struct {
+	Nodes   int // that draw from the book
+	Now     time.Time
+	All     bool // this node draws every budget, not only those that it is asked for most
+	Leaving bool // it is about to end: all that is not in use goes back
+}
+
 // Propose returns the book as this node would have it, and whether that is
 // worth a write. What it gives back is out of the purse from now on, whatever
 // becomes of the write.
-func (p *Purse) Propose(b Book, nodes int, now time.Time, leaving bool) (Book, bool) {
+func (p *Purse) Propose(b Book, r Round) (Book, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	worth := false
@@ -35,19 +43,19 @@
 		k := p.pockets[tenant]
 		a := b.Account(tenant).WithClosed(p.isEarlierLife)
 		before, known := a.Row(p.life)
-		if k.closed && !known {
+		if k.closed && !known || !r.All && !k.draws && !known {
 			continue
 		}
 		after := Row{Node: p.node, Life: p.life, Spent: k.spent, Lent: k.lent}
-		after.Drawn = p.wanted(k, a, before.Drawn, nodes, now, leaving)
+		after.Drawn = p.wanted(k, a, before.Drawn, r)
 		matters := p.matters(k, before, after)
-		if after == before && !leaving || !known && after.Drawn == 0 {
+		if after == before && !r.Leaving || !known && after.Drawn == 0 {
 			continue
 		}
 		worth = worth || matters
 		k.limit = min(k.limit, after.Drawn)
 		a = a.WithRow(after)
-		if leaving && k.reserved == 0 {
+		if r.Leaving && k.reserved == 0 {
 			k.closed = true
 			a = a.WithClosed(func(r Row) bool { return r.Life == p.life })
 		}
@@ -81,17 +89,20 @@
 func (p *Purse) isEarlierLife(r Row) bool { return r.Node == p.node && r.Life != p.life }
 
 // wanted is what the row should say as drawn.
-func (p *Purse) wanted(k *pocket, a Account, drawn int64, nodes int, now time.Time, leaving bool) int64 {
+func (p *Purse) wanted(k *pocket, a Account, drawn int64, r Round) int64 {
 	busy := k.busy()
-	if leaving {
+	if r.Leaving {
 		return busy
 	}
-	target := p.tuning.target(k, nodes, now) + k.short
+	target := k.short
+	if r.All || k.draws {
+		target += p.tuning.target(k, r.Nodes, r.Now)
+	}
 	free := drawn - busy
 	pool := a.Pool(k.prepaid)
 	switch {
 	case free < target:
-		return drawn + max(p.tuning.share(pool, nodes, target-free), min(k.short, pool))
+		return drawn + max(p.tuning.share(k, pool, r.Nodes, target-free, r.Now), min(k.short, pool))
 	case over(a, k.prepaid) > 0:
 		return max(busy, drawn-over(a, k.prepaid))
 	case float64(free) > p.tuning.Surplus*float64(target) && free-target >= k.demand.typical():
--- a/fleet/relay/peer/digest.go
+++ b/fleet/relay/peer/digest.go
@@ -118,16 +118,16 @@
 	t.writes.Store(writers[self.Name])
 	t.writerCount.Store(int64(len(writers)))
 	if !writers[self.Name] {
-		t.loans.purse.Fleets(t.loans.fleets(nil, 1, now))
+		t.loans.purse.Fleets(t.loans.fleets(nil, 1, now), now)
 		t.stockUp(lo.Ternary(len(near) > 0, near, any))
 		return t.loans.purse.Offers(now)
 	}
 	fleets := t.loans.fleets(clients, len(near)+1, now)
-	t.loans.purse.Fleets(fleets)
+	t.loans.purse.Fleets(fleets, now)
 	offers := t.loans.purse.Offers(now)
 	if len(clients) > 0 {
 		for tenant, o := range offers {
-			o.All, o.Left = math.Round(fleets[tenant].Others+o.Rate), t.loans.purse.State(tenant).Left
+			o.All, o.Left = math.Round(max(fleets[tenant].Others+o.Rate, fleets[tenant].All)), t.loans.purse.State(tenant).Left
 			offers[tenant] = o
 		}
 	}
--- a/fleet/relay/peer/loan.go
+++ b/fleet/relay/peer/loan.go
@@ -20,7 +20,8 @@
 	Give(tenant string, need, want int64) int64
 	Take(tenant string, tokens int64)
 	Offers(now time.Time) map[string]account.Offer
-	Fleets(fleets map[string]account.Fleet)
+	Fleets(fleets map[string]account.Fleet, now time.Time)
+	Draws(tenant string) bool
 	Lacking(nodes int, fraction float64, now time.Time) map[string]int64
 	State(tenant string) account.Holding
 }
@@ -49,7 +50,7 @@
 	freeAge     = 2 * time.Second       // a peer's word on what it could give counts so long
 	rateAge     = 10 * time.Second      // and its word on what it is asked for
 	giftKept    = 10 * time.Second      // answers are repeated, and late gifts taken, so long
-	wantFactor  = 2                     // asked for beyond the need by a node that writes the book, as a multiple of the request's tokens
+	wantFactor  = 2                     // asked for beyond the need by a node that draws from the book, as a multiple of the request's tokens
 )
 
 // loans moves tokens between nodes without the store. A gift is counted out
@@ -103,20 +104,14 @@
 		for tenant, b := range o.budgets {
 			f := fleets[tenant]
 			f.Others += b.Rate
+			f.All = max(f.All, b.All)
 			f.Left = max(f.Left, b.Left)
-			if clients[peer] {
+			if clients[peer] && !b.Own {
 				f.Clients += b.Rate / float64(max(writers, 1))
 			}
 			fleets[tenant] = f
 		}
 	}
-	for _, o := range l.offered {
-		for tenant, b := range o.budgets {
-			f := fleets[tenant]
-			f.Others = max(f.Others, b.All)
-			fleets[tenant] = f
-		}
-	}
 	return fleets
 }
 
@@ -228,7 +223,7 @@
 			return true
 		}
 		want := need
-		if t.Writes() {
+		if t.Writes() || t.loans.purse.Draws(tenant) {
 			want += wantFactor * tokens
 		}
 		richer := t.borrowFrom(ctx, peers[i], ask{ID: uuid.NewString(), Tenant: tenant, Need: need, Want: want})
