--- a/fleet/relay/account/purse.go
+++ b/fleet/relay/account/purse.go
@@ -114,6 +114,18 @@
 	defer p.mu.Unlock()
 	k := p.pocket(tenant)
 	k.demand.add(tokens, now)
+	return p.reserve(k, tokens)
+}
+
+// ReserveAgain is Reserve for a call that was answered Short before: it is not
+// counted as demand once more.
+func (p *Purse) ReserveAgain(tenant string, tokens int64) Answer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reserve(p.pocket(tenant), tokens)
+}
+
+func (p *Purse) reserve(k *pocket, tokens int64) Answer {
 	if k.free() >= tokens {
 		k.reserved += tokens
 		return Reserved
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -171,7 +171,7 @@
 	answer := j.Purse.Reserve(j.tenant.Name, j.call.Cost(), j.start)
 	if answer == account.Short && j.Lender.Borrow(j.r.Context(), j.tenant.Name, j.call.Cost()) {
 		j.note = "borrowed"
-		answer = j.Purse.Reserve(j.tenant.Name, j.call.Cost(), time.Now())
+		answer = j.Purse.ReserveAgain(j.tenant.Name, j.call.Cost())
 	}
 	switch answer {
 	case account.Exhausted:
