Let callers' bounds follow the policy

Change: fleet/relay/front takes connections under the bounds in force; older connections keep theirs, so that a change cuts nothing.

--- a/fleet/relay/apply.go
+++ b/fleet/relay/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/front"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
@@ -38,9 +39,21 @@
 	}
 	n.policy.Store(p.Indexed())
 	n.purse.Budget(budgets(p))
+	n.bound(p.Limits)
 	n.log.WithField("policy", p.Version).WithField("revision", o.Revision).WithField("routes", len(p.Routes)).WithField("prepaid", budgets(p)).Info("policy in force")
 }
 
+// bound lets new connections of callers follow the policy's bounds.
+func (n *Node) bound(l policy.Limits) {
+	if n.front == nil {
+		return
+	}
+	b := front.Bounds{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}.Or(front.DefaultBounds)
+	if n.front.Bound(b) {
+		n.log.WithField("headerBytes", b.HeaderBytes).WithField("headerMs", b.HeaderTimeout.Milliseconds()).WithField("idleMs", b.IdleTimeout.Milliseconds()).Info("callers' bounds in force")
+	}
+}
+
 func budgets(p policy.Policy) map[string]int64 {
 	prepaid := map[string]int64{}
 	for _, t := range p.Tenants {
--- a/fleet/relay/peer/digest.go
+++ b/fleet/relay/peer/digest.go
@@ -68,6 +68,9 @@
 	return &Talk{registry: r, picker: p, socket: socket, heard: map[string]heard{}, loans: newLoans(purse), address: address, out: out}, nil
 }
 
+// Close gives the socket up, where Run is not called.
+func (t *Talk) Close() error { return t.socket.Close() }
+
 // Run talks and listens until ctx ends.
 func (t *Talk) Run(ctx context.Context) {
 	go t.listen()
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
+	"github.com/lynxshed/lynxshed/fleet/relay/front"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
@@ -54,16 +55,14 @@
 	registry *peer.Registry
 	talk     *peer.Talk
 	handler  *forward.Handler
-	front    *http.Server
+	front    *front.Door
 	metrics  *Metrics
 	leaving  atomic.Bool
 }
 
-// Bounds of the servers towards callers and the balancer.
+// Bounds of the process and of the server towards the balancer.
 const (
 	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
-	headerBytes   = 64 << 10
 	memoryShare   = 0.8 // of the bound, for the collector's aim
 )
 
@@ -94,7 +93,9 @@
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
 		Nodes:   n.registry.Count, Transport: forward.NewTransport(), Lender: lender{n}, Log: l, Metrics: n.metrics,
 	})
-	n.front = &http.Server{Handler: n.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
+	if n.front, err = front.Listen(s.Listen, n.handler); err != nil {
+		return nil, errors.CombineErrors(err, talk.Close())
+	}
 	return n, nil
 }
 
@@ -108,10 +109,6 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	callers, err := net.Listen("tcp4", n.settings.Listen)
-	if err != nil {
-		return errors.Wrapf(err, "listen for callers at %s", n.settings.Listen)
-	}
 	balancer, err := net.Listen("tcp4", n.settings.Ready.Address)
 	if err != nil {
 		return errors.Wrapf(err, "listen for the balancer at %s", n.settings.Ready.Address)
@@ -119,7 +116,7 @@
 	n.follow(ctx)
 	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 2)
-	go func() { failed <- n.front.Serve(callers) }()
+	go func() { failed <- n.front.Serve() }()
 	go func() { failed <- ready.Serve(balancer) }()
 	n.log.WithField("zone", n.settings.Zone).WithField("listen", n.settings.Listen).Info("started")
 	select {
@@ -174,7 +171,7 @@
 	started := time.Now()
 	n.log.WithField("open", n.handler.Open()).Info("planned stop begins")
 	n.handler.Leave()
-	n.front.SetKeepAlivesEnabled(false)
+	n.front.StopKeeping()
 	sleepUntil(started.Add(acceptWhile))
 	n.handler.RefuseNew()
 	n.giveBack(ctx)
--- a/fleet/relay/store/health_test.go
+++ b/fleet/relay/store/health_test.go
@@ -90,7 +90,9 @@
 		assert.Less(t, back["led"].Sub(back["leader"]), 200*time.Millisecond, "the leader's answer wakes the other")
 		mu.Unlock()
 		time.Sleep(30 * time.Second)
+		o.mu.Lock()
 		assert.Equal(t, 16*time.Second, o.waits["led"], "a watch ends while the store still has the history")
+		o.mu.Unlock()
 		cancel()
 	})
 }
