--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -135,7 +135,7 @@
 // count counts events and keeps the last id.
 func (s *relayed) count(whole []byte) {
 	for event := range bytes.SplitSeq(whole, eventEnd) {
-		if len(event) == 0 {
+		if len(bytes.Trim(event, "\n")) == 0 {
 			continue
 		}
 		s.events++
@@ -151,8 +151,9 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if len(s.rest) > 0 {
+	if len(bytes.Trim(s.rest, "\n")) > 0 {
 		return io.ErrUnexpectedEOF
 	}
-	return nil
+	_, err := s.w.Write(s.rest) // an empty line more, however the bytes were cut into pieces
+	return err
 }
--- /dev/null
+++ b/fleet/relay/forward/stream_fuzz_test.go
@@ -0,0 +1,57 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+)
+
+// silent counts nothing.
+type silent struct{}
+
+func (silent) Finished(string, string, time.Duration) {}
+func (silent) FirstEvent(string, time.Duration)       {}
+
+// Whatever an endpoint sends, in whatever pieces, its caller gets whole events,
+// all of them in order, and the stream counts as whole only where nothing is left.
+func FuzzStream(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), false)
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\nda"), true)
+	f.Add([]byte("\n\n\n"), true)
+	f.Add([]byte(""), false)
+	f.Fuzz(func(t *testing.T, data []byte, byteByByte bool) {
+		picker := choice.NewPicker("z", choice.DefaultTuning())
+		ticket, ok := picker.Pick(choice.Ask{Engines: []engine.Engine{{ID: "e"}}, Cap: 1, Now: time.Now()})
+		require.True(t, ok)
+		to := httptest.NewRecorder()
+		s := &relayed{job: &job{Handler: New(Options{Metrics: silent{}}), w: to, start: time.Now()}}
+		var from io.Reader = bytes.NewReader(data)
+		if byteByByte {
+			from = iotest.OneByteReader(from)
+		}
+		err := s.copy(context.Background(), ticket, from)
+		end := bytes.LastIndex(data, eventEnd)
+		whole := []byte{}
+		if end >= 0 {
+			whole = data[:end+len(eventEnd)]
+		}
+		assert.True(t, bytes.HasPrefix(data, to.Body.Bytes()), "bytes as they came")
+		// empty lines between events say nothing: how many have come depends on the pieces
+		assert.Equal(t, string(bytes.TrimRight(whole, "\n")), string(bytes.TrimRight(to.Body.Bytes(), "\n")))
+		if len(bytes.Trim(data[len(whole):], "\n")) == 0 {
+			assert.NoError(t, err)
+		} else {
+			assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		}
+	})
+}
