--- a/fleet/relay/account/book.go
+++ b/fleet/relay/account/book.go
@@ -14,26 +14,26 @@
 
 // Book is what the store keeps: an immutable value, tokens everywhere.
 type Book struct {
-	Accounts []Account `json:"accounts"`
+	Accounts []Account
 }
 
 // Account is the part of a book for one tenant.
 type Account struct {
-	Tenant      string `json:"tenant"`
-	ClosedDrawn int64  `json:"closedDrawn"`          // by lives that have ended: spent for ever
-	ClosedSpent int64  `json:"closedSpent"`          // of it, what they had reported as spent
-	ClosedLent  int64  `json:"closedLent,omitempty"` // and what they had handed to other nodes, less what they took
-	Rows        []Row  `json:"rows"`
+	Tenant      string
+	ClosedDrawn int64 // by lives that have ended: spent for ever
+	ClosedSpent int64 // of it, what they had reported as spent
+	ClosedLent  int64 // and what they had handed to other nodes, less what they took
+	Rows        []Row
 }
 
 // Row is what one life of a node has drawn. Only that life writes it, until it
 // has ended.
 type Row struct {
-	Node  string `json:"node"`
-	Life  string `json:"life"`
-	Drawn int64  `json:"drawn"`
-	Spent int64  `json:"spent"`          // as of the last report; at most Drawn
-	Lent  int64  `json:"lent,omitempty"` // handed to other nodes, less what was taken from them, as of the last report
+	Node  string
+	Life  string
+	Drawn int64
+	Spent int64 // as of the last report; at most Drawn
+	Lent  int64 // handed to other nodes, less what was taken from them, as of the last report
 }
 
 // Account finds a tenant's account; an empty one where there is none.
--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/keeper.go
@@ -19,8 +19,12 @@
 	Kind        = "lynxshed-accounts"
 	bookName    = "book"
 	tick        = 150 * time.Millisecond
-	pace        = 1100 * time.Millisecond // between writes that no request waits for
-	urgentPace  = 300 * time.Millisecond
+	calmPace    = 1100 * time.Millisecond // between writes that no request waits for, at least
+	pacePerNode = 250 * time.Millisecond  // of those that write
+	urgentPace  = 300 * time.Millisecond  // where requests lacked tokens lately
+	askedPace   = 100 * time.Millisecond  // where one waits
+	drawWait    = 60 * time.Millisecond   // that a request waits
+	waitingAsks = 64
 	callTimeout = 700 * time.Millisecond
 	conflicts   = 4 // tries in a row before the keeper pauses
 )
@@ -33,7 +37,7 @@
 	writes func() bool // whether this node draws every budget, or borrows from those that do
 	log    log.Interface
 
-	nudged chan struct{}
+	asks chan chan struct{} // of requests that wait for a draw
 
 	rounds   sync.Mutex // one at a time
 	left     bool       // the node is leaving
@@ -47,46 +51,80 @@
 // NewKeeper returns a keeper; nodes tells how many nodes share the budgets, and
 // writes whether this one draws from the book.
 func NewKeeper(s store.Store, p *Purse, nodes func() int, writes func() bool, l log.Interface) *Keeper {
-	return &Keeper{store: s, purse: p, nodes: nodes, writes: writes, log: l, nudged: make(chan struct{}, 1)}
+	return &Keeper{store: s, purse: p, nodes: nodes, writes: writes, log: l, asks: make(chan chan struct{}, waitingAsks)}
 }
 
 // Run keeps the purse filled until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	wait := time.NewTicker(tick)
-	defer wait.Stop()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
 	backoff := time.Duration(0)
 	for ctx.Err() == nil {
+		var asks []chan struct{}
 		select {
 		case <-ctx.Done():
 			return
-		case <-k.nudged:
-			if backoff == 0 {
-				pauseBriefly()
-			}
-		case <-wait.C:
+		case done := <-k.asks:
+			asks = k.waiting(done)
+		case <-ticker.C:
+		}
+		if now := time.Now(); now.Sub(k.last) >= max(k.pace(len(asks) > 0), backoff) {
+			k.last = now
+			backoff = k.round(ctx, now, backoff)
 		}
-		now := time.Now()
-		if now.Sub(k.last) < max(k.pace(), backoff) {
-			continue
+		for _, done := range asks {
+			close(done)
+		}
+	}
+}
+
+// waiting takes all requests that wait for a draw.
+func (k *Keeper) waiting(first chan struct{}) []chan struct{} {
+	pauseBriefly() // others may come with it
+	asks := []chan struct{}{first}
+	for {
+		select {
+		case done := <-k.asks:
+			asks = append(asks, done)
+		default:
+			return asks
 		}
-		k.last = now
-		backoff = k.round(ctx, now, backoff)
 	}
 }
 
-// Nudge tells the keeper that a request lacks tokens.
-func (k *Keeper) Nudge() {
+// Draw has the book written now for a request that lacks a tenant's tokens, where
+// this node draws them, the store answers and there is something left to draw. It
+// returns when that is done, and soon where it takes long.
+func (k *Keeper) Draw(ctx context.Context, tenant string) {
+	if k.Out() || k.purse.State(tenant).Pool <= 0 || !k.writes() && !k.purse.Draws(tenant) {
+		return
+	}
+	done := make(chan struct{})
 	select {
-	case k.nudged <- struct{}{}:
-	default:
+	case k.asks <- done:
+	default: // too many wait
+		return
+	}
+	timer := time.NewTimer(drawWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
-func (k *Keeper) pace() time.Duration {
-	if k.purse.Short() {
+// pace is the time between writes: the more nodes write, the longer, so that
+// they seldom collide.
+func (k *Keeper) pace(asked bool) time.Duration {
+	switch {
+	case asked:
+		return askedPace
+	case k.purse.Short():
 		return urgentPace
+	default:
+		return max(calmPace, time.Duration(k.nodes())*pacePerNode)
 	}
-	return pace
 }
 
 func (k *Keeper) round(ctx context.Context, now time.Time, backoff time.Duration) time.Duration {
--- a/fleet/relay/account/keeper_test.go
+++ b/fleet/relay/account/keeper_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -13,8 +15,8 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
-// shelf is a store of one object, which others may change between two calls.
-type shelf struct {
+// oneObject is a store of one object, which others may change between two calls.
+type oneObject struct {
 	store.Store
 	object store.Object
 	mute   bool // a conflict does not tell the object
@@ -22,7 +24,7 @@
 	before func() // each put
 }
 
-func (s *shelf) Get(context.Context, string, string) (store.Object, error) {
+func (s *oneObject) Get(context.Context, string, string) (store.Object, error) {
 	s.calls = append(s.calls, "get")
 	if s.object.Revision == 0 {
 		return store.Object{}, store.ErrNotFound
@@ -30,7 +32,7 @@
 	return s.object, nil
 }
 
-func (s *shelf) Put(_ context.Context, o store.Object) (store.Object, error) {
+func (s *oneObject) Put(_ context.Context, o store.Object) (store.Object, error) {
 	s.calls = append(s.calls, "put")
 	if s.before != nil {
 		s.before()
@@ -47,7 +49,7 @@
 }
 
 // changedByAnother puts a row of another node into the book.
-func (s *shelf) changedByAnother(t *testing.T, drawn int64) {
+func (s *oneObject) changedByAnother(t *testing.T, drawn int64) {
 	t.Helper()
 	var b Book
 	require.NoError(t, json.Unmarshal(s.object.Data, &b))
@@ -69,7 +71,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s := &shelf{mute: c.mute}
+			s := &oneObject{mute: c.mute}
 			p := NewPurse("n", "n/1", DefaultTuning())
 			p.Budget(map[string]int64{modelTenant: 1000})
 			k := NewKeeper(s, p, func() int { return 1 }, func() bool { return true }, quiet())
@@ -85,7 +87,7 @@
 }
 
 func TestConflictsAreNoLostStore(t *testing.T) {
-	s := &shelf{}
+	s := &oneObject{}
 	p := NewPurse("n", "n/1", DefaultTuning())
 	p.Budget(map[string]int64{modelTenant: 1000})
 	k := NewKeeper(s, p, func() int { return 1 }, func() bool { return true }, quiet())
@@ -99,3 +101,55 @@
 	k.round(t.Context(), testStart, 0)
 	assert.GreaterOrEqual(t, p.State(modelTenant).Free, int64(500))
 }
+
+// hanging is a store that answers only once it is told to.
+type hanging struct {
+	*oneObject
+	answer chan struct{}
+}
+
+func (h hanging) Put(ctx context.Context, o store.Object) (store.Object, error) {
+	select {
+	case <-h.answer:
+		return h.oneObject.Put(ctx, o)
+	case <-ctx.Done():
+		return store.Object{}, ctx.Err()
+	}
+}
+
+func TestDrawWaitsForTheStoreButNotForLong(t *testing.T) {
+	cases := []struct {
+		name   string
+		hangs  bool
+		draws  bool // this node
+		enough bool
+		most   time.Duration
+	}{
+		{"the store answers", false, true, true, 20 * time.Millisecond},
+		{"the store hangs", true, true, false, drawWait},
+		{"other nodes draw", false, false, false, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				s := hanging{oneObject: &oneObject{}, answer: make(chan struct{})}
+				if !c.hangs {
+					close(s.answer)
+				}
+				p := NewPurse("n", "n/1", DefaultTuning())
+				p.Budget(map[string]int64{modelTenant: 1000})
+				k := NewKeeper(s, p, func() int { return 1 }, func() bool { return c.draws }, quiet())
+				assert.Equal(t, Short, p.Reserve(modelTenant, 500, time.Now()))
+				go k.Run(ctx)
+				time.Sleep(askedPace / 2)
+				began := time.Now()
+				k.Draw(ctx, modelTenant)
+				assert.LessOrEqual(t, time.Since(began), c.most)
+				assert.Equal(t, c.enough, p.Missing(modelTenant, 500) == 0)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -196,11 +196,9 @@
 // lender finds tokens for a request that this node's part does not hold.
 type lender struct{ *Node }
 
-// Borrow implements forward.Lender: peers first, then the store.
+// Borrow implements forward.Lender: from the store where this node draws and the
+// store answers, else from peers.
 func (l lender) Borrow(ctx context.Context, tenant string, tokens int64) bool {
-	if l.talk.Borrow(ctx, tenant, tokens) {
-		return true
-	}
-	l.keeper.Nudge()
-	return false
+	l.keeper.Draw(ctx, tenant)
+	return l.purse.Missing(tenant, tokens) == 0 || l.talk.Borrow(ctx, tenant, tokens)
 }
