Check a relay's settings like a node's; find the last fit endpoint among many; tell lost gifts again

(2) All are looked at where the sample gives none. (3) An ask that was not answered is sent again with its id, up to six times; a node that draws for others tells a fifth of a large fleet at a time, others tell it every 0.6 s. Tests: each failed first (the relay's settings test now wants line and column, which is stricter).

--- a/fleet/cmd/lynxshed/main.go
+++ b/fleet/cmd/lynxshed/main.go
@@ -16,6 +16,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/lynxshed/lynxshed/fleet/node"
+	"github.com/lynxshed/lynxshed/fleet/relay"
 	"github.com/lynxshed/lynxshed/fleet/settings"
 )
 
@@ -39,6 +40,8 @@
 	checkCommand := flaggy.NewSubcommand("check")
 	checkCommand.Description = "check the settings and print every fault"
 	checkCommand.String(&file, "s", "settings", "file of settings, JSON with comments")
+	ofRelay := false
+	checkCommand.Bool(&ofRelay, "r", "relay", "the settings are those of a relaying node")
 	versionCommand := flaggy.NewSubcommand("version")
 	versionCommand.Description = "print version, commit and Go version"
 	relayCommand := flaggy.NewSubcommand("relay")
@@ -58,8 +61,10 @@
 		return usage("want one of run, relay, check, version")
 	case file == "":
 		return usage("want --settings FILE")
+	case checkCommand.Used && ofRelay:
+		return checked(relay.LoadSettings(file))
 	case checkCommand.Used:
-		return check(file)
+		return checked(settings.Load(file))
 	default:
 		return serve(file)
 	}
@@ -79,8 +84,9 @@
 	return exitFailed
 }
 
-func check(file string) int {
-	if _, err := settings.Load(file); err != nil {
+// checked tells whether settings that were read are sound.
+func checked[S any](_ S, err error) int {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err.Error())
 		return exitFailed
 	}
--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -93,10 +93,7 @@
 func (p *Picker) Pick(a Ask) (*Ticket, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, found := p.best(a, false)
-	if !found {
-		best, found = p.best(a, true)
-	}
+	best, found := p.first(a)
 	if !found {
 		return nil, false
 	}
@@ -111,14 +108,29 @@
 	return &best, true
 }
 
-// best ranks the candidates; suspects only where nothing else is left.
-func (p *Picker) best(a Ask, suspects bool) (Ticket, bool) {
+// first finds the best among a sample of the endpoints; where none of them may
+// take the call among all, and suspects only where nothing else is left.
+func (p *Picker) first(a Ask) (Ticket, bool) {
+	key := xxhash.Sum64String(a.Call.ID)
+	home := p.home(a)
+	some := candidates(a, home, key)
+	if best, found := p.best(a, some, home, key, false); found {
+		return best, true
+	}
+	if len(some) < len(a.Engines) {
+		if best, found := p.best(a, a.Engines, home, key, false); found {
+			return best, true
+		}
+	}
+	return p.best(a, a.Engines, home, key, true)
+}
+
+// best ranks endpoints for a call.
+func (p *Picker) best(a Ask, among []engine.Engine, home string, key uint64, suspects bool) (Ticket, bool) {
 	var best Ticket
 	bestRank := uint64(0)
 	found := false
-	key := xxhash.Sum64String(a.Call.ID)
-	home := p.home(a)
-	for _, e := range candidates(a, home, key) {
+	for _, e := range among {
 		if e.State != engine.Ready || a.Exclude[e.ID] {
 			continue
 		}
--- a/fleet/relay/choice/choice_test.go
+++ b/fleet/relay/choice/choice_test.go
@@ -161,3 +161,22 @@
 		})
 	}
 }
+
+// Among many endpoints only some are compared, but none that may take a call is missed.
+func TestTheLastFitEndpointOfManyIsFound(t *testing.T) {
+	now := time.Now()
+	for i := range 50 {
+		all := engines(60)
+		for at := range all {
+			if at != i {
+				all[at].State = engine.Draining
+			}
+		}
+		p := choice.NewPicker("z0", choice.DefaultTuning())
+		plain := ask(prompt(fmt.Sprint("call-", i), "session"), all, now)
+		plain.Tokens = false // else the only fit one is the home of the parts
+		ticket, ok := p.Pick(plain)
+		require.True(t, ok)
+		assert.Equal(t, all[i].ID, ticket.Engine.ID)
+	}
+}
--- a/fleet/relay/peer/digest.go
+++ b/fleet/relay/peer/digest.go
@@ -20,7 +20,7 @@
 // Digests are told this often, to so many peers at a time.
 const (
 	beat       = 200 * time.Millisecond
-	freeEvery  = 3 // beats between words on what the node could give
+	stockEvery = 3 // beats between words on what the node could give
 	maxMessage = 16 << 10
 )
 
@@ -30,6 +30,7 @@
 	Life    string                   `json:"life"`
 	Number  uint64                   `json:"number"` // rises; an older one is dropped
 	Digests map[string]choice.Digest `json:"digests,omitempty"`
+	Stock   bool                     `json:"stock,omitempty"` // the offers are told
 	Offers  map[string]account.Offer `json:"offers,omitempty"`
 	Out     bool                     `json:"out,omitempty"` // the node does not reach the store
 	Asks    []ask                    `json:"asks,omitempty"`
@@ -47,6 +48,7 @@
 	out         func() bool // whether this node does not reach the store
 	writes      atomic.Bool
 	writerCount atomic.Int64
+	offers      map[string]account.Offer // as of the last stock
 
 	mu    sync.Mutex
 	heard map[string]heard // by the node's name
@@ -89,13 +91,23 @@
 
 func (t *Talk) tell() {
 	t.number++
-	m := t.signed(message{Number: t.number, Digests: t.picker.Digests(), Out: t.out()})
+	for peer, asks := range t.loans.overdue(time.Now()) {
+		t.send(peer, t.signed(message{Asks: asks}))
+	}
 	writers := Writers(t.registry.Members(), t.fit)
-	if t.number%freeEvery == 1 {
-		m.Offers = t.takeStock(writers)
+	if t.number%stockEvery == 1 {
+		t.offers = t.takeStock(writers)
 	}
-	for _, to := range t.listeners(writers) {
-		t.send(to.Address, m)
+	to, stock := t.listeners(writers)
+	if len(to) == 0 {
+		return
+	}
+	m := t.signed(message{Number: t.number, Digests: t.picker.Digests(), Out: t.out()})
+	if stock {
+		m.Stock, m.Offers = true, t.offers
+	}
+	for _, member := range to {
+		t.send(member.Address, m)
 	}
 }
 
@@ -167,21 +179,33 @@
 	return fit
 }
 
-// listeners picks the peers of one beat: all of them in a small fleet and for a
-// node that others borrow from, else those and a few at random.
-func (t *Talk) listeners(writers map[string]bool) []Member {
-	var sure, others []Member
-	for _, m := range t.registry.Members() {
-		switch {
-		case m.Name == t.registry.self.Name:
-		case writers[m.Name] || writers[t.registry.self.Name]:
-			sure = append(sure, m)
-		default:
-			others = append(others, m)
-		}
+// listeners picks the peers of one beat, and whether they are told the stock: all
+// of them in a small fleet. In a large one a node that draws for others tells a
+// part of the fleet at a time, since a burst to all would fill its link and lose
+// gifts; others tell those, and a few at random, now and then.
+func (t *Talk) listeners(writers map[string]bool) ([]Member, bool) {
+	self := t.registry.self
+	peers := lo.Filter(t.registry.Members(), func(m Member, _ int) bool { return m.Name != self.Name })
+	due := t.number%stockEvery == 1
+	switch {
+	case len(writers) > len(peers): // everyone writes
+		return peers, due
+	case writers[self.Name]:
+		return part(peers, int(t.number%roundBeats)), true
+	case !due:
+		return nil, false
 	}
+	sure, others := lo.FilterReject(peers, func(m Member, _ int) bool { return writers[m.Name] })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return append(sure, others[:min(len(others), randomOthers)]...)
+	return append(sure, others[:min(len(others), randomOthers)]...), true
+}
+
+// roundBeats is in how many beats a node that draws for others has told all.
+const roundBeats = 5
+
+// part is every roundBeats-th member.
+func part(members []Member, which int) []Member {
+	return lo.Filter(members, func(_ Member, i int) bool { return i%roundBeats == which })
 }
 
 // signed fills in who sends a message.
@@ -246,7 +270,7 @@
 		return
 	}
 	t.picker.Heard(m.Node, m.Digests, now)
-	if m.Number%freeEvery == 1 {
+	if m.Stock {
 		t.loans.told(from, m.Offers, now)
 	}
 }
--- /dev/null
+++ b/fleet/relay/peer/digest_test.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// talkOf is the talk of one member of a fleet, without a socket.
+func talkOf(self string, all []Member) *Talk {
+	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	r := NewRegistry(nil, Member{Name: self}, store.NewHealth(), 0, quiet)
+	for _, m := range all {
+		r.byName[m.Name] = m
+	}
+	r.publish()
+	return &Talk{registry: r, heard: map[string]heard{}}
+}
+
+// In a round of beats a node that draws for others tells every peer once and
+// never many at a time; others tell those now and then, with what they have.
+func TestListenersOfARound(t *testing.T) {
+	cases := []struct {
+		name     string
+		fleet    int
+		writes   bool
+		most     int // peers in one beat
+		told     int // of the peers in a round
+		withFree bool
+	}{
+		{"a small fleet", 8, true, 7, 7, false},
+		{"a large fleet, one that draws for others", 73, true, 15, 72, true},
+		{"a large fleet, another", 73, false, 8 + randomOthers, 8, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			all := members(c.fleet)
+			writers := Writers(all, func() []Member { return all })
+			self, ok := lo.Find(all, func(m Member) bool { return writers[m.Name] == c.writes })
+			assert.True(t, ok)
+			talk := talkOf(self.Name, all)
+			told := map[string]int{}
+			for range stockEvery * roundBeats {
+				talk.number++
+				to, stock := talk.listeners(writers)
+				assert.LessOrEqual(t, len(to), c.most)
+				if c.withFree && len(to) > 0 {
+					assert.True(t, stock)
+				}
+				for _, m := range to {
+					assert.NotEqual(t, self.Name, m.Name)
+					told[m.Name]++
+				}
+			}
+			assert.GreaterOrEqual(t, len(told), c.told)
+			for name := range writers {
+				assert.True(t, name == self.Name || told[name] >= 3, fmt.Sprint(name, " is told ", told[name], " times"))
+			}
+		})
+	}
+}
--- a/fleet/relay/peer/loan.go
+++ b/fleet/relay/peer/loan.go
@@ -45,12 +45,14 @@
 // How loans are asked for.
 const (
 	giftTimeout = 30 * time.Millisecond // for one try at a peer
-	giftTries   = 2                     // at a peer, with the same id
-	giftPeers   = 6                     // asked one after another
-	freeAge     = 2 * time.Second       // a peer's word on what it could give counts so long
-	rateAge     = 10 * time.Second      // and its word on what it is asked for
-	giftKept    = 10 * time.Second      // answers are repeated, and late gifts taken, so long
-	wantFactor  = 2                     // asked for beyond the need by a node that draws from the book, as a multiple of the request's tokens
+	giftTries   = 2                     // at a peer, with the same id, while a request waits
+	giftRepeats = 6                     // and afterwards, so that what was counted out already is not lost with its datagram
+	giftPause   = 150 * time.Millisecond
+	giftPeers   = 6                // asked one after another
+	freeAge     = 2 * time.Second  // a peer's word on what it could give counts so long
+	rateAge     = 10 * time.Second // and its word on what it is asked for
+	giftKept    = 10 * time.Second // answers are repeated, and late gifts taken, so long
+	wantFactor  = 2                // asked for beyond the need by a node that draws from the book, as a multiple of the request's tokens
 )
 
 // loans moves tokens between nodes without the store. A gift is counted out
@@ -60,8 +62,8 @@
 	purse Purse
 
 	mu      sync.Mutex
-	offered map[string]offer // by the peer's address
-	asked   map[string]asked // by the ask's id
+	offered map[string]offer  // by the peer's address
+	asked   map[string]*asked // by the ask's id
 	answers map[string]answer
 }
 
@@ -71,8 +73,12 @@
 }
 
 type asked struct {
-	done chan gift
-	at   time.Time
+	ask     ask
+	peer    string
+	done    chan gift
+	at      time.Time // when it was opened
+	sent    time.Time // when it was last sent
+	repeats int
 }
 
 type answer struct {
@@ -81,7 +87,7 @@
 }
 
 func newLoans(p Purse) *loans {
-	return &loans{purse: p, offered: map[string]offer{}, asked: map[string]asked{}, answers: map[string]answer{}}
+	return &loans{purse: p, offered: map[string]offer{}, asked: map[string]*asked{}, answers: map[string]answer{}}
 }
 
 // told notes what a peer could give.
@@ -186,14 +192,31 @@
 	return peers
 }
 
-func (l *loans) open(id string, now time.Time) chan gift {
+// open notes an ask that is sent to a peer.
+func (l *loans) open(a ask, peer string, now time.Time) chan gift {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	done := make(chan gift, 1)
-	l.asked[id] = asked{done: done, at: now}
+	l.asked[a.ID] = &asked{ask: a, peer: peer, done: done, at: now, sent: now}
 	return done
 }
 
+// overdue lists the asks to send once more, by peer: the peer may have counted
+// tokens out for them already, and answers an id that it knows as it did before.
+func (l *loans) overdue(now time.Time) map[string][]ask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	again := map[string][]ask{}
+	for _, a := range l.asked {
+		if a.repeats < giftRepeats && now.Sub(a.sent) >= giftPause {
+			a.repeats++
+			a.sent = now
+			again[a.peer] = append(again[a.peer], a.ask)
+		}
+	}
+	return again
+}
+
 // stockUp asks one node that writes the book for what this node's holdings
 // lack, without waiting: gifts are counted in as they come.
 func (t *Talk) stockUp(writers []Member) {
@@ -205,7 +228,7 @@
 	var asks []ask
 	for tenant, tokens := range t.loans.purse.Lacking(t.registry.Count(), stockFraction, now) {
 		a := ask{ID: uuid.NewString(), Tenant: tenant, Want: tokens}
-		t.loans.open(a.ID, now)
+		t.loans.open(a, from.Address, now)
 		asks = append(asks, a)
 	}
 	if len(asks) > 0 {
@@ -234,7 +257,7 @@
 
 // borrowFrom asks one peer, and returns the richer ones that it names.
 func (t *Talk) borrowFrom(ctx context.Context, peer string, a ask) []string {
-	done := t.loans.open(a.ID, time.Now())
+	done := t.loans.open(a, peer, time.Now())
 	for range giftTries {
 		t.send(peer, t.signed(message{Asks: []ask{a}}))
 		timer := time.NewTimer(giftTimeout)
--- a/fleet/relay/peer/loan_test.go
+++ b/fleet/relay/peer/loan_test.go
@@ -23,8 +23,8 @@
 	now := time.Now()
 	giver, taker := purseWith("a", 100), purseWith("b", 0)
 	from, to := newLoans(giver), newLoans(taker)
-	to.open("id", now)
 	wish := ask{ID: "id", Tenant: tenant, Need: 30, Want: 30}
+	to.open(wish, "a", now)
 	first := from.answer(wish, now)
 	again := from.answer(wish, now)
 	assert.Equal(t, gift{ID: "id", Tenant: tenant, Tokens: 30}, *first)
@@ -71,3 +71,30 @@
 	l.told("other", map[string]account.Offer{"another": {Free: 500}}, now)
 	assert.Equal(t, []string{"rich", "poor"}, l.lenders(tenant, 1, now))
 }
+
+// A gift whose datagram is lost was counted out: it is asked for again, with the
+// same id, until it has come or too long has passed.
+func TestALostGiftIsAskedForAgain(t *testing.T) {
+	now := time.Now()
+	giver, taker := purseWith("a", 100), purseWith("b", 0)
+	from, to := newLoans(giver), newLoans(taker)
+	wish := ask{ID: "id", Tenant: tenant, Need: 30, Want: 30}
+	to.open(wish, "a", now)
+	from.answer(wish, now) // and the answer is lost
+	assert.Empty(t, to.overdue(now))
+	now = now.Add(giftPause)
+	again := to.overdue(now)
+	assert.Equal(t, map[string][]ask{"a": {wish}}, again)
+	to.arrived(*from.answer(again["a"][0], now))
+	assert.Equal(t, int64(70), giver.State(tenant).Free)
+	assert.Equal(t, int64(30), taker.State(tenant).Free)
+	assert.Empty(t, to.overdue(now.Add(giftPause)), "it has come")
+
+	to.open(ask{ID: "never", Tenant: tenant, Need: 1}, "gone", now)
+	times := 0
+	for range 100 {
+		now = now.Add(giftPause)
+		times += len(to.overdue(now)["gone"])
+	}
+	assert.Equal(t, giftRepeats, times)
+}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -99,9 +99,9 @@
 	return n, nil
 }
 
-func limitMemory(mb int) {
+func limitMemory(mb float64) {
 	if mb > 0 {
-		debug.SetMemoryLimit(int64(float64(mb) * memoryShare * (1 << 20)))
+		debug.SetMemoryLimit(int64(mb * memoryShare * (1 << 20)))
 	}
 }
 
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -97,16 +98,18 @@
 
 func TestSettingsNameWhatIsMissing(t *testing.T) {
 	sound := `{"node":"n","zone":"z","listen":"a:1","ready":{"address":"a:2"},"peer":"a:3","store":"a:4", // comment
-		"budget":{"exposure":0.5},"of tomorrow":1}`
+		"budget":{"exposure":0.5},"drainS":7.5,"of tomorrow":1}`
 	s, err := ParseSettings([]byte(sound))
 	require.NoError(t, err)
+	assert.Equal(t, 7500*time.Millisecond, s.Drain())
 	assert.Equal(t, 0.5, s.Budget.Tuning().Exposure)
 	assert.Equal(t, account.DefaultTuning().Horizon, s.Budget.Tuning().Horizon)
 	cases := []struct{ name, text, fault string }{
-		{"no JSON", "{", "settings"},
-		{"nothing", "{}", "node is missing"},
-		{"no store", `{"node":"n","zone":"z","listen":"a:1","ready":{"address":"a:2"},"peer":"a:3"}`, "store is missing"},
-		{"a word for a number", `{"memoryMB":"x"}`, "settings"},
+		{"no JSON", "{", "line 1, column 2: expected JSON with comments"},
+		{"nothing", "{}", "line 1, column 1, field node: expected the field to be there"},
+		{"no store", `{"node":"n","zone":"z","listen":"a:1","ready":{"address":"a:2"},"peer":"a:3"}`, "line 1, column 1, field store: expected the field to be there"},
+		{"a word for a number", `{"memoryMB":"x"}`, "line 1, column 13, field memoryMB: expected a number from 0 to 1048576"},
+		{"a part beyond the whole", `{"budget":{"exposure":1.5}}`, "line 1, column 23, field budget.exposure: expected a number from 0 to 1"},
 	}
 	for _, c := range cases {
 		_, err := ParseSettings([]byte(c.text))
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tailscale/hujson"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/settings/schema"
 )
 
 // Settings of one relaying node: JSON with comments. Fields that are not known
@@ -21,8 +21,8 @@
 	Peer     string         `json:"peer"`     // for datagrams between nodes, IP:PORT
 	Store    string         `json:"store"`    // the platform's store, IP:PORT
 	HistoryS float64        `json:"historyS"` // seconds of history that the store keeps; 0 is not known
-	MemoryMB int            `json:"memoryMB"` // what the process may use; 0 is no bound
-	DrainMs  int            `json:"drainMs"`  // how long a planned stop may take
+	MemoryMB float64        `json:"memoryMB"` // what the process may use; 0 is no bound
+	DrainS   float64        `json:"drainS"`   // seconds that a planned stop may take
 	Retry    RetrySettings  `json:"retry"`    // the fleet's bound on what is sent again
 	Budget   BudgetSettings `json:"budget"`   // how much of the budgets a node holds
 	LogLevel string         `json:"logLevel"` // debug, info, warn or error
@@ -52,7 +52,7 @@
 func (b BudgetSettings) Tuning() account.Tuning {
 	t := account.DefaultTuning()
 	if b.HorizonS > 0 {
-		t.Horizon = time.Duration(b.HorizonS * float64(time.Second))
+		t.Horizon = seconds(b.HorizonS)
 	}
 	if b.Exposure > 0 {
 		t.Exposure = b.Exposure
@@ -66,7 +66,7 @@
 // DefaultSettings hold where the file says nothing.
 func DefaultSettings() Settings {
 	return Settings{
-		DrainMs: 8000, LogLevel: "info",
+		DrainS: 8, LogLevel: "info",
 		Ready: ReadySettings{Path: "/readyz"},
 		Retry: RetrySettings{Ratio: 0.2, Slack: 20, WindowS: 10},
 	}
@@ -81,42 +81,59 @@
 	return ParseSettings(data)
 }
 
-// ParseSettings reads and checks settings.
+// mostSeconds bounds every time in the settings.
+const mostSeconds = 3600
+
+// fields are what the settings of a relaying node may say. Others are passed
+// over, so that an older node reads a newer file.
+var fields = schema.Schema{Open: true, Fields: []schema.Field{
+	{Name: "node", Required: true, Text: schema.Some},
+	{Name: "zone", Required: true, Text: schema.Some},
+	{Name: "listen", Required: true, Text: schema.Address},
+	{Name: "ready", Required: true, Fields: []schema.Field{
+		{Name: "address", Required: true, Text: schema.Address},
+		{Name: "path", Text: schema.Some},
+	}},
+	{Name: "peer", Required: true, Text: schema.Address},
+	{Name: "store", Required: true, Text: schema.Address},
+	{Name: "historyS", Number: schema.Number(0, mostSeconds)},
+	{Name: "memoryMB", Number: schema.Number(0, 1<<20)},
+	{Name: "drainS", Number: schema.Number(0, mostSeconds)},
+	{Name: "logLevel", Text: schema.OneOf("debug", "info", "warn", "error")},
+	{Name: "retry", Fields: []schema.Field{
+		{Name: "ratio", Number: schema.Number(0, 10)},
+		{Name: "slack", Number: schema.Number(0, 1<<20)},
+		{Name: "windowS", Number: schema.Number(0.1, mostSeconds)},
+	}},
+	{Name: "budget", Fields: []schema.Field{
+		{Name: "horizonS", Number: schema.Number(0, mostSeconds)},
+		{Name: "exposure", Number: schema.Number(0, 1)},
+		{Name: "first", Number: schema.Number(0, 1)},
+	}},
+}}
+
+// ParseSettings reads and checks settings; the error is schema.Faults where the
+// text has any.
 func ParseSettings(data []byte) (Settings, error) {
-	standard, err := hujson.Standardize(data)
+	standard, err := fields.Check(data)
 	if err != nil {
-		return Settings{}, errors.Wrap(err, "settings")
+		return Settings{}, err
 	}
 	s := DefaultSettings()
-	if err := json.Unmarshal(standard, &s); err != nil {
-		return Settings{}, errors.Wrap(err, "settings")
-	}
-	return s, s.check()
-}
-
-func (s Settings) check() error {
-	wanted := []struct{ field, value string }{
-		{"node", s.Node}, {"zone", s.Zone}, {"listen", s.Listen}, {"ready.address", s.Ready.Address},
-		{"peer", s.Peer}, {"store", s.Store},
-	}
-	var faults error
-	for _, w := range wanted {
-		if w.value == "" {
-			faults = errors.CombineErrors(faults, errors.Newf("settings: %s is missing", w.field))
-		}
-	}
-	return faults
+	return s, errors.Wrap(json.Unmarshal(standard, &s), "settings")
 }
 
 // History is how long the store keeps its history; 0 is not known.
 func (s Settings) History() time.Duration {
-	return time.Duration(s.HistoryS * float64(time.Second))
+	return seconds(s.HistoryS)
 }
 
 // Drain is how long a planned stop may take.
-func (s Settings) Drain() time.Duration { return time.Duration(s.DrainMs) * time.Millisecond }
+func (s Settings) Drain() time.Duration { return seconds(s.DrainS) }
 
 // Window is the time over which retries are counted.
 func (r RetrySettings) Window() time.Duration {
-	return time.Duration(r.WindowS * float64(time.Second))
+	return seconds(r.WindowS)
 }
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- /dev/null
+++ b/fleet/settings/schema/rules.go
@@ -0,0 +1,62 @@
+package schema
+
+import (
+	"net"
+	"net/url"
+	"strings"
+)
+
+// URL wants an http or https URL.
+func URL(s string) string {
+	u, err := url.Parse(s)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return "an http or https URL"
+	}
+	return ""
+}
+
+// Address wants a host or IP number with a port.
+func Address(s string) string {
+	if _, port, err := net.SplitHostPort(s); err != nil || port == "" {
+		return "an address with a port, such as 127.0.0.1:8080"
+	}
+	return ""
+}
+
+// Name wants a name that can stand in a path.
+func Name(s string) string {
+	if s == "" || strings.ContainsAny(s, "@. /\t\n") {
+		return "a name without spaces, slashes, dots and @"
+	}
+	return ""
+}
+
+// Some wants any text.
+func Some(s string) string {
+	if s == "" {
+		return "some text"
+	}
+	return ""
+}
+
+// OneOf wants one of some words.
+func OneOf(choices ...string) Rule {
+	return func(s string) string {
+		for _, c := range choices {
+			if s == c {
+				return ""
+			}
+		}
+		return "one of " + strings.Join(choices, ", ")
+	}
+}
+
+// OrEmpty also allows no text.
+func OrEmpty(rule Rule) Rule {
+	return func(s string) string {
+		if s == "" {
+			return ""
+		}
+		return rule(s)
+	}
+}
--- a/fleet/settings/check.go
+++ b/fleet/settings/schema/schema.go
@@ -1,10 +1,13 @@
-package settings
+// Package schema checks settings, JSON with comments, against the fields that are
+// known, and names every fault with line, column, field and what was expected.
+package schema
 
 import (
 	"bytes"
 	"encoding/json"
 	"fmt"
 	"math"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -36,90 +39,64 @@
 	return strings.Join(lo.Map(fs, func(f Fault, _ int) string { return f.Error() }), "\n")
 }
 
-// field is the rule for one value of the settings.
-type field struct {
-	name     string
-	required bool
-	text     func(string) string
-	list     func(string) string
-	whole    *wholeRange
-	fields   []field
-}
-
-type wholeRange struct{ least, most int64 }
-
-func whole(least, most int64) *wholeRange { return &wholeRange{least: least, most: most} }
-
-const maxMs = 3_600_000
-
-var schema = []field{
-	{name: "node", required: true, text: ruleName},
-	{name: "zone", required: true, text: ruleName},
-	{name: "listen", required: true, text: ruleAddress},
-	{name: "advertise", required: true, text: ruleURL},
-	{name: "platform", required: true, text: ruleURL},
-	{name: "peers", list: ruleURL},
-	{name: "fleetKeyFile", required: true, text: ruleSome},
-	{name: "operatorHashesFile", required: true, text: ruleSome},
-	{name: "slots", whole: whole(1, 4096)},
-	{name: "timing", fields: []field{
-		{name: "beatMs", whole: whole(10, maxMs)},
-		{name: "suspectMs", whole: whole(50, maxMs)},
-		{name: "flushMs", whole: whole(10, maxMs)},
-		{name: "ledgerMs", whole: whole(0, maxMs)},
-		{name: "pollMs", whole: whole(10, maxMs)},
-		{name: "listMs", whole: whole(10, maxMs)},
-		{name: "drainMs", whole: whole(0, maxMs)},
-	}},
-	{name: "limits", fields: []field{
-		{name: "bodyBytes", whole: whole(1024, 64<<20)},
-		{name: "headerBytes", whole: whole(1024, 1<<20)},
-	}},
-	{name: "log", fields: []field{
-		{name: "format", text: ruleOneOf("json", "text")},
-		{name: "level", text: ruleOneOf("debug", "info", "warn", "error")},
-	}},
-	{name: "trace", fields: []field{
-		{name: "otlpEndpoint", text: orEmpty(ruleURL)},
-		{name: "file", text: func(string) string { return "" }},
-	}},
-}
-
-func orEmpty(rule func(string) string) func(string) string {
-	return func(s string) string {
-		if s == "" {
-			return ""
-		}
-		return rule(s)
-	}
+// Field is the rule for one value of the settings. One of the rules is given.
+type Field struct {
+	Name     string
+	Required bool
+	Text     Rule
+	List     Rule // for each text of a list
+	Number   *Range
+	Fields   []Field
+}
+
+// Rule checks a text: what was expected, or "" where it is sound.
+type Rule func(string) string
+
+// Range is what a number may be.
+type Range struct {
+	Least, Most float64
+	Whole       bool
 }
 
-type document struct {
-	standard []byte // the text as standard JSON
+// Whole is a range of whole numbers.
+func Whole(least, most int64) *Range {
+	return &Range{Least: float64(least), Most: float64(most), Whole: true}
+}
+
+// Number is a range of numbers.
+func Number(least, most float64) *Range { return &Range{Least: least, Most: most} }
+
+// Schema is the fields of a file of settings.
+type Schema struct {
+	Fields []Field
+	Open   bool // fields that are not known are passed over
 }
 
 type checker struct {
 	text   []byte
+	open   bool
 	faults Faults
 }
 
-func parse(data []byte) (document, Faults) {
+// Check returns the settings as standard JSON; the error is Faults where the text
+// has any.
+func (s Schema) Check(data []byte) ([]byte, error) {
 	value, err := hujson.Parse(data)
 	if err != nil {
-		return document{}, Faults{syntaxFault(data, err)}
+		return nil, Faults{syntaxFault(data, err)}
 	}
-	c := &checker{text: data}
+	c := &checker{text: data, open: s.Open}
 	object, ok := value.Value.(*hujson.Object)
 	if !ok {
 		c.add(value.StartOffset, "", "an object in braces")
-		return document{}, c.faults
+		return nil, c.faults
 	}
-	c.object("", object, value.StartOffset, schema)
+	c.object("", object, value.StartOffset, s.Fields)
 	if len(c.faults) > 0 {
-		return document{}, c.faults
+		return nil, c.faults
 	}
 	value.Standardize()
-	return document{standard: value.Pack()}, nil
+	return value.Pack(), nil
 }
 
 // syntaxFault places an error of the parser, which names line and column in its text.
@@ -139,23 +116,26 @@
 	c.faults = append(c.faults, Fault{Line: line, Column: column, Field: name, Expected: expected})
 }
 
-func (c *checker) object(prefix string, o *hujson.Object, offset int, fields []field) {
+func (c *checker) object(prefix string, o *hujson.Object, offset int, fields []Field) {
 	seen := map[string]bool{}
 	for _, m := range o.Members {
 		c.member(prefix, m, fields, seen)
 	}
 	for _, f := range fields {
-		if f.required && !seen[f.name] {
-			c.add(offset, prefix+f.name, "the field to be there")
+		if f.Required && !seen[f.Name] {
+			c.add(offset, prefix+f.Name, "the field to be there")
 		}
 	}
 }
 
-func (c *checker) member(prefix string, m hujson.ObjectMember, fields []field, seen map[string]bool) {
+func (c *checker) member(prefix string, m hujson.ObjectMember, fields []Field, seen map[string]bool) {
 	name := m.Name.Value.(hujson.Literal).String()
-	f, ok := lo.Find(fields, func(f field) bool { return f.name == name })
+	f, ok := lo.Find(fields, func(f Field) bool { return f.Name == name })
+	if !ok && c.open {
+		return
+	}
 	if !ok {
-		names := lo.Map(fields, func(f field, _ int) string { return f.name })
+		names := lo.Map(fields, func(f Field, _ int) string { return f.Name })
 		c.add(m.Name.StartOffset, prefix+name, "one of the fields "+strings.Join(names, ", "))
 		return
 	}
@@ -166,44 +146,46 @@
 	c.value(prefix+name, m.Value, f)
 }
 
-func (c *checker) value(name string, v hujson.Value, f field) {
+func (c *checker) value(name string, v hujson.Value, f Field) {
 	switch {
-	case f.fields != nil:
+	case f.Fields != nil:
 		if o, ok := v.Value.(*hujson.Object); ok {
-			c.object(name+".", o, v.StartOffset, f.fields)
+			c.object(name+".", o, v.StartOffset, f.Fields)
 			return
 		}
 		c.add(v.StartOffset, name, "an object in braces")
-	case f.whole != nil:
-		c.whole(name, v, *f.whole)
-	case f.list != nil:
+	case f.Number != nil:
+		c.number(name, v, *f.Number)
+	case f.List != nil:
 		a, ok := v.Value.(*hujson.Array)
 		if !ok {
 			c.add(v.StartOffset, name, "a list in brackets")
 			return
 		}
 		for i, e := range a.Elements {
-			c.text1(fmt.Sprintf("%s[%d]", name, i), e, f.list)
+			c.quoted(fmt.Sprintf("%s[%d]", name, i), e, f.List)
 		}
 	default:
-		c.text1(name, v, f.text)
+		c.quoted(name, v, f.Text)
 	}
 }
 
-func (c *checker) whole(name string, v hujson.Value, r wholeRange) {
-	expected := fmt.Sprintf("a whole number from %d to %d", r.least, r.most)
+func (c *checker) number(name string, v hujson.Value, r Range) {
+	expected := fmt.Sprintf("a %snumber from %s to %s", lo.Ternary(r.Whole, "whole ", ""), plain(r.Least), plain(r.Most))
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '0' {
 		c.add(v.StartOffset, name, expected)
 		return
 	}
 	n := literal.Float()
-	if n != math.Trunc(n) || n < float64(r.least) || n > float64(r.most) {
+	if r.Whole && n != math.Trunc(n) || n < r.Least || n > r.Most {
 		c.add(v.StartOffset, name, expected)
 	}
 }
 
-func (c *checker) text1(name string, v hujson.Value, rule func(string) string) {
+func plain(n float64) string { return strconv.FormatFloat(n, 'f', -1, 64) }
+
+func (c *checker) quoted(name string, v hujson.Value, rule Rule) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
 		c.add(v.StartOffset, name, "text in quotes")
--- a/fleet/settings/settings.go
+++ b/fleet/settings/settings.go
@@ -4,8 +4,6 @@
 
 import (
 	"encoding/json"
-	"net"
-	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -101,14 +99,14 @@
 	return Parse(data)
 }
 
-// Parse reads and checks settings; the error is Faults where the text has any.
+// Parse reads and checks settings; the error is schema.Faults where the text has any.
 func Parse(data []byte) (Settings, error) {
-	doc, faults := parse(data)
-	if len(faults) > 0 {
-		return Settings{}, faults
+	standard, err := fields.Check(data)
+	if err != nil {
+		return Settings{}, err
 	}
 	s := Default()
-	if err := json.Unmarshal(doc.standard, &s); err != nil {
+	if err := json.Unmarshal(standard, &s); err != nil {
 		return Settings{}, errors.Wrap(err, "settings")
 	}
 	return s, nil
@@ -126,45 +124,3 @@
 	}
 	return secret, nil
 }
-
-// The rules for text fields; each returns what was expected, or "".
-
-func ruleURL(s string) string {
-	u, err := url.Parse(s)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		return "an http or https URL"
-	}
-	return ""
-}
-
-func ruleAddress(s string) string {
-	if _, port, err := net.SplitHostPort(s); err != nil || port == "" {
-		return "an address with a port, such as 127.0.0.1:8080"
-	}
-	return ""
-}
-
-func ruleName(s string) string {
-	if s == "" || strings.ContainsAny(s, "@. /\t\n") {
-		return "a name without spaces, slashes, dots and @"
-	}
-	return ""
-}
-
-func ruleSome(s string) string {
-	if s == "" {
-		return "some text"
-	}
-	return ""
-}
-
-func ruleOneOf(choices ...string) func(string) string {
-	return func(s string) string {
-		for _, c := range choices {
-			if s == c {
-				return ""
-			}
-		}
-		return "one of " + strings.Join(choices, ", ")
-	}
-}
--- a/fleet/settings/settings_test.go
+++ b/fleet/settings/settings_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lynxshed/lynxshed/fleet/settings"
+	"github.com/lynxshed/lynxshed/fleet/settings/schema"
 )
 
 func TestExampleIsSound(t *testing.T) {
@@ -28,32 +29,32 @@
 	cases := []struct {
 		name string
 		text string
-		want settings.Faults
+		want schema.Faults
 	}{
-		{"no JSON", "{", settings.Faults{{Line: 1, Column: 2}}},
-		{"no object", "[]", settings.Faults{{Line: 1, Column: 1, Expected: "an object in braces"}}},
-		{"two at once", "{\"node\": 7,\n  \"slots\": -1, " + sound + "}", settings.Faults{
+		{"no JSON", "{", schema.Faults{{Line: 1, Column: 2}}},
+		{"no object", "[]", schema.Faults{{Line: 1, Column: 1, Expected: "an object in braces"}}},
+		{"two at once", "{\"node\": 7,\n  \"slots\": -1, " + sound + "}", schema.Faults{
 			{Line: 1, Column: 10, Field: "node", Expected: "text in quotes"},
 			{Line: 2, Column: 12, Field: "slots", Expected: "a whole number from 1 to 4096"},
 		}},
-		{"unknown and missing", "{\"nod\": \"x\", " + sound + "}", settings.Faults{
+		{"unknown and missing", "{\"nod\": \"x\", " + sound + "}", schema.Faults{
 			{Line: 1, Column: 2, Field: "nod"},
 			{Line: 1, Column: 1, Field: "node", Expected: "the field to be there"},
 		}},
-		{"deep", "{\"node\": \"x\", \"log\": {\"level\": \"loud\"}, " + sound + "}", settings.Faults{
+		{"deep", "{\"node\": \"x\", \"log\": {\"level\": \"loud\"}, " + sound + "}", schema.Faults{
 			{Line: 1, Column: 32, Field: "log.level", Expected: "one of debug, info, warn, error"},
 		}},
-		{"huge number", "{\"node\": \"x\", \"timing\": {\"beatMs\": 1e300}, " + sound + "}", settings.Faults{
+		{"huge number", "{\"node\": \"x\", \"timing\": {\"beatMs\": 1e300}, " + sound + "}", schema.Faults{
 			{Line: 1, Column: 36, Field: "timing.beatMs", Expected: "a whole number from 10 to 3600000"},
 		}},
-		{"twice", "{\"node\": \"x\", \"node\": \"y\", " + sound + "}", settings.Faults{
+		{"twice", "{\"node\": \"x\", \"node\": \"y\", " + sound + "}", schema.Faults{
 			{Line: 1, Column: 15, Field: "node", Expected: "the field only once"},
 		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			_, err := settings.Parse([]byte(c.text))
-			var faults settings.Faults
+			var faults schema.Faults
 			require.True(t, errors.As(err, &faults))
 			require.Len(t, faults, len(c.want))
 			for i, want := range c.want {
@@ -74,7 +75,7 @@
 	f.Add([]byte(`[1e400]`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		_, err := settings.Parse(data)
-		var faults settings.Faults
+		var faults schema.Faults
 		if errors.As(err, &faults) && len(faults) == 0 {
 			t.Fatal("an error without a fault")
 		}
