Metrics by OpenTelemetry on the relay's path, and a span for each hop

Change: fleet/telemetry serves both; a call and each of its attempts have a span where the settings say where spans go, under the caller's traceparent; a test holds that the operators' page lists the names that are served.

--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -66,6 +66,8 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.open.Add(1)
 	defer h.open.Add(-1)
+	r, end := h.traced(r)
+	defer end()
 	j := &job{Handler: h, w: w, r: r, start: time.Now(), policy: h.Policy.Load()}
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
@@ -220,6 +222,7 @@
 func (j *job) finish(reason string, status int) {
 	took := time.Since(j.start)
 	j.Metrics.Finished(j.route.Name, reason, took)
+	j.describe(reason, status)
 	fields := log.Fields{
 		"request": j.call.ID, "route": j.route.Name, "tenant": j.tenant.Name, "reason": reason, "status": status,
 		"ms": took.Milliseconds(), "attempts": j.attempts, "endpoint": j.engine, "reserved": j.call.Cost(), "used": j.used,
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sys/unix"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
@@ -34,6 +35,7 @@
 	Transport http.RoundTripper
 	Log       log.Interface
 	Metrics   Metrics
+	Tracer    trace.Tracer // nil: nothing is traced
 }
 
 // Lender finds tokens elsewhere for a request that the purse is too short for;
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -25,8 +25,16 @@
 
 func (onceBody) Close() error { return nil }
 
-// send makes one attempt and waits for the head of its answer.
+// send makes one attempt and waits for the head of its answer; the span of the
+// attempt ends with the head.
 func (j *job) send(ctx context.Context, t *choice.Ticket, lastEventID string) outcome {
+	ctx, end := j.attempt(ctx, t)
+	out := j.exchange(ctx, t, lastEventID)
+	end(out)
+	return out
+}
+
+func (j *job) exchange(ctx context.Context, t *choice.Ticket, lastEventID string) outcome {
 	sent := false
 	connections := 0
 	ctx, cancel := context.WithCancelCause(ctx)
--- /dev/null
+++ b/fleet/relay/forward/trace.go
@@ -0,0 +1,62 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+)
+
+var w3c = propagation.TraceContext{}
+
+// traced returns the call with a span of its own under the caller's, if any, and
+// what ends that span.
+func (h *Handler) traced(r *http.Request) (*http.Request, func()) {
+	if h.Tracer == nil {
+		return r, func() {}
+	}
+	ctx := w3c.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := h.Tracer.Start(ctx, "call", trace.WithSpanKind(trace.SpanKindServer))
+	return r.WithContext(ctx), func() { span.End() }
+}
+
+// describe says on the call's span how it ended.
+func (j *job) describe(reason string, status int) {
+	if j.Tracer == nil {
+		return
+	}
+	trace.SpanFromContext(j.r.Context()).SetAttributes(
+		attribute.String("request", j.call.ID), attribute.String("route", j.route.Name), attribute.String("tenant", j.tenant.Name),
+		attribute.String("reason", reason), attribute.Int("status", status), attribute.Int("attempts", j.attempts))
+}
+
+// attempt returns the context of one attempt with its span, and what ends it.
+func (j *job) attempt(ctx context.Context, t *choice.Ticket) (context.Context, func(outcome)) {
+	if j.Tracer == nil {
+		return ctx, func(outcome) {}
+	}
+	ctx, span := j.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+		attribute.String("endpoint", t.Engine.ID), attribute.String("address", t.Engine.Address), attribute.String("zone", t.Engine.Zone)))
+	return ctx, func(o outcome) {
+		endAttempt(span, o)
+		span.End()
+	}
+}
+
+func endAttempt(span trace.Span, o outcome) {
+	switch o := o.(type) {
+	case neverSent:
+		span.SetStatus(codes.Error, o.err.Error())
+	case failed:
+		span.SetStatus(codes.Error, o.err.Error())
+	case rejected:
+		span.SetAttributes(attribute.Bool("notRun", true), attribute.Int("status", o.status))
+	case answered:
+		span.SetAttributes(attribute.Int("status", o.resp.StatusCode))
+	}
+}
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -1,55 +1,67 @@
 package relay
 
 import (
-	"net/http"
+	"context"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 )
 
 // Metrics of a relaying node.
 type Metrics struct {
-	registry *prometheus.Registry
-	finished *prometheus.CounterVec
-	took     *prometheus.HistogramVec
-	first    *prometheus.HistogramVec
-	store    *prometheus.CounterVec
+	finished metric.Int64Counter
+	store    metric.Int64Counter
+	took     metric.Float64Histogram
+	first    metric.Float64Histogram
 }
 
 // latencyBuckets are seconds, from a local call to a long stream.
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .2, .4, .6, 1, 2, 4, 8, 15}
 
-// NewMetrics returns metrics in a registry of their own.
-func NewMetrics() *Metrics {
-	m := &Metrics{
-		registry: prometheus.NewRegistry(),
-		finished: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lynxshed_relay_calls_total", Help: "calls that ended, by route and outcome"}, []string{"route", "outcome"}),
-		took:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "lynxshed_relay_call_seconds", Help: "time from arrival to the end of the answer", Buckets: latencyBuckets}, []string{"route"}),
-		first:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "lynxshed_relay_first_event_seconds", Help: "time from arrival to the first event", Buckets: latencyBuckets}, []string{"route"}),
-		store:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lynxshed_relay_store_calls_total", Help: "calls to the store that ended, by kind of object, verb and outcome"}, []string{"kind", "verb", "outcome"}),
+// NewMetrics returns the instruments of a meter.
+func NewMetrics(m metric.Meter) (*Metrics, error) {
+	metrics := &Metrics{}
+	var err, failed error
+	counters := []struct {
+		to         *metric.Int64Counter
+		name, what string
+	}{
+		{&metrics.finished, "lynxshed.relay.calls", "calls that ended, by route and outcome"},
+		{&metrics.store, "lynxshed.relay.store_calls", "calls to the store that ended, by kind of object, verb and outcome"},
 	}
-	m.registry.MustRegister(m.finished, m.took, m.first, m.store)
-	return m
+	for _, c := range counters {
+		*c.to, err = m.Int64Counter(c.name, metric.WithDescription(c.what))
+		failed = errors.CombineErrors(failed, errors.Wrapf(err, "metric %s", c.name))
+	}
+	histograms := []struct {
+		to         *metric.Float64Histogram
+		name, what string
+	}{
+		{&metrics.took, "lynxshed.relay.call", "time from arrival to the end of the answer"},
+		{&metrics.first, "lynxshed.relay.first_event", "time from arrival to the first event"},
+	}
+	for _, h := range histograms {
+		*h.to, err = m.Float64Histogram(h.name, metric.WithUnit("s"), metric.WithDescription(h.what), metric.WithExplicitBucketBoundaries(latencyBuckets...))
+		failed = errors.CombineErrors(failed, errors.Wrapf(err, "metric %s", h.name))
+	}
+	return metrics, failed
 }
 
 // Finished counts a call that ended.
 func (m *Metrics) Finished(route, outcome string, took time.Duration) {
-	m.finished.WithLabelValues(route, outcome).Inc()
-	m.took.WithLabelValues(route).Observe(took.Seconds())
+	of := attribute.String("route", route)
+	m.finished.Add(context.Background(), 1, metric.WithAttributes(of, attribute.String("outcome", outcome)))
+	m.took.Record(context.Background(), took.Seconds(), metric.WithAttributes(of))
 }
 
 // FirstEvent records the time to a stream's first event.
 func (m *Metrics) FirstEvent(route string, took time.Duration) {
-	m.first.WithLabelValues(route).Observe(took.Seconds())
+	m.first.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("route", route)))
 }
 
 // StoreCall counts a call to the store that ended.
 func (m *Metrics) StoreCall(kind, verb, outcome string) {
-	m.store.WithLabelValues(kind, verb, outcome).Inc()
-}
-
-// Handler serves the metrics as text.
-func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	m.store.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("verb", verb), attribute.String("outcome", outcome)))
 }
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
@@ -25,6 +26,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
+	"github.com/lynxshed/lynxshed/fleet/telemetry"
 )
 
 // Adapter is what a platform brings.
@@ -47,17 +49,18 @@
 	health   *store.Health
 	log      log.Interface
 
-	policy   atomic.Pointer[policy.Policy]
-	engines  atomic.Pointer[engine.Directory]
-	purse    *account.Purse
-	keeper   *account.Keeper
-	picker   *choice.Picker
-	registry *peer.Registry
-	talk     *peer.Talk
-	handler  *forward.Handler
-	front    *front.Door
-	metrics  *Metrics
-	leaving  atomic.Bool
+	policy    atomic.Pointer[policy.Policy]
+	engines   atomic.Pointer[engine.Directory]
+	purse     *account.Purse
+	keeper    *account.Keeper
+	picker    *choice.Picker
+	registry  *peer.Registry
+	talk      *peer.Talk
+	handler   *forward.Handler
+	front     *front.Door
+	telemetry *telemetry.Telemetry
+	metrics   *Metrics
+	leaving   atomic.Bool
 }
 
 // Bounds of the process and of the server towards the balancer.
@@ -75,7 +78,10 @@
 // New builds a node.
 func New(s Settings, a Adapter, l log.Interface) (*Node, error) {
 	limitMemory(s.MemoryMB)
-	n := &Node{settings: s, adapter: a, health: store.NewHealth(), log: l, metrics: NewMetrics()}
+	n := &Node{settings: s, adapter: a, health: store.NewHealth(), log: l}
+	if err := n.measure(); err != nil {
+		return nil, err
+	}
 	n.store = store.Counted(a.Store(), n.metrics)
 	life := uuid.NewString()
 	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer}
@@ -91,7 +97,7 @@
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Purse: n.purse, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
-		Nodes:   n.registry.Count, Transport: forward.NewTransport(), Lender: lender{n}, Log: l, Metrics: n.metrics,
+		Nodes:   n.registry.Count, Transport: forward.NewTransport(), Lender: lender{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.front, err = front.Listen(s.Listen, n.handler); err != nil {
 		return nil, errors.CombineErrors(err, talk.Close())
@@ -99,6 +105,26 @@
 	return n, nil
 }
 
+// measure sets up metrics, and traces where the settings say where spans go.
+func (n *Node) measure() (err error) {
+	n.telemetry, err = telemetry.New(context.Background(), telemetry.Options{
+		Node: n.settings.Node, Zone: n.settings.Zone, OTLPEndpoint: n.settings.Trace.OTLPEndpoint, TraceFile: n.settings.Trace.File,
+	})
+	if err != nil {
+		return err
+	}
+	n.metrics, err = NewMetrics(n.telemetry.Meter)
+	return err
+}
+
+// tracer takes the spans of calls; nil where nothing takes them.
+func (n *Node) tracer() trace.Tracer {
+	if !n.telemetry.Traces {
+		return nil
+	}
+	return n.telemetry.Tracer
+}
+
 func limitMemory(mb float64) {
 	if mb > 0 {
 		debug.SetMemoryLimit(int64(mb * memoryShare * (1 << 20)))
@@ -125,7 +151,9 @@
 	}
 	_ = n.front.Close()
 	_ = ready.Close()
-	return err
+	closing, done := context.WithTimeout(context.Background(), handBack)
+	defer done()
+	return errors.CombineErrors(err, n.telemetry.Close(closing))
 }
 
 func (n *Node) follow(ctx context.Context) {
@@ -148,7 +176,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	mux.Handle("GET /metrics", n.metrics.Handler())
+	mux.Handle("GET /metrics", n.telemetry.Handler())
 	return mux
 }
 
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -1,6 +1,10 @@
 package relay
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
 	"testing"
 	"time"
 
@@ -16,6 +20,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
+	"github.com/lynxshed/lynxshed/fleet/telemetry"
 )
 
 // numbers is an adapter whose objects are told apart by their revision alone.
@@ -131,3 +136,23 @@
 type writerFunc func([]byte) (int, error)
 
 func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
+// The names on the metrics address are those that the operators' page lists.
+func TestMetricsHaveTheNamesOfTheOperatorsPage(t *testing.T) {
+	told, err := telemetry.New(t.Context(), telemetry.Options{Node: "n", Zone: "z"})
+	require.NoError(t, err)
+	m, err := NewMetrics(told.Meter)
+	require.NoError(t, err)
+	m.Finished("route", "answered", 30*time.Millisecond)
+	m.FirstEvent("route", 20*time.Millisecond)
+	m.StoreCall("kind", "put", "conflict")
+	answer := httptest.NewRecorder()
+	told.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	listed := regexp.MustCompile(`\| (lynxshed_relay_\w+) \|`).FindAllStringSubmatch(string(page), -1)
+	require.Len(t, listed, 4)
+	for _, name := range listed {
+		assert.Contains(t, answer.Body.String(), "# TYPE "+name[1]+" ")
+	}
+}
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -26,6 +26,13 @@
 	Retry    RetrySettings  `json:"retry"`    // the fleet's bound on what is sent again
 	Budget   BudgetSettings `json:"budget"`   // how much of the budgets a node holds
 	LogLevel string         `json:"logLevel"` // debug, info, warn or error
+	Trace    TraceSettings  `json:"trace"`
+}
+
+// TraceSettings say where spans go; nothing is traced without.
+type TraceSettings struct {
+	OTLPEndpoint string `json:"otlpEndpoint"` // URL of an OTLP/HTTP collector
+	File         string `json:"file"`         // one JSON object for each span
 }
 
 // ReadySettings say where a node answers whether it is ready.
@@ -100,6 +107,10 @@
 	{Name: "memoryMB", Number: schema.Number(0, 1<<20)},
 	{Name: "drainS", Number: schema.Number(0, mostSeconds)},
 	{Name: "logLevel", Text: schema.OneOf("debug", "info", "warn", "error")},
+	{Name: "trace", Fields: []schema.Field{
+		{Name: "otlpEndpoint", Text: schema.OrEmpty(schema.URL)},
+		{Name: "file", Text: schema.OrEmpty(schema.Some)},
+	}},
 	{Name: "retry", Fields: []schema.Field{
 		{Name: "ratio", Number: schema.Number(0, 10)},
 		{Name: "slack", Number: schema.Number(0, 1<<20)},
--- a/fleet/telemetry/telemetry.go
+++ b/fleet/telemetry/telemetry.go
@@ -36,6 +36,8 @@
 // Telemetry holds a node's tracer and metrics.
 type Telemetry struct {
 	Tracer  trace.Tracer
+	Traces  bool // whether anything takes the spans
+	Meter   metric.Meter
 	Metrics *Metrics
 	handler http.Handler
 	closers []func(context.Context) error
@@ -57,7 +59,7 @@
 		return err
 	}
 	provider := sdktrace.NewTracerProvider(sdktrace.WithBatcher(exporter), sdktrace.WithResource(res))
-	t.Tracer = provider.Tracer(scope)
+	t.Tracer, t.Traces = provider.Tracer(scope), true
 	t.closers = append(t.closers, provider.Shutdown)
 	if closer != nil {
 		t.closers = append(t.closers, func(context.Context) error { return closer.Close() })
@@ -91,7 +93,8 @@
 	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter), sdkmetric.WithResource(res))
 	t.closers = append(t.closers, provider.Shutdown)
 	t.handler = promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
-	t.Metrics, err = newMetrics(provider.Meter(scope))
+	t.Meter = provider.Meter(scope)
+	t.Metrics, err = newMetrics(t.Meter)
 	return err
 }
 
