--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/keeper.go
@@ -16,17 +16,20 @@
 
 // Where the book lies, and how often the keeper looks at it.
 const (
-	Kind        = "lynxshed-accounts"
-	bookName    = "book"
-	tick        = 150 * time.Millisecond
-	calmPace    = 1100 * time.Millisecond // between writes that no request waits for, at least
-	pacePerNode = 250 * time.Millisecond  // of those that write
-	urgentPace  = 300 * time.Millisecond  // where requests lacked tokens lately
-	askedPace   = 100 * time.Millisecond  // where one waits
-	drawWait    = 60 * time.Millisecond   // that a request waits
-	waitingAsks = 64
-	callTimeout = 700 * time.Millisecond
-	conflicts   = 4 // tries in a row before the keeper pauses
+	Kind          = "lynxshed-accounts"
+	bookName      = "book"
+	tick          = 150 * time.Millisecond
+	calmPace      = 1100 * time.Millisecond // between writes that no request waits for, at least
+	pacePerNode   = 250 * time.Millisecond  // of those that write
+	urgentPace    = 300 * time.Millisecond  // where requests lacked tokens lately
+	askedPace     = 100 * time.Millisecond  // where one waits
+	askedPerNode  = 10 * time.Millisecond
+	urgentPerNode = 50 * time.Millisecond
+	drawWait      = 60 * time.Millisecond // that a request waits
+	waitingAsks   = 64
+	callTimeout   = 700 * time.Millisecond
+	conflictPause = 5 * time.Millisecond // for each node that draws, at most
+	conflicts     = 3                    // tries in a row before the keeper pauses
 )
 
 // Keeper moves tokens between the store's book and a purse.
@@ -119,9 +122,9 @@
 func (k *Keeper) pace(asked bool) time.Duration {
 	switch {
 	case asked:
-		return askedPace
+		return askedPace + time.Duration(k.nodes())*askedPerNode
 	case k.purse.Short():
-		return urgentPace
+		return urgentPace + time.Duration(k.nodes())*urgentPerNode
 	default:
 		return max(calmPace, time.Duration(k.nodes())*pacePerNode)
 	}
@@ -186,13 +189,18 @@
 		if !errors.Is(err, store.ErrConflict) {
 			return err
 		}
-		pauseBriefly()
+		k.pauseAfterConflict()
 	}
 	return err
 }
 
 func pauseBriefly() { time.Sleep(time.Duration(2+rand.IntN(10)) * time.Millisecond) }
 
+// pauseAfterConflict lets the other writers go first, the longer the more there are.
+func (k *Keeper) pauseAfterConflict() {
+	time.Sleep(conflictPause + rand.N(time.Duration(max(k.nodes(), 1))*conflictPause))
+}
+
 func (k *Keeper) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/fleet/relay/account/keeper_test.go
+++ b/fleet/relay/account/keeper_test.go
@@ -153,3 +153,31 @@
 		})
 	}
 }
+
+// The more nodes write the book, the longer each waits between two writes.
+func TestManyWritersWriteLessOften(t *testing.T) {
+	cases := []struct {
+		nodes       int
+		lacks       bool
+		asked       bool
+		least, most time.Duration
+	}{
+		{1, false, false, calmPace, calmPace},
+		{8, false, false, 2 * time.Second, 2 * time.Second},
+		{16, false, false, 4 * time.Second, 4 * time.Second},
+		{1, true, false, urgentPace, 400 * time.Millisecond},
+		{8, true, false, urgentPace, 800 * time.Millisecond},
+		{8, true, true, askedPace, 200 * time.Millisecond},
+	}
+	for _, c := range cases {
+		p := NewPurse("n", "n/1", DefaultTuning())
+		p.Budget(map[string]int64{modelTenant: 1000})
+		if c.lacks {
+			p.Reserve(modelTenant, 500, testStart)
+		}
+		k := NewKeeper(nil, p, func() int { return c.nodes }, func() bool { return true }, quiet())
+		got := k.pace(c.asked)
+		assert.GreaterOrEqual(t, got, c.least, c)
+		assert.LessOrEqual(t, got, c.most, c)
+	}
+}
--- /dev/null
+++ b/fleet/relay/forward/extra_test.go
@@ -0,0 +1,49 @@
+package forward_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// answersTwice answers each call of a connection whole, and then once more after
+// a while: at the latest when the next call is due.
+func answersTwice(pause time.Duration) script {
+	return func(_ *fleet, w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("Call")
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nCall: %s\r\nSeal: seal\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+		connection, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer connection.Close()
+		_, _ = connection.Write([]byte(answer))
+		time.Sleep(pause)
+		_, _ = connection.Write([]byte(answer))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// An answer too many belongs to no call: every caller gets its own answer or
+// learns that there is none.
+func TestAnAnswerTooManyReachesNobody(t *testing.T) {
+	for _, pause := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond} {
+		f := newFleet(t, 1000, answersTwice(pause))
+		for i := range 30 {
+			id := fmt.Sprint("call-", i)
+			r := f.request(t, "POST", "/single/x", "", "Deadline", "2000")
+			r.Header.Set("Call", id)
+			got := f.do(t, r)
+			require.NoError(t, got.err)
+			if got.status == http.StatusOK {
+				assert.Equal(t, id, got.body)
+				continue
+			}
+			assert.Equal(t, http.StatusBadGateway, got.status)
+		}
+	}
+}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -71,7 +71,7 @@
 
 // How long a watch rests after events, within what they may take to be in force.
 const (
-	policyRest = 150 * time.Millisecond
+	policyRest = 400 * time.Millisecond
 	engineRest = 500 * time.Millisecond
 )
 
