--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/keeper.go
@@ -14,24 +14,34 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
-// Where the book lies, and how often the keeper looks at it.
+// Where the book lies.
+const (
+	Kind     = "lynxshed-accounts"
+	bookName = "book"
+)
+
+// How often a keeper looks at the purse and writes the book: the more nodes
+// write, the longer each waits, since all write one object.
 const (
-	Kind          = "lynxshed-accounts"
-	bookName      = "book"
 	tick          = 150 * time.Millisecond
 	calmPace      = 1100 * time.Millisecond // between writes that no request waits for, at least
-	pacePerNode   = 250 * time.Millisecond  // of those that write
-	urgentPace    = 300 * time.Millisecond  // where requests lacked tokens lately
-	askedPace     = 100 * time.Millisecond  // where one waits
-	askedPerNode  = 10 * time.Millisecond
+	calmPerNode   = 250 * time.Millisecond
+	urgentPace    = 300 * time.Millisecond // where requests lacked tokens lately
 	urgentPerNode = 50 * time.Millisecond
-	drawWait      = 60 * time.Millisecond // that a request waits
-	waitingAsks   = 64
-	callTimeout   = 700 * time.Millisecond
-	conflictPause = 5 * time.Millisecond // for each node that draws, at most
+	askedPace     = 100 * time.Millisecond // where one waits
+	askedPerNode  = 10 * time.Millisecond
+	conflictPause = 5 * time.Millisecond // for each node that writes, at most
 	conflicts     = 3                    // tries in a row before the keeper pauses
 )
 
+// Bounds of the keeper's waits.
+const (
+	callTimeout = 700 * time.Millisecond
+	drawWait    = 60 * time.Millisecond // that a request waits for a draw
+	waitingAsks = 64
+	backoffMax  = 2 * time.Second
+)
+
 // Keeper moves tokens between the store's book and a purse.
 type Keeper struct {
 	store  store.Store
@@ -126,7 +136,7 @@
 	case k.purse.Short():
 		return urgentPace + time.Duration(k.nodes())*urgentPerNode
 	default:
-		return max(calmPace, time.Duration(k.nodes())*pacePerNode)
+		return max(calmPace, time.Duration(k.nodes())*calmPerNode)
 	}
 }
 
@@ -142,7 +152,7 @@
 		return 0
 	}
 	k.tell(true, err)
-	return min(max(2*backoff, urgentPace), 2*time.Second)
+	return min(max(2*backoff, urgentPace), backoffMax)
 }
 
 // Out is whether the store did not answer when it was last asked.
