Send watches anew when the store is found back after a silence

Change: the leader's watch of nodes that draw waits half of contactMs at most; whoever finds the store back, leader or keeper, counts a regain; digests tell it to peers; waiting watches are then given up and sent anew, at most once a second. The new test fails in all 30 cases where watches are not sent anew.

--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/keeper.go
@@ -48,6 +48,7 @@
 	purse  *Purse
 	nodes  func() int
 	writes func() bool // whether this node draws every budget, or borrows from those that do
+	health *store.Health
 	log    log.Interface
 
 	asks chan chan struct{} // of requests that wait for a draw
@@ -63,8 +64,8 @@
 
 // NewKeeper returns a keeper; nodes tells how many nodes share the budgets, and
 // writes whether this one draws from the book.
-func NewKeeper(s store.Store, p *Purse, nodes func() int, writes func() bool, l log.Interface) *Keeper {
-	return &Keeper{store: s, purse: p, nodes: nodes, writes: writes, log: l, asks: make(chan chan struct{}, waitingAsks)}
+func NewKeeper(s store.Store, p *Purse, nodes func() int, writes func() bool, health *store.Health, l log.Interface) *Keeper {
+	return &Keeper{store: s, purse: p, nodes: nodes, writes: writes, health: health, log: l, asks: make(chan chan struct{}, waitingAsks)}
 }
 
 // Run keeps the purse filled until ctx ends.
@@ -169,6 +170,7 @@
 		return
 	}
 	entry.Info("accounts: store regained")
+	k.health.Regained()
 }
 
 // Leave gives back all that is not in use, and draws nothing any more.
--- a/fleet/relay/account/keeper_test.go
+++ b/fleet/relay/account/keeper_test.go
@@ -74,7 +74,7 @@
 			s := &oneObject{mute: c.mute}
 			p := NewPurse("n", "n/1", DefaultTuning())
 			p.Budget(map[string]int64{modelTenant: 1000})
-			k := NewKeeper(s, p, func() int { return 1 }, func() bool { return true }, quiet())
+			k := NewKeeper(s, p, func() int { return 1 }, func() bool { return true }, store.NewHealth(), quiet())
 			require.NoError(t, k.settle(t.Context(), testStart, false))
 			s.changedByAnother(t, 300)
 			p.Reserve(modelTenant, 500, testStart) // more than the node holds
@@ -90,7 +90,7 @@
 	s := &oneObject{}
 	p := NewPurse("n", "n/1", DefaultTuning())
 	p.Budget(map[string]int64{modelTenant: 1000})
-	k := NewKeeper(s, p, func() int { return 1 }, func() bool { return true }, quiet())
+	k := NewKeeper(s, p, func() int { return 1 }, func() bool { return true }, store.NewHealth(), quiet())
 	require.NoError(t, k.settle(t.Context(), testStart, false))
 	s.before = func() { s.changedByAnother(t, 300) }
 	p.Reserve(modelTenant, 500, testStart)
@@ -139,7 +139,7 @@
 				}
 				p := NewPurse("n", "n/1", DefaultTuning())
 				p.Budget(map[string]int64{modelTenant: 1000})
-				k := NewKeeper(s, p, func() int { return 1 }, func() bool { return c.draws }, quiet())
+				k := NewKeeper(s, p, func() int { return 1 }, func() bool { return c.draws }, store.NewHealth(), quiet())
 				assert.Equal(t, Short, p.Reserve(modelTenant, 500, time.Now()))
 				go k.Run(ctx)
 				time.Sleep(askedPace / 2)
@@ -175,7 +175,7 @@
 		if c.lacks {
 			p.Reserve(modelTenant, 500, testStart)
 		}
-		k := NewKeeper(nil, p, func() int { return c.nodes }, func() bool { return true }, quiet())
+		k := NewKeeper(nil, p, func() int { return c.nodes }, func() bool { return true }, store.NewHealth(), quiet())
 		got := k.pace(c.asked)
 		assert.GreaterOrEqual(t, got, c.least, c)
 		assert.LessOrEqual(t, got, c.most, c)
--- a/fleet/relay/peer/digest.go
+++ b/fleet/relay/peer/digest.go
@@ -32,7 +32,8 @@
 	Digests map[string]choice.Digest `json:"digests,omitempty"`
 	Stock   bool                     `json:"stock,omitempty"` // the offers are told
 	Offers  map[string]account.Offer `json:"offers,omitempty"`
-	Out     bool                     `json:"out,omitempty"` // the node does not reach the store
+	Out     bool                     `json:"out,omitempty"`     // the node does not reach the store
+	Regains uint64                   `json:"regains,omitempty"` // how often the node found the store back
 	Asks    []ask                    `json:"asks,omitempty"`
 	Gifts   []gift                   `json:"gifts,omitempty"`
 }
@@ -55,10 +56,11 @@
 }
 
 type heard struct {
-	life   string
-	number uint64
-	at     time.Time
-	out    bool
+	life    string
+	number  uint64
+	at      time.Time
+	out     bool
+	regains uint64
 }
 
 // Listen opens the socket for datagrams.
@@ -102,7 +104,7 @@
 	if len(to) == 0 {
 		return
 	}
-	m := t.signed(message{Number: t.number, Digests: t.picker.Digests(), Out: t.out()})
+	m := t.signed(message{Number: t.number, Digests: t.picker.Digests(), Out: t.out(), Regains: t.registry.health.Regains()})
 	if stock {
 		m.Stock, m.Offers = true, t.offers
 	}
@@ -263,12 +265,15 @@
 	before := t.heard[m.Node]
 	old := before.life == m.Life && m.Number <= before.number
 	if !old {
-		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out}
+		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, regains: m.Regains}
 	}
 	t.mu.Unlock()
 	if old {
 		return
 	}
+	if before.life == m.Life && m.Regains > before.regains {
+		t.registry.health.Renew()
+	}
 	t.picker.Heard(m.Node, m.Digests, now)
 	if m.Stock {
 		t.loans.told(from, m.Offers, now)
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -93,7 +93,7 @@
 		return nil, err
 	}
 	n.talk = talk
-	n.keeper = account.NewKeeper(n.store, n.purse, talk.WriterCount, talk.Writes, l)
+	n.keeper = account.NewKeeper(n.store, n.purse, talk.WriterCount, talk.Writes, n.health, l)
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Purse: n.purse, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
@@ -159,7 +159,7 @@
 func (n *Node) follow(ctx context.Context) {
 	s := n.store
 	kind, name := n.adapter.PolicyAt()
-	policies := store.Watching{Kind: kind, Rest: policyRest, History: n.settings.History(), Health: n.health, Leads: true}
+	policies := store.Watching{Kind: kind, Rest: policyRest, History: n.settings.History(), Health: n.health, Leads: true, Longest: n.longestWatch}
 	go store.Follow(ctx, s, policies, func(c store.Change) { n.applyPolicy(name, c) })
 	engines := store.Watching{Kind: n.adapter.EngineKind(), Rest: engineRest, History: n.settings.History(), Health: n.health}
 	go store.Follow(ctx, s, engines, newEngineTable(n).apply)
@@ -168,6 +168,15 @@
 	go n.keeper.Run(ctx)
 }
 
+// longestWatch bounds the watch that leads on nodes that write the book, so that
+// these feel a silent store in time and tell the others.
+func (n *Node) longestWatch() time.Duration {
+	if !n.talk.Writes() {
+		return time.Hour // bounded by the store's history
+	}
+	return n.settings.Contact() / 2
+}
+
 // readyHandler answers what the balancer asks, and serves the metrics.
 func (n *Node) readyHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -14,19 +14,20 @@
 // Settings of one relaying node: JSON with comments. Fields that are not known
 // are passed over, so that an older node reads a newer file.
 type Settings struct {
-	Node     string         `json:"node"`     // the VM's name, unlike every other
-	Zone     string         `json:"zone"`     // its availability zone
-	Listen   string         `json:"listen"`   // where callers connect, IP:PORT
-	Ready    ReadySettings  `json:"ready"`    // what the balancer asks
-	Peer     string         `json:"peer"`     // for datagrams between nodes, IP:PORT
-	Store    string         `json:"store"`    // the platform's store, IP:PORT
-	HistoryS float64        `json:"historyS"` // seconds of history that the store keeps; 0 is not known
-	MemoryMB float64        `json:"memoryMB"` // what the process may use; 0 is no bound
-	DrainS   float64        `json:"drainS"`   // seconds that a planned stop may take
-	Retry    RetrySettings  `json:"retry"`    // the fleet's bound on what is sent again
-	Budget   BudgetSettings `json:"budget"`   // how much of the budgets a node holds
-	LogLevel string         `json:"logLevel"` // debug, info, warn or error
-	Trace    TraceSettings  `json:"trace"`
+	Node      string         `json:"node"`      // the VM's name, unlike every other
+	Zone      string         `json:"zone"`      // its availability zone
+	Listen    string         `json:"listen"`    // where callers connect, IP:PORT
+	Ready     ReadySettings  `json:"ready"`     // what the balancer asks
+	Peer      string         `json:"peer"`      // for datagrams between nodes, IP:PORT
+	Store     string         `json:"store"`     // the platform's store, IP:PORT
+	HistoryS  float64        `json:"historyS"`  // seconds of history that the store keeps; 0 is not known
+	ContactMs float64        `json:"contactMs"` // after an outage of the store, how soon all that it says has to be in force again
+	MemoryMB  float64        `json:"memoryMB"`  // what the process may use; 0 is no bound
+	DrainS    float64        `json:"drainS"`    // seconds that a planned stop may take
+	Retry     RetrySettings  `json:"retry"`     // the fleet's bound on what is sent again
+	Budget    BudgetSettings `json:"budget"`    // how much of the budgets a node holds
+	LogLevel  string         `json:"logLevel"`  // debug, info, warn or error
+	Trace     TraceSettings  `json:"trace"`
 }
 
 // TraceSettings say where spans go; nothing is traced without.
@@ -73,7 +74,7 @@
 // DefaultSettings hold where the file says nothing.
 func DefaultSettings() Settings {
 	return Settings{
-		DrainS: 8, LogLevel: "info",
+		DrainS: 8, ContactMs: 3000, LogLevel: "info",
 		Ready: ReadySettings{Path: "/readyz"},
 		Retry: RetrySettings{Ratio: 0.2, Slack: 20, WindowS: 10},
 	}
@@ -104,6 +105,7 @@
 	{Name: "peer", Required: true, Text: schema.Address},
 	{Name: "store", Required: true, Text: schema.Address},
 	{Name: "historyS", Number: schema.Number(0, mostSeconds)},
+	{Name: "contactMs", Number: schema.Number(100, 1000*mostSeconds)},
 	{Name: "memoryMB", Number: schema.Number(0, 1<<20)},
 	{Name: "drainS", Number: schema.Number(0, mostSeconds)},
 	{Name: "logLevel", Text: schema.OneOf("debug", "info", "warn", "error")},
@@ -139,6 +141,10 @@
 	return seconds(s.HistoryS)
 }
 
+// Contact is how soon after an outage of the store all that it says has to be in
+// force again.
+func (s Settings) Contact() time.Duration { return seconds(s.ContactMs / 1000) }
+
 // Drain is how long a planned stop may take.
 func (s Settings) Drain() time.Duration { return seconds(s.DrainS) }
 
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -13,7 +13,7 @@
 const (
 	longestWait = 25 * time.Second
 	historyPart = 0.8 // of the store's history that a watch waits at most, so that it can go on from where it was
-	watchSlack  = 1500 * time.Millisecond
+	watchSlack  = 700 * time.Millisecond
 	callTimeout = 2 * time.Second
 	backoffMin  = 150 * time.Millisecond
 	backoffMax  = 1200 * time.Millisecond
@@ -24,18 +24,23 @@
 // Watching says what is followed, and how.
 type Watching struct {
 	Kind    string
-	Rest    time.Duration // after events, so that a burst of them costs few calls
-	History time.Duration // how long the store keeps history; 0 is not known
-	Health  *Health       // shared by a node's followers; nil is none
-	Leads   bool          // asks for all of them while the store is lost
+	Rest    time.Duration        // after events, so that a burst of them costs few calls
+	History time.Duration        // how long the store keeps history; 0 is not known
+	Health  *Health              // shared by a node's followers; nil is none
+	Leads   bool                 // asks for all of them while the store is lost
+	Longest func() time.Duration // that one watch may wait, so that a silent store is felt; nil is no bound of its own
 }
 
 // wait is how long one watch waits for events.
 func (w Watching) wait() time.Duration {
-	if w.History <= 0 {
-		return longestWait
+	wait := longestWait
+	if w.History > 0 {
+		wait = min(wait, time.Duration(historyPart*float64(w.History)))
 	}
-	return min(longestWait, time.Duration(historyPart*float64(w.History)))
+	if w.Longest != nil {
+		wait = min(wait, w.Longest())
+	}
+	return wait
 }
 
 // Change is what a follower hands on: sealed.
@@ -84,7 +89,8 @@
 	at       int64
 	listed   bool
 	lost     bool
-	failures int // in a row
+	renewed  bool // the last watch was given up to be sent anew
+	failures int  // in a row
 	backoff  time.Duration
 }
 
@@ -119,12 +125,19 @@
 
 func (f *follower) watch(parent context.Context) error {
 	wait := f.wait()
-	if f.lost {
+	if f.lost || f.renewed {
 		wait = time.Millisecond
 	}
+	f.renewed = false
+	renew := f.Health.renewed()
 	ctx, cancel := context.WithTimeout(parent, wait+watchSlack)
 	defer cancel()
+	go cancelOn(ctx, cancel, renew)
 	events, at, err := f.store.Watch(ctx, f.Kind, f.at, wait)
+	if err != nil && isClosed(renew) && parent.Err() == nil && !f.lost {
+		f.renewed = true
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -139,6 +152,24 @@
 	return nil
 }
 
+// cancelOn ends a watch early where it is to be sent anew.
+func cancelOn(ctx context.Context, cancel context.CancelFunc, renew <-chan struct{}) {
+	select {
+	case <-renew:
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 func (f *follower) failed(ctx context.Context, err error) {
 	if errors.Is(err, ErrCompacted) {
 		f.listed = false
--- a/fleet/relay/store/health.go
+++ b/fleet/relay/store/health.go
@@ -9,13 +9,55 @@
 // Health is what the followers of one node share about the store: one of them
 // leads, and asks again while the store is lost; the others wait for it. So a
 // store that refuses is asked once, not once for each kind that is followed.
+//
+// A store that falls silent may swallow a watch that is sent to it meanwhile, and
+// say nothing of it when it is back. So whoever finds it back, this node's keeper
+// of budgets or a peer, tells, and watches that wait are sent anew.
 type Health struct {
-	mu   sync.Mutex
-	lost chan struct{} // closed when the leader has an answer again; nil while it has
+	mu        sync.Mutex
+	lost      chan struct{} // closed when the leader has an answer again; nil while it has
+	renew     chan struct{} // closed when watches are to be sent anew
+	renewedAt time.Time
+	regains   uint64
 }
 
+// renewPause is the least time between two rounds of watches sent anew.
+const renewPause = time.Second
+
 // NewHealth returns the health of a store that answers as far as is known.
-func NewHealth() *Health { return &Health{} }
+func NewHealth() *Health { return &Health{renew: make(chan struct{})} }
+
+// Regained notes that this node found the store back.
+func (h *Health) Regained() {
+	h.mu.Lock()
+	h.regains++
+	h.mu.Unlock()
+	h.Renew()
+}
+
+// Regains is how often this node found the store back, for its peers.
+func (h *Health) Regains() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.regains
+}
+
+// Renew has the watches that wait sent anew.
+func (h *Health) Renew() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now := time.Now(); now.Sub(h.renewedAt) >= renewPause {
+		h.renewedAt = now
+		close(h.renew)
+		h.renew = make(chan struct{})
+	}
+}
+
+func (h *Health) renewed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.renew
+}
 
 // leaderLost notes that the leader got no answer.
 func (h *Health) leaderLost() {
@@ -29,10 +71,12 @@
 // leaderAnswered notes that the leader got one, and wakes those who wait.
 func (h *Health) leaderAnswered() {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.lost != nil {
-		close(h.lost)
-		h.lost = nil
+	lost := h.lost
+	h.lost = nil
+	h.mu.Unlock()
+	if lost != nil {
+		close(lost)
+		h.Regained()
 	}
 }
 
--- /dev/null
+++ b/fleet/relay/store/silence_test.go
@@ -0,0 +1,123 @@
+package store_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// silence is a store that swallows what is sent to it while it is silent: such a
+// call gets no answer, also when the store is back.
+type silence struct {
+	store.Store
+	mu       sync.Mutex
+	silent   bool
+	revision int64
+	changed  chan struct{}
+}
+
+func (s *silence) now() (bool, int64, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent, s.revision, s.changed
+}
+
+func (s *silence) set(silent bool, revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent, s.revision = silent, revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *silence) List(ctx context.Context, _ string) ([]store.Object, int64, error) {
+	silent, revision, _ := s.now()
+	if silent {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return nil, revision, nil
+}
+
+func (s *silence) Watch(ctx context.Context, _ string, since int64, wait time.Duration) ([]store.Event, int64, error) {
+	silent, revision, changed := s.now()
+	if silent {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	if revision == since {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+		_, revision, _ = s.now()
+	}
+	return nil, revision, nil
+}
+
+// Whenever a store was silent, and whenever watches were sent into the silence,
+// what it says is in force again soon after it is back.
+func TestAWatchSentIntoSilenceIsSentAnew(t *testing.T) {
+	cases := []struct {
+		name  string
+		leads bool // the node bounds its leader's watch
+		word  func(*store.Health)
+	}{
+		{"the leader feels it", true, func(*store.Health) {}},
+		{"another part of the node found the store back", false, (*store.Health).Regained},
+		{"a peer did", false, (*store.Health).Renew},
+	}
+	for _, c := range cases {
+		for begins := 500 * time.Millisecond; begins < 4*time.Second; begins += 350 * time.Millisecond {
+			t.Run(c.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { swallowed(t, begins, c.leads, c.word) })
+			})
+		}
+	}
+}
+
+func swallowed(t *testing.T, begins time.Duration, leads bool, word func(*store.Health)) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s := &silence{revision: 1, changed: make(chan struct{})}
+	health := store.NewHealth()
+	var mu sync.Mutex
+	seen := map[string]int64{}
+	follow := func(kind string, leader bool) {
+		w := store.Watching{Kind: kind, Rest: time.Millisecond, History: 20 * time.Second, Health: health, Leads: leader}
+		if leader && leads {
+			w.Longest = func() time.Duration { return 1500 * time.Millisecond }
+		}
+		store.Follow(ctx, s, w, func(change store.Change) {
+			mu.Lock()
+			defer mu.Unlock()
+			switch change := change.(type) {
+			case store.Snapshot:
+				seen[kind] = change.Revision
+			case store.Update:
+				seen[kind] = change.Revision
+			case store.Lost:
+			}
+		})
+	}
+	go follow("leader", true)
+	go follow("led", false)
+	time.Sleep(begins)
+	s.set(true, 2) // watches that wait end, and the next ones are swallowed
+	time.Sleep(8 * time.Second)
+	s.set(false, 3)
+	time.Sleep(time.Second)
+	word(health)
+	time.Sleep(2 * time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, map[string]int64{"leader": 3, "led": 3}, seen)
+}
