--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -59,7 +59,7 @@
 }
 
 // registryRest is how long the list of nodes may lag behind.
-const registryRest = 1500 * time.Millisecond
+const registryRest = 300 * time.Millisecond
 
 // registerPause is the time between tries to register.
 const registerPause = 500 * time.Millisecond
