--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -101,8 +101,10 @@
 	}
 }
 
+// step lists where the store was lost meanwhile, since the changes that were
+// missed may be many and large, and watches else.
 func (f *follower) step(ctx context.Context) error {
-	if !f.listed {
+	if !f.listed || f.lost || f.renewed {
 		return f.list(ctx)
 	}
 	return f.watch(ctx)
@@ -118,23 +120,19 @@
 	if at < f.at {
 		return errors.Newf("list of %s at revision %d is older than %d", f.Kind, at, f.at)
 	}
-	f.at, f.listed, f.lost = at, true, false
+	f.at, f.listed, f.lost, f.renewed = at, true, false, false
 	f.apply(Snapshot{Objects: objects, Revision: at})
 	return nil
 }
 
 func (f *follower) watch(parent context.Context) error {
 	wait := f.wait()
-	if f.lost || f.renewed {
-		wait = time.Millisecond
-	}
-	f.renewed = false
 	renew := f.Health.renewed()
 	ctx, cancel := context.WithTimeout(parent, wait+watchSlack)
 	defer cancel()
 	go cancelOn(ctx, cancel, renew)
 	events, at, err := f.store.Watch(ctx, f.Kind, f.at, wait)
-	if err != nil && isClosed(renew) && parent.Err() == nil && !f.lost {
+	if err != nil && isClosed(renew) && parent.Err() == nil {
 		f.renewed = true
 		return nil
 	}
@@ -144,7 +142,7 @@
 	if at < f.at {
 		return errors.Newf("watch of %s went back from revision %d to %d", f.Kind, f.at, at)
 	}
-	f.at, f.lost = at, false
+	f.at = at
 	f.apply(Update{Events: events, Revision: at})
 	if len(events) > 0 {
 		pause(parent, f.Rest)
