--- a/fleet/relay/front/front.go
+++ b/fleet/relay/front/front.go
@@ -91,11 +91,11 @@
 	for {
 		conn, err := d.listener.Accept()
 		if err != nil {
-			if temporary(err) {
-				time.Sleep(acceptPause)
-				continue
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "take a caller's connection")
 			}
-			return errors.Wrap(err, "take a caller's connection")
+			time.Sleep(acceptPause)
+			continue
 		}
 		d.mu.Lock()
 		r := d.newest
@@ -108,10 +108,6 @@
 // left for one more connection.
 const acceptPause = 5 * time.Millisecond
 
-func temporary(err error) bool {
-	return !errors.Is(err, net.ErrClosed)
-}
-
 // StopKeeping ends idle connections, and others after their call.
 func (d *Door) StopKeeping() {
 	d.mu.Lock()
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -87,10 +87,9 @@
 	store    Store
 	apply    func(Change)
 	at       int64
-	listed   bool
+	listed   bool // and no watch was given up since
 	lost     bool
-	renewed  bool // the last watch was given up to be sent anew
-	failures int  // in a row
+	failures int // in a row
 	backoff  time.Duration
 }
 
@@ -104,7 +103,7 @@
 // step lists where the store was lost meanwhile, since the changes that were
 // missed may be many and large, and watches else.
 func (f *follower) step(ctx context.Context) error {
-	if !f.listed || f.lost || f.renewed {
+	if !f.listed || f.lost {
 		return f.list(ctx)
 	}
 	return f.watch(ctx)
@@ -120,7 +119,7 @@
 	if at < f.at {
 		return errors.Newf("list of %s at revision %d is older than %d", f.Kind, at, f.at)
 	}
-	f.at, f.listed, f.lost, f.renewed = at, true, false, false
+	f.at, f.listed, f.lost = at, true, false
 	f.apply(Snapshot{Objects: objects, Revision: at})
 	return nil
 }
@@ -133,7 +132,7 @@
 	go cancelOn(ctx, cancel, renew)
 	events, at, err := f.store.Watch(ctx, f.Kind, f.at, wait)
 	if err != nil && isClosed(renew) && parent.Err() == nil {
-		f.renewed = true
+		f.listed = false
 		return nil
 	}
 	if err != nil {
