--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -22,7 +22,7 @@
 
 // target is how many free tokens a node should hold of a budget: what its own
 // demand takes for the horizon, within this node's part of the exposure.
-func (t Tuning) target(k *pocket, nodes int, now time.Time) int64 {
+func (t Tuning) target(k *quota, nodes int, now time.Time) int64 {
 	if !k.demand.known && k.others <= 0 {
 		return int64(t.First * float64(k.prepaid) / float64(max(nodes, 1)))
 	}
@@ -31,13 +31,13 @@
 	if all <= 0 {
 		return 0
 	}
-	exposed := t.Exposure * float64(max(k.rest, 0)) * (steady + k.clients) / all
+	exposed := t.Exposure * float64(max(k.estimate, 0)) * (steady + k.clients) / all
 	return int64(min((k.demand.rate(now)+k.clients)*t.Horizon.Seconds(), exposed))
 }
 
 // share is how much of a pool one node may draw: what it wants while much is
 // left, a part by its demand as the pool runs low.
-func (t Tuning) share(k *pocket, pool int64, nodes int, want int64, now time.Time) int64 {
+func (t Tuning) share(k *quota, pool int64, nodes int, want int64, now time.Time) int64 {
 	if pool <= 0 {
 		return 0
 	}
--- a/fleet/relay/account/fleet.go
+++ b/fleet/relay/account/fleet.go
@@ -7,9 +7,9 @@
 	"github.com/samber/lo"
 )
 
-// Offer is what a node tells its peers about one budget: tokens, and tokens a
-// second. All and Left are told by nodes that write the book for others.
-type Offer struct {
+// BudgetReport is what a node tells its peers about one budget: tokens, and tokens a
+// second. All and Left are told by nodes that write the ledger for others.
+type BudgetReport struct {
 	Free int64   `json:"f,omitempty"` // that it could give
 	Rate float64 `json:"r,omitempty"` // that it is asked for
 	All  float64 `json:"a,omitempty"` // that all nodes it heard of are asked for
@@ -17,17 +17,17 @@
 	Own  bool    `json:"o,omitempty"` // that it draws for itself, though other nodes draw for most
 }
 
-// Offers lists what this node could give and is asked for, by tenant.
-func (p *Purse) Offers(now time.Time) map[string]Offer {
+// BudgetReports lists what this node could give and is asked for, by tenant.
+func (p *Allowance) BudgetReports(now time.Time) map[string]BudgetReport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	offers := make(map[string]Offer, len(p.pockets))
-	for tenant, k := range p.pockets {
-		if o := (Offer{Free: max(k.free(), 0), Rate: math.Round(k.demand.steady(now)), Own: k.draws}); o != (Offer{}) {
-			offers[tenant] = o
+	reports := make(map[string]BudgetReport, len(p.quotas))
+	for tenant, k := range p.quotas {
+		if o := (BudgetReport{Free: max(k.free(), 0), Rate: math.Round(k.demand.steady(now)), Own: k.direct}); o != (BudgetReport{}) {
+			reports[tenant] = o
 		}
 	}
-	return offers
+	return reports
 }
 
 // Fleet is what a node knows of the others' part in one budget.
@@ -35,35 +35,35 @@
 	Others  float64 // tokens a second that they are asked for, by those this node heard
 	All     float64 // the same with this node's own, as nodes that hear all of them told
 	Clients float64 // of the others, what this node draws for
-	Left    int64   // of the whole budget at most, by a node that reads the book; 0 is not known
+	Left    int64   // of the whole budget at most, by a node that reads the ledger; 0 is not known
 }
 
 // A node that does not draw for others draws for itself where so much of all
 // demand for a budget is its own: callers that keep to one node are not served
 // from other nodes' holdings. It stops where its part has fallen to the lower bound.
 const (
-	drawsFrom  = 0.2
-	drawsUntil = 0.1
+	directFrom  = 0.2
+	directUntil = 0.1
 )
 
 // Fleets sets what is known of the other nodes, by tenant.
-func (p *Purse) Fleets(fleets map[string]Fleet, now time.Time) {
+func (p *Allowance) Fleets(fleets map[string]Fleet, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for tenant, k := range p.pockets {
+	for tenant, k := range p.quotas {
 		f := fleets[tenant]
 		own := k.demand.steady(now)
 		k.others, k.clients = max(f.Others, f.All-own), f.Clients
 		if f.All > 0 { // else it is not known how great this node's part is
-			k.draws = own > 0 && own >= lo.Ternary(k.draws, drawsUntil, drawsFrom)*(own+k.others)
+			k.direct = own > 0 && own >= lo.Ternary(k.direct, directUntil, directFrom)*(own+k.others)
 		}
 		if f.Left > 0 && p.revision == 0 {
-			k.left, k.rest = f.Left, f.Left
+			k.left, k.estimate = f.Left, f.Left
 		}
 	}
 }
 
-// aheadPart is the part of a node's target that it borrows ahead: the nodes that
+// aheadPart is the part of a node's target that it acquires ahead: the nodes that
 // draw for it hold the rest.
 const aheadPart = 4
 
@@ -71,33 +71,33 @@
 // some nodes draw for the others: less is better held together by these.
 const worthHolding = 4
 
-// Lacking lists by tenant what a node that does not write the book should
-// borrow ahead: what its holding is short of its target, where that is much and
+// Deficits lists by tenant what a node that does not write the ledger should
+// acquire ahead: what its holding is short of its target, where that is much and
 // the target is worth holding apart.
-func (p *Purse) Lacking(nodes int, fraction float64, now time.Time) map[string]int64 {
+func (p *Allowance) Deficits(nodes int, fraction float64, now time.Time) map[string]int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	lacking := map[string]int64{}
-	for tenant, k := range p.pockets {
+	deficits := map[string]int64{}
+	for tenant, k := range p.quotas {
 		target := p.tuning.target(k, nodes, now) / aheadPart
-		if k.demand.known && !k.draws && target >= worthHolding*k.demand.typical() && float64(k.free()) < fraction*float64(target) {
-			lacking[tenant] = target - k.free()
+		if k.demand.known && !k.direct && target >= worthHolding*k.demand.typical() && float64(k.free()) < fraction*float64(target) {
+			deficits[tenant] = target - k.free()
 		}
 	}
-	return lacking
+	return deficits
 }
 
-// Draws is whether this node draws a tenant's tokens for itself, though it does
+// DrawsDirectly is whether this node draws a tenant's tokens for itself, though it does
 // not draw for others.
-func (p *Purse) Draws(tenant string) bool {
+func (p *Allowance) DrawsDirectly(tenant string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pocket(tenant).draws
+	return p.quota(tenant).direct
 }
 
-// DrawsAny is Draws for any tenant; so is a row that still has tokens.
-func (p *Purse) DrawsAny() bool {
+// DrawsAnyDirectly is DrawsDirectly for any tenant; so is a row that still has tokens.
+func (p *Allowance) DrawsAnyDirectly() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return lo.SomeBy(lo.Values(p.pockets), func(k *pocket) bool { return k.draws || k.limit > 0 })
+	return lo.SomeBy(lo.Values(p.quotas), func(k *quota) bool { return k.direct || k.limit > 0 })
 }
--- a/fleet/relay/account/fleet_test.go
+++ b/fleet/relay/account/fleet_test.go
@@ -7,9 +7,9 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// asked returns a purse that was asked for so many tokens a second, for long.
-func asked(perSecond int64) (*Purse, time.Time) {
-	p := NewPurse("n", "n/1", DefaultTuning())
+// asked returns an allowance that was asked for so many tokens a second, for long.
+func asked(perSecond int64) (*Allowance, time.Time) {
+	p := NewAllowance("n", "n/1", DefaultTuning())
 	p.Budget(map[string]int64{modelTenant: 1_000_000})
 	now := testStart
 	for range 40 {
@@ -19,7 +19,7 @@
 	return p, now
 }
 
-func TestANodeDrawsWhatMostlyItIsAskedFor(t *testing.T) {
+func TestANodeDrawsDirectlyWhatMostlyItIsAskedFor(t *testing.T) {
 	cases := []struct {
 		name   string
 		before float64 // what all are asked for at first; 0 is not told
@@ -41,9 +41,9 @@
 				p.Fleets(map[string]Fleet{modelTenant: {All: c.before}}, now)
 			}
 			p.Fleets(map[string]Fleet{modelTenant: {All: c.all}}, now)
-			assert.Equal(t, c.want, p.Draws(modelTenant))
-			assert.Equal(t, c.want, p.Offers(now)[modelTenant].Own)
-			next, worth := p.Propose(Book{}, Round{Nodes: 8, Now: now})
+			assert.Equal(t, c.want, p.DrawsDirectly(modelTenant))
+			assert.Equal(t, c.want, p.BudgetReports(now)[modelTenant].Own)
+			next, worth := p.Propose(Ledger{}, Round{Nodes: 8, Now: now})
 			assert.Equal(t, c.want, worth)
 			assert.Equal(t, c.want, next.Account(modelTenant).Drawn() > 0)
 		})
@@ -53,17 +53,17 @@
 func TestWhoDrawsNoLongerGivesBack(t *testing.T) {
 	p, now := asked(1000)
 	p.Fleets(map[string]Fleet{modelTenant: {All: 1000}}, now)
-	book, _ := p.Propose(Book{}, Round{Nodes: 8, Now: now})
-	p.Saw(book, 1)
+	ledger, _ := p.Propose(Ledger{}, Round{Nodes: 8, Now: now})
+	p.Saw(ledger, 1)
 	p.Answered()
-	assert.True(t, p.DrawsAny())
+	assert.True(t, p.DrawsAnyDirectly())
 	p.Fleets(map[string]Fleet{modelTenant: {All: 100_000}}, now)
-	assert.True(t, p.DrawsAny(), "a row with tokens")
-	book, worth := p.Propose(book, Round{Nodes: 8, Now: now})
+	assert.True(t, p.DrawsAnyDirectly(), "a row with tokens")
+	ledger, worth := p.Propose(ledger, Round{Nodes: 8, Now: now})
 	assert.True(t, worth)
-	p.Saw(book, 2)
-	assert.Zero(t, book.Account(modelTenant).Drawn())
-	assert.False(t, p.DrawsAny())
+	p.Saw(ledger, 2)
+	assert.Zero(t, ledger.Account(modelTenant).Drawn())
+	assert.False(t, p.DrawsAnyDirectly())
 }
 
 func TestAPoolThatRunsLowIsSharedByDemand(t *testing.T) {
@@ -78,21 +78,21 @@
 		t.Run(c.name, func(t *testing.T) {
 			p, now := asked(int64(c.own))
 			p.Fleets(map[string]Fleet{modelTenant: {All: 1000}}, now)
-			got := p.tuning.share(p.pockets[modelTenant], 10_000, 4, 1_000_000, now)
+			got := p.tuning.share(p.quotas[modelTenant], 10_000, 4, 1_000_000, now)
 			assert.InDelta(t, c.part*10_000, float64(got), 100)
 		})
 	}
 }
 
-// What a node has lent to others that do not report counts as gone where it is
+// What a node has granted to others that do not report counts as gone where it is
 // weighed how much of the rest may be held, and not where 402 is decided.
-func TestWhatWasLentIsNotHeldAgainst(t *testing.T) {
-	p := NewPurse("n", "n/1", DefaultTuning())
+func TestWhatWasGrantedIsNotHeldAgainst(t *testing.T) {
+	p := NewAllowance("n", "n/1", DefaultTuning())
 	p.Budget(map[string]int64{modelTenant: 10_000})
-	b := Book{Accounts: []Account{{Tenant: modelTenant, Rows: []Row{{Node: "n", Life: "n/1", Drawn: 9000, Spent: 1000, Lent: 6000}}}}}
+	b := Ledger{Accounts: []Account{{Tenant: modelTenant, Rows: []Row{{Node: "n", Life: "n/1", Drawn: 9000, Spent: 1000, Granted: 6000}}}}}
 	p.Saw(b, 1)
 	assert.Equal(t, int64(9000), p.State(modelTenant).Left)
-	assert.Equal(t, int64(3000), p.pockets[modelTenant].rest)
+	assert.Equal(t, int64(3000), p.quotas[modelTenant].estimate)
 	closed := b.Account(modelTenant).WithClosed(func(Row) bool { return true })
-	assert.Equal(t, int64(6000), closed.Lent())
+	assert.Equal(t, int64(6000), closed.Granted())
 }
--- a/fleet/relay/account/book.go
+++ b/fleet/relay/account/ledger.go
@@ -1,6 +1,6 @@
-// Package account keeps prepaid budgets for nodes that keep nothing: a book in
-// the store says what each life of a node has drawn, a purse on the node says
-// what it has spent of that, and a keeper moves tokens between the two.
+// Package account keeps prepaid budgets for nodes that keep nothing: a ledger in
+// the store says what each life of a node has drawn, an allowance on the node says
+// what it has spent of that, and a syncer moves tokens between the two.
 //
 // What a life has drawn and not given back counts as spent for ever, so that no
 // loss of nodes, however many at once, lets a budget be exceeded.
@@ -12,32 +12,32 @@
 	"github.com/samber/lo"
 )
 
-// Book is what the store keeps: an immutable value, tokens everywhere.
-type Book struct {
+// Ledger is what the store keeps: an immutable value, tokens everywhere.
+type Ledger struct {
 	Accounts []Account
 }
 
-// Account is the part of a book for one tenant.
+// Account is the part of a ledger for one tenant.
 type Account struct {
-	Tenant      string
-	ClosedDrawn int64 // by lives that have ended: spent for ever
-	ClosedSpent int64 // of it, what they had reported as spent
-	ClosedLent  int64 // and what they had handed to other nodes, less what they took
-	Rows        []Row
+	Tenant        string
+	ClosedDrawn   int64 // by lives that have ended: spent for ever
+	ClosedSpent   int64 // of it, what they had reported as spent
+	ClosedGranted int64 // and what they had handed to other nodes, less what they took
+	Rows          []Row
 }
 
 // Row is what one life of a node has drawn. Only that life writes it, until it
 // has ended.
 type Row struct {
-	Node  string
-	Life  string
-	Drawn int64
-	Spent int64 // as of the last report; at most Drawn
-	Lent  int64 // handed to other nodes, less what was taken from them, as of the last report
+	Node    string
+	Life    string
+	Drawn   int64
+	Spent   int64 // as of the last report; at most Drawn
+	Granted int64 // handed to other nodes, less what was taken from them, as of the last report
 }
 
 // Account finds a tenant's account; an empty one where there is none.
-func (b Book) Account(tenant string) Account {
+func (b Ledger) Account(tenant string) Account {
 	a, ok := lo.Find(b.Accounts, func(a Account) bool { return a.Tenant == tenant })
 	if !ok {
 		return Account{Tenant: tenant}
@@ -45,15 +45,15 @@
 	return a
 }
 
-// WithAccount returns the book with one account replaced.
-func (b Book) WithAccount(a Account) Book {
+// WithAccount returns the ledger with one account replaced.
+func (b Ledger) WithAccount(a Account) Ledger {
 	accounts := slices.Clone(b.Accounts)
 	i := slices.IndexFunc(accounts, func(x Account) bool { return x.Tenant == a.Tenant })
 	if i < 0 {
-		return Book{Accounts: append(accounts, a)}
+		return Ledger{Accounts: append(accounts, a)}
 	}
 	accounts[i] = a
-	return Book{Accounts: accounts}
+	return Ledger{Accounts: accounts}
 }
 
 // Row finds the row of a life.
@@ -85,7 +85,7 @@
 		}
 		a.ClosedDrawn += r.Drawn
 		a.ClosedSpent += r.Spent
-		a.ClosedLent += r.Lent
+		a.ClosedGranted += r.Granted
 	}
 	a.Rows = rows
 	return a
@@ -101,10 +101,10 @@
 	return a.ClosedSpent + lo.SumBy(a.Rows, func(r Row) int64 { return r.Spent })
 }
 
-// Lent is what rows have handed to nodes that have none: these spend it without
+// Granted is what rows have handed to nodes that have none: these spend it without
 // reporting it, so that it counts as gone where the rest of a budget is estimated.
-func (a Account) Lent() int64 {
-	return max(a.ClosedLent+lo.SumBy(a.Rows, func(r Row) int64 { return r.Lent }), 0)
+func (a Account) Granted() int64 {
+	return max(a.ClosedGranted+lo.SumBy(a.Rows, func(r Row) int64 { return r.Granted }), 0)
 }
 
 // Pool is what can still be drawn.
--- a/fleet/relay/account/model_test.go
+++ b/fleet/relay/account/model_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// The model check drives purses, one book and a lossy network through random
+// The model check drives allowances, one ledger and a lossy network through random
 // interleavings, and holds after each step that what all lives together have
 // spent and reserved is within the budget.
 
@@ -25,31 +25,31 @@
 	random   *rand.Rand
 	now      time.Time
 	prepaid  int64
-	book     Book
+	ledger   Ledger
 	revision int64
 	late     []latePut
 	nodes    []*modelNode
-	gifts    []modelGift
+	grants   []modelGrant
 	dead     int64 // spent by lives that have ended; their reservations count as spent
 	trail    []string
 }
 
 type modelNode struct {
-	name     string
-	life     int
-	purse    *Purse
-	seen     Book
-	revision int64
-	calls    []int64
-	leaving  bool
+	name      string
+	life      int
+	allowance *Allowance
+	seen      Ledger
+	revision  int64
+	calls     []int64
+	leaving   bool
 }
 
 type latePut struct {
-	base int64
-	book Book
+	base   int64
+	ledger Ledger
 }
 
-type modelGift struct {
+type modelGrant struct {
 	to     *modelNode
 	life   int
 	tokens int64
@@ -67,9 +67,9 @@
 
 func (w *world) start(n *modelNode) {
 	n.life++
-	n.purse = NewPurse(n.name, fmt.Sprint(n.name, "/", n.life), DefaultTuning())
-	n.purse.Budget(map[string]int64{modelTenant: w.prepaid})
-	n.seen, n.revision, n.calls, n.leaving = Book{}, 0, nil, false
+	n.allowance = NewAllowance(n.name, fmt.Sprint(n.name, "/", n.life), DefaultTuning())
+	n.allowance.Budget(map[string]int64{modelTenant: w.prepaid})
+	n.seen, n.revision, n.calls, n.leaving = Ledger{}, 0, nil, false
 	w.read(n)
 }
 
@@ -82,8 +82,8 @@
 		name   string
 		do     func(*modelNode)
 	}{
-		{30, "reserve", w.reserve}, {30, "settle", w.settle}, {12, "write", w.write}, {6, "read", w.read}, {8, "borrow", w.borrow},
-		{6, "gift", w.deliver}, {2, "gift lost", w.loseGift}, {3, "late write", w.applyLate}, {2, "kill", w.kill},
+		{30, "reserve", w.reserve}, {30, "settle", w.settle}, {12, "write", w.write}, {6, "read", w.read}, {8, "acquire", w.acquire},
+		{6, "grant", w.deliver}, {2, "grant lost", w.loseGrant}, {3, "late write", w.applyLate}, {2, "kill", w.kill},
 		{1, "leave", w.leave}, {1, "raise", w.raise}, {1, "kill all", w.killAll},
 	}
 	total := 0
@@ -103,7 +103,7 @@
 
 func (w *world) reserve(n *modelNode) {
 	tokens := int64(w.random.IntN(3000) + 1)
-	if n.purse.Reserve(modelTenant, tokens, w.now) == Reserved {
+	if n.allowance.Reserve(modelTenant, tokens, w.now) == Reserved {
 		n.calls = append(n.calls, tokens)
 	}
 }
@@ -115,21 +115,21 @@
 	i := w.random.IntN(len(n.calls))
 	reserved := n.calls[i]
 	n.calls = append(n.calls[:i:i], n.calls[i+1:]...)
-	n.purse.Settle(modelTenant, reserved, w.random.Int64N(reserved+1))
+	n.allowance.Settle(modelTenant, reserved, w.random.Int64N(reserved+1))
 }
 
 func (w *world) read(n *modelNode) {
-	n.seen, n.revision = w.book, w.revision
-	n.purse.Saw(w.book, w.revision)
+	n.seen, n.revision = w.ledger, w.revision
+	n.allowance.Saw(w.ledger, w.revision)
 }
 
 // write makes a conditional write, whose effect or answer may be lost or late.
 func (w *world) write(n *modelNode) {
-	next, worth := n.purse.Propose(n.seen, Round{Nodes: len(w.nodes), Now: w.now, All: true, Leaving: n.leaving})
+	next, worth := n.allowance.Propose(n.seen, Round{Nodes: len(w.nodes), Now: w.now, All: true, Leaving: n.leaving})
 	if !worth && !n.leaving {
 		return
 	}
-	put := latePut{base: n.revision, book: next}
+	put := latePut{base: n.revision, ledger: next}
 	switch w.random.IntN(8) {
 	case 0: // never arrives
 	case 1: // arrives later
@@ -138,7 +138,7 @@
 		w.put(put)
 	default:
 		if w.put(put) {
-			n.purse.Answered()
+			n.allowance.Answered()
 			w.read(n)
 		}
 	}
@@ -148,7 +148,7 @@
 	if p.base != w.revision {
 		return false
 	}
-	w.book, w.revision = p.book, w.revision+1
+	w.ledger, w.revision = p.ledger, w.revision+1
 	return true
 }
 
@@ -162,34 +162,34 @@
 	w.put(p)
 }
 
-func (w *world) borrow(n *modelNode) {
+func (w *world) acquire(n *modelNode) {
 	from := w.nodes[w.random.IntN(len(w.nodes))]
 	if from == n {
 		return
 	}
 	need := int64(w.random.IntN(4000) + 1)
-	if tokens := from.purse.Give(modelTenant, need, 3*need); tokens > 0 {
-		w.gifts = append(w.gifts, modelGift{to: n, life: n.life, tokens: tokens})
+	if tokens := from.allowance.Grant(modelTenant, need, 3*need); tokens > 0 {
+		w.grants = append(w.grants, modelGrant{to: n, life: n.life, tokens: tokens})
 	}
 }
 
-func (w *world) takeGift() (modelGift, bool) {
-	if len(w.gifts) == 0 {
-		return modelGift{}, false
+func (w *world) takeGrant() (modelGrant, bool) {
+	if len(w.grants) == 0 {
+		return modelGrant{}, false
 	}
-	i := w.random.IntN(len(w.gifts))
-	g := w.gifts[i]
-	w.gifts = append(w.gifts[:i:i], w.gifts[i+1:]...)
+	i := w.random.IntN(len(w.grants))
+	g := w.grants[i]
+	w.grants = append(w.grants[:i:i], w.grants[i+1:]...)
 	return g, true
 }
 
 func (w *world) deliver(*modelNode) {
-	if g, ok := w.takeGift(); ok && g.life == g.to.life {
-		g.to.purse.Take(modelTenant, g.tokens)
+	if g, ok := w.takeGrant(); ok && g.life == g.to.life {
+		g.to.allowance.Receive(modelTenant, g.tokens)
 	}
 }
 
-func (w *world) loseGift(*modelNode) { w.takeGift() }
+func (w *world) loseGrant(*modelNode) { w.takeGrant() }
 
 func (w *world) kill(n *modelNode) {
 	w.dead += n.spent()
@@ -220,15 +220,15 @@
 	}
 	w.prepaid += int64(w.random.IntN(20_000))
 	for _, n := range w.nodes {
-		n.purse.Budget(map[string]int64{modelTenant: w.prepaid})
+		n.allowance.Budget(map[string]int64{modelTenant: w.prepaid})
 	}
 }
 
 // spent is what the life has spent, with its open calls at their most.
 func (n *modelNode) spent() int64 {
-	n.purse.mu.Lock()
-	defer n.purse.mu.Unlock()
-	k := n.purse.pocket(modelTenant)
+	n.allowance.mu.Lock()
+	defer n.allowance.mu.Unlock()
+	k := n.allowance.quota(modelTenant)
 	return k.spent + k.reserved
 }
 
@@ -243,12 +243,12 @@
 // check fails the test where the budget was exceeded.
 func (w *world) check(t *testing.T, seed uint64, step int) {
 	t.Helper()
-	if w.spent() <= w.prepaid && w.book.Account(modelTenant).Drawn() <= w.prepaid {
+	if w.spent() <= w.prepaid && w.ledger.Account(modelTenant).Drawn() <= w.prepaid {
 		return
 	}
 	from := max(len(w.trail)-40, 0)
 	require.Failf(t, "budget exceeded", "seed %d, step %d: spent %d, drawn %d of %d\nlast steps: %v",
-		seed, step, w.spent(), w.book.Account(modelTenant).Drawn(), w.prepaid, w.trail[from:])
+		seed, step, w.spent(), w.ledger.Account(modelTenant).Drawn(), w.prepaid, w.trail[from:])
 }
 
 // modelSteps is how many steps a run takes in all; LYNXSHED_MODEL_STEPS asks
--- a/fleet/relay/account/propose.go
+++ b/fleet/relay/account/propose.go
@@ -5,48 +5,48 @@
 	"time"
 )
 
-// Saw takes in the book as the store holds it. Only a newer revision tells what
+// Saw takes in the ledger as the store holds it. Only a newer revision tells what
 // became of proposals: until then the least of them bounds what is spent.
-func (p *Purse) Saw(b Book, revision int64) {
+func (p *Allowance) Saw(b Ledger, revision int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if revision <= p.revision {
 		return
 	}
 	p.revision = revision
-	for tenant, k := range p.pockets {
+	for tenant, k := range p.quotas {
 		a := b.Account(tenant)
 		row, _ := a.Row(p.life)
 		k.limit = row.Drawn
 		k.pool = a.Pool(k.prepaid)
 		k.left = k.prepaid - a.Spent()
-		k.rest = k.left - a.Lent()
+		k.estimate = k.left - a.Granted()
 	}
 }
 
-// Round is what a proposal depends on beside the book and the purse.
+// Round is what a proposal depends on beside the ledger and the allowance.
 type Round struct {
-	Nodes   int // that draw from the book
+	Nodes   int // that draw from the ledger
 	Now     time.Time
 	All     bool // this node draws every budget, not only those that it is asked for most
 	Leaving bool // it is about to end: all that is not in use goes back
 }
 
-// Propose returns the book as this node would have it, and whether that is
-// worth a write. What it gives back is out of the purse from now on, whatever
+// Propose returns the ledger as this node would have it, and whether that is
+// worth a write. What it gives back is out of the allowance from now on, whatever
 // becomes of the write.
-func (p *Purse) Propose(b Book, r Round) (Book, bool) {
+func (p *Allowance) Propose(b Ledger, r Round) (Ledger, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	worth := false
 	for _, tenant := range p.tenants() {
-		k := p.pockets[tenant]
+		k := p.quotas[tenant]
 		a := b.Account(tenant).WithClosed(p.isEarlierLife)
 		before, known := a.Row(p.life)
-		if k.closed && !known || !r.All && !k.draws && !known {
+		if k.closed && !known || !r.All && !k.direct && !known {
 			continue
 		}
-		after := Row{Node: p.node, Life: p.life, Spent: k.spent, Lent: k.lent}
+		after := Row{Node: p.node, Life: p.life, Spent: k.spent, Granted: k.granted}
 		after.Drawn = p.wanted(k, a, before.Drawn, r)
 		matters := p.matters(k, before, after)
 		if after == before && !r.Leaving || !known && after.Drawn == 0 {
@@ -66,18 +66,18 @@
 
 // Answered notes that what reservations lacked was proposed, and the proposal
 // written or not worth a write.
-func (p *Purse) Answered() {
+func (p *Allowance) Answered() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.short = false
-	for _, k := range p.pockets {
-		k.short = 0
+	p.shortfall = false
+	for _, k := range p.quotas {
+		k.shortfall = 0
 	}
 }
 
-func (p *Purse) tenants() []string {
-	names := make([]string, 0, len(p.pockets))
-	for tenant := range p.pockets {
+func (p *Allowance) tenants() []string {
+	names := make([]string, 0, len(p.quotas))
+	for tenant := range p.quotas {
 		names = append(names, tenant)
 	}
 	slices.Sort(names)
@@ -86,23 +86,23 @@
 
 // isEarlierLife is true for rows of this VM's lives before this one: they have
 // ended, since a VM runs one process at a time.
-func (p *Purse) isEarlierLife(r Row) bool { return r.Node == p.node && r.Life != p.life }
+func (p *Allowance) isEarlierLife(r Row) bool { return r.Node == p.node && r.Life != p.life }
 
 // wanted is what the row should say as drawn.
-func (p *Purse) wanted(k *pocket, a Account, drawn int64, r Round) int64 {
+func (p *Allowance) wanted(k *quota, a Account, drawn int64, r Round) int64 {
 	busy := k.busy()
 	if r.Leaving {
 		return busy
 	}
-	target := k.short
-	if r.All || k.draws {
+	target := k.shortfall
+	if r.All || k.direct {
 		target += p.tuning.target(k, r.Nodes, r.Now)
 	}
 	free := drawn - busy
 	pool := a.Pool(k.prepaid)
 	switch {
 	case free < target:
-		return drawn + max(p.tuning.share(k, pool, r.Nodes, target-free, r.Now), min(k.short, pool))
+		return drawn + max(p.tuning.share(k, pool, r.Nodes, target-free, r.Now), min(k.shortfall, pool))
 	case over(a, k.prepaid) > 0:
 		return max(busy, drawn-over(a, k.prepaid))
 	case float64(free) > p.tuning.Surplus*float64(target) && free-target >= k.demand.typical():
@@ -116,12 +116,12 @@
 func over(a Account, prepaid int64) int64 { return max(a.Drawn()-prepaid, 0) }
 
 // matters is whether a change of a row is worth a write.
-func (p *Purse) matters(k *pocket, before, after Row) bool {
+func (p *Allowance) matters(k *quota, before, after Row) bool {
 	if after.Drawn < before.Drawn {
 		return true
 	}
 	drawn := after.Drawn - before.Drawn
 	free := before.Drawn - k.busy()
-	return drawn > 0 && (k.short > 0 || float64(drawn) > p.tuning.Step*float64(max(free+drawn, 1)) && drawn >= k.demand.typical()/2) ||
-		float64(after.Spent-before.Spent+after.Lent-before.Lent) > p.tuning.Report*float64(max(k.prepaid, 1))
+	return drawn > 0 && (k.shortfall > 0 || float64(drawn) > p.tuning.Step*float64(max(free+drawn, 1)) && drawn >= k.demand.typical()/2) ||
+		float64(after.Spent-before.Spent+after.Granted-before.Granted) > p.tuning.Report*float64(max(k.prepaid, 1))
 }
--- a/fleet/relay/account/keeper.go
+++ b/fleet/relay/account/syncer.go
@@ -14,13 +14,13 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
-// Where the book lies.
+// Where the ledger lies.
 const (
-	Kind     = "lynxshed-accounts"
-	bookName = "book"
+	Kind       = "lynxshed-accounts"
+	ledgerName = "book" // the stored name is older than the type's: budgets lie under it, so it stays
 )
 
-// How often a keeper looks at the purse and writes the book: the more nodes
+// How often a syncer looks at the allowance and writes the ledger: the more nodes
 // write, the longer each waits, since all write one object.
 const (
 	tick          = 150 * time.Millisecond
@@ -31,10 +31,10 @@
 	askedPace     = 100 * time.Millisecond // where one waits
 	askedPerNode  = 10 * time.Millisecond
 	conflictPause = 5 * time.Millisecond // for each node that writes, at most
-	conflicts     = 3                    // tries in a row before the keeper pauses
+	conflicts     = 3                    // tries in a row before the syncer pauses
 )
 
-// Bounds of the keeper's waits.
+// Bounds of the syncer's waits.
 const (
 	callTimeout = 700 * time.Millisecond
 	drawWait    = 60 * time.Millisecond // that a request waits for a draw
@@ -42,34 +42,34 @@
 	backoffMax  = 2 * time.Second
 )
 
-// Keeper moves tokens between the store's book and a purse.
-type Keeper struct {
-	store  store.Store
-	purse  *Purse
-	nodes  func() int
-	writes func() bool // whether this node draws every budget, or borrows from those that do
-	health *store.Health
-	log    log.Interface
+// Syncer moves tokens between the store's ledger and an allowance.
+type Syncer struct {
+	store     store.Store
+	allowance *Allowance
+	nodes     func() int
+	writes    func() bool // whether this node draws every budget, or acquires from those that do
+	health    *store.Health
+	log       log.Interface
 
 	asks chan chan struct{} // of requests that wait for a draw
 
 	rounds   sync.Mutex // one at a time
-	left     bool       // the node is leaving
-	book     Book
+	leaving  bool       // the node is leaving
+	ledger   Ledger
 	revision int64
-	fresh    bool // book and revision are as the store last showed them
+	fresh    bool // ledger and revision are as the store last showed them
 	last     time.Time
 	out      atomic.Bool // the store does not answer
 }
 
-// NewKeeper returns a keeper; nodes tells how many nodes share the budgets, and
-// writes whether this one draws from the book.
-func NewKeeper(s store.Store, p *Purse, nodes func() int, writes func() bool, health *store.Health, l log.Interface) *Keeper {
-	return &Keeper{store: s, purse: p, nodes: nodes, writes: writes, health: health, log: l, asks: make(chan chan struct{}, waitingAsks)}
+// NewSyncer returns a syncer; nodes tells how many nodes share the budgets, and
+// writes whether this one draws from the ledger.
+func NewSyncer(s store.Store, p *Allowance, nodes func() int, writes func() bool, health *store.Health, l log.Interface) *Syncer {
+	return &Syncer{store: s, allowance: p, nodes: nodes, writes: writes, health: health, log: l, asks: make(chan chan struct{}, waitingAsks)}
 }
 
-// Run keeps the purse filled until ctx ends.
-func (k *Keeper) Run(ctx context.Context) {
+// Run keeps the allowance filled until ctx ends.
+func (k *Syncer) Run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	backoff := time.Duration(0)
@@ -93,7 +93,7 @@
 }
 
 // waiting takes all requests that wait for a draw.
-func (k *Keeper) waiting(first chan struct{}) []chan struct{} {
+func (k *Syncer) waiting(first chan struct{}) []chan struct{} {
 	pauseBriefly() // others may come with it
 	asks := []chan struct{}{first}
 	for {
@@ -106,11 +106,11 @@
 	}
 }
 
-// Draw has the book written now for a request that lacks a tenant's tokens, where
+// Draw has the ledger written now for a request that lacks a tenant's tokens, where
 // this node draws them, the store answers and there is something left to draw. It
 // returns when that is done, and soon where it takes long.
-func (k *Keeper) Draw(ctx context.Context, tenant string) {
-	if k.Out() || k.purse.State(tenant).Pool <= 0 || !k.writes() && !k.purse.Draws(tenant) {
+func (k *Syncer) Draw(ctx context.Context, tenant string) {
+	if k.Out() || k.allowance.State(tenant).Pool <= 0 || !k.writes() && !k.allowance.DrawsDirectly(tenant) {
 		return
 	}
 	done := make(chan struct{})
@@ -130,21 +130,21 @@
 
 // pace is the time between writes: the more nodes write, the longer, so that
 // they seldom collide.
-func (k *Keeper) pace(asked bool) time.Duration {
+func (k *Syncer) pace(asked bool) time.Duration {
 	switch {
 	case asked:
 		return askedPace + time.Duration(k.nodes())*askedPerNode
-	case k.purse.Short():
+	case k.allowance.HasShortfall():
 		return urgentPace + time.Duration(k.nodes())*urgentPerNode
 	default:
 		return max(calmPace, time.Duration(k.nodes())*calmPerNode)
 	}
 }
 
-func (k *Keeper) round(ctx context.Context, now time.Time, backoff time.Duration) time.Duration {
+func (k *Syncer) round(ctx context.Context, now time.Time, backoff time.Duration) time.Duration {
 	k.rounds.Lock()
 	defer k.rounds.Unlock()
-	if k.left || !k.writes() && !k.purse.DrawsAny() && !k.Out() { // a node that is out goes on asking, to learn when it is not
+	if k.leaving || !k.writes() && !k.allowance.DrawsAnyDirectly() && !k.Out() { // a node that is out goes on asking, to learn when it is not
 		return 0
 	}
 	err := k.settle(ctx, now, false)
@@ -157,10 +157,10 @@
 }
 
 // Out is whether the store did not answer when it was last asked.
-func (k *Keeper) Out() bool { return k.out.Load() }
+func (k *Syncer) Out() bool { return k.out.Load() }
 
-// tell logs when the store is lost or regained.
-func (k *Keeper) tell(out bool, err error) {
+// tell logs when the store is lost or reconnected.
+func (k *Syncer) tell(out bool, err error) {
 	if k.out.Swap(out) == out {
 		return
 	}
@@ -169,19 +169,19 @@
 		entry.WithError(err).Warn("accounts: store lost")
 		return
 	}
-	entry.Info("accounts: store regained")
-	k.health.Regained()
+	entry.Info("accounts: store reconnected")
+	k.health.Reconnected()
 }
 
 // Leave gives back all that is not in use, and draws nothing any more.
-func (k *Keeper) Leave(ctx context.Context) error {
+func (k *Syncer) Leave(ctx context.Context) error {
 	k.rounds.Lock()
 	defer k.rounds.Unlock()
-	k.left = true
+	k.leaving = true
 	return k.settle(ctx, time.Now(), true)
 }
 
-func (k *Keeper) settle(ctx context.Context, now time.Time, leaving bool) error {
+func (k *Syncer) settle(ctx context.Context, now time.Time, leaving bool) error {
 	var err error
 	for range conflicts {
 		if !k.fresh {
@@ -189,13 +189,13 @@
 				return err
 			}
 		}
-		next, worth := k.purse.Propose(k.book, Round{Nodes: k.nodes(), Now: now, All: k.writes(), Leaving: leaving})
+		next, worth := k.allowance.Propose(k.ledger, Round{Nodes: k.nodes(), Now: now, All: k.writes(), Leaving: leaving})
 		if !worth && !leaving {
-			k.purse.Answered()
+			k.allowance.Answered()
 			return nil
 		}
 		if err = k.write(ctx, next); err == nil {
-			k.purse.Answered()
+			k.allowance.Answered()
 			return nil
 		}
 		if !errors.Is(err, store.ErrConflict) {
@@ -209,16 +209,16 @@
 func pauseBriefly() { time.Sleep(time.Duration(2+rand.IntN(10)) * time.Millisecond) }
 
 // pauseAfterConflict lets the other writers go first, the longer the more there are.
-func (k *Keeper) pauseAfterConflict() {
+func (k *Syncer) pauseAfterConflict() {
 	time.Sleep(conflictPause + rand.N(time.Duration(max(k.nodes(), 1))*conflictPause))
 }
 
-func (k *Keeper) read(ctx context.Context) error {
+func (k *Syncer) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	o, err := k.store.Get(ctx, Kind, bookName)
+	o, err := k.store.Get(ctx, Kind, ledgerName)
 	if errors.Is(err, store.ErrNotFound) {
-		k.book, k.revision, k.fresh = Book{}, 0, true
+		k.ledger, k.revision, k.fresh = Ledger{}, 0, true
 		return nil
 	}
 	if err != nil {
@@ -227,20 +227,20 @@
 	return k.saw(o)
 }
 
-func (k *Keeper) saw(o store.Object) error {
+func (k *Syncer) saw(o store.Object) error {
 	if o.Revision < k.revision {
 		return errors.Newf("accounts at revision %d are older than %d", o.Revision, k.revision)
 	}
-	var b Book
+	var b Ledger
 	if err := json.Unmarshal(o.Data, &b); err != nil {
 		return errors.Wrap(err, "accounts")
 	}
-	k.book, k.revision, k.fresh = b, o.Revision, true
-	k.purse.Saw(b, o.Revision)
+	k.ledger, k.revision, k.fresh = b, o.Revision, true
+	k.allowance.Saw(b, o.Revision)
 	return nil
 }
 
-func (k *Keeper) write(ctx context.Context, next Book) error {
+func (k *Syncer) write(ctx context.Context, next Ledger) error {
 	data, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "accounts")
@@ -248,7 +248,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	k.fresh = false
-	o, err := k.store.Put(ctx, store.Object{Kind: Kind, Name: bookName, Revision: k.revision, Data: data})
+	o, err := k.store.Put(ctx, store.Object{Kind: Kind, Name: ledgerName, Revision: k.revision, Data: data})
 	if errors.Is(err, store.ErrConflict) && o.Revision > k.revision {
 		return errors.CombineErrors(k.saw(o), err)
 	}
@@ -260,29 +260,29 @@
 }
 
 // logMoves tells what a write that took effect has moved, one line for all tenants.
-func (k *Keeper) logMoves(next Book) {
+func (k *Syncer) logMoves(next Ledger) {
 	moves := map[string]int64{}
 	pools := map[string]int64{}
-	for _, h := range k.purse.Holdings(time.Now()) {
-		before, _ := k.book.Account(h.Tenant).Row(k.purse.life)
-		after, _ := next.Account(h.Tenant).Row(k.purse.life)
+	for _, h := range k.allowance.Holdings(time.Now()) {
+		before, _ := k.ledger.Account(h.Tenant).Row(k.allowance.life)
+		after, _ := next.Account(h.Tenant).Row(k.allowance.life)
 		if after.Drawn != before.Drawn {
 			moves[h.Tenant] = after.Drawn - before.Drawn
 			pools[h.Tenant] = next.Account(h.Tenant).Pool(h.Prepaid)
 		}
 	}
-	if lost := k.lost(next); len(lost) > 0 && !k.left {
+	if lost := k.lost(next); len(lost) > 0 && !k.leaving {
 		k.log.WithField("revision", k.revision).WithField("tokens", lost).Warn("accounts: an earlier life of this node ended with tokens that it had drawn and not reported as spent")
 	}
 	k.log.WithField("revision", k.revision).WithField("tokens", moves).WithField("pools", pools).Info("accounts: written")
 }
 
-// lost lists, by tenant, what rows that the next book closes had drawn beyond
+// lost lists, by tenant, what rows that the next ledger closes had drawn beyond
 // what they had reported as spent.
-func (k *Keeper) lost(next Book) map[string]int64 {
+func (k *Syncer) lost(next Ledger) map[string]int64 {
 	lost := map[string]int64{}
 	for _, after := range next.Accounts {
-		before := k.book.Account(after.Tenant)
+		before := k.ledger.Account(after.Tenant)
 		tokens := (after.ClosedDrawn - after.ClosedSpent) - (before.ClosedDrawn - before.ClosedSpent)
 		if tokens > 0 {
 			lost[after.Tenant] = tokens
--- a/fleet/relay/account/keeper_test.go
+++ b/fleet/relay/account/syncer_test.go
@@ -48,14 +48,14 @@
 	return o, nil
 }
 
-// changedByAnother puts a row of another node into the book.
+// changedByAnother puts a row of another node into the ledger.
 func (s *oneObject) changedByAnother(t *testing.T, drawn int64) {
 	t.Helper()
-	var b Book
+	var b Ledger
 	require.NoError(t, json.Unmarshal(s.object.Data, &b))
 	data, err := json.Marshal(b.WithAccount(b.Account(modelTenant).WithRow(Row{Node: "other", Life: "other/1", Drawn: drawn})))
 	require.NoError(t, err)
-	s.object = store.Object{Kind: Kind, Name: bookName, Revision: s.object.Revision + 1, Data: data}
+	s.object = store.Object{Kind: Kind, Name: ledgerName, Revision: s.object.Revision + 1, Data: data}
 }
 
 func quiet() log.Interface { return &log.Logger{Handler: discard.New(), Level: log.ErrorLevel} }
@@ -66,15 +66,15 @@
 		mute bool
 		want []string
 	}{
-		{"the store tells the book", false, []string{"put", "put"}},
+		{"the store tells the ledger", false, []string{"put", "put"}},
 		{"it does not", true, []string{"put", "get", "put"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			s := &oneObject{mute: c.mute}
-			p := NewPurse("n", "n/1", DefaultTuning())
+			p := NewAllowance("n", "n/1", DefaultTuning())
 			p.Budget(map[string]int64{modelTenant: 1000})
-			k := NewKeeper(s, p, func() int { return 1 }, func() bool { return true }, store.NewHealth(), quiet())
+			k := NewSyncer(s, p, func() int { return 1 }, func() bool { return true }, store.NewHealth(), quiet())
 			require.NoError(t, k.settle(t.Context(), testStart, false))
 			s.changedByAnother(t, 300)
 			p.Reserve(modelTenant, 500, testStart) // more than the node holds
@@ -88,15 +88,15 @@
 
 func TestConflictsAreNoLostStore(t *testing.T) {
 	s := &oneObject{}
-	p := NewPurse("n", "n/1", DefaultTuning())
+	p := NewAllowance("n", "n/1", DefaultTuning())
 	p.Budget(map[string]int64{modelTenant: 1000})
-	k := NewKeeper(s, p, func() int { return 1 }, func() bool { return true }, store.NewHealth(), quiet())
+	k := NewSyncer(s, p, func() int { return 1 }, func() bool { return true }, store.NewHealth(), quiet())
 	require.NoError(t, k.settle(t.Context(), testStart, false))
 	s.before = func() { s.changedByAnother(t, 300) }
 	p.Reserve(modelTenant, 500, testStart)
 	assert.Zero(t, k.round(t.Context(), testStart, 0), "no backoff")
 	assert.False(t, k.Out())
-	assert.True(t, p.Short(), "what was lacking is still to be drawn")
+	assert.True(t, p.HasShortfall(), "what was deficits is still to be drawn")
 	s.before = nil
 	k.round(t.Context(), testStart, 0)
 	assert.GreaterOrEqual(t, p.State(modelTenant).Free, int64(500))
@@ -121,7 +121,7 @@
 	cases := []struct {
 		name   string
 		hangs  bool
-		draws  bool // this node
+		direct bool // this node
 		enough bool
 		most   time.Duration
 	}{
@@ -137,10 +137,10 @@
 				if !c.hangs {
 					close(s.answer)
 				}
-				p := NewPurse("n", "n/1", DefaultTuning())
+				p := NewAllowance("n", "n/1", DefaultTuning())
 				p.Budget(map[string]int64{modelTenant: 1000})
-				k := NewKeeper(s, p, func() int { return 1 }, func() bool { return c.draws }, store.NewHealth(), quiet())
-				assert.Equal(t, Short, p.Reserve(modelTenant, 500, time.Now()))
+				k := NewSyncer(s, p, func() int { return 1 }, func() bool { return c.direct }, store.NewHealth(), quiet())
+				assert.Equal(t, Insufficient, p.Reserve(modelTenant, 500, time.Now()))
 				go k.Run(ctx)
 				time.Sleep(askedPace / 2)
 				began := time.Now()
@@ -154,7 +154,7 @@
 	}
 }
 
-// The more nodes write the book, the longer each waits between two writes.
+// The more nodes write the ledger, the longer each waits between two writes.
 func TestManyWritersWriteLessOften(t *testing.T) {
 	cases := []struct {
 		nodes       int
@@ -170,12 +170,12 @@
 		{8, true, true, askedPace, 200 * time.Millisecond},
 	}
 	for _, c := range cases {
-		p := NewPurse("n", "n/1", DefaultTuning())
+		p := NewAllowance("n", "n/1", DefaultTuning())
 		p.Budget(map[string]int64{modelTenant: 1000})
 		if c.lacks {
 			p.Reserve(modelTenant, 500, testStart)
 		}
-		k := NewKeeper(nil, p, func() int { return c.nodes }, func() bool { return true }, store.NewHealth(), quiet())
+		k := NewSyncer(nil, p, func() int { return c.nodes }, func() bool { return true }, store.NewHealth(), quiet())
 		got := k.pace(c.asked)
 		assert.GreaterOrEqual(t, got, c.least, c)
 		assert.LessOrEqual(t, got, c.most, c)
--- a/fleet/relay/apply.go
+++ b/fleet/relay/apply.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
-	"github.com/lynxshed/lynxshed/fleet/relay/front"
+	"github.com/lynxshed/lynxshed/fleet/relay/ingress"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
@@ -38,18 +38,18 @@
 		return
 	}
 	n.policy.Store(p.Indexed())
-	n.purse.Budget(budgets(p))
+	n.allowance.Budget(budgets(p))
 	n.bound(p.Limits)
 	n.log.WithField("policy", p.Version).WithField("revision", o.Revision).WithField("routes", len(p.Routes)).WithField("prepaid", budgets(p)).Info("policy in force")
 }
 
 // bound lets new connections of callers follow the policy's bounds.
 func (n *Node) bound(l policy.Limits) {
-	if n.front == nil {
+	if n.ingress == nil {
 		return
 	}
-	b := front.Bounds{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}.Or(front.DefaultBounds)
-	if n.front.Bound(b) {
+	b := ingress.Bounds{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}.Or(ingress.DefaultBounds)
+	if n.ingress.Bound(b) {
 		n.log.WithField("headerBytes", b.HeaderBytes).WithField("headerMs", b.HeaderTimeout.Milliseconds()).WithField("idleMs", b.IdleTimeout.Milliseconds()).Info("callers' bounds in force")
 	}
 }
--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -18,17 +18,17 @@
 
 // Tuning are the constants of the choice.
 type Tuning struct {
-	ReadPerMs   float64       // prompt tokens that an engine reads in a millisecond
-	StepMs      float64       // what each running stream adds to the expected wait, in ms
-	HomeBelief  float64       // how sure it is that a part is kept at its home, 0 to 1
-	CrossZoneMs float64       // what leaving the zone costs, in ms
-	Suspect     time.Duration // how long an endpoint that failed is avoided at first
-	LoadAge     time.Duration // a reported load older than this says nothing
+	ReadPerMs     float64       // prompt tokens that an engine reads in a millisecond
+	StepMs        float64       // what each running stream adds to the expected wait, in ms
+	AffinityTrust float64       // how sure it is that a part is kept at its affinity target, 0 to 1
+	CrossZoneMs   float64       // what leaving the zone costs, in ms
+	Suspect       time.Duration // how long an endpoint that failed is avoided at first
+	LoadAge       time.Duration // a reported load older than this says nothing
 }
 
 // DefaultTuning is what measurements led to.
 func DefaultTuning() Tuning {
-	return Tuning{ReadPerMs: 38, StepMs: 0.3, HomeBelief: 0.9, CrossZoneMs: 0.6, Suspect: 600 * time.Millisecond, LoadAge: 400 * time.Millisecond}
+	return Tuning{ReadPerMs: 38, StepMs: 0.3, AffinityTrust: 0.9, CrossZoneMs: 0.6, Suspect: 600 * time.Millisecond, LoadAge: 400 * time.Millisecond}
 }
 
 // Picker chooses endpoints and remembers what was sent where. It is safe for
@@ -112,21 +112,21 @@
 // take the call among all, and suspects only where nothing else is left.
 func (p *Picker) first(a Ask) (Ticket, bool) {
 	key := xxhash.Sum64String(a.Call.ID)
-	home := p.home(a)
-	some := candidates(a, home, key)
-	if best, found := p.best(a, some, home, key, false); found {
+	affinity := p.affinity(a)
+	some := candidates(a, affinity, key)
+	if best, found := p.best(a, some, affinity, key, false); found {
 		return best, true
 	}
 	if len(some) < len(a.Engines) {
-		if best, found := p.best(a, a.Engines, home, key, false); found {
+		if best, found := p.best(a, a.Engines, affinity, key, false); found {
 			return best, true
 		}
 	}
-	return p.best(a, a.Engines, home, key, true)
+	return p.best(a, a.Engines, affinity, key, true)
 }
 
 // best ranks endpoints for a call.
-func (p *Picker) best(a Ask, among []engine.Engine, home string, key uint64, suspects bool) (Ticket, bool) {
+func (p *Picker) best(a Ask, among []engine.Engine, affinity string, key uint64, suspects bool) (Ticket, bool) {
 	var best Ticket
 	bestRank := uint64(0)
 	found := false
@@ -138,7 +138,7 @@
 		if s.inFlight >= a.Cap || (!suspects && a.Now.Before(s.suspected)) {
 			continue
 		}
-		t := p.expect(a, e, s, home)
+		t := p.expect(a, e, s, affinity)
 		rank := ident.Mix(key ^ e.Hash)
 		if !found || t.Expect < best.Expect || t.Expect == best.Expect && rank > bestRank {
 			best, bestRank, found = t, rank, true
@@ -147,11 +147,11 @@
 	return best, found
 }
 
-// sample is how many endpoints are compared where there are many: the home of
+// sample is how many endpoints are compared where there are many: the affinity target of
 // the prompt's parts, and others drawn by the call's id.
 const sample = 24
 
-func candidates(a Ask, home string, key uint64) []engine.Engine {
+func candidates(a Ask, affinity string, key uint64) []engine.Engine {
 	if len(a.Engines) <= sample+sample/2 {
 		return a.Engines
 	}
@@ -159,14 +159,14 @@
 	for i := range sample {
 		some = append(some, a.Engines[ident.Mix(key+uint64(i))%uint64(len(a.Engines))])
 	}
-	at, ok := slices.BinarySearchFunc(a.Engines, home, func(e engine.Engine, id string) int { return strings.Compare(e.ID, id) })
+	at, ok := slices.BinarySearchFunc(a.Engines, affinity, func(e engine.Engine, id string) int { return strings.Compare(e.ID, id) })
 	if ok {
 		some = append(some, a.Engines[at])
 	}
 	return some
 }
 
-func (p *Picker) expect(a Ask, e engine.Engine, s *state, home string) Ticket {
+func (p *Picker) expect(a Ask, e engine.Engine, s *state, affinity string) Ticket {
 	t := Ticket{Engine: e, picker: p}
 	inFlight, waiting := s.total(a.Now)
 	if e.Zone != p.zone {
@@ -183,8 +183,8 @@
 			read -= part.Tokens
 			continue
 		}
-		if i < shared && home == e.ID {
-			believed += p.tuning.HomeBelief * float64(part.Tokens)
+		if i < shared && affinity == e.ID {
+			believed += p.tuning.AffinityTrust * float64(part.Tokens)
 			continue
 		}
 		break
@@ -205,9 +205,9 @@
 	return max(s.slow, 1) * (full + 1) / slots * 10
 }
 
-// home names the endpoint where the shared parts of the prompt lie, by
+// affinity names the endpoint where the shared parts of the prompt lie, by
 // rendezvous hashing of the deepest one, so that every node agrees unasked.
-func (p *Picker) home(a Ask) string {
+func (p *Picker) affinity(a Ask) string {
 	if !a.Tokens || len(a.Call.Parts) < 2 {
 		return ""
 	}
--- a/fleet/relay/choice/choice_test.go
+++ b/fleet/relay/choice/choice_test.go
@@ -134,16 +134,16 @@
 	now := time.Now()
 	all := engines(2)
 	p := choice.NewPicker("z", choice.DefaultTuning())
-	home, _ := p.Pick(ask(prompt("a", "s"), all, now))
-	home.First()
-	home.Close(choice.Good, now)
-	p.Heard("peer", map[string]choice.Digest{home.Engine.ID: {InFlight: 5, Waiting: 40_000}}, now)
+	affinity, _ := p.Pick(ask(prompt("a", "s"), all, now))
+	affinity.First()
+	affinity.Close(choice.Good, now)
+	p.Heard("peer", map[string]choice.Digest{affinity.Engine.ID: {InFlight: 5, Waiting: 40_000}}, now)
 	away, _ := p.Pick(ask(prompt("b", "s"), all, now))
-	assert.NotEqual(t, home.Engine.ID, away.Engine.ID)
+	assert.NotEqual(t, affinity.Engine.ID, away.Engine.ID)
 	old := choice.NewPicker("z", choice.DefaultTuning())
-	old.Heard("peer", map[string]choice.Digest{home.Engine.ID: {InFlight: 5, Waiting: 40_000}}, now.Add(-3*time.Second))
+	old.Heard("peer", map[string]choice.Digest{affinity.Engine.ID: {InFlight: 5, Waiting: 40_000}}, now.Add(-3*time.Second))
 	back, _ := old.Pick(ask(prompt("c", "s"), all, now))
-	assert.Equal(t, home.Engine.ID, back.Engine.ID, "an old word says nothing")
+	assert.Equal(t, affinity.Engine.ID, back.Engine.ID, "an old word says nothing")
 }
 
 func BenchmarkPick(b *testing.B) {
@@ -174,7 +174,7 @@
 		}
 		p := choice.NewPicker("z0", choice.DefaultTuning())
 		plain := ask(prompt(fmt.Sprint("call-", i), "session"), all, now)
-		plain.Tokens = false // else the only fit one is the home of the parts
+		plain.Tokens = false // else the only fit one is the affinity target of the parts
 		ticket, ok := p.Pick(plain)
 		require.True(t, ok)
 		assert.Equal(t, all[i].ID, ticket.Engine.ID)
--- a/fleet/relay/forward/forward_test.go
+++ b/fleet/relay/forward/forward_test.go
@@ -189,8 +189,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(t, 1000, c.script)
 			f.do(t, f.request(t, "POST", c.path, "", "Prompt", "10", "Output", "100"))
-			assert.Eventually(t, func() bool { return f.purse.State("t").Free == 1000-c.used }, time.Second, time.Millisecond,
-				"free %d", f.purse.State("t").Free)
+			assert.Eventually(t, func() bool { return f.allowance.State("t").Free == 1000-c.used }, time.Second, time.Millisecond,
+				"free %d", f.allowance.State("t").Free)
 		})
 	}
 }
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -170,18 +170,18 @@
 	if !j.tenant.HasPrepaid || j.call.Cost() == 0 {
 		return refusal{}, true
 	}
-	answer := j.Purse.Reserve(j.tenant.Name, j.call.Cost(), j.start)
-	if answer == account.Short && j.Lender.Borrow(j.r.Context(), j.tenant.Name, j.call.Cost()) {
-		j.note = "borrowed"
-		answer = j.Purse.ReserveAgain(j.tenant.Name, j.call.Cost())
+	answer := j.Allowance.Reserve(j.tenant.Name, j.call.Cost(), j.start)
+	if answer == account.Insufficient && j.TokenSource.Acquire(j.r.Context(), j.tenant.Name, j.call.Cost()) {
+		j.note = "transferred"
+		answer = j.Allowance.ReserveAgain(j.tenant.Name, j.call.Cost())
 	}
 	switch answer {
 	case account.Exhausted:
 		j.noteBudget()
 		return refuseBudget, false
-	case account.Short:
+	case account.Insufficient:
 		j.noteBudget()
-		return refuseShort, false
+		return refuseInsufficient, false
 	case account.Reserved:
 	}
 	j.reserved = j.call.Cost()
@@ -190,7 +190,7 @@
 
 // noteBudget keeps what decided a refusal, for the log.
 func (j *job) noteBudget() {
-	h := j.Purse.State(j.tenant.Name)
+	h := j.Allowance.State(j.tenant.Name)
 	j.note = fmt.Sprintf("free %d, reserved %d, pool %d and left %d of %d at accounts revision %d; asked for %.0f a second here, %.0f elsewhere",
 		h.Free, h.Reserved, h.Pool, h.Left, h.Prepaid, h.Revision, h.Rate, h.Others)
 }
@@ -198,7 +198,7 @@
 // settle gives back what the call did not use.
 func (j *job) settle() {
 	if j.reserved > 0 {
-		j.Purse.Settle(j.tenant.Name, j.reserved, j.used)
+		j.Allowance.Settle(j.tenant.Name, j.reserved, j.used)
 		j.reserved = 0
 	}
 }
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -67,10 +67,10 @@
 func (noMetrics) Finished(string, string, time.Duration) {}
 func (noMetrics) FirstEvent(string, time.Duration)       {}
 
-// noLender has nothing to lend.
-type noLender struct{}
+// noSource never finds any tokens.
+type noSource struct{}
 
-func (noLender) Borrow(context.Context, string, int64) bool { return false }
+func (noSource) Acquire(context.Context, string, int64) bool { return false }
 
 // run is one call as an endpoint saw it.
 type run struct {
@@ -84,9 +84,9 @@
 // fleet is one handler before some endpoints that a test scripts.
 type fleet struct {
 	*httptest.Server
-	handler *forward.Handler
-	purse   *account.Purse
-	policy  policy.Policy
+	handler   *forward.Handler
+	allowance *account.Allowance
+	policy    policy.Policy
 
 	mu   sync.Mutex
 	runs []run
@@ -120,9 +120,9 @@
 // newFleet starts a handler before one endpoint for each script.
 func newFleet(t *testing.T, held int64, scripts ...script) *fleet {
 	t.Helper()
-	f := &fleet{policy: testPolicy(), purse: account.NewPurse("n", "n/1", account.DefaultTuning())}
-	f.purse.Budget(map[string]int64{"t": 1000})
-	f.purse.Saw(account.Book{Accounts: []account.Account{{Tenant: "t", Rows: []account.Row{{Node: "n", Life: "n/1", Drawn: held}}}}}, 1)
+	f := &fleet{policy: testPolicy(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning())}
+	f.allowance.Budget(map[string]int64{"t": 1000})
+	f.allowance.Saw(account.Ledger{Accounts: []account.Account{{Tenant: "t", Rows: []account.Row{{Node: "n", Life: "n/1", Drawn: held}}}}}, 1)
 	var engines []engine.Engine
 	for i, s := range scripts {
 		engines = append(engines, f.startEngine(t, "e"+strconv.Itoa(i), s))
@@ -152,7 +152,7 @@
 	p.Store(f.policy.Indexed())
 	d.Store(engine.NewDirectory(1, engines))
 	f.handler = forward.New(forward.Options{
-		Wire: plainWire{}, Policy: &p, Engines: &d, Purse: f.purse, Lender: noLender{},
+		Wire: plainWire{}, Policy: &p, Engines: &d, Allowance: f.allowance, TokenSource: noSource{},
 		Picker:  choice.NewPicker("z", choice.DefaultTuning()),
 		Retries: retry.NewBudget(retry.Rule{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one),
 		Nodes:   one, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -24,24 +24,24 @@
 
 // Options are what a handler works with.
 type Options struct {
-	Wire      call.Wire
-	Policy    *atomic.Pointer[policy.Policy]
-	Engines   *atomic.Pointer[engine.Directory]
-	Purse     *account.Purse
-	Lender    Lender
-	Picker    *choice.Picker
-	Retries   *retry.Budget
-	Nodes     func() int // how many nodes share the endpoints' connections
-	Transport http.RoundTripper
-	Log       log.Interface
-	Metrics   Metrics
-	Tracer    trace.Tracer // nil: nothing is traced
+	Wire        call.Wire
+	Policy      *atomic.Pointer[policy.Policy]
+	Engines     *atomic.Pointer[engine.Directory]
+	Allowance   *account.Allowance
+	TokenSource TokenSource
+	Picker      *choice.Picker
+	Retries     *retry.Budget
+	Nodes       func() int // how many nodes share the endpoints' connections
+	Transport   http.RoundTripper
+	Log         log.Interface
+	Metrics     Metrics
+	Tracer      trace.Tracer // nil: nothing is traced
 }
 
-// Lender finds tokens elsewhere for a request that the purse is too short for;
-// true where the purse may hold it now.
-type Lender interface {
-	Borrow(ctx context.Context, tenant string, tokens int64) bool
+// TokenSource finds tokens elsewhere for a request that the allowance is too short for;
+// true where the allowance may hold it now.
+type TokenSource interface {
+	Acquire(ctx context.Context, tenant string, tokens int64) bool
 }
 
 // Metrics counts what the handler does.
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -34,18 +34,18 @@
 
 // The refusals.
 var (
-	refuseNoPolicy  = refusal{http.StatusServiceUnavailable, "no-configuration", 500 * time.Millisecond}
-	refuseLeaving   = refusal{http.StatusServiceUnavailable, "leaving", 50 * time.Millisecond}
-	refuseNoRoute   = refusal{http.StatusNotFound, "unknown-route", 0}
-	refuseKey       = refusal{http.StatusUnauthorized, "unknown-key", 0}
-	refuseHead      = refusal{http.StatusBadRequest, "bad-head", 0}
-	refuseTooLarge  = refusal{http.StatusRequestEntityTooLarge, "too-large", 0}
-	refuseBudget    = refusal{http.StatusPaymentRequired, "budget-exhausted", 0}
-	refuseShort     = refusal{http.StatusServiceUnavailable, "budget-short-here", 2 * time.Second}
-	refuseNoEngine  = refusal{http.StatusServiceUnavailable, "no-endpoint", 300 * time.Millisecond}
-	refuseFull      = refusal{http.StatusServiceUnavailable, "endpoints-full", 200 * time.Millisecond}
-	refuseUnknown   = refusal{http.StatusBadGateway, "endpoint-failed", 0}
-	refuseLeft      = refusal{http.StatusBadGateway, "caller-left", 0} // nobody reads it
-	refuseTimedOut  = refusal{http.StatusGatewayTimeout, "timed-out", 0}
-	refuseUnstarted = refusal{http.StatusServiceUnavailable, "not-sent-in-time", 200 * time.Millisecond}
+	refuseNoPolicy     = refusal{http.StatusServiceUnavailable, "no-configuration", 500 * time.Millisecond}
+	refuseLeaving      = refusal{http.StatusServiceUnavailable, "leaving", 50 * time.Millisecond}
+	refuseNoRoute      = refusal{http.StatusNotFound, "unknown-route", 0}
+	refuseKey          = refusal{http.StatusUnauthorized, "unknown-key", 0}
+	refuseHead         = refusal{http.StatusBadRequest, "bad-head", 0}
+	refuseTooLarge     = refusal{http.StatusRequestEntityTooLarge, "too-large", 0}
+	refuseBudget       = refusal{http.StatusPaymentRequired, "budget-exhausted", 0}
+	refuseInsufficient = refusal{http.StatusServiceUnavailable, "budget-insufficient-here", 2 * time.Second}
+	refuseNoEngine     = refusal{http.StatusServiceUnavailable, "no-endpoint", 300 * time.Millisecond}
+	refuseFull         = refusal{http.StatusServiceUnavailable, "endpoints-full", 200 * time.Millisecond}
+	refuseUnknown      = refusal{http.StatusBadGateway, "endpoint-failed", 0}
+	refuseLeft         = refusal{http.StatusBadGateway, "caller-left", 0} // nobody reads it
+	refuseTimedOut     = refusal{http.StatusGatewayTimeout, "timed-out", 0}
+	refuseUnstarted    = refusal{http.StatusServiceUnavailable, "not-sent-in-time", 200 * time.Millisecond}
 )
--- a/fleet/relay/front/front.go
+++ b/fleet/relay/ingress/ingress.go
@@ -1,7 +1,7 @@
-// Package front takes callers' connections under bounds that may change while it
+// Package ingress takes callers' connections under bounds that may change while it
 // serves: a new connection gets the bounds in force, an older one keeps its own,
 // so that no call in progress is cut off by a change.
-package front
+package ingress
 
 import (
 	"net"
@@ -36,60 +36,60 @@
 	return b
 }
 
-// Door is where callers connect.
-type Door struct {
+// Listener is where callers connect.
+type Listener struct {
 	handler  http.Handler
 	listener net.Listener
 
-	mu     sync.Mutex
-	bounds Bounds
-	newest *room
-	rooms  []*room
-	parked bool // connections are not kept any more
+	mu          sync.Mutex
+	bounds      Bounds
+	newest      *generation
+	generations []*generation
+	draining    bool // connections are not kept any more
 }
 
-// room serves the connections that came under one set of bounds.
-type room struct {
+// generation serves the connections that came under one set of bounds.
+type generation struct {
 	server *http.Server
-	conns  *handedOver
+	conns  *accepted
 }
 
-// Listen opens a door at an address, IP:PORT, with the default bounds.
-func Listen(address string, h http.Handler) (*Door, error) {
+// Listen opens a listener at an address, IP:PORT, with the default bounds.
+func Listen(address string, h http.Handler) (*Listener, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for callers at %s", address)
 	}
-	d := &Door{handler: h, listener: listener}
-	d.Bound(DefaultBounds)
-	return d, nil
+	l := &Listener{handler: h, listener: listener}
+	l.Bound(DefaultBounds)
+	return l, nil
 }
 
-// Address is where the door listens.
-func (d *Door) Address() net.Addr { return d.listener.Addr() }
+// Address is where the listener listens.
+func (l *Listener) Address() net.Addr { return l.listener.Addr() }
 
 // Bound sets the bounds of new connections; true where they differ from before.
-func (d *Door) Bound(b Bounds) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.newest != nil && b == d.bounds {
+func (l *Listener) Bound(b Bounds) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.newest != nil && b == l.bounds {
 		return false
 	}
-	r := &room{conns: newHandedOver(d.listener.Addr())}
-	r.server = &http.Server{Handler: d.handler, ReadHeaderTimeout: b.HeaderTimeout, IdleTimeout: b.IdleTimeout, MaxHeaderBytes: b.HeaderBytes}
-	if d.parked {
+	r := &generation{conns: newAccepted(l.listener.Addr())}
+	r.server = &http.Server{Handler: l.handler, ReadHeaderTimeout: b.HeaderTimeout, IdleTimeout: b.IdleTimeout, MaxHeaderBytes: b.HeaderBytes}
+	if l.draining {
 		r.server.SetKeepAlivesEnabled(false)
 	}
-	d.bounds, d.newest = b, r
-	d.rooms = append(d.rooms, r)
+	l.bounds, l.newest = b, r
+	l.generations = append(l.generations, r)
 	go func() { _ = r.server.Serve(r.conns) }()
 	return true
 }
 
-// Serve takes connections until the door is closed.
-func (d *Door) Serve() error {
+// Serve takes connections until the listener is closed.
+func (l *Listener) Serve() error {
 	for {
-		conn, err := d.listener.Accept()
+		conn, err := l.listener.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return errors.Wrap(err, "take a caller's connection")
@@ -97,51 +97,51 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		d.mu.Lock()
-		r := d.newest
-		d.mu.Unlock()
+		l.mu.Lock()
+		r := l.newest
+		l.mu.Unlock()
 		r.conns.take(conn)
 	}
 }
 
-// acceptPause is how long the door waits where the process has no descriptor
+// acceptPause is how long the listener waits where the process has no descriptor
 // left for one more connection.
 const acceptPause = 5 * time.Millisecond
 
-// StopKeeping ends idle connections, and others after their call.
-func (d *Door) StopKeeping() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.parked = true
-	for _, r := range d.rooms {
+// DisableKeepAlives ends idle connections, and others after their call.
+func (l *Listener) DisableKeepAlives() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = true
+	for _, r := range l.generations {
 		r.server.SetKeepAlivesEnabled(false)
 	}
 }
 
 // Close ends every connection at once.
-func (d *Door) Close() error {
-	err := d.listener.Close()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, r := range d.rooms {
+func (l *Listener) Close() error {
+	err := l.listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.generations {
 		err = errors.CombineErrors(err, r.server.Close())
 	}
 	return err
 }
 
-// handedOver is a listener of connections that the door took.
-type handedOver struct {
+// accepted is a listener of connections that the listener took.
+type accepted struct {
 	address net.Addr
 	conns   chan net.Conn
 	closed  chan struct{}
 	once    sync.Once
 }
 
-func newHandedOver(address net.Addr) *handedOver {
-	return &handedOver{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+func newAccepted(address net.Addr) *accepted {
+	return &accepted{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
 }
 
-func (h *handedOver) take(c net.Conn) {
+func (h *accepted) take(c net.Conn) {
 	select {
 	case h.conns <- c:
 	case <-h.closed:
@@ -150,7 +150,7 @@
 }
 
 // Accept implements net.Listener.
-func (h *handedOver) Accept() (net.Conn, error) {
+func (h *accepted) Accept() (net.Conn, error) {
 	select {
 	case c := <-h.conns:
 		return c, nil
@@ -160,10 +160,10 @@
 }
 
 // Close implements net.Listener.
-func (h *handedOver) Close() error {
+func (h *accepted) Close() error {
 	h.once.Do(func() { close(h.closed) })
 	return nil
 }
 
 // Addr implements net.Listener.
-func (h *handedOver) Addr() net.Addr { return h.address }
+func (h *accepted) Addr() net.Addr { return h.address }
--- a/fleet/relay/front/front_test.go
+++ b/fleet/relay/ingress/ingress_test.go
@@ -1,4 +1,4 @@
-package front_test
+package ingress_test
 
 import (
 	"bufio"
@@ -13,19 +13,19 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/lynxshed/lynxshed/fleet/relay/front"
+	"github.com/lynxshed/lynxshed/fleet/relay/ingress"
 )
 
-func open(t *testing.T, h http.HandlerFunc) *front.Door {
+func open(t *testing.T, h http.HandlerFunc) *ingress.Listener {
 	t.Helper()
-	d, err := front.Listen("127.0.0.1:0", h)
+	d, err := ingress.Listen("127.0.0.1:0", h)
 	require.NoError(t, err)
 	go func() { _ = d.Serve() }()
 	t.Cleanup(func() { _ = d.Close() })
 	return d
 }
 
-func dial(t *testing.T, d *front.Door) (net.Conn, *bufio.Reader) {
+func dial(t *testing.T, d *ingress.Listener) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	c, err := net.Dial("tcp4", d.Address().String())
 	require.NoError(t, err)
@@ -50,7 +50,7 @@
 	d := open(t, func(http.ResponseWriter, *http.Request) {})
 	before, fromBefore := dial(t, d)
 	assert.Equal(t, http.StatusOK, ask(t, before, fromBefore, 20_000))
-	narrow := front.Bounds{HeaderBytes: 4 << 10, IdleTimeout: 100 * time.Millisecond}.Or(front.DefaultBounds)
+	narrow := ingress.Bounds{HeaderBytes: 4 << 10, IdleTimeout: 100 * time.Millisecond}.Or(ingress.DefaultBounds)
 	assert.True(t, d.Bound(narrow))
 	assert.False(t, d.Bound(narrow), "nothing has changed")
 
@@ -65,7 +65,7 @@
 
 func TestASlowHeadIsGivenUp(t *testing.T) {
 	d := open(t, func(http.ResponseWriter, *http.Request) { t.Error("it never came whole") })
-	d.Bound(front.Bounds{HeaderTimeout: 100 * time.Millisecond}.Or(front.DefaultBounds))
+	d.Bound(ingress.Bounds{HeaderTimeout: 100 * time.Millisecond}.Or(ingress.DefaultBounds))
 	c, r := dial(t, d)
 	_, err := c.Write([]byte("GET / HTTP/1.1\r\nHost:"))
 	require.NoError(t, err)
@@ -82,12 +82,12 @@
 	})
 	old, fromOld := dial(t, d)
 	assert.Equal(t, http.StatusOK, ask(t, old, fromOld, 1))
-	d.Bound(front.Bounds{HeaderBytes: 8 << 10}.Or(front.DefaultBounds))
+	d.Bound(ingress.Bounds{HeaderBytes: 8 << 10}.Or(ingress.DefaultBounds))
 	busy, fromBusy := dial(t, d)
 	_, err := busy.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\nX: xx\r\n\r\n"))
 	require.NoError(t, err)
 	time.Sleep(50 * time.Millisecond)
-	d.StopKeeping()
+	d.DisableKeepAlives()
 	_, err = fromOld.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 	close(release)
@@ -98,7 +98,7 @@
 }
 
 func TestCloseEndsServe(t *testing.T) {
-	d, err := front.Listen("127.0.0.1:0", http.NotFoundHandler())
+	d, err := ingress.Listen("127.0.0.1:0", http.NotFoundHandler())
 	require.NoError(t, err)
 	ended := make(chan error, 1)
 	go func() { ended <- d.Serve() }()
--- a/fleet/relay/peer/fuzz_test.go
+++ b/fleet/relay/peer/fuzz_test.go
@@ -15,28 +15,28 @@
 )
 
 // Whatever a datagram says, the node goes on, and no tokens appear that were
-// not drawn: a gift counts only where it was asked for.
+// not drawn: a grant counts only where it was asked for.
 func FuzzHear(f *testing.F) {
-	f.Add([]byte(`{"node":"p","life":"1","number":1,"digests":{"e":{"n":1,"w":5}},"offers":{"t":{"f":5,"r":2,"a":9,"l":3}}}`))
-	f.Add([]byte(`{"node":"p","asks":[{"id":"a","tenant":"t","need":5,"want":50}]}`))
-	f.Add([]byte(`{"node":"p","gifts":[{"id":"a","tenant":"t","tokens":5}]}`))
-	f.Add([]byte(`{"node":"p","asks":[{"id":"a","tenant":"t","need":-9223372036854775808,"want":-1}]}`))
+	f.Add([]byte(`{"node":"p","life":"1","number":1,"digests":{"e":{"n":1,"w":5}},"reports":{"t":{"f":5,"r":2,"a":9,"l":3}}}`))
+	f.Add([]byte(`{"node":"p","requests":[{"id":"a","tenant":"t","need":5,"want":50}]}`))
+	f.Add([]byte(`{"node":"p","grants":[{"id":"a","tenant":"t","tokens":5}]}`))
+	f.Add([]byte(`{"node":"p","requests":[{"id":"a","tenant":"t","need":-9223372036854775808,"want":-1}]}`))
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var m message
 		if json.Unmarshal(data, &m) != nil || m.Node == "" {
 			return
 		}
-		purse := purseWith("a", 100)
+		allowance := allowanceWith("a", 100)
 		registry := NewRegistry(nil, Member{Name: "a", Life: "1", Address: "127.0.0.1:0"}, store.NewHealth(), 0, quiet)
-		talk, err := Listen("127.0.0.1:0", registry, choice.NewPicker("z", choice.DefaultTuning()), purse, func() bool { return false })
+		gossip, err := Listen("127.0.0.1:0", registry, choice.NewPicker("z", choice.DefaultTuning()), allowance, func() bool { return false })
 		require.NoError(t, err)
-		defer func() { assert.NoError(t, talk.Close()) }()
-		talk.hear(m, "127.0.0.1:9")
-		free := purse.State(tenant).Free
+		defer func() { assert.NoError(t, gossip.Close()) }()
+		gossip.receive(m, "127.0.0.1:9")
+		free := allowance.State(tenant).Free
 		assert.GreaterOrEqual(t, free, int64(0))
 		assert.LessOrEqual(t, free, int64(100))
-		purse.Fleets(talk.loans.fleets(nil, 1, time.Now()), time.Now())
-		purse.Lacking(3, stockFraction, time.Now())
+		allowance.Fleets(gossip.transfers.fleets(nil, 1, time.Now()), time.Now())
+		allowance.Deficits(3, refillBelow, time.Now())
 	})
 }
--- a/fleet/relay/peer/digest.go
+++ b/fleet/relay/peer/gossip.go
@@ -19,64 +19,64 @@
 
 // Digests are told this often, to so many peers at a time.
 const (
-	beat       = 200 * time.Millisecond
-	stockEvery = 3 // beats between words on what the node could give
-	maxMessage = 16 << 10
+	beat        = 200 * time.Millisecond
+	budgetEvery = 3 // beats between words on what the node could give
+	maxMessage  = 16 << 10
 )
 
 // message is what one node tells another.
 type message struct {
-	Node    string                   `json:"node"`
-	Life    string                   `json:"life"`
-	Number  uint64                   `json:"number"` // rises; an older one is dropped
-	Digests map[string]choice.Digest `json:"digests,omitempty"`
-	Stock   bool                     `json:"stock,omitempty"` // the offers are told
-	Offers  map[string]account.Offer `json:"offers,omitempty"`
-	Out     bool                     `json:"out,omitempty"`     // the node does not reach the store
-	Regains uint64                   `json:"regains,omitempty"` // how often the node found the store back
-	Asks    []ask                    `json:"asks,omitempty"`
-	Gifts   []gift                   `json:"gifts,omitempty"`
+	Node          string                          `json:"node"`
+	Life          string                          `json:"life"`
+	Number        uint64                          `json:"number"` // rises; an older one is dropped
+	Digests       map[string]choice.Digest        `json:"digests,omitempty"`
+	HasBudgets    bool                            `json:"budgets,omitempty"` // the reports are told
+	BudgetReports map[string]account.BudgetReport `json:"reports,omitempty"`
+	Out           bool                            `json:"out,omitempty"`        // the node does not reach the store
+	Reconnects    uint64                          `json:"reconnects,omitempty"` // how often the node found the store back
+	Requests      []transferRequest               `json:"requests,omitempty"`
+	Grants        []grant                         `json:"grants,omitempty"`
 }
 
-// Talk tells peers what this node has in flight, and hears what they have.
-type Talk struct {
+// Gossip tells peers what this node has in flight, and hears what they have.
+type Gossip struct {
 	registry    *Registry
 	picker      *choice.Picker
 	socket      net.PacketConn
 	number      uint64
-	loans       *loans
+	transfers   *transfers
 	address     string      // of this node's socket
 	out         func() bool // whether this node does not reach the store
 	writes      atomic.Bool
 	writerCount atomic.Int64
-	offers      map[string]account.Offer // as of the last stock
+	reports     map[string]account.BudgetReport // as of the last budgets
 
 	mu    sync.Mutex
 	heard map[string]heard // by the node's name
 }
 
 type heard struct {
-	life    string
-	number  uint64
-	at      time.Time
-	out     bool
-	regains uint64
+	life       string
+	number     uint64
+	at         time.Time
+	out        bool
+	reconnects uint64
 }
 
 // Listen opens the socket for datagrams.
-func Listen(address string, r *Registry, p *choice.Picker, purse Purse, out func() bool) (*Talk, error) {
+func Listen(address string, r *Registry, p *choice.Picker, allowance Allowance, out func() bool) (*Gossip, error) {
 	socket, err := net.ListenPacket("udp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	return &Talk{registry: r, picker: p, socket: socket, heard: map[string]heard{}, loans: newLoans(purse), address: address, out: out}, nil
+	return &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), address: address, out: out}, nil
 }
 
 // Close gives the socket up, where Run is not called.
-func (t *Talk) Close() error { return t.socket.Close() }
+func (t *Gossip) Close() error { return t.socket.Close() }
 
 // Run talks and listens until ctx ends.
-func (t *Talk) Run(ctx context.Context) {
+func (t *Gossip) Run(ctx context.Context) {
 	go t.listen()
 	ticker := time.NewTicker(beat)
 	defer ticker.Stop()
@@ -86,39 +86,39 @@
 			_ = t.socket.Close()
 			return
 		case <-ticker.C:
-			t.tell()
+			t.broadcast()
 		}
 	}
 }
 
-func (t *Talk) tell() {
+func (t *Gossip) broadcast() {
 	t.number++
-	for peer, asks := range t.loans.overdue(time.Now()) {
-		t.send(peer, t.signed(message{Asks: asks}))
+	for peer, requests := range t.transfers.overdue(time.Now()) {
+		t.send(peer, t.signed(message{Requests: requests}))
 	}
 	writers := Writers(t.registry.Members(), t.fit)
-	if t.number%stockEvery == 1 {
-		t.offers = t.takeStock(writers)
+	if t.number%budgetEvery == 1 {
+		t.reports = t.refreshBudgets(writers)
 	}
-	to, stock := t.listeners(writers)
+	to, budgets := t.listeners(writers)
 	if len(to) == 0 {
 		return
 	}
-	m := t.signed(message{Number: t.number, Digests: t.picker.Digests(), Out: t.out(), Regains: t.registry.health.Regains()})
-	if stock {
-		m.Stock, m.Offers = true, t.offers
+	m := t.signed(message{Number: t.number, Digests: t.picker.Digests(), Out: t.out(), Reconnects: t.registry.health.Reconnects()})
+	if budgets {
+		m.HasBudgets, m.BudgetReports = true, t.reports
 	}
 	for _, member := range to {
 		t.send(member.Address, m)
 	}
 }
 
-// takeStock tells the purse what the peers told, borrows where others write the
-// book, and returns what this node offers.
-func (t *Talk) takeStock(writers map[string]bool) map[string]account.Offer {
+// refreshBudgets tells the allowance what the peers told, acquires where others write the
+// ledger, and returns what this node reports.
+func (t *Gossip) refreshBudgets(writers map[string]bool) map[string]account.BudgetReport {
 	self := t.registry.self
 	now := time.Now()
-	var near, any []Member // that write the book
+	var near, any []Member // that write the ledger
 	clients := map[string]bool{}
 	for _, m := range t.registry.Members() {
 		switch {
@@ -135,35 +135,35 @@
 	t.writes.Store(writers[self.Name])
 	t.writerCount.Store(int64(len(writers)))
 	if !writers[self.Name] {
-		t.loans.purse.Fleets(t.loans.fleets(nil, 1, now), now)
-		t.stockUp(lo.Ternary(len(near) > 0, near, any))
-		return t.loans.purse.Offers(now)
+		t.transfers.allowance.Fleets(t.transfers.fleets(nil, 1, now), now)
+		t.requestAhead(lo.Ternary(len(near) > 0, near, any))
+		return t.transfers.allowance.BudgetReports(now)
 	}
-	fleets := t.loans.fleets(clients, len(near)+1, now)
-	t.loans.purse.Fleets(fleets, now)
-	offers := t.loans.purse.Offers(now)
+	fleets := t.transfers.fleets(clients, len(near)+1, now)
+	t.transfers.allowance.Fleets(fleets, now)
+	reports := t.transfers.allowance.BudgetReports(now)
 	if len(clients) > 0 {
-		for tenant, o := range offers {
-			o.All, o.Left = math.Round(max(fleets[tenant].Others+o.Rate, fleets[tenant].All)), t.loans.purse.State(tenant).Left
-			offers[tenant] = o
+		for tenant, o := range reports {
+			o.All, o.Left = math.Round(max(fleets[tenant].Others+o.Rate, fleets[tenant].All)), t.transfers.allowance.State(tenant).Left
+			reports[tenant] = o
 		}
 	}
-	return offers
+	return reports
 }
 
-// WriterCount is how many nodes write the book, this one's own view.
-func (t *Talk) WriterCount() int { return int(t.writerCount.Load()) }
+// WriterCount is how many nodes write the ledger, this one's own view.
+func (t *Gossip) WriterCount() int { return int(t.writerCount.Load()) }
 
-// Writes is whether this node writes the book.
-func (t *Talk) Writes() bool { return t.writes.Load() }
+// Writes is whether this node writes the ledger.
+func (t *Gossip) Writes() bool { return t.writes.Load() }
 
 // silentAfter is how long a node that was heard of may say nothing before
-// another one writes the book in its place.
+// another one writes the ledger in its place.
 const silentAfter = 4 * time.Second
 
-// fit lists the members that may write the book: not those that fell silent, nor
+// fit lists the members that may write the ledger: not those that fell silent, nor
 // those that do not reach the store, unless no member does.
-func (t *Talk) fit() []Member {
+func (t *Gossip) fit() []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -181,14 +181,14 @@
 	return fit
 }
 
-// listeners picks the peers of one beat, and whether they are told the stock: all
+// listeners picks the peers of one beat, and whether they are told the budgets: all
 // of them in a small fleet. In a large one a node that draws for others tells a
 // part of the fleet at a time, since a burst to all would fill its link and lose
-// gifts; others tell those, and a few at random, now and then.
-func (t *Talk) listeners(writers map[string]bool) ([]Member, bool) {
+// grants; others tell those, and a few at random, now and then.
+func (t *Gossip) listeners(writers map[string]bool) ([]Member, bool) {
 	self := t.registry.self
 	peers := lo.Filter(t.registry.Members(), func(m Member, _ int) bool { return m.Name != self.Name })
-	due := t.number%stockEvery == 1
+	due := t.number%budgetEvery == 1
 	switch {
 	case len(writers) > len(peers): // everyone writes
 		return peers, due
@@ -211,12 +211,12 @@
 }
 
 // signed fills in who sends a message.
-func (t *Talk) signed(m message) message {
+func (t *Gossip) signed(m message) message {
 	m.Node, m.Life = t.registry.self.Name, t.registry.self.Life
 	return m
 }
 
-func (t *Talk) send(address string, m message) {
+func (t *Gossip) send(address string, m message) {
 	data, err := json.Marshal(m)
 	if err != nil || len(data) > maxMessage {
 		return
@@ -228,7 +228,7 @@
 	_, _ = t.socket.WriteTo(data, to)
 }
 
-func (t *Talk) listen() {
+func (t *Gossip) listen() {
 	buffer := make([]byte, maxMessage)
 	for {
 		n, from, err := t.socket.ReadFrom(buffer)
@@ -240,42 +240,42 @@
 		}
 		var m message
 		if json.Unmarshal(buffer[:n], &m) == nil && m.Node != "" {
-			t.hear(m, from.String())
+			t.receive(m, from.String())
 		}
 	}
 }
 
-func (t *Talk) hear(m message, from string) {
+func (t *Gossip) receive(m message, from string) {
 	switch {
-	case len(m.Asks) > 0:
-		gifts := lo.Map(m.Asks, func(a ask, _ int) gift { return *t.loans.answer(a, time.Now()) })
-		t.send(from, t.signed(message{Gifts: gifts}))
-	case len(m.Gifts) > 0:
-		for _, g := range m.Gifts {
-			t.loans.arrived(g)
+	case len(m.Requests) > 0:
+		grants := lo.Map(m.Requests, func(a transferRequest, _ int) grant { return *t.transfers.answer(a, time.Now()) })
+		t.send(from, t.signed(message{Grants: grants}))
+	case len(m.Grants) > 0:
+		for _, g := range m.Grants {
+			t.transfers.arrived(g)
 		}
 	default:
-		t.hearDigest(m, from)
+		t.receiveDigest(m, from)
 	}
 }
 
-func (t *Talk) hearDigest(m message, from string) {
+func (t *Gossip) receiveDigest(m message, from string) {
 	now := time.Now()
 	t.mu.Lock()
 	before := t.heard[m.Node]
 	old := before.life == m.Life && m.Number <= before.number
 	if !old {
-		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, regains: m.Regains}
+		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, reconnects: m.Reconnects}
 	}
 	t.mu.Unlock()
 	if old {
 		return
 	}
-	if before.life == m.Life && m.Regains > before.regains {
+	if before.life == m.Life && m.Reconnects > before.reconnects {
 		t.registry.health.Renew()
 	}
 	t.picker.Heard(m.Node, m.Digests, now)
-	if m.Stock {
-		t.loans.told(from, m.Offers, now)
+	if m.HasBudgets {
+		t.transfers.record(from, m.BudgetReports, now)
 	}
 }
--- a/fleet/relay/peer/digest_test.go
+++ b/fleet/relay/peer/gossip_test.go
@@ -12,15 +12,15 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
-// talkOf is the talk of one member of a fleet, without a socket.
-func talkOf(self string, all []Member) *Talk {
+// gossipOf is the gossip of one member of a fleet, without a socket.
+func gossipOf(self string, all []Member) *Gossip {
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	r := NewRegistry(nil, Member{Name: self}, store.NewHealth(), 0, quiet)
 	for _, m := range all {
 		r.byName[m.Name] = m
 	}
 	r.publish()
-	return &Talk{registry: r, heard: map[string]heard{}}
+	return &Gossip{registry: r, heard: map[string]heard{}}
 }
 
 // In a round of beats a node that draws for others tells every peer once and
@@ -35,7 +35,7 @@
 		withFree bool
 	}{
 		{"a small fleet", 8, true, 7, 7, false},
-		{"a large fleet, one that draws for others", 73, true, 15, 72, true},
+		{"a large fleet, one that direct for others", 73, true, 15, 72, true},
 		{"a large fleet, another", 73, false, 8 + randomOthers, 8, true},
 	}
 	for _, c := range cases {
@@ -44,14 +44,14 @@
 			writers := Writers(all, func() []Member { return all })
 			self, ok := lo.Find(all, func(m Member) bool { return writers[m.Name] == c.writes })
 			assert.True(t, ok)
-			talk := talkOf(self.Name, all)
+			gossip := gossipOf(self.Name, all)
 			told := map[string]int{}
-			for range stockEvery * roundBeats {
-				talk.number++
-				to, stock := talk.listeners(writers)
+			for range budgetEvery * roundBeats {
+				gossip.number++
+				to, budgets := gossip.listeners(writers)
 				assert.LessOrEqual(t, len(to), c.most)
 				if c.withFree && len(to) > 0 {
-					assert.True(t, stock)
+					assert.True(t, budgets)
 				}
 				for _, m := range to {
 					assert.NotEqual(t, self.Name, m.Name)
--- /dev/null
+++ b/fleet/relay/peer/transfer.go
@@ -0,0 +1,275 @@
+package peer
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
+)
+
+// Allowance is what transfers need of a node's budgets.
+type Allowance interface {
+	Missing(tenant string, tokens int64) int64
+	Grant(tenant string, need, want int64) int64
+	Receive(tenant string, tokens int64)
+	BudgetReports(now time.Time) map[string]account.BudgetReport
+	Fleets(fleets map[string]account.Fleet, now time.Time)
+	DrawsDirectly(tenant string) bool
+	Deficits(nodes int, fraction float64, now time.Time) map[string]int64
+	State(tenant string) account.Holding
+}
+
+// transferRequest is a node's request for a peer's tokens. Sent again, it has the same id.
+type transferRequest struct {
+	ID     string `json:"id"`
+	Tenant string `json:"tenant"`
+	Need   int64  `json:"need"` // given if it is there
+	Want   int64  `json:"want"`
+}
+
+// grant is the answer: the giver has counted the tokens out already.
+type grant struct {
+	ID     string   `json:"id"` // of the request
+	Tenant string   `json:"tenant"`
+	Tokens int64    `json:"tokens"`
+	Try    []string `json:"try,omitempty"` // addresses of nodes that are richer, where this was not enough
+}
+
+// How transfers are asked for.
+const (
+	grantTimeout = 30 * time.Millisecond // for one try at a peer
+	grantTries   = 2                     // at a peer, with the same id, while a request waits
+	grantRepeats = 6                     // and afterwards, so that what was counted out already is not lost with its datagram
+	grantPause   = 150 * time.Millisecond
+	grantPeers   = 6                // asked one after another
+	freeAge      = 2 * time.Second  // a peer's word on what it could give counts so long
+	rateAge      = 10 * time.Second // and its word on what it is asked for
+	grantKept    = 10 * time.Second // answers are repeated, and late grants taken, so long
+	wantFactor   = 2                // asked for beyond the need by a node that draws from the ledger, as a multiple of the request's tokens
+)
+
+// transfers moves tokens between nodes without the store. A grant is counted out
+// once before it is sent, and in once for its id: a lost message loses tokens,
+// and none is ever made.
+type transfers struct {
+	allowance Allowance
+
+	mu       sync.Mutex
+	reported map[string]peerReport // by the peer's address
+	pending  map[string]*pending   // by the request's id
+	answers  map[string]answer
+}
+
+type peerReport struct {
+	budgets map[string]account.BudgetReport
+	at      time.Time
+}
+
+type pending struct {
+	transferRequest transferRequest
+	peer            string
+	done            chan grant
+	at              time.Time // when it was opened
+	sent            time.Time // when it was last sent
+	repeats         int
+}
+
+type answer struct {
+	grant grant
+	at    time.Time
+}
+
+func newTransfers(p Allowance) *transfers {
+	return &transfers{allowance: p, reported: map[string]peerReport{}, pending: map[string]*pending{}, answers: map[string]answer{}}
+}
+
+// record notes what a peer could give.
+func (l *transfers) record(peer string, budgets map[string]account.BudgetReport, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reported[peer] = peerReport{budgets: budgets, at: now}
+}
+
+// fleets sums up what the peers told, by tenant. Clients are the nodes, by
+// address, that this one draws for, together with writers-1 others.
+func (l *transfers) fleets(clients map[string]bool, writers int, now time.Time) map[string]account.Fleet {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fleets := map[string]account.Fleet{}
+	for peer, o := range l.reported {
+		if now.Sub(o.at) > rateAge {
+			continue
+		}
+		for tenant, b := range o.budgets {
+			f := fleets[tenant]
+			f.Others += b.Rate
+			f.All = max(f.All, b.All)
+			f.Left = max(f.Left, b.Left)
+			if clients[peer] && !b.Own {
+				f.Clients += b.Rate / float64(max(writers, 1))
+			}
+			fleets[tenant] = f
+		}
+	}
+	return fleets
+}
+
+// answer gives tokens to a peer; a request that comes again gets the same answer.
+func (l *transfers) answer(a transferRequest, now time.Time) *grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	if before, ok := l.answers[a.ID]; ok {
+		return &before.grant
+	}
+	g := grant{ID: a.ID, Tenant: a.Tenant, Tokens: l.allowance.Grant(a.Tenant, a.Need, a.Want)}
+	if g.Tokens < a.Need {
+		g.Try = l.richest(a.Tenant, 1, now)
+	}
+	l.answers[a.ID] = answer{grant: g, at: now}
+	return &g
+}
+
+// expire drops what is too old to matter.
+func (l *transfers) expire(now time.Time) {
+	for id, a := range l.answers {
+		if now.Sub(a.at) > grantKept {
+			delete(l.answers, id)
+		}
+	}
+	for id, a := range l.pending {
+		if now.Sub(a.at) > grantKept {
+			delete(l.pending, id)
+		}
+	}
+}
+
+// arrived counts a grant in, once.
+func (l *transfers) arrived(g grant) {
+	l.mu.Lock()
+	a, ok := l.pending[g.ID]
+	delete(l.pending, g.ID)
+	if ok && g.Tokens > 0 {
+		l.allowance.Receive(g.Tenant, g.Tokens)
+	}
+	l.mu.Unlock()
+	if ok {
+		a.done <- g
+	}
+}
+
+// sources lists the peers that could give so much, the richest first.
+func (l *transfers) sources(tenant string, need int64, now time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.richest(tenant, need, now)
+}
+
+// richest is sources with the lock held.
+func (l *transfers) richest(tenant string, need int64, now time.Time) []string {
+	type rich struct {
+		peer   string
+		tokens int64
+	}
+	var all []rich
+	for peer, o := range l.reported {
+		if tokens := o.budgets[tenant].Free; tokens >= need && now.Sub(o.at) < freeAge {
+			all = append(all, rich{peer: peer, tokens: tokens})
+		}
+	}
+	slices.SortFunc(all, func(a, b rich) int { return cmp.Or(cmp.Compare(b.tokens, a.tokens), cmp.Compare(a.peer, b.peer)) })
+	peers := make([]string, 0, grantPeers)
+	for _, r := range all[:min(len(all), grantPeers)] {
+		peers = append(peers, r.peer)
+	}
+	return peers
+}
+
+// open notes a request that is sent to a peer.
+func (l *transfers) open(a transferRequest, peer string, now time.Time) chan grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	done := make(chan grant, 1)
+	l.pending[a.ID] = &pending{transferRequest: a, peer: peer, done: done, at: now, sent: now}
+	return done
+}
+
+// overdue lists the requests to send once more, by peer: the peer may have counted
+// tokens out for them already, and answers an id that it knows as it did before.
+func (l *transfers) overdue(now time.Time) map[string][]transferRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	again := map[string][]transferRequest{}
+	for _, a := range l.pending {
+		if a.repeats < grantRepeats && now.Sub(a.sent) >= grantPause {
+			a.repeats++
+			a.sent = now
+			again[a.peer] = append(again[a.peer], a.transferRequest)
+		}
+	}
+	return again
+}
+
+// requestAhead asks one node that writes the ledger for what this node's holdings
+// lack, without waiting: grants are counted in as they come.
+func (t *Gossip) requestAhead(writers []Member) {
+	if len(writers) == 0 {
+		return
+	}
+	now := time.Now()
+	from := writers[rand.IntN(len(writers))]
+	var requests []transferRequest
+	for tenant, tokens := range t.transfers.allowance.Deficits(t.registry.Count(), refillBelow, now) {
+		a := transferRequest{ID: uuid.NewString(), Tenant: tenant, Want: tokens}
+		t.transfers.open(a, from.Address, now)
+		requests = append(requests, a)
+	}
+	if len(requests) > 0 {
+		t.send(from.Address, t.signed(message{Requests: requests}))
+	}
+}
+
+// Acquire asks peers for what a reservation of tokens lacks; true where it came.
+// A peer that has too little names richer ones.
+func (t *Gossip) Acquire(ctx context.Context, tenant string, tokens int64) bool {
+	peers := t.transfers.sources(tenant, 1, time.Now())
+	for i := 0; i < len(peers) && i < grantPeers; i++ {
+		need := t.transfers.allowance.Missing(tenant, tokens)
+		if need == 0 {
+			return true
+		}
+		want := need
+		if t.Writes() || t.transfers.allowance.DrawsDirectly(tenant) {
+			want += wantFactor * tokens
+		}
+		richer := t.requestFrom(ctx, peers[i], transferRequest{ID: uuid.NewString(), Tenant: tenant, Need: need, Want: want})
+		peers = append(peers[:i+1:i+1], lo.Uniq(append(lo.Without(richer, append(peers[:i+1:i+1], t.address)...), peers[i+1:]...))...)
+	}
+	return t.transfers.allowance.Missing(tenant, tokens) == 0
+}
+
+// requestFrom asks one peer, and returns the richer ones that it names.
+func (t *Gossip) requestFrom(ctx context.Context, peer string, a transferRequest) []string {
+	done := t.transfers.open(a, peer, time.Now())
+	for range grantTries {
+		t.send(peer, t.signed(message{Requests: []transferRequest{a}}))
+		timer := time.NewTimer(grantTimeout)
+		select {
+		case g := <-done:
+			timer.Stop()
+			return g.Try
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/relay/peer/transfer_test.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
+)
+
+const tenant = "t"
+
+// allowanceWith returns an allowance that holds so many tokens of a budget of 1000.
+func allowanceWith(node string, held int64) *account.Allowance {
+	p := account.NewAllowance(node, node+"/1", account.DefaultTuning())
+	p.Budget(map[string]int64{tenant: 1000})
+	p.Saw(account.Ledger{Accounts: []account.Account{{Tenant: tenant, Rows: []account.Row{{Node: node, Life: node + "/1", Drawn: held}}}}}, 1)
+	return p
+}
+
+func TestAGrantIsCountedOutAndInOnce(t *testing.T) {
+	now := time.Now()
+	giver, taker := allowanceWith("a", 100), allowanceWith("b", 0)
+	from, to := newTransfers(giver), newTransfers(taker)
+	request := transferRequest{ID: "id", Tenant: tenant, Need: 30, Want: 30}
+	to.open(request, "a", now)
+	first := from.answer(request, now)
+	again := from.answer(request, now)
+	assert.Equal(t, grant{ID: "id", Tenant: tenant, Tokens: 30}, *first)
+	assert.Equal(t, first, again, "an transferRequest that comes again gets the same grant")
+	assert.Equal(t, int64(70), giver.State(tenant).Free)
+	to.arrived(*first)
+	to.arrived(*again)
+	assert.Equal(t, int64(30), taker.State(tenant).Free)
+}
+
+func TestGiftThatNobodyAskedForIsDropped(t *testing.T) {
+	taker := allowanceWith("b", 0)
+	newTransfers(taker).arrived(grant{ID: "of an earlier life", Tenant: tenant, Tokens: 30})
+	assert.Equal(t, int64(0), taker.State(tenant).Free)
+}
+
+func TestGrantsAreBoundedByWhatIsFree(t *testing.T) {
+	cases := []struct {
+		name       string
+		need, want int64
+		given      int64
+	}{
+		{"what is needed", 40, 40, 40},
+		{"more, up to a half", 10, 500, 50},
+		{"all, where need is more", 300, 900, 100},
+		{"nothing for a need below nothing", -5, -5, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			giver := allowanceWith("a", 100)
+			g := newTransfers(giver).answer(transferRequest{ID: "id", Tenant: tenant, Need: c.need, Want: c.want}, time.Now())
+			assert.Equal(t, c.given, g.Tokens)
+			assert.Equal(t, 100-c.given, giver.State(tenant).Free)
+		})
+	}
+}
+
+func TestSourcesAreTheRichestThatWereHeardOfLately(t *testing.T) {
+	now := time.Now()
+	l := newTransfers(allowanceWith("b", 0))
+	l.record("poor", map[string]account.BudgetReport{tenant: {Free: 5}}, now)
+	l.record("rich", map[string]account.BudgetReport{tenant: {Free: 50}}, now)
+	l.record("silent", map[string]account.BudgetReport{tenant: {Free: 500}}, now.Add(-3*time.Second))
+	l.record("other", map[string]account.BudgetReport{"another": {Free: 500}}, now)
+	assert.Equal(t, []string{"rich", "poor"}, l.sources(tenant, 1, now))
+}
+
+// A grant whose datagram is lost was counted out: it is asked for again, with the
+// same id, until it has come or too long has passed.
+func TestALostGrantIsRequestedAgain(t *testing.T) {
+	now := time.Now()
+	giver, taker := allowanceWith("a", 100), allowanceWith("b", 0)
+	from, to := newTransfers(giver), newTransfers(taker)
+	request := transferRequest{ID: "id", Tenant: tenant, Need: 30, Want: 30}
+	to.open(request, "a", now)
+	from.answer(request, now) // and the answer is lost
+	assert.Empty(t, to.overdue(now))
+	now = now.Add(grantPause)
+	again := to.overdue(now)
+	assert.Equal(t, map[string][]transferRequest{"a": {request}}, again)
+	to.arrived(*from.answer(again["a"][0], now))
+	assert.Equal(t, int64(70), giver.State(tenant).Free)
+	assert.Equal(t, int64(30), taker.State(tenant).Free)
+	assert.Empty(t, to.overdue(now.Add(grantPause)), "it has come")
+
+	to.open(transferRequest{ID: "never", Tenant: tenant, Need: 1}, "gone", now)
+	times := 0
+	for range 100 {
+		now = now.Add(grantPause)
+		times += len(to.overdue(now)["gone"])
+	}
+	assert.Equal(t, grantRepeats, times)
+}
--- a/fleet/relay/peer/writers.go
+++ b/fleet/relay/peer/writers.go
@@ -7,17 +7,17 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Small fleets write the book from every node; larger ones from some, of every
-// zone, and the others borrow from these. Writers differ for nodes whose lists
+// Small fleets write the ledger from every node; larger ones from some, of every
+// zone, and the others acquire from these. Writers differ for nodes whose lists
 // differ, which costs collisions and nothing else.
 const (
-	allWrite      = 12 // nodes up to which every one writes
-	zoneWriters   = 2  // in each zone beyond that
-	randomOthers  = 4  // peers told by a node that does not write, beside the writers
-	stockFraction = 0.6
+	allWrite     = 12 // nodes up to which every one writes
+	zoneWriters  = 2  // in each zone beyond that
+	randomOthers = 4  // peers told by a node that does not write, beside the writers
+	refillBelow  = 0.6
 )
 
-// Writers names the members that write the book; fit picks, in a large fleet,
+// Writers names the members that write the ledger; fit picks, in a large fleet,
 // those that may.
 func Writers(members []Member, fit func() []Member) map[string]bool {
 	writers := make(map[string]bool, len(members))
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -21,7 +21,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
-	"github.com/lynxshed/lynxshed/fleet/relay/front"
+	"github.com/lynxshed/lynxshed/fleet/relay/ingress"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
@@ -51,13 +51,13 @@
 
 	policy    atomic.Pointer[policy.Policy]
 	engines   atomic.Pointer[engine.Directory]
-	purse     *account.Purse
-	keeper    *account.Keeper
+	allowance *account.Allowance
+	syncer    *account.Syncer
 	picker    *choice.Picker
 	registry  *peer.Registry
-	talk      *peer.Talk
+	gossip    *peer.Gossip
 	handler   *forward.Handler
-	front     *front.Door
+	ingress   *ingress.Listener
 	telemetry *telemetry.Telemetry
 	metrics   *Metrics
 	leaving   atomic.Bool
@@ -85,22 +85,22 @@
 	n.store = store.Counted(a.Store(), n.metrics)
 	life := uuid.NewString()
 	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer}
-	n.purse = account.NewPurse(s.Node, life, s.Budget.Tuning())
+	n.allowance = account.NewAllowance(s.Node, life, s.Budget.Tuning())
 	n.picker = choice.NewPicker(s.Zone, choice.DefaultTuning())
 	n.registry = peer.NewRegistry(n.store, self, n.health, s.History(), l)
-	talk, err := peer.Listen(s.Peer, n.registry, n.picker, n.purse, func() bool { return n.keeper.Out() })
+	gossip, err := peer.Listen(s.Peer, n.registry, n.picker, n.allowance, func() bool { return n.syncer.Out() })
 	if err != nil {
 		return nil, err
 	}
-	n.talk = talk
-	n.keeper = account.NewKeeper(n.store, n.purse, talk.WriterCount, talk.Writes, n.health, l)
+	n.gossip = gossip
+	n.syncer = account.NewSyncer(n.store, n.allowance, gossip.WriterCount, gossip.Writes, n.health, l)
 	n.handler = forward.New(forward.Options{
-		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Purse: n.purse, Picker: n.picker,
+		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Allowance: n.allowance, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
-		Nodes:   n.registry.Count, Transport: forward.NewTransport(), Lender: lender{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Nodes:   n.registry.Count, Transport: forward.NewTransport(), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
-	if n.front, err = front.Listen(s.Listen, n.handler); err != nil {
-		return nil, errors.CombineErrors(err, talk.Close())
+	if n.ingress, err = ingress.Listen(s.Listen, n.handler); err != nil {
+		return nil, errors.CombineErrors(err, gossip.Close())
 	}
 	return n, nil
 }
@@ -142,14 +142,14 @@
 	n.follow(ctx)
 	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 2)
-	go func() { failed <- n.front.Serve() }()
+	go func() { failed <- n.ingress.Serve() }()
 	go func() { failed <- ready.Serve(balancer) }()
 	n.log.WithField("zone", n.settings.Zone).WithField("listen", n.settings.Listen).Info("started")
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	_ = n.front.Close()
+	_ = n.ingress.Close()
 	_ = ready.Close()
 	closing, done := context.WithTimeout(context.Background(), handBack)
 	defer done()
@@ -164,14 +164,14 @@
 	engines := store.Watching{Kind: n.adapter.EngineKind(), Rest: engineRest, History: n.settings.History(), Health: n.health}
 	go store.Follow(ctx, s, engines, newEngineTable(n).apply)
 	go n.registry.Run(ctx)
-	go n.talk.Run(ctx)
-	go n.keeper.Run(ctx)
+	go n.gossip.Run(ctx)
+	go n.syncer.Run(ctx)
 }
 
-// longestWatch bounds the watch that leads on nodes that write the book, so that
+// longestWatch bounds the watch that leads on nodes that write the ledger, so that
 // these feel a silent store in time and tell the others.
 func (n *Node) longestWatch() time.Duration {
-	if !n.talk.Writes() {
+	if !n.gossip.Writes() {
 		return time.Hour // bounded by the store's history
 	}
 	return n.settings.Contact() / 2
@@ -208,7 +208,7 @@
 	started := time.Now()
 	n.log.WithField("open", n.handler.Open()).Info("planned stop begins")
 	n.handler.Leave()
-	n.front.StopKeeping()
+	n.ingress.DisableKeepAlives()
 	sleepUntil(started.Add(acceptWhile))
 	n.handler.RefuseNew()
 	n.giveBack(ctx)
@@ -225,17 +225,17 @@
 func (n *Node) giveBack(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handBack/2)
 	defer cancel()
-	if err := errors.CombineErrors(n.keeper.Leave(ctx), n.registry.Leave(ctx)); err != nil {
+	if err := errors.CombineErrors(n.syncer.Leave(ctx), n.registry.Leave(ctx)); err != nil {
 		n.log.WithError(err).Warn("planned stop: something was not given back")
 	}
 }
 
-// lender finds tokens for a request that this node's part does not hold.
-type lender struct{ *Node }
+// tokenSource finds tokens for a request that this node's part does not hold.
+type tokenSource struct{ *Node }
 
-// Borrow implements forward.Lender: from the store where this node draws and the
+// Acquire implements forward.TokenSource: from the store where this node draws and the
 // store answers, else from peers.
-func (l lender) Borrow(ctx context.Context, tenant string, tokens int64) bool {
-	l.keeper.Draw(ctx, tenant)
-	return l.purse.Missing(tenant, tokens) == 0 || l.talk.Borrow(ctx, tenant, tokens)
+func (l tokenSource) Acquire(ctx context.Context, tenant string, tokens int64) bool {
+	l.syncer.Draw(ctx, tenant)
+	return l.allowance.Missing(tenant, tokens) == 0 || l.gossip.Acquire(ctx, tenant, tokens)
 }
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -47,7 +47,7 @@
 func testNode() *Node {
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	return &Node{
-		adapter: numbers{}, log: quiet, purse: account.NewPurse("n", "n/1", account.DefaultTuning()),
+		adapter: numbers{}, log: quiet, allowance: account.NewAllowance("n", "n/1", account.DefaultTuning()),
 		picker: choice.NewPicker("z", choice.DefaultTuning()),
 	}
 }
--- a/fleet/relay/store/health.go
+++ b/fleet/relay/store/health.go
@@ -11,14 +11,14 @@
 // store that refuses is asked once, not once for each kind that is followed.
 //
 // A store that falls silent may swallow a watch that is sent to it meanwhile, and
-// say nothing of it when it is back. So whoever finds it back, this node's keeper
+// say nothing of it when it is back. So whoever finds it back, this node's syncer
 // of budgets or a peer, tells, and watches that wait are sent anew.
 type Health struct {
-	mu        sync.Mutex
-	lost      chan struct{} // closed when the leader has an answer again; nil while it has
-	renew     chan struct{} // closed when watches are to be sent anew
-	renewedAt time.Time
-	regains   uint64
+	mu         sync.Mutex
+	lost       chan struct{} // closed when the leader has an answer again; nil while it has
+	renew      chan struct{} // closed when watches are to be sent anew
+	renewedAt  time.Time
+	reconnects uint64
 }
 
 // renewPause is the least time between two rounds of watches sent anew.
@@ -27,19 +27,19 @@
 // NewHealth returns the health of a store that answers as far as is known.
 func NewHealth() *Health { return &Health{renew: make(chan struct{})} }
 
-// Regained notes that this node found the store back.
-func (h *Health) Regained() {
+// Reconnected notes that this node found the store back.
+func (h *Health) Reconnected() {
 	h.mu.Lock()
-	h.regains++
+	h.reconnects++
 	h.mu.Unlock()
 	h.Renew()
 }
 
-// Regains is how often this node found the store back, for its peers.
-func (h *Health) Regains() uint64 {
+// Reconnects is how often this node found the store back, for its peers.
+func (h *Health) Reconnects() uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.regains
+	return h.reconnects
 }
 
 // Renew has the watches that wait sent anew.
@@ -76,7 +76,7 @@
 	h.mu.Unlock()
 	if lost != nil {
 		close(lost)
-		h.Regained()
+		h.Reconnected()
 	}
 }
 
--- a/fleet/relay/store/health_test.go
+++ b/fleet/relay/store/health_test.go
@@ -83,10 +83,10 @@
 		assert.GreaterOrEqual(t, asked["leader"], 15, "the leader goes on asking")
 		assert.LessOrEqual(t, asked["led"], 10, "the other asks now and then")
 
-		regained := time.Now()
+		reconnected := time.Now()
 		time.Sleep(10 * time.Second)
 		mu.Lock()
-		assert.Less(t, back["leader"].Sub(regained), 1300*time.Millisecond)
+		assert.Less(t, back["leader"].Sub(reconnected), 1300*time.Millisecond)
 		assert.Less(t, back["led"].Sub(back["leader"]), 200*time.Millisecond, "the leader's answer wakes the other")
 		mu.Unlock()
 		time.Sleep(30 * time.Second)
