Keep entries that lapsed while the store was away; take bounds from the settings

Change: what goes while the store is away or up to 2 s after is kept in use for 0.7 of the deployment's bound on leaving endpoints, unless it had said that it leaves; watches rest for parts of that bound and of the one on policies; the balancer's notice is a setting. Test: TestEntriesThatLapsedAreKeptForAWhile (before, every row that keeps an entry failed).

--- a/fleet/relay/account/syncer.go
+++ b/fleet/relay/account/syncer.go
@@ -166,11 +166,12 @@
 	}
 	entry := k.log.WithField("dependency", "store").WithField("revision", k.revision)
 	if out {
+		k.health.Lost(Kind)
 		entry.WithError(err).Warn("accounts: store lost")
 		return
 	}
 	entry.Info("accounts: store reconnected")
-	k.health.Reconnected()
+	k.health.Reconnected(Kind)
 }
 
 // Leave gives back all that is not in use, and draws nothing any more.
--- a/fleet/relay/apply.go
+++ b/fleet/relay/apply.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/ingress"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
@@ -63,68 +62,3 @@
 	}
 	return prepaid
 }
-
-// engineTable builds the directory from the store's changes.
-type engineTable struct {
-	*Node
-	byName map[string]engine.Engine
-}
-
-func newEngineTable(n *Node) *engineTable {
-	return &engineTable{Node: n, byName: map[string]engine.Engine{}}
-}
-
-func (t *engineTable) apply(c store.Change) {
-	revision := int64(0)
-	switch c := c.(type) {
-	case store.Snapshot:
-		revision = c.Revision
-		t.byName = map[string]engine.Engine{}
-		for _, o := range c.Objects {
-			t.put(o)
-		}
-	case store.Update:
-		revision = c.Revision
-		for _, e := range c.Events {
-			t.change(e)
-		}
-	case store.Lost:
-		t.log.WithField("dependency", "store").WithField("of", "endpoints").WithError(c.Err).Warn("lost")
-		return
-	}
-	t.publish(revision)
-}
-
-func (t *engineTable) change(e store.Event) {
-	if e.Gone {
-		delete(t.byName, e.Object.Name)
-		t.log.WithField("endpoint", e.Object.Name).Info("endpoint gone")
-		return
-	}
-	t.put(e.Object)
-}
-
-func (t *engineTable) put(o store.Object) {
-	e, err := t.adapter.Engine(o)
-	if err != nil {
-		t.log.WithField("object", o.Name).WithError(err).Warn("endpoint not understood")
-		return
-	}
-	if before, known := t.byName[o.Name]; !known || before.State != e.State {
-		t.log.WithFields(engineFields(e)).Info("endpoint seen")
-	}
-	t.byName[o.Name] = e
-}
-
-func (t *engineTable) publish(revision int64) {
-	all := make([]engine.Engine, 0, len(t.byName))
-	for _, e := range t.byName {
-		all = append(all, e)
-	}
-	d := engine.NewDirectory(revision, all)
-	t.engines.Store(d)
-	t.picker.Forget(func(id string) bool {
-		_, ok := d.Get(id)
-		return ok
-	})
-}
--- /dev/null
+++ b/fleet/relay/engines.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// lapsePart is the part of the time in which a leaving endpoint must get no new
+// work that an entry is kept in use after it went while the store was in doubt.
+// Entries lapse while the store is away, though their endpoints live, and are
+// back some two seconds after its return; one that has left in truth is bound by
+// the whole of that time.
+const lapsePart = 0.7
+
+// engineTable builds the directory from the store's changes. It is safe for
+// concurrent use: lapsed entries are dropped by a timer.
+type engineTable struct {
+	*Node
+	mu       sync.Mutex
+	byName   map[string]engine.Engine
+	lapsed   map[string]time.Time // entries that went while the store was in doubt, and when they are dropped
+	revision int64
+}
+
+func newEngineTable(n *Node) *engineTable {
+	return &engineTable{Node: n, byName: map[string]engine.Engine{}, lapsed: map[string]time.Time{}}
+}
+
+func (t *engineTable) apply(c store.Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch c := c.(type) {
+	case store.Snapshot:
+		t.revision = c.Revision
+		t.replace(c.Objects)
+	case store.Update:
+		t.revision = c.Revision
+		for _, e := range c.Events {
+			t.change(e)
+		}
+	case store.Lost:
+		t.log.WithField("dependency", "store").WithField("of", "endpoints").WithError(c.Err).Warn("lost")
+		return
+	}
+	t.publish()
+}
+
+// replace takes a whole list in force; what it does not name is gone.
+func (t *engineTable) replace(objects []store.Object) {
+	listed := map[string]bool{}
+	for _, o := range objects {
+		listed[o.Name] = true
+		t.put(o)
+	}
+	for name := range t.byName {
+		if !listed[name] {
+			t.gone(name)
+		}
+	}
+}
+
+func (t *engineTable) change(e store.Event) {
+	if e.Gone {
+		t.gone(e.Object.Name)
+		return
+	}
+	t.put(e.Object)
+}
+
+func (t *engineTable) put(o store.Object) {
+	e, err := t.adapter.Engine(o)
+	if err != nil {
+		t.log.WithField("object", o.Name).WithError(err).Warn("endpoint not understood")
+		return
+	}
+	delete(t.lapsed, o.Name)
+	if before, known := t.byName[o.Name]; !known || before.State != e.State {
+		t.log.WithFields(engineFields(e)).Info("endpoint seen")
+	}
+	t.byName[o.Name] = e
+}
+
+// gone drops an endpoint, or keeps it for a while where its entry may have
+// lapsed for want of the store. One that was leaving is dropped at once.
+func (t *engineTable) gone(name string) {
+	e, known := t.byName[name]
+	if !known || !t.lapsed[name].IsZero() {
+		return
+	}
+	if e.State != engine.Ready || !t.health.Doubted() {
+		t.drop(name)
+		return
+	}
+	wait := part(lapsePart, t.settings.EndpointDrain())
+	t.lapsed[name] = time.Now().Add(wait)
+	time.AfterFunc(wait, t.expire)
+	t.log.WithField("endpoint", name).WithField("revision", t.revision).WithField("keptMs", wait.Milliseconds()).Info("endpoint's entry went while the store was in doubt, kept")
+}
+
+func (t *engineTable) drop(name string) {
+	delete(t.byName, name)
+	delete(t.lapsed, name)
+	t.log.WithField("endpoint", name).Info("endpoint gone")
+}
+
+// expire drops the lapsed entries that have not come back in time.
+func (t *engineTable) expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for name, until := range t.lapsed {
+		if !now.Before(until) {
+			t.drop(name)
+		}
+	}
+	t.publish()
+}
+
+func (t *engineTable) publish() {
+	all := make([]engine.Engine, 0, len(t.byName))
+	for _, e := range t.byName {
+		all = append(all, e)
+	}
+	d := engine.NewDirectory(t.revision, all)
+	t.engines.Store(d)
+	t.picker.Forget(func(id string) bool {
+		_, ok := d.Get(id)
+		return ok
+	})
+}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -69,12 +69,16 @@
 	memoryShare   = 0.8 // of the bound, for the collector's aim
 )
 
-// How long a watch rests after events, within what they may take to be in force.
+// How long a watch rests after events, so that a burst of changes costs few
+// calls: a part of what they may take to be in force, since a change that comes
+// during the rest waits for its end and for an answer of the store.
 const (
-	policyRest = 400 * time.Millisecond
-	engineRest = 500 * time.Millisecond
+	policyRestPart = 0.2
+	engineRestPart = 0.25
 )
 
+func part(of float64, whole time.Duration) time.Duration { return time.Duration(of * float64(whole)) }
+
 // New builds a node.
 func New(s Settings, a Adapter, l log.Interface) (*Node, error) {
 	limitMemory(s.MemoryMB)
@@ -159,9 +163,9 @@
 func (n *Node) follow(ctx context.Context) {
 	s := n.store
 	kind, name := n.adapter.PolicyAt()
-	policies := store.Watching{Kind: kind, Rest: policyRest, History: n.settings.History(), Health: n.health, Leads: true, Longest: n.longestWatch}
+	policies := store.Watching{Kind: kind, Rest: part(policyRestPart, n.settings.Apply()), History: n.settings.History(), Health: n.health, Leads: true, Longest: n.longestWatch}
 	go store.Follow(ctx, s, policies, func(c store.Change) { n.applyPolicy(name, c) })
-	engines := store.Watching{Kind: n.adapter.EngineKind(), Rest: engineRest, History: n.settings.History(), Health: n.health}
+	engines := store.Watching{Kind: n.adapter.EngineKind(), Rest: part(engineRestPart, n.settings.EndpointDrain()), History: n.settings.History(), Health: n.health}
 	go store.Follow(ctx, s, engines, newEngineTable(n).apply)
 	go n.registry.Run(ctx)
 	go n.gossip.Run(ctx)
@@ -196,9 +200,8 @@
 
 // Bounds of a planned stop.
 const (
-	acceptWhile = 2800 * time.Millisecond // until the balancer has surely noticed
-	drainPoll   = 50 * time.Millisecond
-	handBack    = 600 * time.Millisecond // kept of the stop for giving budgets back
+	drainPoll = 50 * time.Millisecond
+	handBack  = 600 * time.Millisecond // kept of the stop for giving budgets back
 )
 
 // Leave is a planned stop: new callers go elsewhere, open calls end, what is
@@ -209,7 +212,7 @@
 	n.log.WithField("open", n.handler.Open()).Info("planned stop begins")
 	n.handler.Leave()
 	n.ingress.DisableKeepAlives()
-	sleepUntil(started.Add(acceptWhile))
+	sleepUntil(started.Add(n.settings.Notice()))
 	n.handler.RefuseNew()
 	n.giveBack(ctx)
 	for time.Since(started) < n.settings.Drain()-handBack && n.handler.Open() > 0 {
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -6,11 +6,13 @@
 	"os"
 	"regexp"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -24,7 +26,7 @@
 )
 
 // numbers is an adapter whose objects are told apart by their revision alone.
-type numbers struct{}
+type numbers struct{ draining map[string]bool }
 
 func (numbers) Store() store.Store            { return nil }
 func (numbers) Wire() call.Wire               { return nil }
@@ -37,17 +39,17 @@
 	return policy.Policy{Version: o.Revision}, nil
 }
 
-func (numbers) Engine(o store.Object) (engine.Engine, error) {
+func (a numbers) Engine(o store.Object) (engine.Engine, error) {
 	if o.Revision == 0 {
 		return engine.Engine{}, errors.New("not understood")
 	}
-	return engine.Engine{ID: o.Name, Service: "s", Address: "a"}, nil
+	return engine.Engine{ID: o.Name, Service: "s", Address: "a", State: lo.Ternary(a.draining[o.Name], engine.Draining, engine.Ready)}, nil
 }
 
 func testNode() *Node {
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	return &Node{
-		adapter: numbers{}, log: quiet, allowance: account.NewAllowance("n", "n/1", account.DefaultTuning()),
+		adapter: numbers{}, log: quiet, settings: DefaultSettings(), health: store.NewHealth(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning()),
 		picker: choice.NewPicker("z", choice.DefaultTuning()),
 	}
 }
@@ -101,6 +103,60 @@
 	}
 }
 
+// An entry that goes while the store is or was away may have lapsed: it stays in
+// use until it must not any more, and is dropped at once in calm times and where
+// its endpoint had said that it leaves.
+func TestEntriesThatLapsedAreKeptForAWhile(t *testing.T) {
+	list := func(names ...string) store.Change {
+		return store.Snapshot{Objects: lo.Map(names, func(name string, _ int) store.Object { return store.Object{Name: name, Revision: 1} })}
+	}
+	gone := func(name string) store.Change {
+		return store.Update{Events: []store.Event{{Object: store.Object{Name: name}, Gone: true}}}
+	}
+	lost := func(h *store.Health) { h.Lost("endpoints") }
+	back := func(h *store.Health) { h.Lost("endpoints"); h.Reconnected("endpoints") }
+	cases := []struct {
+		name     string
+		before   func(*store.Health)
+		wait     time.Duration // from then until the entry goes
+		draining bool
+		change   store.Change
+		again    bool // it comes back a second later
+		kept     bool
+		later    bool // it is there three seconds later
+	}{
+		{"calm", func(*store.Health) {}, 0, false, list("b"), false, false, false},
+		{"the store is away", lost, time.Minute, false, list("b"), false, true, false},
+		{"an event while it is away", lost, time.Second, false, gone("a"), false, true, false},
+		{"the store is back", back, time.Second, false, gone("a"), false, true, false},
+		{"and the entry too", back, time.Second, false, list("b"), true, true, true},
+		{"back for long", back, 3 * time.Second, false, gone("a"), false, false, false},
+		{"it was leaving", back, time.Second, true, gone("a"), false, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := testNode()
+				n.adapter = numbers{draining: map[string]bool{"a": c.draining}}
+				table := newEngineTable(n)
+				there := func() bool { _, ok := n.engines.Load().Get("a"); return ok }
+				table.apply(list("a", "b"))
+				c.before(n.health)
+				time.Sleep(c.wait)
+				table.apply(c.change)
+				assert.Equal(t, c.kept, there())
+				time.Sleep(time.Second)
+				if c.again {
+					table.apply(list("a", "b"))
+				}
+				assert.Equal(t, c.kept, there())
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, c.later, there())
+			})
+		})
+	}
+}
+
 func TestSettingsNameWhatIsMissing(t *testing.T) {
 	sound := `{"node":"n","zone":"z","listen":"a:1","ready":{"address":"a:2"},"peer":"a:3","store":"a:4", // comment
 		"budget":{"exposure":0.5},"drainS":7.5,"of tomorrow":1}`
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -22,6 +22,8 @@
 	Store     string         `json:"store"`     // the platform's store, IP:PORT
 	HistoryS  float64        `json:"historyS"`  // seconds of history that the store keeps; 0 is not known
 	ContactMs float64        `json:"contactMs"` // after an outage of the store, how soon all that it says has to be in force again
+	ApplyMs   float64        `json:"applyMs"`   // how soon an accepted policy has to be in force
+	LeavingMs float64        `json:"leavingMs"` // how soon an endpoint that leaves must get no new work
 	MemoryMB  float64        `json:"memoryMB"`  // what the process may use; 0 is no bound
 	DrainS    float64        `json:"drainS"`    // seconds that a planned stop may take
 	Retry     RetrySettings  `json:"retry"`     // the fleet's bound on what is sent again
@@ -38,8 +40,9 @@
 
 // ReadySettings say where a node answers whether it is ready.
 type ReadySettings struct {
-	Address string `json:"address"` // IP:PORT
-	Path    string `json:"path"`
+	Address string  `json:"address"` // IP:PORT
+	Path    string  `json:"path"`
+	NoticeS float64 `json:"noticeS"` // seconds until the balancer has surely noticed a node that is not ready
 }
 
 // RetrySettings bound what all nodes together send a second time.
@@ -74,8 +77,8 @@
 // DefaultSettings hold where the file says nothing.
 func DefaultSettings() Settings {
 	return Settings{
-		DrainS: 8, ContactMs: 3000, LogLevel: "info",
-		Ready: ReadySettings{Path: "/readyz"},
+		DrainS: 8, ContactMs: 3000, ApplyMs: 2000, LeavingMs: 2000, LogLevel: "info",
+		Ready: ReadySettings{Path: "/readyz", NoticeS: 2.8}, // two probes, one a second, and what the second one takes
 		Retry: RetrySettings{Ratio: 0.2, Slack: 20, WindowS: 10},
 	}
 }
@@ -101,11 +104,14 @@
 	{Name: "ready", Required: true, Fields: []schema.Field{
 		{Name: "address", Required: true, Text: schema.Address},
 		{Name: "path", Text: schema.Some},
+		{Name: "noticeS", Number: schema.Number(0, mostSeconds)},
 	}},
 	{Name: "peer", Required: true, Text: schema.Address},
 	{Name: "store", Required: true, Text: schema.Address},
 	{Name: "historyS", Number: schema.Number(0, mostSeconds)},
 	{Name: "contactMs", Number: schema.Number(100, 1000*mostSeconds)},
+	{Name: "applyMs", Number: schema.Number(100, 1000*mostSeconds)},
+	{Name: "leavingMs", Number: schema.Number(100, 1000*mostSeconds)},
 	{Name: "memoryMB", Number: schema.Number(0, 1<<20)},
 	{Name: "drainS", Number: schema.Number(0, mostSeconds)},
 	{Name: "logLevel", Text: schema.OneOf("debug", "info", "warn", "error")},
@@ -145,6 +151,15 @@
 // force again.
 func (s Settings) Contact() time.Duration { return seconds(s.ContactMs / 1000) }
 
+// Apply is how soon an accepted policy has to be in force.
+func (s Settings) Apply() time.Duration { return seconds(s.ApplyMs / 1000) }
+
+// EndpointDrain is how soon an endpoint that leaves must get no new work.
+func (s Settings) EndpointDrain() time.Duration { return seconds(s.LeavingMs / 1000) }
+
+// Notice is how long a node that is about to stop still gets callers' connections.
+func (s Settings) Notice() time.Duration { return seconds(s.Ready.NoticeS) }
+
 // Drain is how long a planned stop may take.
 func (s Settings) Drain() time.Duration { return seconds(s.DrainS) }
 
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -97,7 +97,9 @@
 	f.backoff, f.failures = backoffMin, 0
 	if f.Leads {
 		f.Health.leaderAnswered()
+		return
 	}
+	f.Health.found(f.Kind)
 }
 
 // step lists where the store was lost meanwhile, since the changes that were
@@ -179,7 +181,10 @@
 	f.failures++
 	if f.Leads {
 		f.Health.leaderLost()
-	} else if f.failures > aloneTries && f.Health.wait(ctx, leaderWait) {
+	} else {
+		f.Health.Lost(f.Kind)
+	}
+	if !f.Leads && f.failures > aloneTries && f.Health.wait(ctx, leaderWait) {
 		pause(ctx, rand.N(backoffMin))
 		return
 	}
--- a/fleet/relay/store/health.go
+++ b/fleet/relay/store/health.go
@@ -19,16 +19,48 @@
 	renew      chan struct{} // closed when watches are to be sent anew
 	renewedAt  time.Time
 	reconnects uint64
+	away       map[string]bool // parts of the node that get no answer
+	backAt     time.Time       // when one of them last had an answer again
+}
+
+// doubtAfter is how long after the store's return what it lists may still lack
+// entries that lapsed while it was away (the platform's page on discovery).
+const doubtAfter = 2 * time.Second
+
+// Lost notes that a part of the node gets no answer from the store.
+func (h *Health) Lost(part string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.away[part] = true
+}
+
+// Doubted is whether entries may be missing from the store only because it is or
+// was away.
+func (h *Health) Doubted() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.away) > 0 || !h.backAt.IsZero() && time.Since(h.backAt) < doubtAfter
+}
+
+// found notes that a part of the node that got no answer has one again.
+func (h *Health) found(part string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.away[part] {
+		delete(h.away, part)
+		h.backAt = time.Now()
+	}
 }
 
 // renewPause is the least time between two rounds of watches sent anew.
 const renewPause = time.Second
 
 // NewHealth returns the health of a store that answers as far as is known.
-func NewHealth() *Health { return &Health{renew: make(chan struct{})} }
+func NewHealth() *Health { return &Health{renew: make(chan struct{}), away: map[string]bool{}} }
 
-// Reconnected notes that this node found the store back.
-func (h *Health) Reconnected() {
+// Reconnected notes that a part of this node found the store back.
+func (h *Health) Reconnected(part string) {
+	h.found(part)
 	h.mu.Lock()
 	h.reconnects++
 	h.mu.Unlock()
@@ -59,10 +91,14 @@
 	return h.renew
 }
 
+// leaderPart names the follower that leads among the parts of a node.
+const leaderPart = "leader"
+
 // leaderLost notes that the leader got no answer.
 func (h *Health) leaderLost() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.away[leaderPart] = true
 	if h.lost == nil {
 		h.lost = make(chan struct{})
 	}
@@ -76,7 +112,7 @@
 	h.mu.Unlock()
 	if lost != nil {
 		close(lost)
-		h.Reconnected()
+		h.Reconnected(leaderPart)
 	}
 }
 
--- a/fleet/relay/store/silence_test.go
+++ b/fleet/relay/store/silence_test.go
@@ -72,7 +72,7 @@
 		word  func(*store.Health)
 	}{
 		{"the leader feels it", true, func(*store.Health) {}},
-		{"another part of the node found the store back", false, (*store.Health).Reconnected},
+		{"another part of the node found the store back", false, func(h *store.Health) { h.Reconnected("accounts") }},
 		{"a peer did", false, (*store.Health).Renew},
 	}
 	for _, c := range cases {
