Place calls by what they cost all callers: a learned model, fetched parts, harm to streams

Change: fleet/relay/choice learns, by service, the time to the first event over tokens to be read and between events over calls in flight, and by endpoint how much slower it is; cost is the call's value times its chance to miss first event and pauses plus the value of running streams times the chance that this prompt makes them miss theirs. Parts kept at another endpoint are named for fetching where that is faster than reading; nodes tell each other which prompts were read where. Each mechanism can be switched off (disable in the settings).

--- a/fleet/relay/call/call.go
+++ b/fleet/relay/call/call.go
@@ -24,6 +24,15 @@
 	LastEventID string // where a caller takes a stream up again
 }
 
+// Shared are the parts that other calls may share: the last one is the call's or
+// its session's own.
+func (c Call) Shared() []Part {
+	if len(c.Parts) == 0 {
+		return nil
+	}
+	return c.Parts[:len(c.Parts)-1]
+}
+
 // Cost is the most tokens that the call can be charged.
 func (c Call) Cost() int64 { return c.PromptMax + c.OutputMax }
 
@@ -34,6 +43,7 @@
 	Left        time.Duration // until the deadline
 	Priority    int
 	LastEventID string
+	FetchFrom   string // address of an endpoint from which it takes the parts of the prompt that it lacks; "" is none
 }
 
 // Load is what an endpoint tells of itself in an answer.
--- /dev/null
+++ b/fleet/relay/choice/cache.go
@@ -0,0 +1,102 @@
+package choice
+
+import (
+	"container/list"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+)
+
+// holders is which endpoints are thought to keep a part of prompts that calls
+// share, by the part's id.
+type holders map[string]map[string]bool
+
+func (h holders) add(part, endpoint string) {
+	of, ok := h[part]
+	if !ok {
+		of = map[string]bool{}
+		h[part] = of
+	}
+	of[endpoint] = true
+}
+
+func (h holders) remove(part, endpoint string) {
+	of := h[part]
+	delete(of, endpoint)
+	if len(of) == 0 {
+		delete(h, part)
+	}
+}
+
+// prefixCache is which parts of prompts an endpoint is thought to keep, by what
+// was sent there: the parts unused for longest give way first.
+type prefixCache struct {
+	capacity int64 // tokens
+	used     int64
+	order    *list.List // of *cachedPart, the newest first
+	byID     map[string]*list.Element
+	endpoint string
+	holders  holders
+}
+
+type cachedPart struct {
+	id     string
+	tokens int64
+	read   bool // else a call that is to read it waits there
+}
+
+func newPrefixCache(capacity int64, endpoint string, h holders) *prefixCache {
+	return &prefixCache{capacity: capacity, order: list.New(), byID: map[string]*list.Element{}, endpoint: endpoint, holders: h}
+}
+
+// has is whether the part is kept, or will be when a call of now is read.
+func (c *prefixCache) has(id string) bool {
+	_, ok := c.byID[id]
+	return ok
+}
+
+// reserve notes that a call which is to read the part was sent.
+func (c *prefixCache) reserve(p call.Part) { c.touch(p) }
+
+// read notes that the part was read; shared ones may be taken from there.
+func (c *prefixCache) read(p call.Part, shared bool) {
+	k := c.touch(p)
+	if !k.read && shared {
+		c.holders.add(k.id, c.endpoint)
+	}
+	k.read = true
+}
+
+func (c *prefixCache) touch(p call.Part) *cachedPart {
+	if e, ok := c.byID[p.ID]; ok {
+		c.order.MoveToFront(e)
+		return e.Value.(*cachedPart)
+	}
+	k := &cachedPart{id: p.ID, tokens: p.Tokens}
+	c.byID[p.ID] = c.order.PushFront(k)
+	c.used += p.Tokens
+	for c.used > c.capacity && c.order.Len() > 1 {
+		c.drop(c.order.Back())
+	}
+	return k
+}
+
+// unread forgets a part whose call was not read there after all.
+func (c *prefixCache) unread(id string) {
+	if e, ok := c.byID[id]; ok && !e.Value.(*cachedPart).read {
+		c.drop(e)
+	}
+}
+
+func (c *prefixCache) drop(e *list.Element) {
+	k := e.Value.(*cachedPart)
+	c.order.Remove(e)
+	delete(c.byID, k.id)
+	c.used -= k.tokens
+	c.holders.remove(k.id, c.endpoint)
+}
+
+func (c *prefixCache) clear() {
+	for c.order.Len() > 0 {
+		c.drop(c.order.Back())
+	}
+}
--- a/fleet/relay/choice/choice_test.go
+++ b/fleet/relay/choice/choice_test.go
@@ -32,8 +32,8 @@
 	return call.Call{ID: id, PromptMax: 9000, OutputMax: 50, Parts: []call.Part{{ID: "system", Tokens: 2500}, {ID: session, Tokens: 3500}, {ID: id, Tokens: 3000}}}
 }
 
-func ask(c call.Call, all []engine.Engine, now time.Time) choice.Ask {
-	return choice.Ask{Call: c, Engines: all, Tokens: true, Capacity: 400_000, Cap: 40, Now: now}
+func ask(c call.Call, all []engine.Engine, now time.Time) choice.Request {
+	return choice.Request{Call: c, Engines: all, Profile: choice.Profile{Service: "s", Tokens: true, Capacity: 400_000, Stride: 3}, Cap: 40, Now: now}
 }
 
 func TestSessionsStayWhereTheirPartsAre(t *testing.T) {
@@ -45,10 +45,10 @@
 		session := fmt.Sprint("session-", i)
 		first, ok := one.Pick(ask(prompt(fmt.Sprint("a", i), session), all, now))
 		require.True(t, ok)
-		first.First()
+		first.First(100*time.Millisecond, now)
 		second, ok := two.Pick(ask(prompt(fmt.Sprint("b", i), session), all, now))
 		require.True(t, ok)
-		second.First()
+		second.First(100*time.Millisecond, now)
 		assert.Equal(t, first.Engine.ID, second.Engine.ID)
 		first.Close(choice.Good, now)
 		second.Close(choice.Good, now)
@@ -72,26 +72,26 @@
 	all := engines(2)
 	cases := []struct {
 		name string
-		ask  func(p *choice.Picker) choice.Ask
+		ask  func(p *choice.Picker) choice.Request
 		want string // "" is none
 	}{
-		{"draining endpoints", func(*choice.Picker) choice.Ask {
+		{"draining endpoints", func(*choice.Picker) choice.Request {
 			drained := engines(2)
 			drained[0].State = engine.Draining
 			return ask(prompt("a", "s"), drained, now)
 		}, "e1"},
-		{"endpoints already tried", func(*choice.Picker) choice.Ask {
+		{"endpoints already tried", func(*choice.Picker) choice.Request {
 			a := ask(prompt("a", "s"), all, now)
 			a.Exclude = map[string]bool{"e1": true}
 			return a
 		}, "e0"},
-		{"none left", func(*choice.Picker) choice.Ask {
+		{"none left", func(*choice.Picker) choice.Request {
 			a := ask(prompt("a", "s"), all, now)
 			a.Exclude = map[string]bool{"e0": true, "e1": true}
 			return a
 		}, ""},
-		{"none at all", func(*choice.Picker) choice.Ask { return ask(prompt("a", "s"), nil, now) }, ""},
-		{"endpoints at this node's bound", func(p *choice.Picker) choice.Ask {
+		{"none at all", func(*choice.Picker) choice.Request { return ask(prompt("a", "s"), nil, now) }, ""},
+		{"endpoints at this node's bound", func(p *choice.Picker) choice.Request {
 			a := ask(prompt("a", "s"), all, now)
 			a.Cap = 1
 			for range 2 {
@@ -100,7 +100,7 @@
 			}
 			return a
 		}, ""},
-		{"an endpoint that failed", func(p *choice.Picker) choice.Ask {
+		{"an endpoint that failed", func(p *choice.Picker) choice.Request {
 			a := ask(prompt("a", "s"), all, now)
 			a.Exclude = map[string]bool{"e1": true}
 			ticket, _ := p.Pick(a)
@@ -135,7 +135,7 @@
 	all := engines(2)
 	p := choice.NewPicker("z", choice.DefaultTuning())
 	affinity, _ := p.Pick(ask(prompt("a", "s"), all, now))
-	affinity.First()
+	affinity.First(100*time.Millisecond, now)
 	affinity.Close(choice.Good, now)
 	p.Heard("peer", map[string]choice.Digest{affinity.Engine.ID: {InFlight: 5, Waiting: 40_000}}, now)
 	away, _ := p.Pick(ask(prompt("b", "s"), all, now))
@@ -155,7 +155,7 @@
 			b.ReportAllocs()
 			for i := range b.N {
 				ticket, _ := p.Pick(ask(prompt(fmt.Sprint(i%500), fmt.Sprint("s", i%50)), all, now))
-				ticket.First()
+				ticket.First(100*time.Millisecond, now)
 				ticket.Close(choice.Good, now)
 			}
 		})
@@ -174,7 +174,7 @@
 		}
 		p := choice.NewPicker("z0", choice.DefaultTuning())
 		plain := ask(prompt(fmt.Sprint("call-", i), "session"), all, now)
-		plain.Tokens = false // else the only fit one is the affinity target of the parts
+		plain.Profile.Tokens = false // else the only fit one is the affinity target of the parts
 		ticket, ok := p.Pick(plain)
 		require.True(t, ok)
 		assert.Equal(t, all[i].ID, ticket.Engine.ID)
--- /dev/null
+++ b/fleet/relay/choice/digest.go
@@ -0,0 +1,131 @@
+package choice
+
+import (
+	"math"
+	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+)
+
+// Digest is what one node tells the others about an endpoint.
+type Digest struct {
+	InFlight int       `json:"n,omitempty"`
+	Waiting  int64     `json:"w,omitempty"`
+	Paused   float64   `json:"p,omitempty"` // share of its streams that paused for too long
+	Streams  float64   `json:"s,omitempty"` // how many streams that share is of, those long ago less
+	At       time.Time `json:"-"`
+}
+
+// digestAge is how long a peer's word counts.
+const digestAge = 1500 * time.Millisecond
+
+// Read is a prompt that was read at an endpoint: the parts that calls share.
+type Read struct {
+	Endpoint string   `json:"e"`
+	Parts    []string `json:"p"`
+	Tokens   []int64  `json:"t"`
+}
+
+// recent is what was read lately, for peers: each is told several times, since
+// datagrams are lost.
+type recent struct{ reads []timedRead }
+
+type timedRead struct {
+	Read
+	at time.Time
+}
+
+// Bounds of what is told of prompts that were read.
+const (
+	readsFor  = time.Second
+	readsMost = 64
+)
+
+func (l *recent) add(endpoint string, parts []call.Part, now time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	r := timedRead{Read: Read{Endpoint: endpoint}, at: now}
+	for _, p := range parts {
+		r.Parts = append(r.Parts, p.ID)
+		r.Tokens = append(r.Tokens, p.Tokens)
+	}
+	l.reads = append(l.reads, r)
+}
+
+func (l *recent) list(now time.Time) []Read {
+	from := 0
+	for from < len(l.reads) && now.Sub(l.reads[from].at) > readsFor {
+		from++
+	}
+	l.reads = l.reads[max(from, len(l.reads)-readsMost):]
+	all := make([]Read, 0, len(l.reads))
+	for _, r := range l.reads {
+		all = append(all, r.Read)
+	}
+	return all
+}
+
+// precision of the shares that are told: hundredths.
+const precision = 100
+
+func rounded(x float64) float64 { return math.Round(x*precision) / precision }
+
+// Digests lists this node's own part for its peers.
+func (p *Picker) Digests() map[string]Digest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := map[string]Digest{}
+	for id, s := range p.endpoints {
+		if s.inFlight > 0 || s.pauses.mean() > 1/precision {
+			all[id] = Digest{InFlight: s.inFlight, Waiting: s.waiting, Paused: rounded(s.pauses.mean()), Streams: rounded(s.pauses.weight)}
+		}
+	}
+	return all
+}
+
+// Reads lists the prompts that this node had read lately.
+func (p *Picker) Reads(now time.Time) []Read {
+	if !p.tuning.Gossip {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.recent.list(now)
+}
+
+// Heard takes in a peer's digests; what it does not name is nothing.
+func (p *Picker) Heard(peer string, digests map[string]Digest, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, s := range p.endpoints {
+		if _, ok := digests[id]; !ok {
+			delete(s.peers, peer)
+		}
+	}
+	for id, d := range digests {
+		d.At = now
+		p.endpoint(engine.Engine{ID: id}, 0).peers[peer] = d
+	}
+}
+
+// HeardReads takes in which prompts a peer had read where.
+func (p *Picker) HeardReads(reads []Read) {
+	if !p.tuning.Gossip {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range reads {
+		s, known := p.endpoints[r.Endpoint]
+		if !known || len(r.Parts) != len(r.Tokens) {
+			continue
+		}
+		for i, id := range r.Parts {
+			if r.Tokens[i] >= 0 {
+				s.cache.read(call.Part{ID: id, Tokens: r.Tokens[i]}, true)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/fleet/relay/choice/endpoint.go
@@ -0,0 +1,77 @@
+package choice
+
+import (
+	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+)
+
+// endpoint is what is known of one endpoint beside what it says of itself.
+type endpoint struct {
+	engine    engine.Engine
+	inFlight  int
+	waiting   int64 // uncached prompt tokens sent, without a first event yet
+	peers     map[string]Digest
+	cache     *prefixCache
+	load      call.Load
+	loadAt    time.Time
+	failures  int
+	suspected time.Time // until then it is avoided
+	speed     speed
+	pauses    average // share of streams that paused for too long, lately
+}
+
+func (p *Picker) endpoint(e engine.Engine, capacity int64) *endpoint {
+	s, ok := p.endpoints[e.ID]
+	if !ok {
+		s = &endpoint{peers: map[string]Digest{}, cache: newPrefixCache(max(capacity, 1), e.ID, p.holders)}
+		p.endpoints[e.ID] = s
+	}
+	if e.Address != "" {
+		s.engine = e
+	}
+	if capacity > 0 {
+		s.cache.capacity = capacity
+	}
+	return s
+}
+
+func (p *Picker) model(service string) *model {
+	m, ok := p.models[service]
+	if !ok {
+		m = &model{}
+		p.models[service] = m
+	}
+	return m
+}
+
+// total is what is in flight there, and prompt tokens that wait, by this node and
+// its peers.
+func (s *endpoint) total(now time.Time) (int, int64) {
+	inFlight, waiting := s.inFlight, s.waiting
+	for _, d := range s.peers {
+		if now.Sub(d.At) < digestAge {
+			inFlight += d.InFlight
+			waiting += d.Waiting
+		}
+	}
+	return inFlight, waiting
+}
+
+// pauseShare is the share of streams that paused for too long there, by this
+// node and its peers.
+func (s *endpoint) pauseShare(now time.Time) float64 {
+	sum, weight := s.pauses.mean()*s.pauses.weight, s.pauses.weight
+	for _, d := range s.peers {
+		if now.Sub(d.At) < digestAge {
+			sum += d.Paused * d.Streams
+			weight += d.Streams
+		}
+	}
+	return sum / (weight + pausePrior)
+}
+
+// pausePrior is how many streams without a long pause each endpoint is thought
+// to have had before any was seen.
+const pausePrior = 2
--- a/fleet/relay/forward/answer.go
+++ b/fleet/relay/forward/answer.go
@@ -19,7 +19,7 @@
 }
 
 // whole passes an answer on once all of it is here, so that it is never half.
-func (j *job) whole(ctx context.Context, t *choice.Ticket, o answered) (*refusal, bool) {
+func (j *job) whole(ctx context.Context, t *choice.Placement, o answered) (*refusal, bool) {
 	defer drop(o.resp)
 	body, err := io.ReadAll(o.resp.Body)
 	if err != nil {
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 )
 
@@ -57,6 +58,8 @@
 	attempts int   // endpoints that the call was sent to
 	engine   string
 	note     string // what decided, for the log
+	placed   *choice.Placement
+	pace     pace // of the last stream
 }
 
 // maxDeadline bounds calls that state no deadline on routes without a timeout.
@@ -230,12 +233,29 @@
 	if j.policy != nil {
 		fields["policy"] = j.policy.Version
 	}
+	j.describePlacement(fields)
 	if j.note != "" {
 		fields["note"] = j.note
 	}
 	j.Log.WithFields(fields).Info("call ended")
 }
 
+// describePlacement tells why the last endpoint was chosen, and what came of it.
+func (j *job) describePlacement(fields log.Fields) {
+	t := j.placed
+	if t == nil || !t.Tokens() {
+		return
+	}
+	fields["expectedFirstMs"], fields["expectedPauseMs"] = int64(t.FirstMs), int64(t.PauseMs)
+	fields["uncached"], fields["fetched"], fields["cost"] = t.Uncached, t.Fetched, int64(t.Cost)
+	if t.Source != "" {
+		fields["fetchFrom"] = t.Source
+	}
+	if j.pace.first > 0 {
+		fields["firstMs"], fields["pauseMs"] = j.pace.first.Milliseconds(), j.pace.longest.Milliseconds()
+	}
+}
+
 // context of the call: it ends with the caller's connection or the deadline.
 func (j *job) context() (context.Context, context.CancelFunc) {
 	return context.WithDeadline(j.r.Context(), j.end)
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -18,7 +18,10 @@
 type failed struct{ err error }
 
 // answered: the head of an answer to this call has come.
-type answered struct{ resp *http.Response }
+type answered struct {
+	resp *http.Response
+	sent time.Time // when the attempt began
+}
 
 func (neverSent) outcome() {}
 func (rejected) outcome()  {}
--- /dev/null
+++ b/fleet/relay/forward/pace.go
@@ -0,0 +1,42 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+)
+
+// paceEvery is after how many events a stream's pace is told: often enough to
+// follow what runs at an endpoint, seldom enough to cost nothing.
+const paceEvery = 8
+
+// pace is what a stream shows of the endpoint that runs it.
+type pace struct {
+	placement *choice.Placement
+	sent      time.Time
+	last      time.Time     // when the last event came
+	first     time.Duration // from the send
+	longest   time.Duration // between two events
+	since     time.Time     // when the events began that were not told yet
+	untold    int
+}
+
+// passed notes that so many events came.
+func (p *pace) passed(events int, now time.Time) {
+	if events <= 0 {
+		return
+	}
+	if p.last.IsZero() {
+		p.first = now.Sub(p.sent)
+		p.placement.First(p.first, now)
+		p.last, p.since = now, now
+		return
+	}
+	p.longest = max(p.longest, now.Sub(p.last))
+	p.last = now
+	p.untold += events
+	if p.untold >= paceEvery {
+		p.placement.Events(now.Sub(p.since)/time.Duration(p.untold), now)
+		p.since, p.untold = now, 0
+	}
+}
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 )
 
 // Bounds of one call's attempts.
@@ -31,7 +32,7 @@
 			return
 		}
 		tried[ticket.Engine.ID] = true
-		j.engine = ticket.Engine.ID
+		j.engine, j.placed = ticket.Engine.ID, ticket
 		out := j.send(ctx, ticket, j.call.LastEventID)
 		next, again := j.judge(ctx, ticket, out)
 		j.logAttempt(ticket, out, again)
@@ -52,8 +53,8 @@
 }
 
 // logAttempt tells of an attempt that brought no answer, and what follows.
-func (j *job) logAttempt(t *choice.Ticket, out outcome, again bool) {
-	fields := log.Fields{"request": j.call.ID, "endpoint": t.Engine.ID, "address": t.Engine.Address, "attempt": j.attempts, "again": again, "expectedMs": int64(t.Expect)}
+func (j *job) logAttempt(t *choice.Placement, out outcome, again bool) {
+	fields := log.Fields{"request": j.call.ID, "endpoint": t.Engine.ID, "address": t.Engine.Address, "attempt": j.attempts, "again": again, "expectedMs": int64(t.FirstMs)}
 	switch o := out.(type) {
 	case neverSent:
 		j.Log.WithFields(fields).WithField("error", o.err.Error()).Info("attempt not sent")
@@ -65,17 +66,25 @@
 	}
 }
 
-func (j *job) pick(tried map[string]bool) (*choice.Ticket, bool) {
+func (j *job) pick(tried map[string]bool) (*choice.Placement, bool) {
 	engines := j.Engines.Load()
 	if engines == nil {
 		return nil, false
 	}
-	return j.Picker.Pick(choice.Ask{
-		Call: j.call, Engines: engines.Of(j.service.Name), Exclude: tried, Tokens: j.service.KVCapacity > 0,
-		Capacity: j.service.KVCapacity, Cap: j.cap(), Now: time.Now(),
+	now := time.Now()
+	return j.Picker.Pick(choice.Request{
+		Call: j.call, Engines: engines.Of(j.service.Name), Exclude: tried, Profile: profile(j.service),
+		Objective: j.route.Objective - now.Sub(j.start), Gap: j.route.Gap, Cap: j.cap(), Now: now,
 	})
 }
 
+func profile(s policy.Service) choice.Profile {
+	return choice.Profile{
+		Service: s.Name, Tokens: s.KVCapacity > 0, Capacity: s.KVCapacity, Stride: s.Stride,
+		TokenBytes: s.TokenBytes, LinkMbps: s.LinkMbps,
+	}
+}
+
 // cap is this node's part of an endpoint's connections.
 func (j *job) cap() int {
 	if j.service.MaxConnections <= 0 {
@@ -93,7 +102,7 @@
 
 // judge decides what an attempt's outcome means for the call: send it again,
 // refuse it (nil: it is already answered).
-func (j *job) judge(ctx context.Context, t *choice.Ticket, out outcome) (*refusal, bool) {
+func (j *job) judge(ctx context.Context, t *choice.Placement, out outcome) (*refusal, bool) {
 	switch o := out.(type) {
 	case neverSent:
 		t.Close(choice.Bad, time.Now())
@@ -157,7 +166,7 @@
 }
 
 // answer passes an endpoint's answer on.
-func (j *job) answer(ctx context.Context, t *choice.Ticket, o answered) (*refusal, bool) {
+func (j *job) answer(ctx context.Context, t *choice.Placement, o answered) (*refusal, bool) {
 	if o.resp.StatusCode >= http.StatusInternalServerError && j.mayRunAgain(ctx) {
 		drop(o.resp)
 		t.Close(choice.Bad, time.Now())
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -27,14 +27,14 @@
 
 // send makes one attempt and waits for the head of its answer; the span of the
 // attempt ends with the head.
-func (j *job) send(ctx context.Context, t *choice.Ticket, lastEventID string) outcome {
+func (j *job) send(ctx context.Context, t *choice.Placement, lastEventID string) outcome {
 	ctx, end := j.attempt(ctx, t)
 	out := j.exchange(ctx, t, lastEventID)
 	end(out)
 	return out
 }
 
-func (j *job) exchange(ctx context.Context, t *choice.Ticket, lastEventID string) outcome {
+func (j *job) exchange(ctx context.Context, t *choice.Placement, lastEventID string) outcome {
 	sent := false
 	connections := 0
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -73,7 +73,7 @@
 	return err
 }
 
-func (j *job) judgeHead(t *choice.Ticket, resp *http.Response, started time.Time) outcome {
+func (j *job) judgeHead(t *choice.Placement, resp *http.Response, started time.Time) outcome {
 	v := j.Wire.Judge(resp)
 	now := time.Now()
 	if v.HasLoad {
@@ -87,14 +87,16 @@
 		finishSmall(resp)
 		return rejected{status: resp.StatusCode}
 	}
-	t.Took(now.Sub(started))
-	return answered{resp: resp}
+	if !isStream(resp) && resp.StatusCode < http.StatusInternalServerError {
+		t.First(now.Sub(started), now)
+	}
+	return answered{resp: resp, sent: started}
 }
 
 // request builds the attempt: method, target and body are the caller's.
-func (j *job) request(ctx context.Context, t *choice.Ticket, lastEventID string) *http.Request {
+func (j *job) request(ctx context.Context, t *choice.Placement, lastEventID string) *http.Request {
 	header := j.Wire.Prepare(j.r.Header, j.call, call.Send{
-		Tenant: j.tenant.Name, Instance: t.Engine.ID, Left: time.Until(j.end), Priority: j.priority(), LastEventID: lastEventID,
+		Tenant: j.tenant.Name, Instance: t.Engine.ID, Left: time.Until(j.end), Priority: j.priority(), LastEventID: lastEventID, FetchFrom: t.Source,
 	})
 	req := &http.Request{
 		Method: j.r.Method, URL: target(t.Engine.Address, j.r.RequestURI), Host: j.r.Host, Header: header,
@@ -118,7 +120,7 @@
 }
 
 // at adds the step and the peer to an error.
-func at(step string, t *choice.Ticket, err error) error {
+func at(step string, t *choice.Placement, err error) error {
 	return errors.Wrapf(err, "step %s, endpoint %s at %s", step, t.Engine.ID, t.Engine.Address)
 }
 
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -13,14 +13,16 @@
 // stream passes events on as they come, whole ones only. Where the stream
 // breaks, it goes on at another endpoint if the route allows that; else the
 // caller's connection is broken off, so that nothing half looks whole.
-func (j *job) stream(ctx context.Context, t *choice.Ticket, o answered) {
+func (j *job) stream(ctx context.Context, t *choice.Placement, o answered) {
 	j.Wire.Answer(j.w.Header(), o.resp)
 	j.w.WriteHeader(o.resp.StatusCode)
 	s := &relayed{job: j, lastID: j.call.LastEventID}
 	for {
-		err := s.copy(ctx, t, o.resp.Body)
+		s.pace = pace{placement: t, sent: o.sent}
+		err := s.copy(ctx, o.resp.Body)
 		drop(o.resp)
 		if err == nil {
+			t.Paused(s.pace.longest)
 			t.Close(choice.Good, time.Now())
 			j.used = j.charge(s.events)
 			j.finish("streamed", o.resp.StatusCode)
@@ -52,7 +54,7 @@
 }
 
 // resume takes a broken stream up at another endpoint.
-func (j *job) resume(ctx context.Context, broken *choice.Ticket, s *relayed) (*choice.Ticket, answered, bool) {
+func (j *job) resume(ctx context.Context, broken *choice.Placement, s *relayed) (*choice.Placement, answered, bool) {
 	if !j.route.Resumable || s.caller != nil || !j.mayRepeat(ctx) {
 		return nil, answered{}, false
 	}
@@ -60,7 +62,7 @@
 	if !ok {
 		return nil, answered{}, false
 	}
-	j.engine = t.Engine.ID
+	j.engine, j.placed = t.Engine.ID, t
 	out, ok := j.send(ctx, t, s.lastID).(answered)
 	if !ok {
 		t.Close(resultOf(ctx), time.Now())
@@ -88,14 +90,14 @@
 var eventEnd = []byte("\n\n")
 
 // copy passes on one endpoint's part of the stream; nil where it came to its end.
-func (s *relayed) copy(ctx context.Context, t *choice.Ticket, body io.Reader) error {
+func (s *relayed) copy(ctx context.Context, body io.Reader) error {
 	flusher := http.NewResponseController(s.w)
 	buffer := make([]byte, streamBuffer)
 	s.rest = s.rest[:0]
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			if failure := s.pass(t, flusher, buffer[:n]); failure != nil {
+			if failure := s.pass(flusher, buffer[:n]); failure != nil {
 				s.caller = failure
 				return failure
 			}
@@ -110,7 +112,7 @@
 }
 
 // pass forwards the whole events among what has come so far.
-func (s *relayed) pass(t *choice.Ticket, flusher *http.ResponseController, data []byte) error {
+func (s *relayed) pass(flusher *http.ResponseController, data []byte) error {
 	s.rest = append(s.rest, data...)
 	end := bytes.LastIndex(s.rest, eventEnd)
 	if end < 0 {
@@ -118,10 +120,11 @@
 	}
 	whole := s.rest[:end+len(eventEnd)]
 	if s.events == 0 {
-		t.First()
 		s.Metrics.FirstEvent(s.route.Name, time.Since(s.start))
 	}
+	before := s.events
 	s.count(whole)
+	s.pace.passed(int(s.events-before), time.Now())
 	if _, err := s.w.Write(whole); err != nil {
 		return err
 	}
--- a/fleet/relay/forward/stream_fuzz_test.go
+++ b/fleet/relay/forward/stream_fuzz_test.go
@@ -31,15 +31,15 @@
 	f.Add([]byte(""), false)
 	f.Fuzz(func(t *testing.T, data []byte, byteByByte bool) {
 		picker := choice.NewPicker("z", choice.DefaultTuning())
-		ticket, ok := picker.Pick(choice.Ask{Engines: []engine.Engine{{ID: "e"}}, Cap: 1, Now: time.Now()})
+		placement, ok := picker.Pick(choice.Request{Engines: []engine.Engine{{ID: "e"}}, Cap: 1, Now: time.Now()})
 		require.True(t, ok)
 		to := httptest.NewRecorder()
-		s := &relayed{job: &job{Handler: New(Options{Metrics: silent{}}), w: to, start: time.Now()}}
+		s := &relayed{job: &job{Handler: New(Options{Metrics: silent{}}), w: to, start: time.Now(), pace: pace{placement: placement, sent: time.Now()}}}
 		var from io.Reader = bytes.NewReader(data)
 		if byteByByte {
 			from = iotest.OneByteReader(from)
 		}
-		err := s.copy(context.Background(), ticket, from)
+		err := s.copy(context.Background(), from)
 		end := bytes.LastIndex(data, eventEnd)
 		whole := []byte{}
 		if end >= 0 {
--- a/fleet/relay/forward/trace.go
+++ b/fleet/relay/forward/trace.go
@@ -36,7 +36,7 @@
 }
 
 // attempt returns the context of one attempt with its span, and what ends it.
-func (j *job) attempt(ctx context.Context, t *choice.Ticket) (context.Context, func(outcome)) {
+func (j *job) attempt(ctx context.Context, t *choice.Placement) (context.Context, func(outcome)) {
 	if j.Tracer == nil {
 		return ctx, func(outcome) {}
 	}
--- /dev/null
+++ b/fleet/relay/mechanisms.go
@@ -0,0 +1,40 @@
+package relay
+
+import (
+	"slices"
+
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+)
+
+// mechanism is a part of the policy that the settings can switch off, so that
+// what it is worth can be measured.
+type mechanism struct {
+	name string
+	off  func(t *choice.Tuning)
+}
+
+var mechanisms = []mechanism{
+	{"fetch", func(t *choice.Tuning) { t.Fetch = false }},           // parts of prompts taken from another endpoint
+	{"harm", func(t *choice.Tuning) { t.Harm = false }},             // what a prompt does to the streams that run there
+	{"pauses", func(t *choice.Tuning) { t.Pauses = false }},         // how often streams paused there
+	{"reads-gossip", func(t *choice.Tuning) { t.Gossip = false }},   // peers' word on where prompts were read
+	{"zone-preference", func(t *choice.Tuning) { t.CrossZone = 0 }}, // staying in the zone
+	{"affinity", func(t *choice.Tuning) { t.AffinityTrust = 0 }},    // belief in the affinity target
+}
+
+func mechanismNames() []string {
+	return lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name })
+}
+
+// Choice is the tuning of the choice without what the settings switch off.
+func (s Settings) Choice() choice.Tuning {
+	t := choice.DefaultTuning()
+	for _, m := range mechanisms {
+		if slices.Contains(s.Disable, m.name) {
+			m.off(&t)
+		}
+	}
+	return t
+}
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -30,6 +30,7 @@
 	Life          string                          `json:"life"`
 	Number        uint64                          `json:"number"` // rises; an older one is dropped
 	Digests       map[string]choice.Digest        `json:"digests,omitempty"`
+	Reads         []choice.Read                   `json:"reads,omitempty"`   // prompts that were read lately
 	HasBudgets    bool                            `json:"budgets,omitempty"` // the reports are told
 	BudgetReports map[string]account.BudgetReport `json:"reports,omitempty"`
 	Out           bool                            `json:"out,omitempty"`        // the node does not reach the store
@@ -104,7 +105,7 @@
 	if len(to) == 0 {
 		return
 	}
-	m := t.signed(message{Number: t.number, Digests: t.picker.Digests(), Out: t.out(), Reconnects: t.registry.health.Reconnects()})
+	m := t.signed(message{Number: t.number, Digests: t.picker.Digests(), Reads: t.picker.Reads(time.Now()), Out: t.out(), Reconnects: t.registry.health.Reconnects()})
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, t.reports
 	}
@@ -275,6 +276,7 @@
 		t.registry.health.Renew()
 	}
 	t.picker.Heard(m.Node, m.Digests, now)
+	t.picker.HeardReads(m.Reads)
 	if m.HasBudgets {
 		t.transfers.record(from, m.BudgetReports, now)
 	}
--- a/fleet/relay/policy/policy.go
+++ b/fleet/relay/policy/policy.go
@@ -65,7 +65,9 @@
 	MaxConnections int   // of one endpoint, for all callers together
 	Stride         int64 // tokens in one event of a stream; 0 where it has no tokens
 	Slots          int
-	KVCapacity     int64 // tokens that an endpoint keeps
+	KVCapacity     int64   // tokens that an endpoint keeps
+	TokenBytes     int64   // of a kept token, when it is moved between endpoints
+	LinkMbps       float64 // between two endpoints
 }
 
 // Tenant is a customer with keys and a prepaid budget.
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -90,7 +90,7 @@
 	life := uuid.NewString()
 	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer}
 	n.allowance = account.NewAllowance(s.Node, life, s.Budget.Tuning())
-	n.picker = choice.NewPicker(s.Zone, choice.DefaultTuning())
+	n.picker = choice.NewPicker(s.Zone, s.Choice())
 	n.registry = peer.NewRegistry(n.store, self, n.health, s.History(), l)
 	gossip, err := peer.Listen(s.Peer, n.registry, n.picker, n.allowance, func() bool { return n.syncer.Out() })
 	if err != nil {
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -28,6 +28,7 @@
 	DrainS    float64        `json:"drainS"`    // seconds that a planned stop may take
 	Retry     RetrySettings  `json:"retry"`     // the fleet's bound on what is sent again
 	Budget    BudgetSettings `json:"budget"`    // how much of the budgets a node holds
+	Disable   []string       `json:"disable"`   // mechanisms that are switched off, to measure what each is worth
 	LogLevel  string         `json:"logLevel"`  // debug, info, warn or error
 	Trace     TraceSettings  `json:"trace"`
 }
@@ -114,6 +115,7 @@
 	{Name: "leavingMs", Number: schema.Number(100, 1000*mostSeconds)},
 	{Name: "memoryMB", Number: schema.Number(0, 1<<20)},
 	{Name: "drainS", Number: schema.Number(0, mostSeconds)},
+	{Name: "disable", List: schema.OneOf(mechanismNames()...)},
 	{Name: "logLevel", Text: schema.OneOf("debug", "info", "warn", "error")},
 	{Name: "trace", Fields: []schema.Field{
 		{Name: "otlpEndpoint", Text: schema.OrEmpty(schema.URL)},
