Give back what an ended process never began to spend

Change: a row names a reserve and a hold by the VM's steady clock and boot id; the life begins the reserve only after the hold, and the next life on the VM returns it where it began before.

--- a/fleet/relay/account/encode.go
+++ b/fleet/relay/account/encode.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -12,7 +13,8 @@
 
 // ledgerForm is a ledger as it is stored.
 type ledgerForm struct {
-	Lives    [][2]string   `json:"lives"` // node and life
+	Lives    [][2]string   `json:"lives"`           // node and life
+	Holds    []holdForm    `json:"holds,omitempty"` // of each life; none where there is none
 	Accounts []accountForm `json:"accounts"`
 }
 
@@ -23,33 +25,56 @@
 	Rows   []rowForm `json:"r,omitempty"`
 }
 
-// rowForm is a row as it is stored: the index of its life, drawn, spent, granted.
-type rowForm [4]int64
+// holdForm is the hold of a life as it is stored: until when, in ms.
+type holdForm struct {
+	Boot  string `json:"b"`
+	Until int64  `json:"u"`
+}
+
+// rowForm is a row as it is stored: the index of its life, drawn, spent, granted,
+// reserve.
+type rowForm [5]int64
+
+// lifeForm tells lives apart as they are stored.
+type lifeForm struct {
+	node, life string
+	hold       Hold
+}
 
 // MarshalJSON implements json.Marshaler.
 func (b Ledger) MarshalJSON() ([]byte, error) {
 	form := ledgerForm{Lives: [][2]string{}, Accounts: make([]accountForm, 0, len(b.Accounts))}
-	index := map[[2]string]int64{}
+	index := map[lifeForm]int64{}
 	for _, a := range b.Accounts {
 		f := accountForm{Tenant: a.Tenant, Closed: [3]int64{a.ClosedDrawn, a.ClosedSpent, a.ClosedGranted}}
 		for _, r := range a.Rows {
 			if r.Drawn == 0 && r.Spent == 0 && r.Granted == 0 {
 				continue
 			}
-			life := [2]string{r.Node, r.Life}
+			life := lifeForm{node: r.Node, life: r.Life, hold: r.Hold}
 			at, ok := index[life]
 			if !ok {
 				at = int64(len(form.Lives))
 				index[life] = at
-				form.Lives = append(form.Lives, life)
+				form.Lives = append(form.Lives, [2]string{r.Node, r.Life})
+				form.Holds = append(form.Holds, holdForm{Boot: r.Hold.Boot, Until: r.Hold.Until.Milliseconds()})
 			}
-			f.Rows = append(f.Rows, rowForm{at, r.Drawn, r.Spent, r.Granted})
+			f.Rows = append(f.Rows, rowForm{at, r.Drawn, r.Spent, r.Granted, r.Reserve})
 		}
 		form.Accounts = append(form.Accounts, f)
 	}
 	return json.Marshal(form)
 }
 
+// hold is that of the life at an index; ledgers of older versions name none.
+func (f ledgerForm) hold(at int64) Hold {
+	if at >= int64(len(f.Holds)) {
+		return Hold{}
+	}
+	h := f.Holds[at]
+	return Hold{Boot: h.Boot, Until: time.Duration(h.Until) * time.Millisecond}
+}
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (b *Ledger) UnmarshalJSON(data []byte) error {
 	var form ledgerForm
@@ -64,7 +89,7 @@
 				return errors.Newf("ledger: a row of %s names life %d of %d", f.Tenant, r[0], len(form.Lives))
 			}
 			life := form.Lives[r[0]]
-			a.Rows = append(a.Rows, Row{Node: life[0], Life: life[1], Drawn: r[1], Spent: r[2], Granted: r[3]})
+			a.Rows = append(a.Rows, Row{Node: life[0], Life: life[1], Drawn: r[1], Spent: r[2], Granted: r[3], Reserve: r[4], Hold: form.hold(r[0])})
 		}
 		accounts = append(accounts, a)
 	}
--- a/fleet/relay/mechanisms.go
+++ b/fleet/relay/mechanisms.go
@@ -24,15 +24,21 @@
 	{"affinity", func(t *choice.Tuning) { t.AffinityTrust = 0 }},    // belief in the affinity target
 }
 
+// reserveMechanism is the reserve of budgets that the end of a process gives back.
+const reserveMechanism = "reserve"
+
 func mechanismNames() []string {
-	return lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name })
+	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), reserveMechanism)
 }
 
+// Enabled is whether a mechanism is not switched off.
+func (s Settings) Enabled(mechanism string) bool { return !slices.Contains(s.Disable, mechanism) }
+
 // Choice is the tuning of the choice without what the settings switch off.
 func (s Settings) Choice() choice.Tuning {
 	t := choice.DefaultTuning()
 	for _, m := range mechanisms {
-		if slices.Contains(s.Disable, m.name) {
+		if !s.Enabled(m.name) {
 			m.off(&t)
 		}
 	}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -90,6 +90,9 @@
 	life := uuid.NewString()
 	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer}
 	n.allowance = account.NewAllowance(s.Node, life, s.Budget.Tuning())
+	if s.Enabled(reserveMechanism) {
+		n.allowance.On(thisVM())
+	}
 	n.picker = choice.NewPicker(s.Zone, s.Choice())
 	n.registry = peer.NewRegistry(n.store, self, n.health, s.History(), l)
 	gossip, err := peer.Listen(s.Peer, n.registry, n.picker, n.allowance, func() bool { return n.syncer.Out() })
