--- a/fleet/relay/account/encode.go
+++ b/fleet/relay/account/encode.go
@@ -25,10 +25,11 @@
 	Rows   []rowForm `json:"r,omitempty"`
 }
 
-// holdForm is the hold of a life as it is stored: until when, in ms.
+// holdForm is the hold of a life as it is stored: from and until when, in ms.
 type holdForm struct {
-	Boot  string `json:"b"`
-	Until int64  `json:"u"`
+	Boot  string `json:"b,omitempty"`
+	From  int64  `json:"f,omitempty"`
+	Until int64  `json:"u,omitempty"`
 }
 
 // rowForm is a row as it is stored: the index of its life, drawn, spent, granted,
@@ -57,7 +58,7 @@
 				at = int64(len(form.Lives))
 				index[life] = at
 				form.Lives = append(form.Lives, [2]string{r.Node, r.Life})
-				form.Holds = append(form.Holds, holdForm{Boot: r.Hold.Boot, Until: r.Hold.Until.Milliseconds()})
+				form.Holds = append(form.Holds, holdForm{Boot: r.Hold.Boot, From: ceilMs(r.Hold.From), Until: r.Hold.Until.Milliseconds()})
 			}
 			f.Rows = append(f.Rows, rowForm{at, r.Drawn, r.Spent, r.Granted, r.Reserve})
 		}
@@ -72,9 +73,12 @@
 		return Hold{}
 	}
 	h := f.Holds[at]
-	return Hold{Boot: h.Boot, Until: time.Duration(h.Until) * time.Millisecond}
+	return Hold{Boot: h.Boot, From: time.Duration(h.From) * time.Millisecond, Until: time.Duration(h.Until) * time.Millisecond}
 }
 
+// ceilMs rounds up: what is stored of a hold lies within it.
+func ceilMs(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (b *Ledger) UnmarshalJSON(data []byte) error {
 	var form ledgerForm
--- a/fleet/relay/account/reserve.go
+++ b/fleet/relay/account/reserve.go
@@ -18,16 +18,20 @@
 	Steady func() time.Duration // goes on as long as the VM is up
 }
 
-// Hold is until when a life has promised not to begin its reserve.
+// Hold is until when a life has promised not to begin its reserve, by the VM's
+// steady clock.
 type Hold struct {
 	Boot  string
-	Until time.Duration // of the VM's steady clock
+	From  time.Duration // when it was promised
+	Until time.Duration
 }
 
 // kept is whether a life that promised this has ended before the hold did, where
-// the next life on its VM began at a time of the steady clock.
+// the next life on its VM began at a time of the steady clock. A clock that stands
+// before the promise is another one: some hosts give VMs that they start anew a
+// clock of any value, and the host's boot id in place of the VM's.
 func (h Hold) kept(boot string, began time.Duration) bool {
-	return h.Boot != "" && h.Boot == boot && began < h.Until
+	return h.Boot != "" && h.Boot == boot && h.From <= began && began < h.Until
 }
 
 // On returns the allowance with what its VM can show; it is called before any use.
@@ -60,7 +64,8 @@
 	if p.vm.Boot == "" || r.Hold <= 0 || r.Leaving {
 		return Hold{}
 	}
-	return Hold{Boot: p.vm.Boot, Until: p.vm.Steady() + r.Hold}
+	from := p.vm.Steady()
+	return Hold{Boot: p.vm.Boot, From: from, Until: from + r.Hold}
 }
 
 // atOnce is what a node wants to be free to spend until the hold is over.
