Let few nodes watch the store for all; take the reserve out again

Change: in fleets of more than 12 nodes two of each zone, with the widest links, hold the watches and answer the others' lists and watches from a cache (HTTP with JSON); store.Sourced asks them first and the store where they fail. Tests: caches, sources (end, silence, refusal, lag, history gone), peers' answers, who asks whom.

--- a/fleet/relay/account/allowance.go
+++ b/fleet/relay/account/allowance.go
@@ -12,9 +12,6 @@
 type Allowance struct {
 	node, life string
 	tuning     Tuning
-	vm         VM
-	began      time.Duration // of the VM's steady clock, when this life began
-	now        func() time.Time
 
 	mu        sync.Mutex
 	quotas    map[string]*quota
@@ -25,10 +22,8 @@
 // quota is the part of one tenant.
 type quota struct {
 	prepaid   int64
-	limit     int64     // drawn: the least of what the store may hold for this life
-	bound     int64     // the part of the limit that may be spent before the hold is over: the least of what was proposed
-	heldUntil time.Time // when the reserve may begin, by this process's steady clock; zero where there is none
-	granted   int64     // net of what peers gave: counted out here before the message left
+	limit     int64 // drawn: the least of what the store may hold for this life
+	granted   int64 // net of what peers gave: counted out here before the message left
 	spent     int64
 	reserved  int64
 	closed    bool // this life's row was closed, or may be: nothing can be spent any more
@@ -45,9 +40,16 @@
 // busy is what can't be given back, net of tokens that came from peers.
 func (p *quota) busy() int64 { return p.spent + p.reserved + p.granted }
 
+func (p *quota) free() int64 {
+	if p.closed {
+		return 0
+	}
+	return p.limit - p.busy()
+}
+
 // NewAllowance returns the empty allowance of one life of a node.
 func NewAllowance(node, life string, t Tuning) *Allowance {
-	return &Allowance{node: node, life: life, tuning: t, now: time.Now, quotas: map[string]*quota{}}
+	return &Allowance{node: node, life: life, tuning: t, quotas: map[string]*quota{}}
 }
 
 // Answer is what the allowance says to a reservation.
@@ -65,7 +67,6 @@
 	Tenant   string
 	Prepaid  int64
 	Free     int64 // can be reserved now
-	Held     int64 // the same with the reserve
 	Reserved int64
 	Pool     int64 // not drawn by anyone, by the last ledger
 	Left     int64 // of the whole budget at most, by the last ledger
@@ -94,11 +95,8 @@
 	}
 }
 
-func (p *Allowance) holding(k *quota, tenant string, now time.Time) Holding {
-	return Holding{
-		Tenant: tenant, Prepaid: k.prepaid, Free: p.free(k), Held: k.limit - k.busy(), Reserved: k.reserved, Pool: k.pool,
-		Left: k.left, Rate: k.demand.rate(now), Others: k.others,
-	}
+func (p *quota) holding(tenant string, now time.Time) Holding {
+	return Holding{Tenant: tenant, Prepaid: p.prepaid, Free: p.free(), Reserved: p.reserved, Pool: p.pool, Left: p.left, Rate: p.demand.rate(now), Others: p.others}
 }
 
 func (p *Allowance) quota(tenant string) *quota {
@@ -128,15 +126,15 @@
 }
 
 func (p *Allowance) reserve(k *quota, tokens int64) Answer {
-	if p.free(k) >= tokens {
+	if k.free() >= tokens {
 		k.reserved += tokens
 		return Reserved
 	}
 	if k.left < tokens {
 		return Exhausted
 	}
-	k.shortfall = max(k.shortfall, tokens-p.free(k))
-	p.shortfall = p.shortfall || k.pool > 0 || k.limit > k.bound
+	k.shortfall = max(k.shortfall, tokens-k.free())
+	p.shortfall = p.shortfall || k.pool > 0
 	return Insufficient
 }
 
@@ -144,7 +142,7 @@
 func (p *Allowance) State(tenant string) Holding {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.holding(p.quota(tenant), tenant, p.now())
+	h := p.quota(tenant).holding(tenant, time.Now())
 	h.Revision = p.revision
 	return h
 }
@@ -153,7 +151,7 @@
 func (p *Allowance) Missing(tenant string, tokens int64) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(tokens-p.free(p.quota(tenant)), 0)
+	return max(tokens-p.quota(tenant).free(), 0)
 }
 
 // Settle turns a reservation into what was used of it.
@@ -179,7 +177,7 @@
 	defer p.mu.Unlock()
 	all := make([]Holding, 0, len(p.quotas))
 	for tenant, k := range p.quotas {
-		all = append(all, p.holding(k, tenant, now))
+		all = append(all, k.holding(tenant, now))
 	}
 	slices.SortFunc(all, func(a, b Holding) int { return strings.Compare(a.Tenant, b.Tenant) })
 	return all
--- a/fleet/relay/account/encode.go
+++ b/fleet/relay/account/encode.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -13,8 +12,7 @@
 
 // ledgerForm is a ledger as it is stored.
 type ledgerForm struct {
-	Lives    [][2]string   `json:"lives"`           // node and life
-	Holds    []holdForm    `json:"holds,omitempty"` // of each life; none where there is none
+	Lives    [][2]string   `json:"lives"` // node and life
 	Accounts []accountForm `json:"accounts"`
 }
 
@@ -25,60 +23,33 @@
 	Rows   []rowForm `json:"r,omitempty"`
 }
 
-// holdForm is the hold of a life as it is stored: from and until when, in ms.
-type holdForm struct {
-	Boot  string `json:"b,omitempty"`
-	From  int64  `json:"f,omitempty"`
-	Until int64  `json:"u,omitempty"`
-}
-
-// rowForm is a row as it is stored: the index of its life, drawn, spent, granted,
-// reserve.
-type rowForm [5]int64
-
-// lifeForm tells lives apart as they are stored.
-type lifeForm struct {
-	node, life string
-	hold       Hold
-}
+// rowForm is a row as it is stored: the index of its life, drawn, spent, granted.
+type rowForm [4]int64
 
 // MarshalJSON implements json.Marshaler.
 func (b Ledger) MarshalJSON() ([]byte, error) {
 	form := ledgerForm{Lives: [][2]string{}, Accounts: make([]accountForm, 0, len(b.Accounts))}
-	index := map[lifeForm]int64{}
+	index := map[[2]string]int64{}
 	for _, a := range b.Accounts {
 		f := accountForm{Tenant: a.Tenant, Closed: [3]int64{a.ClosedDrawn, a.ClosedSpent, a.ClosedGranted}}
 		for _, r := range a.Rows {
 			if r.Drawn == 0 && r.Spent == 0 && r.Granted == 0 {
 				continue
 			}
-			life := lifeForm{node: r.Node, life: r.Life, hold: r.Hold}
+			life := [2]string{r.Node, r.Life}
 			at, ok := index[life]
 			if !ok {
 				at = int64(len(form.Lives))
 				index[life] = at
-				form.Lives = append(form.Lives, [2]string{r.Node, r.Life})
-				form.Holds = append(form.Holds, holdForm{Boot: r.Hold.Boot, From: ceilMs(r.Hold.From), Until: r.Hold.Until.Milliseconds()})
+				form.Lives = append(form.Lives, life)
 			}
-			f.Rows = append(f.Rows, rowForm{at, r.Drawn, r.Spent, r.Granted, r.Reserve})
+			f.Rows = append(f.Rows, rowForm{at, r.Drawn, r.Spent, r.Granted})
 		}
 		form.Accounts = append(form.Accounts, f)
 	}
 	return json.Marshal(form)
 }
 
-// hold is that of the life at an index; ledgers of older versions name none.
-func (f ledgerForm) hold(at int64) Hold {
-	if at >= int64(len(f.Holds)) {
-		return Hold{}
-	}
-	h := f.Holds[at]
-	return Hold{Boot: h.Boot, From: time.Duration(h.From) * time.Millisecond, Until: time.Duration(h.Until) * time.Millisecond}
-}
-
-// ceilMs rounds up: what is stored of a hold lies within it.
-func ceilMs(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
-
 // UnmarshalJSON implements json.Unmarshaler.
 func (b *Ledger) UnmarshalJSON(data []byte) error {
 	var form ledgerForm
@@ -93,7 +64,7 @@
 				return errors.Newf("ledger: a row of %s names life %d of %d", f.Tenant, r[0], len(form.Lives))
 			}
 			life := form.Lives[r[0]]
-			a.Rows = append(a.Rows, Row{Node: life[0], Life: life[1], Drawn: r[1], Spent: r[2], Granted: r[3], Reserve: r[4], Hold: form.hold(r[0])})
+			a.Rows = append(a.Rows, Row{Node: life[0], Life: life[1], Drawn: r[1], Spent: r[2], Granted: r[3]})
 		}
 		accounts = append(accounts, a)
 	}
--- a/fleet/relay/account/fleet.go
+++ b/fleet/relay/account/fleet.go
@@ -23,7 +23,7 @@
 	defer p.mu.Unlock()
 	reports := make(map[string]BudgetReport, len(p.quotas))
 	for tenant, k := range p.quotas {
-		if o := (BudgetReport{Free: max(p.free(k), 0), Rate: math.Round(k.demand.steady(now)), Own: k.direct}); o != (BudgetReport{}) {
+		if o := (BudgetReport{Free: max(k.free(), 0), Rate: math.Round(k.demand.steady(now)), Own: k.direct}); o != (BudgetReport{}) {
 			reports[tenant] = o
 		}
 	}
@@ -80,8 +80,8 @@
 	deficits := map[string]int64{}
 	for tenant, k := range p.quotas {
 		target := p.tuning.target(k, nodes, now) / aheadPart
-		if k.demand.known && !k.direct && target >= worthHolding*k.demand.typical() && float64(p.free(k)) < fraction*float64(target) {
-			deficits[tenant] = target - p.free(k)
+		if k.demand.known && !k.direct && target >= worthHolding*k.demand.typical() && float64(k.free()) < fraction*float64(target) {
+			deficits[tenant] = target - k.free()
 		}
 	}
 	return deficits
--- a/fleet/relay/account/ledger.go
+++ b/fleet/relay/account/ledger.go
@@ -33,8 +33,6 @@
 	Life    string
 	Drawn   int64
 	Spent   int64 // as of the last report; at most Drawn
-	Reserve int64 // of what was drawn, what this life does not begin before the hold is over
-	Hold    Hold
 	Granted int64 // handed to other nodes, less what was taken from them, as of the last report
 }
 
@@ -77,15 +75,15 @@
 }
 
 // WithClosed returns the account with the rows of ended lives moved to what is
-// closed: all they had drawn counts as spent, but for what is shown as never spent.
-func (a Account) WithClosed(ended func(Row) bool, unspent func(Row) int64) Account {
+// closed: all they had drawn counts as spent.
+func (a Account) WithClosed(ended func(Row) bool) Account {
 	rows := make([]Row, 0, len(a.Rows))
 	for _, r := range a.Rows {
 		if !ended(r) {
 			rows = append(rows, r)
 			continue
 		}
-		a.ClosedDrawn += r.Drawn - unspent(r)
+		a.ClosedDrawn += r.Drawn
 		a.ClosedSpent += r.Spent
 		a.ClosedGranted += r.Granted
 	}
@@ -93,9 +91,6 @@
 	return a
 }
 
-// nothing of a row is shown as never spent.
-func nothing(Row) int64 { return 0 }
-
 // Drawn is all that was drawn and not given back.
 func (a Account) Drawn() int64 {
 	return a.ClosedDrawn + lo.SumBy(a.Rows, func(r Row) int64 { return r.Drawn })
--- a/fleet/relay/account/propose.go
+++ b/fleet/relay/account/propose.go
@@ -17,7 +17,7 @@
 	for tenant, k := range p.quotas {
 		a := b.Account(tenant)
 		row, _ := a.Row(p.life)
-		p.saw(k, row)
+		k.limit = row.Drawn
 		k.pool = a.Pool(k.prepaid)
 		k.left = k.prepaid - a.Spent()
 		k.estimate = k.left - a.Granted()
@@ -28,59 +28,42 @@
 type Round struct {
 	Nodes   int // that draw from the ledger
 	Now     time.Time
-	All     bool          // this node draws every budget, not only those that it is asked for most
-	Hold    time.Duration // how long what is drawn as a reserve stays untouched after the write
-	Leaving bool          // it is about to end: all that is not in use goes back
+	All     bool // this node draws every budget, not only those that it is asked for most
+	Leaving bool // it is about to end: all that is not in use goes back
 }
 
 // Propose returns the ledger as this node would have it, and whether that is
-// worth a write. What it gives back or holds as a reserve is out of the allowance
-// from now on, whatever becomes of the write.
+// worth a write. What it gives back is out of the allowance from now on, whatever
+// becomes of the write.
 func (p *Allowance) Propose(b Ledger, r Round) (Ledger, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	worth := false
-	hold := p.hold(r)
-	rows := map[string]Row{}
 	for _, tenant := range p.tenants() {
 		k := p.quotas[tenant]
-		a := b.Account(tenant).WithClosed(p.isEarlierLife, p.returned)
+		a := b.Account(tenant).WithClosed(p.isEarlierLife)
 		before, known := a.Row(p.life)
 		if k.closed && !known || !r.All && !k.direct && !known {
 			continue
 		}
-		after := Row{Node: p.node, Life: p.life, Spent: k.spent, Granted: k.granted, Hold: hold}
+		after := Row{Node: p.node, Life: p.life, Spent: k.spent, Granted: k.granted}
 		after.Drawn = p.wanted(k, a, before.Drawn, r)
-		after.Reserve = p.reserveOf(k, after.Drawn, hold, r)
-		if !known && after.Drawn == 0 {
+		matters := p.matters(k, before, after)
+		if after == before && !r.Leaving || !known && after.Drawn == 0 {
 			continue
 		}
-		worth = worth || p.matters(k, before, after) || known && p.holdMatters(k, before, after, r)
-		rows[tenant] = after
-		b = b.WithAccount(a.WithRow(after))
-	}
-	if !worth && !r.Leaving {
-		return b, false
-	}
-	for tenant, row := range rows {
-		b = p.commit(b, tenant, row, r)
+		worth = worth || matters
+		k.limit = min(k.limit, after.Drawn)
+		a = a.WithRow(after)
+		if r.Leaving && k.reserved == 0 {
+			k.closed = true
+			a = a.WithClosed(func(r Row) bool { return r.Life == p.life })
+		}
+		b = b.WithAccount(a)
 	}
 	return b, worth
 }
 
-// commit bounds what is spent by a row that is about to be written, and closes it
-// where the node leaves.
-func (p *Allowance) commit(b Ledger, tenant string, row Row, r Round) Ledger {
-	k := p.quotas[tenant]
-	p.promise(k, row)
-	k.limit = min(k.limit, row.Drawn)
-	if !r.Leaving || k.reserved > 0 {
-		return b
-	}
-	k.closed = true
-	return b.WithAccount(b.Account(tenant).WithClosed(func(r Row) bool { return r.Life == p.life }, nothing))
-}
-
 // Answered notes that what reservations lacked was proposed, and the proposal
 // written or not worth a write.
 func (p *Allowance) Answered() {
--- a/fleet/relay/account/syncer.go
+++ b/fleet/relay/account/syncer.go
@@ -110,8 +110,7 @@
 // this node draws them, the store answers and there is something left to draw. It
 // returns when that is done, and soon where it takes long.
 func (k *Syncer) Draw(ctx context.Context, tenant string) {
-	h := k.allowance.State(tenant)
-	if k.Out() || h.Pool <= 0 && h.Held <= h.Free || !k.writes() && !k.allowance.DrawsDirectly(tenant) {
+	if k.Out() || k.allowance.State(tenant).Pool <= 0 || !k.writes() && !k.allowance.DrawsDirectly(tenant) {
 		return
 	}
 	done := make(chan struct{})
@@ -129,18 +128,6 @@
 	}
 }
 
-// hold is how long a reserve stays untouched after a write: the next write has
-// time to come before its end.
-func (k *Syncer) hold() time.Duration {
-	return holdPaces*max(calmPace, time.Duration(k.nodes())*calmPerNode) + holdSlack
-}
-
-// A hold outlasts so many paces, and a call to the store.
-const (
-	holdPaces = 2
-	holdSlack = 300 * time.Millisecond
-)
-
 // pace is the time between writes: the more nodes write, the longer, so that
 // they seldom collide.
 func (k *Syncer) pace(asked bool) time.Duration {
@@ -203,7 +190,7 @@
 				return err
 			}
 		}
-		next, worth := k.allowance.Propose(k.ledger, Round{Nodes: k.nodes(), Now: now, Hold: k.hold(), All: k.writes(), Leaving: leaving})
+		next, worth := k.allowance.Propose(k.ledger, Round{Nodes: k.nodes(), Now: now, All: k.writes(), Leaving: leaving})
 		if !worth && !leaving {
 			k.allowance.Answered()
 			return nil
--- a/fleet/relay/account/transfer.go
+++ b/fleet/relay/account/transfer.go
@@ -7,7 +7,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	k := p.quota(tenant)
-	free := max(p.free(k), 0)
+	free := max(k.free(), 0)
 	tokens := max(min(free, max(need, min(want, free/2))), 0)
 	k.granted += tokens
 	if k.clients > 0 && tokens < want/2 {
--- a/fleet/relay/mechanisms.go
+++ b/fleet/relay/mechanisms.go
@@ -24,11 +24,11 @@
 	{"affinity", func(t *choice.Tuning) { t.AffinityTrust = 0 }},    // belief in the affinity target
 }
 
-// reserveMechanism is the reserve of budgets that the end of a process gives back.
-const reserveMechanism = "reserve"
+// delegatesMechanism is that some nodes watch the store for the others.
+const delegatesMechanism = "delegates"
 
 func mechanismNames() []string {
-	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), reserveMechanism)
+	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism)
 }
 
 // Enabled is whether a mechanism is not switched off.
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -1,20 +1,25 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
 // Digests are told this often, to so many peers at a time.
@@ -50,6 +55,8 @@
 	out         func() bool // whether this node does not reach the store
 	writes      atomic.Bool
 	writerCount atomic.Int64
+	sources     atomic.Pointer[[]store.Source]
+	client      *http.Client
 	reports     map[string]account.BudgetReport // as of the last budgets
 
 	mu    sync.Mutex
@@ -70,7 +77,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	return &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), address: address, out: out}, nil
+	return &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), address: address, out: out, client: sourceClient()}, nil
 }
 
 // Close gives the socket up, where Run is not called.
@@ -135,6 +142,7 @@
 	}
 	t.writes.Store(writers[self.Name])
 	t.writerCount.Store(int64(len(writers)))
+	t.sources.Store(t.sourcesOf(writers, near))
 	if !writers[self.Name] {
 		t.transfers.allowance.Fleets(t.transfers.fleets(nil, 1, now), now)
 		t.requestAhead(lo.Ternary(len(near) > 0, near, any))
@@ -152,6 +160,31 @@
 	return reports
 }
 
+// sourcesOf lists the nodes of the zone that watch the store for this one, in the
+// order in which it asks them, which spreads askers; none where it watches itself.
+func (t *Gossip) sourcesOf(writers map[string]bool, near []Member) *[]store.Source {
+	self := t.registry.self.Name
+	sources := []store.Source{}
+	if writers[self] {
+		return &sources
+	}
+	order := slices.Clone(near)
+	rank := func(m Member) uint64 { return xxhash.Sum64String(self + m.Name) }
+	slices.SortFunc(order, func(a, b Member) int { return cmp.Compare(rank(a), rank(b)) })
+	for _, m := range order {
+		sources = append(sources, store.Source{Name: m.Name, Reader: Remote{client: t.client, address: m.Address}})
+	}
+	return &sources
+}
+
+// Sources lists the nodes that this one asks in the store's place.
+func (t *Gossip) Sources() []store.Source {
+	if s := t.sources.Load(); s != nil {
+		return *s
+	}
+	return nil
+}
+
 // WriterCount is how many nodes write the ledger, this one's own view.
 func (t *Gossip) WriterCount() int { return int(t.writerCount.Load()) }
 
@@ -272,7 +305,7 @@
 	if old {
 		return
 	}
-	if before.life == m.Life && m.Reconnects > before.reconnects {
+	if before.life == m.Life && m.Reconnects > before.reconnects && len(t.Sources()) == 0 {
 		t.registry.health.Renew()
 	}
 	t.picker.Heard(m.Node, m.Digests, now)
--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -21,10 +21,11 @@
 
 // Member is one node as it registers.
 type Member struct {
-	Name    string `json:"name"`
-	Life    string `json:"life"` // differs for each start
-	Zone    string `json:"zone"`
-	Address string `json:"address"` // for datagrams, IP:PORT
+	Name     string  `json:"name"`
+	Life     string  `json:"life"` // differs for each start
+	Zone     string  `json:"zone"`
+	Address  string  `json:"address"`            // for datagrams and for lists and watches, IP:PORT
+	LinkMbps float64 `json:"linkMbps,omitempty"` // of its VM; 0 is not known
 }
 
 // Registry is the nodes that the store lists.
@@ -52,10 +53,14 @@
 // Count is how many nodes there are, this one included.
 func (r *Registry) Count() int { return len(r.Members()) }
 
-// Run registers this node and follows the others until ctx ends.
-func (r *Registry) Run(ctx context.Context) {
+// Run registers this node and follows the others until ctx ends; seen takes each
+// change too.
+func (r *Registry) Run(ctx context.Context, seen func(store.Change)) {
 	go r.register(ctx)
-	store.Follow(ctx, r.store, store.Watching{Kind: Kind, Rest: registryRest, History: r.history, Health: r.health}, r.apply)
+	store.Follow(ctx, r.store, store.Watching{Kind: Kind, Rest: registryRest, History: r.history, Health: r.health}, func(c store.Change) {
+		seen(c)
+		r.apply(c)
+	})
 }
 
 // registryRest is how long the list of nodes may lag behind.
--- /dev/null
+++ b/fleet/relay/peer/source.go
@@ -0,0 +1,179 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// Nodes that watch the store pass on what they see of it to those that do not,
+// by HTTP with JSON on the address of their datagrams.
+
+// objectsPath is where a node answers for the store; the kind follows.
+const objectsPath = "/objects/"
+
+// answer is the form of a list or a run of events.
+type objectsAnswer struct {
+	Revision int64        `json:"revision"`
+	Objects  []objectForm `json:"objects,omitempty"`
+	Events   []changeForm `json:"events,omitempty"`
+}
+
+type objectForm struct {
+	Name     string          `json:"name"`
+	Revision int64           `json:"revision"`
+	Data     json.RawMessage `json:"data,omitempty"`
+}
+
+type changeForm struct {
+	Object objectForm `json:"object"`
+	Gone   bool       `json:"gone,omitempty"`
+}
+
+func formOf(o store.Object) objectForm {
+	return objectForm{Name: o.Name, Revision: o.Revision, Data: o.Data}
+}
+
+func (f objectForm) object(kind string) store.Object {
+	return store.Object{Kind: kind, Name: f.Name, Revision: f.Revision, Data: f.Data}
+}
+
+// mostWait bounds how long a peer's watch waits.
+const mostWait = 5 * time.Second
+
+// CacheHandler answers peers' lists and watches from this node's caches, by kind.
+func CacheHandler(caches map[string]*store.Cache) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+objectsPath+"{kind}", func(w http.ResponseWriter, r *http.Request) {
+		cache, ok := caches[r.PathValue("kind")]
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		serveCache(w, r, cache)
+	})
+	return mux
+}
+
+func serveCache(w http.ResponseWriter, r *http.Request, cache *store.Cache) {
+	answer, err := askCache(r, cache)
+	switch {
+	case errors.Is(err, store.ErrCompacted):
+		w.WriteHeader(http.StatusGone)
+	case errors.Is(err, store.ErrUnfit):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case err != nil:
+		w.WriteHeader(http.StatusBadRequest)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(answer) // a peer that left reads no answer
+	}
+}
+
+// askCache lists, or watches where the query names a revision.
+func askCache(r *http.Request, cache *store.Cache) (objectsAnswer, error) {
+	var answer objectsAnswer
+	query := r.URL.Query()
+	if !query.Has("since") {
+		objects, at, err := cache.List()
+		answer.Revision = at
+		for _, o := range objects {
+			answer.Objects = append(answer.Objects, formOf(o))
+		}
+		return answer, err
+	}
+	since, err := strconv.ParseInt(query.Get("since"), 10, 64)
+	if err != nil {
+		return answer, errors.Wrap(err, "since")
+	}
+	ms, err := strconv.ParseInt(query.Get("waitMs"), 10, 64)
+	if err != nil {
+		return answer, errors.Wrap(err, "waitMs")
+	}
+	wait := min(max(time.Duration(ms)*time.Millisecond, 0), mostWait)
+	events, at, err := cache.Watch(r.Context(), since, wait)
+	answer.Revision = at
+	for _, e := range events {
+		answer.Events = append(answer.Events, changeForm{Object: formOf(e.Object), Gone: e.Gone})
+	}
+	return answer, err
+}
+
+// Remote asks one peer in the store's place.
+type Remote struct {
+	client  *http.Client
+	address string
+}
+
+var _ store.Reader = Remote{}
+
+// sourceClient is the client to peers' caches; each call bounds itself.
+func sourceClient() *http.Client {
+	dialer := &net.Dialer{Timeout: sourceDial, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}}
+}
+
+const (
+	sourceDial = 300 * time.Millisecond
+	mostAnswer = 8 << 20 // bytes of a peer's answer
+)
+
+// List implements store.Reader.
+func (r Remote) List(ctx context.Context, kind string) ([]store.Object, int64, error) {
+	answer, err := r.get(ctx, kind, nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	objects := make([]store.Object, 0, len(answer.Objects))
+	for _, o := range answer.Objects {
+		objects = append(objects, o.object(kind))
+	}
+	return objects, answer.Revision, nil
+}
+
+// Watch implements store.Reader.
+func (r Remote) Watch(ctx context.Context, kind string, since int64, wait time.Duration) ([]store.Event, int64, error) {
+	answer, err := r.get(ctx, kind, url.Values{"since": {strconv.FormatInt(since, 10)}, "waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}})
+	if err != nil {
+		return nil, 0, err
+	}
+	events := make([]store.Event, 0, len(answer.Events))
+	for _, e := range answer.Events {
+		events = append(events, store.Event{Object: e.Object.object(kind), Gone: e.Gone})
+	}
+	return events, answer.Revision, nil
+}
+
+func (r Remote) get(ctx context.Context, kind string, query url.Values) (objectsAnswer, error) {
+	var answer objectsAnswer
+	target := url.URL{Scheme: "http", Host: r.address, Path: objectsPath + kind, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return answer, errors.Wrapf(err, "ask peer %s", r.address)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return answer, errors.Wrapf(err, "ask peer %s", r.address)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusGone:
+		return answer, store.ErrCompacted
+	case http.StatusServiceUnavailable:
+		return answer, errors.Wrapf(store.ErrUnfit, "peer %s", r.address)
+	default:
+		return answer, errors.Newf("peer %s: status %d", r.address, resp.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, mostAnswer)).Decode(&answer)
+	return answer, errors.Wrapf(err, "answer of peer %s", r.address)
+}
--- /dev/null
+++ b/fleet/relay/peer/source_test.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// remoteTo returns a remote whose peer answers from a cache.
+func remoteTo(t *testing.T, cache *store.Cache) Remote {
+	t.Helper()
+	server := httptest.NewServer(CacheHandler(map[string]*store.Cache{"k": cache}))
+	t.Cleanup(server.Close)
+	return Remote{client: sourceClient(), address: strings.TrimPrefix(server.URL, "http://")}
+}
+
+func TestAPeerAnswersForTheStore(t *testing.T) {
+	ctx := context.Background()
+	cache := store.NewCache()
+	r := remoteTo(t, cache)
+	_, _, err := r.List(ctx, "k")
+	assert.ErrorIs(t, err, store.ErrUnfit)
+	_, _, err = r.List(ctx, "other")
+	assert.ErrorContains(t, err, "status 404")
+
+	o := store.Object{Kind: "k", Name: "n", Revision: 4, Data: json.RawMessage(`{"a":1}`)}
+	cache.Apply(store.Snapshot{Objects: []store.Object{o}, Revision: 4}, true)
+	objects, at, err := r.List(ctx, "k")
+	require.NoError(t, err)
+	assert.Equal(t, []store.Object{o}, objects)
+	assert.Equal(t, int64(4), at)
+
+	cache.Apply(store.Update{Events: []store.Event{{Object: store.Object{Name: "n"}, Gone: true}}, Revision: 6}, true)
+	events, at, err := r.Watch(ctx, "k", 4, time.Second)
+	require.NoError(t, err)
+	assert.Equal(t, []store.Event{{Object: store.Object{Kind: "k", Name: "n"}, Gone: true}}, events)
+	assert.Equal(t, int64(6), at)
+	_, at, err = r.Watch(ctx, "k", 6, 10*time.Millisecond)
+	require.NoError(t, err)
+	assert.Equal(t, int64(6), at)
+	_, _, err = r.Watch(ctx, "k", 3, time.Second)
+	assert.ErrorIs(t, err, store.ErrCompacted)
+	cache.Apply(store.Lost{Err: errors.New("lost")}, true)
+	_, _, err = r.Watch(ctx, "k", 6, time.Second)
+	assert.ErrorIs(t, err, store.ErrUnfit)
+}
+
+func TestAPeersOddQuestionsAreRefused(t *testing.T) {
+	cache := store.NewCache()
+	cache.Apply(store.Snapshot{Revision: 1}, true)
+	handler := CacheHandler(map[string]*store.Cache{"k": cache})
+	for _, target := range []string{"/objects/k?since=x&waitMs=1", "/objects/k?since=1&waitMs=soon", "/objects/k?since="} {
+		answer := httptest.NewRecorder()
+		handler.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, target, nil))
+		assert.Equal(t, http.StatusBadRequest, answer.Code, target)
+	}
+}
+
+// In a large fleet a node that does not watch asks the nodes of its zone that do,
+// and these ask nobody.
+func TestNodesAskTheWatchersOfTheirZone(t *testing.T) {
+	all := members(73)
+	writers := Writers(all, func() []Member { return all })
+	for _, self := range all {
+		var near []Member
+		for _, m := range all {
+			if writers[m.Name] && m.Zone == self.Zone && m.Name != self.Name {
+				near = append(near, m)
+			}
+		}
+		g := gossipOf(self.Name, all)
+		sources := *g.sourcesOf(writers, near)
+		if writers[self.Name] {
+			assert.Empty(t, sources)
+			continue
+		}
+		assert.Len(t, sources, zoneWriters)
+		for _, s := range sources {
+			assert.True(t, writers[s.Name])
+		}
+	}
+}
+
+// Those with the widest links watch for others.
+func TestWideLinksWatchForOthers(t *testing.T) {
+	all := members(73)
+	for i := range all {
+		all[i].LinkMbps = 10
+		if i%9 == 0 {
+			all[i].LinkMbps = 200
+		}
+	}
+	writers := Writers(all, func() []Member { return all })
+	for _, m := range all {
+		if writers[m.Name] {
+			assert.Equal(t, 200.0, m.LinkMbps)
+		}
+	}
+}
--- a/fleet/relay/peer/writers.go
+++ b/fleet/relay/peer/writers.go
@@ -17,7 +17,8 @@
 	refillBelow  = 0.6
 )
 
-// Writers names the members that write the ledger; fit picks, in a large fleet,
+// Writers names the members that write the ledger and watch the store for others:
+// those with the widest links, since many ask them; fit picks, in a large fleet,
 // those that may.
 func Writers(members []Member, fit func() []Member) map[string]bool {
 	writers := make(map[string]bool, len(members))
@@ -30,7 +31,7 @@
 	members = fit()
 	sorted := slices.Clone(members)
 	slices.SortFunc(sorted, func(a, b Member) int {
-		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
 	})
 	inZone := map[string]int{}
 	for _, m := range sorted {
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -45,7 +45,8 @@
 type Node struct {
 	settings Settings
 	adapter  Adapter
-	store    store.Store // the adapter's, counted
+	store    *store.Sourced          // the adapter's, counted; other nodes answer for it in a large fleet
+	caches   map[string]*store.Cache // by kind, for peers that ask this node
 	health   *store.Health
 	log      log.Interface
 
@@ -86,13 +87,10 @@
 	if err := n.measure(); err != nil {
 		return nil, err
 	}
-	n.store = store.Counted(a.Store(), n.metrics)
+	n.store = store.NewSourced(store.Counted(a.Store(), n.metrics), n.sources)
 	life := uuid.NewString()
-	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer}
+	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps}
 	n.allowance = account.NewAllowance(s.Node, life, s.Budget.Tuning())
-	if s.Enabled(reserveMechanism) {
-		n.allowance.On(thisVM())
-	}
 	n.picker = choice.NewPicker(s.Zone, s.Choice())
 	n.registry = peer.NewRegistry(n.store, self, n.health, s.History(), l)
 	gossip, err := peer.Listen(s.Peer, n.registry, n.picker, n.allowance, func() bool { return n.syncer.Out() })
@@ -146,10 +144,17 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for the balancer at %s", n.settings.Ready.Address)
 	}
+	peers, err := net.Listen("tcp4", n.settings.Peer)
+	if err != nil {
+		_ = balancer.Close()
+		return errors.Wrapf(err, "listen for peers at %s", n.settings.Peer)
+	}
 	n.follow(ctx)
+	asked := &http.Server{Handler: peer.CacheHandler(n.caches), ReadHeaderTimeout: headerTimeout}
 	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	go func() { failed <- n.ingress.Serve() }()
+	go func() { failed <- asked.Serve(peers) }()
 	go func() { failed <- ready.Serve(balancer) }()
 	n.log.WithField("zone", n.settings.Zone).WithField("listen", n.settings.Listen).Info("started")
 	select {
@@ -158,23 +163,42 @@
 	}
 	_ = n.ingress.Close()
 	_ = ready.Close()
+	_ = asked.Close()
 	closing, done := context.WithTimeout(context.Background(), handBack)
 	defer done()
 	return errors.CombineErrors(err, n.telemetry.Close(closing))
 }
 
+// follow keeps up with what the store holds, and with the other nodes.
 func (n *Node) follow(ctx context.Context) {
-	s := n.store
 	kind, name := n.adapter.PolicyAt()
+	n.caches = map[string]*store.Cache{kind: store.NewCache(), n.adapter.EngineKind(): store.NewCache(), peer.Kind: store.NewCache()}
 	policies := store.Watching{Kind: kind, Rest: part(policyRestPart, n.settings.Apply()), History: n.settings.History(), Health: n.health, Leads: true, Longest: n.longestWatch}
-	go store.Follow(ctx, s, policies, func(c store.Change) { n.applyPolicy(name, c) })
+	go store.Follow(ctx, n.store, policies, n.cached(kind, func(c store.Change) { n.applyPolicy(name, c) }))
 	engines := store.Watching{Kind: n.adapter.EngineKind(), Rest: part(engineRestPart, n.settings.EndpointDrain()), History: n.settings.History(), Health: n.health}
-	go store.Follow(ctx, s, engines, newEngineTable(n).apply)
-	go n.registry.Run(ctx)
+	go store.Follow(ctx, n.store, engines, n.cached(n.adapter.EngineKind(), newEngineTable(n).apply))
+	go n.registry.Run(ctx, n.cached(peer.Kind, func(store.Change) {}))
 	go n.gossip.Run(ctx)
 	go n.syncer.Run(ctx)
 }
 
+// cached hands a follower's changes to the cache of its kind, too.
+func (n *Node) cached(kind string, apply func(store.Change)) func(store.Change) {
+	cache := n.caches[kind]
+	return func(c store.Change) {
+		apply(c)
+		cache.Apply(c, n.store.Direct(kind))
+	}
+}
+
+// sources are the nodes that this one asks in the store's place.
+func (n *Node) sources() []store.Source {
+	if n.gossip == nil || !n.settings.Enabled(delegatesMechanism) {
+		return nil
+	}
+	return n.gossip.Sources()
+}
+
 // longestWatch bounds the watch that leads on nodes that write the ledger, so that
 // these feel a silent store in time and tell the others.
 func (n *Node) longestWatch() time.Duration {
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -24,6 +24,7 @@
 	ContactMs float64        `json:"contactMs"` // after an outage of the store, how soon all that it says has to be in force again
 	ApplyMs   float64        `json:"applyMs"`   // how soon an accepted policy has to be in force
 	LeavingMs float64        `json:"leavingMs"` // how soon an endpoint that leaves must get no new work
+	LinkMbps  float64        `json:"linkMbps"`  // of the VM; 0 is not known
 	MemoryMB  float64        `json:"memoryMB"`  // what the process may use; 0 is no bound
 	DrainS    float64        `json:"drainS"`    // seconds that a planned stop may take
 	Retry     RetrySettings  `json:"retry"`     // the fleet's bound on what is sent again
@@ -113,6 +114,7 @@
 	{Name: "contactMs", Number: schema.Number(100, 1000*mostSeconds)},
 	{Name: "applyMs", Number: schema.Number(100, 1000*mostSeconds)},
 	{Name: "leavingMs", Number: schema.Number(100, 1000*mostSeconds)},
+	{Name: "linkMbps", Number: schema.Number(0, 1<<20)},
 	{Name: "memoryMB", Number: schema.Number(0, 1<<20)},
 	{Name: "drainS", Number: schema.Number(0, mostSeconds)},
 	{Name: "disable", List: schema.OneOf(mechanismNames()...)},
--- /dev/null
+++ b/fleet/relay/store/cache.go
@@ -0,0 +1,131 @@
+package store
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrUnfit says that a cache can't answer for the store: it follows somebody
+// else's word, or lost the store.
+var ErrUnfit = errors.New("store: the cache does not follow the store now")
+
+// cacheEvents is how many changes a cache keeps for watches that go on from an
+// older revision.
+const cacheEvents = 512
+
+// Cache holds what a follower handed on of one kind, and answers lists and
+// watches from it, so that nodes which do not watch the store learn of changes
+// from one that does. It is safe for concurrent use.
+type Cache struct {
+	mu       sync.Mutex
+	fit      bool // it follows the store, and has it
+	objects  map[string]Object
+	revision int64
+	floor    int64 // events up to here are not kept
+	events   []cachedEvent
+	changed  chan struct{} // closed at the next change
+}
+
+type cachedEvent struct {
+	Event
+	at int64 // revision of the update that brought it
+}
+
+// NewCache returns a cache that knows nothing yet.
+func NewCache() *Cache {
+	return &Cache{objects: map[string]Object{}, changed: make(chan struct{})}
+}
+
+// Apply takes in a follower's change; direct is whether it came from the store
+// itself.
+func (c *Cache) Apply(change Change, direct bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch change := change.(type) {
+	case Snapshot:
+		c.fit = direct
+		c.objects = map[string]Object{}
+		for _, o := range change.Objects {
+			c.objects[o.Name] = o
+		}
+		c.revision, c.floor, c.events = change.Revision, change.Revision, nil
+	case Update:
+		c.fit = direct
+		c.revision = change.Revision
+		for _, e := range change.Events {
+			c.apply(e)
+		}
+	case Lost:
+		c.fit = false
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *Cache) apply(e Event) {
+	if e.Gone {
+		delete(c.objects, e.Object.Name)
+	} else {
+		c.objects[e.Object.Name] = e.Object
+	}
+	c.events = append(c.events, cachedEvent{Event: e, at: c.revision})
+	if extra := len(c.events) - cacheEvents; extra > 0 {
+		c.floor = c.events[extra-1].at
+		c.events = c.events[extra:]
+	}
+}
+
+// List returns all objects and their revision.
+func (c *Cache) List() ([]Object, int64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.fit {
+		return nil, 0, ErrUnfit
+	}
+	objects := make([]Object, 0, len(c.objects))
+	for _, o := range c.objects {
+		objects = append(objects, o)
+	}
+	return objects, c.revision, nil
+}
+
+// Watch waits at most wait for changes after a revision, as a store does.
+func (c *Cache) Watch(ctx context.Context, since int64, wait time.Duration) ([]Event, int64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		events, at, changed, err := c.after(since)
+		if err != nil || len(events) > 0 {
+			return events, at, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, max(at, since), nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// after returns the events after a revision, and what closes at the next change.
+func (c *Cache) after(since int64) ([]Event, int64, <-chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.fit:
+		return nil, 0, nil, ErrUnfit
+	case since < c.floor:
+		return nil, 0, nil, ErrCompacted
+	}
+	var events []Event
+	for _, e := range c.events {
+		if e.at > since {
+			events = append(events, e.Event)
+		}
+	}
+	return events, c.revision, c.changed, nil
+}
--- /dev/null
+++ b/fleet/relay/store/sourced_test.go
@@ -0,0 +1,205 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+func named(names ...string) []store.Object {
+	var all []store.Object
+	for _, n := range names {
+		all = append(all, store.Object{Name: n, Revision: 1})
+	}
+	return all
+}
+
+// A cache answers as the store that it follows would, and not at all where it
+// follows somebody else's word or lost the store.
+func TestACacheAnswersForItsStore(t *testing.T) {
+	changed := store.Update{Events: []store.Event{{Object: store.Object{Name: "c", Revision: 7}}, {Object: store.Object{Name: "a"}, Gone: true}}, Revision: 7}
+	snapshot := store.Snapshot{Objects: named("a", "b"), Revision: 5}
+	cases := []struct {
+		name    string
+		changes []store.Change
+		direct  bool
+		since   int64
+		listed  []string // nil: refused
+		events  []string
+		at      int64
+		err     error
+	}{
+		{"nothing yet", nil, true, 5, nil, nil, 0, store.ErrUnfit},
+		{"listed", []store.Change{snapshot}, true, 5, []string{"a", "b"}, nil, 5, nil},
+		{"changed", []store.Change{snapshot, changed}, true, 5, []string{"b", "c"}, []string{"c", "a gone"}, 7, nil},
+		{"nothing newer", []store.Change{snapshot, changed}, true, 7, []string{"b", "c"}, nil, 7, nil},
+		{"asked by one that is further", []store.Change{snapshot}, true, 9, []string{"a", "b"}, nil, 9, nil},
+		{"older than the list", []store.Change{snapshot}, true, 4, []string{"a", "b"}, nil, 0, store.ErrCompacted},
+		{"a peer's word", []store.Change{snapshot}, false, 5, nil, nil, 0, store.ErrUnfit},
+		{"the store is lost", []store.Change{snapshot, store.Lost{Err: errors.New("lost")}}, true, 5, nil, nil, 0, store.ErrUnfit},
+		{"and back", []store.Change{snapshot, store.Lost{Err: errors.New("lost")}, changed}, true, 5, []string{"b", "c"}, []string{"c", "a gone"}, 7, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cache := store.NewCache()
+				for _, change := range c.changes {
+					cache.Apply(change, c.direct)
+				}
+				objects, _, err := cache.List()
+				assert.Equal(t, c.listed == nil, errors.Is(err, store.ErrUnfit))
+				assert.ElementsMatch(t, c.listed, namesOf(objects))
+				events, at, err := cache.Watch(t.Context(), c.since, time.Second)
+				assert.ErrorIs(t, err, c.err)
+				assert.Equal(t, c.events, eventNames(events))
+				assert.Equal(t, c.at, at)
+			})
+		})
+	}
+}
+
+func namesOf(objects []store.Object) []string {
+	var names []string
+	for _, o := range objects {
+		names = append(names, o.Name)
+	}
+	return names
+}
+
+func eventNames(events []store.Event) []string {
+	var names []string
+	for _, e := range events {
+		name := e.Object.Name
+		if e.Gone {
+			name += " gone"
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+// A watch that waits hears of a change at once, and that the store was lost.
+func TestACacheWakesThoseWhoWait(t *testing.T) {
+	cases := []struct {
+		name   string
+		change store.Change
+		err    error
+	}{
+		{"a change", store.Update{Events: []store.Event{{Object: store.Object{Name: "c"}}}, Revision: 6}, nil},
+		{"the store is lost", store.Lost{Err: errors.New("lost")}, store.ErrUnfit},
+		{"listed anew", store.Snapshot{Objects: named("a"), Revision: 9}, store.ErrCompacted},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cache := store.NewCache()
+				cache.Apply(store.Snapshot{Revision: 5}, true)
+				go func() {
+					time.Sleep(300 * time.Millisecond)
+					cache.Apply(c.change, true)
+				}()
+				began := time.Now()
+				_, _, err := cache.Watch(t.Context(), 5, 10*time.Second)
+				assert.ErrorIs(t, err, c.err)
+				assert.Equal(t, 300*time.Millisecond, time.Since(began))
+			})
+		})
+	}
+}
+
+func TestACacheForgetsOldEvents(t *testing.T) {
+	cache := store.NewCache()
+	cache.Apply(store.Snapshot{Revision: 1}, true)
+	for i := range int64(2000) {
+		cache.Apply(store.Update{Events: []store.Event{{Object: store.Object{Name: fmt.Sprint(i % 3), Revision: i + 2}}}, Revision: i + 2}, true)
+	}
+	_, _, err := cache.Watch(t.Context(), 1, time.Millisecond)
+	assert.ErrorIs(t, err, store.ErrCompacted)
+	events, at, err := cache.Watch(t.Context(), 1900, time.Millisecond)
+	assert.NoError(t, err)
+	assert.Equal(t, int64(2001), at)
+	assert.Len(t, events, 101)
+}
+
+// asked is a reader that notes its calls, and may fail, hang or lag behind.
+type asked struct {
+	store.Store
+	name  string
+	calls *[]string
+	mu    *sync.Mutex
+	err   error
+	hangs bool
+}
+
+func (a asked) answer(ctx context.Context, wait time.Duration) error {
+	a.mu.Lock()
+	*a.calls = append(*a.calls, a.name)
+	a.mu.Unlock()
+	if a.hangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if a.err == nil {
+		time.Sleep(wait)
+	}
+	return a.err
+}
+
+func (a asked) List(ctx context.Context, _ string) ([]store.Object, int64, error) {
+	return nil, 3, a.answer(ctx, 0)
+}
+
+func (a asked) Watch(ctx context.Context, _ string, since int64, wait time.Duration) ([]store.Event, int64, error) {
+	return nil, since, a.answer(ctx, wait)
+}
+
+// The first source that has not failed lately is asked, and the store where it
+// fails, so that one source's end costs a bounded time and no version goes back.
+func TestSourcesAreAskedInTheStoresPlace(t *testing.T) {
+	refused := errors.Wrap(store.ErrUnfit, "peer")
+	cases := []struct {
+		name    string
+		a, b    asked
+		sources int
+		rounds  int
+		want    []string
+		direct  bool
+		most    time.Duration // that all rounds take
+	}{
+		{"none named", asked{}, asked{}, 0, 1, []string{"store"}, true, 8 * time.Second},
+		{"the first", asked{}, asked{}, 2, 2, []string{"a", "a"}, false, 2 * time.Second},
+		{"the first refuses", asked{err: refused}, asked{}, 2, 2, []string{"a", "store", "b"}, false, 9 * time.Second},
+		{"the first hangs", asked{hangs: true}, asked{}, 2, 2, []string{"a", "store", "b"}, false, 11 * time.Second},
+		{"both fail", asked{err: refused}, asked{err: refused}, 2, 3, []string{"a", "store", "b", "store", "a", "store"}, true, 24 * time.Second},
+		{"its history is gone", asked{err: store.ErrCompacted}, asked{}, 2, 1, []string{"a"}, false, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var calls []string
+				var mu sync.Mutex
+				readers := []store.Source{}
+				for i, r := range []asked{c.a, c.b} {
+					r.name, r.calls, r.mu = string(rune('a'+i)), &calls, &mu
+					readers = append(readers, store.Source{Name: r.name, Reader: r})
+				}
+				s := store.NewSourced(asked{name: "store", calls: &calls, mu: &mu}, func() []store.Source { return readers[:c.sources] })
+				began := time.Now()
+				for range c.rounds {
+					_, _, _ = s.Watch(t.Context(), "kind", 5, 8*time.Second)
+				}
+				assert.Equal(t, c.want, calls)
+				assert.Equal(t, c.direct, s.Direct("kind"))
+				assert.LessOrEqual(t, time.Since(began), c.most)
+			})
+		})
+	}
+}
