Send nothing more to a life of an endpoint that has ended

Change: a 421 says that the life meant is never back; it gets nothing any more, from this node and those that it tells. Test: TestALifeThatEndedGetsNothing.

--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -111,7 +111,7 @@
 			continue
 		}
 		s := p.endpoint(e, r.Profile.Capacity)
-		if s.inFlight >= r.Cap || (!suspects && r.Now.Before(s.suspected)) {
+		if s.gone || s.inFlight >= r.Cap || (!suspects && r.Now.Before(s.suspected)) {
 			continue
 		}
 		t := p.weigh(r, e, s, affinity, source)
--- a/fleet/relay/choice/choice_test.go
+++ b/fleet/relay/choice/choice_test.go
@@ -120,6 +120,26 @@
 	}
 }
 
+// A life of an endpoint that has ended gets nothing any more, also where nothing
+// else is left, from this node and from those that it tells.
+func TestALifeThatEndedGetsNothing(t *testing.T) {
+	now := time.Now()
+	one, two := choice.NewPicker("z0", choice.DefaultTuning()), choice.NewPicker("z1", choice.DefaultTuning())
+	r := ask(prompt("a", "s"), engines(1), now)
+	placement, ok := one.Pick(r)
+	require.True(t, ok)
+	placement.Close(choice.Gone, now)
+	later := r
+	later.Now = now.Add(time.Minute)
+	_, ok = one.Pick(later)
+	assert.False(t, ok)
+	_, ok = two.Pick(r)
+	assert.True(t, ok, "a node that was not told")
+	two.Heard("one", one.Digests(), now)
+	_, ok = two.Pick(later)
+	assert.False(t, ok)
+}
+
 func TestSuspectsServeWhereNothingElseIsLeft(t *testing.T) {
 	now := time.Now()
 	p := choice.NewPicker("z0", choice.DefaultTuning())
--- a/fleet/relay/choice/digest.go
+++ b/fleet/relay/choice/digest.go
@@ -14,6 +14,7 @@
 	Waiting  int64     `json:"w,omitempty"`
 	Paused   float64   `json:"p,omitempty"` // share of its streams that paused for too long
 	Streams  float64   `json:"s,omitempty"` // how many streams that share is of, those long ago less
+	Gone     bool      `json:"g,omitempty"` // its life has ended
 	At       time.Time `json:"-"`
 }
 
@@ -78,8 +79,8 @@
 	defer p.mu.Unlock()
 	all := map[string]Digest{}
 	for id, s := range p.endpoints {
-		if s.inFlight > 0 || s.pauses.mean() > 1/precision {
-			all[id] = Digest{InFlight: s.inFlight, Waiting: s.waiting, Paused: rounded(s.pauses.mean()), Streams: rounded(s.pauses.weight)}
+		if s.inFlight > 0 || s.gone || s.pauses.mean() > 1/precision {
+			all[id] = Digest{InFlight: s.inFlight, Waiting: s.waiting, Paused: rounded(s.pauses.mean()), Streams: rounded(s.pauses.weight), Gone: s.gone}
 		}
 	}
 	return all
@@ -106,7 +107,9 @@
 	}
 	for id, d := range digests {
 		d.At = now
-		p.endpoint(engine.Engine{ID: id}, 0).peers[peer] = d
+		s := p.endpoint(engine.Engine{ID: id}, 0)
+		s.peers[peer] = d
+		s.gone = s.gone || d.Gone
 	}
 }
 
--- a/fleet/relay/choice/endpoint.go
+++ b/fleet/relay/choice/endpoint.go
@@ -18,6 +18,7 @@
 	loadAt    time.Time
 	failures  int
 	suspected time.Time // until then it is avoided
+	gone      bool      // its life has ended, by its successor's word to this node or a peer
 	speed     speed
 	pauses    average // share of streams that paused for too long, lately
 }
--- a/fleet/relay/choice/placement.go
+++ b/fleet/relay/choice/placement.go
@@ -113,6 +113,7 @@
 	Good     Result = iota
 	Rejected        // refused as full
 	Bad             // failed, broke off or could not be reached
+	Gone            // another endpoint has the address: this one, one life of it, is never back
 	Neutral         // says nothing about the endpoint
 )
 
@@ -148,6 +149,8 @@
 	case Bad:
 		e.failures++
 		e.suspected = now.Add(suspect * time.Duration(min(e.failures, mostFailures)))
+	case Gone:
+		e.gone = true
 	case Neutral:
 	}
 }
--- a/fleet/relay/choice/source.go
+++ b/fleet/relay/choice/source.go
@@ -36,7 +36,7 @@
 	for id := range p.holders[shared[0].ID] {
 		e, listed := find(r.Engines, id)
 		s := p.endpoints[id]
-		if !listed || s == nil || r.Now.Before(s.suspected) || e.State != engine.Ready {
+		if !listed || s == nil || s.gone || r.Now.Before(s.suspected) || e.State != engine.Ready {
 			continue
 		}
 		tokens := int64(0)
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -12,7 +12,10 @@
 type neverSent struct{ err error }
 
 // rejected: the endpoint's own word that the call did not run there.
-type rejected struct{ status int }
+type rejected struct {
+	status int
+	moved  bool // another endpoint has the address
+}
 
 // failed: the call may have run, and there is no answer to pass on.
 type failed struct{ err error }
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -109,7 +109,7 @@
 		j.note = o.err.Error()
 		return j.ifOver(ctx, refuseUnstarted)
 	case rejected:
-		t.Close(choice.Rejected, time.Now())
+		t.Close(resultOfRejection(o), time.Now())
 		if j.mayRepeat(ctx) {
 			return nil, true
 		}
@@ -135,6 +135,14 @@
 	return choice.Bad
 }
 
+// resultOfRejection tells an endpoint that is full from one that is never back.
+func resultOfRejection(o rejected) choice.Result {
+	if o.moved {
+		return choice.Gone
+	}
+	return choice.Rejected
+}
+
 func (j *job) ifOver(ctx context.Context, f refusal) (*refusal, bool) {
 	if ctx.Err() != nil {
 		return &f, false
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -85,7 +85,7 @@
 	}
 	if v.NotExecuted || v.Moved {
 		finishSmall(resp)
-		return rejected{status: resp.StatusCode}
+		return rejected{status: resp.StatusCode, moved: v.Moved}
 	}
 	if !isStream(resp) && resp.StatusCode < http.StatusInternalServerError {
 		t.First(now.Sub(started), now)
