--- a/fleet/relay/account/allowance.go
+++ b/fleet/relay/account/allowance.go
@@ -29,7 +29,6 @@
 	closed    bool // this life's row was closed, or may be: nothing can be spent any more
 	demand    demand
 	shortfall int64   // tokens that reservations lacked since the last proposal that was answered
-	direct    bool    // this node draws for itself, where others draw for most
 	others    float64 // tokens a second that the other nodes are asked for
 	clients   float64 // of these, what this node draws for
 	left      int64   // of the whole budget by the last ledger, at most
--- a/fleet/relay/account/fleet.go
+++ b/fleet/relay/account/fleet.go
@@ -14,7 +14,6 @@
 	Rate float64 `json:"r,omitempty"` // that it is asked for
 	All  float64 `json:"a,omitempty"` // that all nodes it heard of are asked for
 	Left int64   `json:"l,omitempty"` // of the whole budget at most
-	Own  bool    `json:"o,omitempty"` // that it draws for itself, though other nodes draw for most
 }
 
 // BudgetReports lists what this node could give and is asked for, by tenant.
@@ -23,7 +22,7 @@
 	defer p.mu.Unlock()
 	reports := make(map[string]BudgetReport, len(p.quotas))
 	for tenant, k := range p.quotas {
-		if o := (BudgetReport{Free: max(k.free(), 0), Rate: math.Round(k.demand.steady(now)), Own: k.direct}); o != (BudgetReport{}) {
+		if o := (BudgetReport{Free: max(k.free(), 0), Rate: math.Round(k.demand.steady(now))}); o != (BudgetReport{}) {
 			reports[tenant] = o
 		}
 	}
@@ -38,14 +37,6 @@
 	Left    int64   // of the whole budget at most, by a node that reads the ledger; 0 is not known
 }
 
-// A node that does not draw for others draws for itself where so much of all
-// demand for a budget is its own: callers that keep to one node are not served
-// from other nodes' holdings. It stops where its part has fallen to the lower bound.
-const (
-	directFrom  = 0.2
-	directUntil = 0.1
-)
-
 // Fleets sets what is known of the other nodes, by tenant.
 func (p *Allowance) Fleets(fleets map[string]Fleet, now time.Time) {
 	p.mu.Lock()
@@ -54,9 +45,6 @@
 		f := fleets[tenant]
 		own := k.demand.steady(now)
 		k.others, k.clients = max(f.Others, f.All-own), f.Clients
-		if f.All > 0 { // else it is not known how great this node's part is
-			k.direct = own > 0 && own >= lo.Ternary(k.direct, directUntil, directFrom)*(own+k.others)
-		}
 		if f.Left > 0 && p.revision == 0 {
 			k.left, k.estimate = f.Left, f.Left
 		}
@@ -80,24 +68,17 @@
 	deficits := map[string]int64{}
 	for tenant, k := range p.quotas {
 		target := p.tuning.target(k, nodes, now) / aheadPart
-		if k.demand.known && !k.direct && target >= worthHolding*k.demand.typical() && float64(k.free()) < fraction*float64(target) {
+		if k.demand.known && target >= worthHolding*k.demand.typical() && float64(k.free()) < fraction*float64(target) {
 			deficits[tenant] = target - k.free()
 		}
 	}
 	return deficits
 }
 
-// DrawsDirectly is whether this node draws a tenant's tokens for itself, though it does
-// not draw for others.
-func (p *Allowance) DrawsDirectly(tenant string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.quota(tenant).direct
-}
-
-// DrawsAnyDirectly is DrawsDirectly for any tenant; so is a row that still has tokens.
-func (p *Allowance) DrawsAnyDirectly() bool {
+// HoldsRow is whether this life's row may say that it has drawn something: a node
+// that no longer draws gives it back.
+func (p *Allowance) HoldsRow() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return lo.SomeBy(lo.Values(p.quotas), func(k *quota) bool { return k.direct || k.limit > 0 })
+	return lo.SomeBy(lo.Values(p.quotas), func(k *quota) bool { return k.limit > 0 })
 }
--- a/fleet/relay/account/propose.go
+++ b/fleet/relay/account/propose.go
@@ -28,7 +28,7 @@
 type Round struct {
 	Nodes   int // that draw from the ledger
 	Now     time.Time
-	All     bool // this node draws every budget, not only those that it is asked for most
+	All     bool // this node draws; else it only gives back what it drew before
 	Leaving bool // it is about to end: all that is not in use goes back
 }
 
@@ -43,7 +43,7 @@
 		k := p.quotas[tenant]
 		a := b.Account(tenant).WithClosed(p.isEarlierLife)
 		before, known := a.Row(p.life)
-		if k.closed && !known || !r.All && !k.direct && !known {
+		if k.closed && !known || !r.All && !known {
 			continue
 		}
 		after := Row{Node: p.node, Life: p.life, Spent: k.spent, Granted: k.granted}
@@ -95,7 +95,7 @@
 		return busy
 	}
 	target := k.shortfall
-	if r.All || k.direct {
+	if r.All {
 		target += p.tuning.target(k, r.Nodes, r.Now)
 	}
 	free := drawn - busy
--- a/fleet/relay/account/syncer.go
+++ b/fleet/relay/account/syncer.go
@@ -53,6 +53,8 @@
 
 	asks chan chan struct{} // of requests that wait for a draw
 
+	stop     context.Context // ends when the node leaves, and with it a round that is under way
+	stopped  context.CancelFunc
 	rounds   sync.Mutex // one at a time
 	leaving  bool       // the node is leaving
 	ledger   Ledger
@@ -65,7 +67,11 @@
 // NewSyncer returns a syncer; nodes tells how many nodes share the budgets, and
 // writes whether this one draws from the ledger.
 func NewSyncer(s store.Store, p *Allowance, nodes func() int, writes func() bool, health *store.Health, l log.Interface) *Syncer {
-	return &Syncer{store: s, allowance: p, nodes: nodes, writes: writes, health: health, log: l, asks: make(chan chan struct{}, waitingAsks)}
+	stop, stopped := context.WithCancel(context.Background())
+	return &Syncer{
+		store: s, allowance: p, nodes: nodes, writes: writes, health: health, log: l,
+		asks: make(chan chan struct{}, waitingAsks), stop: stop, stopped: stopped,
+	}
 }
 
 // Run keeps the allowance filled until ctx ends.
@@ -110,7 +116,7 @@
 // this node draws them, the store answers and there is something left to draw. It
 // returns when that is done, and soon where it takes long.
 func (k *Syncer) Draw(ctx context.Context, tenant string) {
-	if k.Out() || k.allowance.State(tenant).Pool <= 0 || !k.writes() && !k.allowance.DrawsDirectly(tenant) {
+	if k.Out() || k.allowance.State(tenant).Pool <= 0 || !k.writes() {
 		return
 	}
 	done := make(chan struct{})
@@ -144,9 +150,12 @@
 func (k *Syncer) round(ctx context.Context, now time.Time, backoff time.Duration) time.Duration {
 	k.rounds.Lock()
 	defer k.rounds.Unlock()
-	if k.leaving || !k.writes() && !k.allowance.DrawsAnyDirectly() && !k.Out() { // a node that is out goes on asking, to learn when it is not
+	if k.leaving || !k.writes() && !k.allowance.HoldsRow() && !k.Out() { // a node that is out goes on asking, to learn when it is not
 		return 0
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(k.stop, cancel)()
 	err := k.settle(ctx, now, false)
 	if err == nil || errors.Is(err, store.ErrConflict) { // a conflict is an answer too
 		k.tell(false, nil)
@@ -174,8 +183,10 @@
 	k.health.Reconnected(Kind)
 }
 
-// Leave gives back all that is not in use, and draws nothing any more.
+// Leave gives back all that is not in use, and draws nothing any more. A round that
+// is under way ends at once, whatever the store does.
 func (k *Syncer) Leave(ctx context.Context) error {
+	k.stopped()
 	k.rounds.Lock()
 	defer k.rounds.Unlock()
 	k.leaving = true
--- a/fleet/relay/account/syncer_test.go
+++ b/fleet/relay/account/syncer_test.go
@@ -154,6 +154,27 @@
 	}
 }
 
+// A planned stop does not wait for a round whose store hangs.
+func TestLeavingDoesNotWaitForARound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := hanging{oneObject: &oneObject{}, answer: make(chan struct{})}
+		p := NewAllowance("n", "n/1", DefaultTuning())
+		p.Budget(map[string]int64{modelTenant: 1000})
+		k := NewSyncer(s, p, func() int { return 1 }, func() bool { return true }, store.NewHealth(), quiet())
+		p.Reserve(modelTenant, 500, time.Now())
+		go k.Run(ctx)
+		time.Sleep(2 * tick) // its put hangs by now
+		began := time.Now()
+		leave, done := context.WithTimeout(ctx, 300*time.Millisecond)
+		assert.Error(t, k.Leave(leave))
+		done()
+		assert.LessOrEqual(t, time.Since(began), 300*time.Millisecond)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // The more nodes write the ledger, the longer each waits between two writes.
 func TestManyWritersWriteLessOften(t *testing.T) {
 	cases := []struct {
--- a/fleet/relay/choice/model_test.go
+++ b/fleet/relay/choice/model_test.go
@@ -216,6 +216,26 @@
 	}
 }
 
+// Where nobody is known to keep a prompt's parts, the affinity target is named: a
+// call that can't go there takes from it what it may have.
+func TestTheAffinityTargetIsASourceWhereNoneIsKnown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	all := testEngines(5)
+	c := call.Call{ID: "a", PromptMax: 6500, Parts: []call.Part{{ID: "session", Tokens: 6000}, {ID: "own", Tokens: 500}}}
+	r := Request{Call: c, Engines: all, Profile: Profile{Service: service, Tokens: true, Capacity: 100_000, TokenBytes: 131_072, LinkMbps: 500_000}, Cap: 9, Now: now}
+	p := NewPicker("z", DefaultTuning())
+	target, ok := find(all, p.affinity(r))
+	require.True(t, ok)
+	r.Exclude = map[string]bool{target.ID: true}
+	got, ok := p.Pick(r)
+	require.True(t, ok)
+	assert.Equal(t, target.Address, got.Source)
+	p.endpoint(target, 1).gone = true
+	got, ok = p.Pick(r)
+	require.True(t, ok)
+	assert.Empty(t, got.Source)
+}
+
 // What is told of reads is bounded, and forgotten when it is old.
 func TestReadsAreToldForAWhile(t *testing.T) {
 	var l recent
--- a/fleet/relay/choice/source.go
+++ b/fleet/relay/choice/source.go
@@ -34,9 +34,8 @@
 		return best
 	}
 	for id := range p.holders[shared[0].ID] {
-		e, listed := find(r.Engines, id)
-		s := p.endpoints[id]
-		if !listed || s == nil || s.gone || r.Now.Before(s.suspected) || e.State != engine.Ready {
+		e, sound := p.soundSource(r, id)
+		if !sound {
 			continue
 		}
 		tokens := int64(0)
@@ -50,5 +49,35 @@
 			best.id, best.address, best.tokens = id, e.Address, tokens
 		}
 	}
-	return best
+	return p.orAffinity(r, best, affinity)
+}
+
+// soundSource finds an endpoint that parts may be taken from now.
+func (p *Picker) soundSource(r Request, id string) (engine.Engine, bool) {
+	e, listed := find(r.Engines, id)
+	if !listed || e.State != engine.Ready {
+		return e, false
+	}
+	s, known := p.endpoints[id]
+	return e, !known || !s.gone && !r.Now.Before(s.suspected)
+}
+
+// orAffinity returns the affinity target in place of a source that is known to
+// keep less than the target is believed to: in a large fleet most reads are never
+// heard of, and a source that lacks a part costs next to nothing.
+func (p *Picker) orAffinity(r Request, known source, affinity string) source {
+	shared := r.Call.Shared()
+	if affinity == "" || len(p.holders[shared[len(shared)-1].ID]) > 0 {
+		return known
+	}
+	e, sound := p.soundSource(r, affinity)
+	tokens := int64(0)
+	for _, part := range shared {
+		tokens += int64(p.tuning.AffinityTrust * float64(part.Tokens))
+	}
+	if !sound || tokens <= known.tokens {
+		return known
+	}
+	known.id, known.address, known.tokens = affinity, e.Address, tokens
+	return known
 }
--- a/fleet/relay/peer/transfer.go
+++ b/fleet/relay/peer/transfer.go
@@ -21,7 +21,6 @@
 	Receive(tenant string, tokens int64)
 	BudgetReports(now time.Time) map[string]account.BudgetReport
 	Fleets(fleets map[string]account.Fleet, now time.Time)
-	DrawsDirectly(tenant string) bool
 	Deficits(nodes int, fraction float64, now time.Time) map[string]int64
 	State(tenant string) account.Holding
 }
@@ -112,7 +111,7 @@
 			f.Others += b.Rate
 			f.All = max(f.All, b.All)
 			f.Left = max(f.Left, b.Left)
-			if clients[peer] && !b.Own {
+			if clients[peer] {
 				f.Clients += b.Rate / float64(max(writers, 1))
 			}
 			fleets[tenant] = f
@@ -246,7 +245,7 @@
 			return true
 		}
 		want := need
-		if t.Writes() || t.transfers.allowance.DrawsDirectly(tenant) {
+		if t.Writes() {
 			want += wantFactor * tokens
 		}
 		richer := t.requestFrom(ctx, peers[i], transferRequest{ID: uuid.NewString(), Tenant: tenant, Need: need, Want: want})
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -164,7 +164,7 @@
 	_ = n.ingress.Close()
 	_ = ready.Close()
 	_ = asked.Close()
-	closing, done := context.WithTimeout(context.Background(), handBack)
+	closing, done := context.WithTimeout(context.Background(), n.handBack()/3)
 	defer done()
 	return errors.CombineErrors(err, n.telemetry.Close(closing))
 }
@@ -227,8 +227,8 @@
 
 // Bounds of a planned stop.
 const (
-	drainPoll = 50 * time.Millisecond
-	handBack  = 600 * time.Millisecond // kept of the stop for giving budgets back
+	drainPoll    = 50 * time.Millisecond
+	handBackPart = 0.14 // of the stop, kept for giving budgets back and ending: less than the last sixth, in which calls that are still at work may be cut off
 )
 
 // Leave is a planned stop: new callers go elsewhere, open calls end, what is
@@ -242,18 +242,20 @@
 	sleepUntil(started.Add(n.settings.Notice()))
 	n.handler.RefuseNew()
 	n.giveBack(ctx)
-	for time.Since(started) < n.settings.Drain()-handBack && n.handler.Open() > 0 {
+	for time.Since(started) < n.settings.Drain()-n.handBack() && n.handler.Open() > 0 {
 		time.Sleep(drainPoll)
 	}
 	n.giveBack(ctx)
 	n.log.WithField("open", n.handler.Open()).WithField("ms", time.Since(started).Milliseconds()).Info("planned stop ends")
 }
 
+func (n *Node) handBack() time.Duration { return part(handBackPart, n.settings.Drain()) }
+
 func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
 
 // giveBack returns what is left of the budgets, and takes the node off the list.
 func (n *Node) giveBack(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, handBack/2)
+	ctx, cancel := context.WithTimeout(ctx, n.handBack()/3)
 	defer cancel()
 	if err := errors.CombineErrors(n.syncer.Leave(ctx), n.registry.Leave(ctx)); err != nil {
 		n.log.WithError(err).Warn("planned stop: something was not given back")
