Tell from logs which calls were not served, when and why

Change: lynxctl losses sums up calls that were not served by slice of time, route and reason, with an id for story; a test that each mechanism of the settings switches something off.

--- a/ctl/command/story.go
+++ b/ctl/command/story.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -37,6 +38,34 @@
 	return a.print(told, []string{"AT", "NODE", "WHAT", "WITH"}, cells)
 }
 
+func (a *app) lossesCommand() *flaggy.Subcommand {
+	c := flaggy.NewSubcommand("losses")
+	c.Description = "which calls were not served, when and why, from the logs of relaying nodes"
+	c.StringSlice(&a.flags.logs, "f", "file", "a log file; may be given more than once; standard input where none is")
+	a.flags.slice = defaultSlice
+	c.Duration(&a.flags.slice, "", "slice", "length of the slices of time that are summed up")
+	return c
+}
+
+// defaultSlice is short enough to tell one fault of a day from the next.
+const defaultSlice = 4 * time.Second
+
+func (a *app) losses() error {
+	if a.flags.slice <= 0 {
+		return usage("slice %s: want a time above 0", a.flags.slice)
+	}
+	lines, err := a.readLogs()
+	if err != nil {
+		return err
+	}
+	losses := story.Losses(lines, a.flags.slice)
+	cells := make([][]string, 0, len(losses))
+	for _, l := range losses {
+		cells = append(cells, []string{l.From.Format(time.RFC3339), l.Route, l.Reason, strconv.Itoa(l.Calls), strconv.Itoa(l.Of), l.Example})
+	}
+	return a.print(losses, []string{"FROM", "ROUTE", "REASON", "CALLS", "OF", "EXAMPLE"}, cells)
+}
+
 // fieldsOf is what a line says beside its node, as JSON.
 func fieldsOf(l story.Line) string {
 	fields := map[string]any{}
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -178,6 +178,23 @@
 	}
 }
 
+// Each mechanism that the settings name switches something off, and no other name
+// is taken.
+func TestMechanismsAreSwitchedOff(t *testing.T) {
+	const rest = `"node":"n","zone":"z","listen":"a:1","ready":{"address":"a:2"},"peer":"a:3","store":"a:4"`
+	for _, name := range mechanismNames() {
+		s, err := ParseSettings([]byte(`{"disable":["` + name + `"],` + rest + `}`))
+		require.NoError(t, err)
+		assert.False(t, s.Enabled(name))
+		assert.Equal(t, name == delegatesMechanism, s.Choice() == choice.DefaultTuning(), name)
+	}
+	_, err := ParseSettings([]byte(`{"disable":["luck"],` + rest + `}`))
+	assert.ErrorContains(t, err, "disable[0]")
+	s, err := ParseSettings([]byte(`{` + rest + `}`))
+	require.NoError(t, err)
+	assert.Equal(t, choice.DefaultTuning(), s.Choice())
+}
+
 func TestSinkNeverHoldsAWriterUp(t *testing.T) {
 	blocked := make(chan struct{})
 	defer close(blocked)
