--- a/fleet/relay/choice/cost.go
+++ b/fleet/relay/choice/cost.go
@@ -68,7 +68,7 @@
 }
 
 // plainCrossZone is what leaving the zone costs a plain call, in filled endpoints.
-const plainCrossZone = 0.06
+const plainCrossZone = 0.35
 
 // keptTokens is how much of the prompt the endpoint is thought to keep.
 func (p *Picker) keptTokens(r Request, e engine.Engine, s *endpoint, affinity string) int64 {
--- a/fleet/relay/choice/tuning.go
+++ b/fleet/relay/choice/tuning.go
@@ -18,7 +18,7 @@
 // DefaultTuning is what measurements led to; docs/policy.md.
 func DefaultTuning() Tuning {
 	return Tuning{
-		AffinityTrust: 0.9, CrossZone: 0.002, Waiting: 0.3, Suspect: 600 * time.Millisecond, LoadAge: 400 * time.Millisecond,
+		AffinityTrust: 0.9, CrossZone: 0.03, Waiting: 0.3, Suspect: 600 * time.Millisecond, LoadAge: 400 * time.Millisecond,
 		Fetch: true, Harm: true, Pauses: true, Gossip: true,
 	}
 }
