Ask the store in short watches where sources fail; trim messages to a datagram

Cause, by reading the change once more: a node whose sources had lost a silent store sent a watch of up to 16 s into the silence, and nobody tells such a node when the store is back; a message that exceeded a datagram was dropped whole, without a line. Change: watches of 1.5 s at the store while sources are named; a message goes without its reads where it is too large, and what can't be sent is logged. Tests: TestSourcesAreAskedInTheStoresPlace (they refuse, and the store is silent), TestMessagesFitADatagram.

--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -26,16 +26,16 @@
 	tried := map[string]bool{}
 	unreached := 0
 	for {
-		ticket, ok := j.pick(tried)
+		placement, ok := j.pick(tried)
 		if !ok {
 			j.refuse(j.whenNone(tried))
 			return
 		}
-		tried[ticket.Engine.ID] = true
-		j.engine, j.placed = ticket.Engine.ID, ticket
-		out := j.send(ctx, ticket, j.call.LastEventID)
-		next, again := j.judge(ctx, ticket, out)
-		j.logAttempt(ticket, out, again)
+		tried[placement.Engine.ID] = true
+		j.engine, j.placed = placement.Engine.ID, placement
+		out := j.send(ctx, placement, j.call.LastEventID)
+		next, again := j.judge(ctx, placement, out)
+		j.logAttempt(placement, out, again)
 		if again {
 			if _, lost := out.(neverSent); lost {
 				if unreached++; unreached >= maxUnreached {
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -250,16 +250,23 @@
 	return m
 }
 
+// send tells a peer; a message that exceeds a datagram goes without the reads,
+// which are a help only.
 func (t *Gossip) send(address string, m message) {
 	data, err := json.Marshal(m)
-	if err != nil || len(data) > maxMessage {
-		return
+	if err == nil && len(data) > maxMessage {
+		m.Reads = nil
+		data, err = json.Marshal(m)
 	}
-	to, err := net.ResolveUDPAddr("udp4", address)
-	if err != nil {
+	if err == nil && len(data) > maxMessage {
+		err = errors.Newf("message of %d bytes, more than %d", len(data), maxMessage)
+	}
+	to, failed := net.ResolveUDPAddr("udp4", address)
+	if err = errors.CombineErrors(err, failed); err != nil {
+		t.registry.log.WithField("peer", address).WithError(err).Warn("peer not told")
 		return
 	}
-	_, _ = t.socket.WriteTo(data, to)
+	_, _ = t.socket.WriteTo(data, to) // datagrams may be lost in any case
 }
 
 func (t *Gossip) listen() {
--- a/fleet/relay/peer/gossip_test.go
+++ b/fleet/relay/peer/gossip_test.go
@@ -1,14 +1,19 @@
 package peer
 
 import (
+	"encoding/json"
 	"fmt"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
@@ -65,3 +70,27 @@
 		})
 	}
 }
+
+// A message that exceeds a datagram goes without what is only a help.
+func TestMessagesFitADatagram(t *testing.T) {
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer socket.Close()
+	g := gossipOf("a", members(2))
+	g.socket, err = net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer g.socket.Close()
+	reads := make([]choice.Read, 2000)
+	for i := range reads {
+		reads[i] = choice.Read{Endpoint: "i-0123456789", Parts: []string{"part"}, Tokens: []int64{1}}
+	}
+	g.send(socket.LocalAddr().String(), message{Node: "a", Number: 7, Reads: reads})
+	buffer := make([]byte, 2*maxMessage)
+	require.NoError(t, socket.SetReadDeadline(time.Now().Add(5*time.Second)))
+	n, _, err := socket.ReadFrom(buffer)
+	require.NoError(t, err)
+	var m message
+	require.NoError(t, json.Unmarshal(buffer[:n], &m))
+	assert.Equal(t, uint64(7), m.Number)
+	assert.Empty(t, m.Reads)
+}
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -26,6 +26,12 @@
 	sourceSlack = 400 * time.Millisecond // beyond that
 	sourceList  = time.Second
 	sourceRest  = 5 * time.Second // that a source which failed is left alone
+
+	// While sources are named and fail, the store is asked in short watches: one that
+	// is sent into its silence is not answered when it is back, and nobody tells
+	// this node when that is.
+	fallbackWait  = 1500 * time.Millisecond
+	fallbackSlack = 700 * time.Millisecond
 )
 
 // Sourced is a store whose lists and watches are answered by other nodes, where
@@ -115,6 +121,12 @@
 		}
 		s.note(from.Name)
 	}
+	if len(s.sources()) > 0 {
+		wait = min(wait, fallbackWait)
+		bounded, cancel := context.WithTimeout(ctx, wait+fallbackSlack)
+		defer cancel()
+		ctx = bounded
+	}
 	events, at, err := s.Store.Watch(ctx, kind, since, wait)
 	if err == nil {
 		s.came(kind, true)
--- a/fleet/relay/store/sourced_test.go
+++ b/fleet/relay/store/sourced_test.go
@@ -168,18 +168,20 @@
 	cases := []struct {
 		name    string
 		a, b    asked
+		hangs   bool // the store
 		sources int
 		rounds  int
 		want    []string
 		direct  bool
 		most    time.Duration // that all rounds take
 	}{
-		{"none named", asked{}, asked{}, 0, 1, []string{"store"}, true, 8 * time.Second},
-		{"the first", asked{}, asked{}, 2, 2, []string{"a", "a"}, false, 2 * time.Second},
-		{"the first refuses", asked{err: refused}, asked{}, 2, 2, []string{"a", "store", "b"}, false, 9 * time.Second},
-		{"the first hangs", asked{hangs: true}, asked{}, 2, 2, []string{"a", "store", "b"}, false, 11 * time.Second},
-		{"both fail", asked{err: refused}, asked{err: refused}, 2, 3, []string{"a", "store", "b", "store", "a", "store"}, true, 24 * time.Second},
-		{"its history is gone", asked{err: store.ErrCompacted}, asked{}, 2, 1, []string{"a"}, false, 0},
+		{"none named", asked{}, asked{}, false, 0, 1, []string{"store"}, true, 8 * time.Second},
+		{"the first", asked{}, asked{}, false, 2, 2, []string{"a", "a"}, false, 2 * time.Second},
+		{"the first refuses", asked{err: refused}, asked{}, false, 2, 2, []string{"a", "store", "b"}, false, 2500 * time.Millisecond},
+		{"the first hangs", asked{hangs: true}, asked{}, false, 2, 2, []string{"a", "store", "b"}, false, 4 * time.Second},
+		{"both fail", asked{err: refused}, asked{err: refused}, false, 2, 3, []string{"a", "store", "b", "store", "store"}, true, 4500 * time.Millisecond},
+		{"they refuse, and the store is silent", asked{err: refused}, asked{err: refused}, true, 2, 1, []string{"a", "store"}, false, 2200 * time.Millisecond},
+		{"its history is gone", asked{err: store.ErrCompacted}, asked{}, false, 2, 1, []string{"a"}, false, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -191,7 +193,7 @@
 					r.name, r.calls, r.mu = string(rune('a'+i)), &calls, &mu
 					readers = append(readers, store.Source{Name: r.name, Reader: r})
 				}
-				s := store.NewSourced(asked{name: "store", calls: &calls, mu: &mu}, func() []store.Source { return readers[:c.sources] })
+				s := store.NewSourced(asked{name: "store", calls: &calls, mu: &mu, hangs: c.hangs}, func() []store.Source { return readers[:c.sources] })
 				began := time.Now()
 				for range c.rounds {
 					_, _, _ = s.Watch(t.Context(), "kind", 5, 8*time.Second)
