Tell peers the last version only, compressed, and give an answer that has begun its time

In a storm of versions of hundreds of kilobytes a source sent each version since the last one to every asker, and a watch was given up after 1.4 s, body included; on a narrow link it never came to its end, and the node stayed at version 50 while others had 120. Change: a cache lists the last change of each object; answers from 8 kB on are compressed; a source that says nothing is given up 0.4 s after its wait, one whose answer has begun 2 s later.

--- a/fleet/relay/peer/source.go
+++ b/fleet/relay/peer/source.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -8,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,11 +76,34 @@
 	case err != nil:
 		w.WriteHeader(http.StatusBadRequest)
 	default:
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(answer) // a peer that left reads no answer
+		writeAnswer(w, r, answer)
 	}
 }
 
+// packFrom is the size from which an answer is compressed: a large configuration
+// shrinks to a tenth, and goes to many peers over narrow links.
+const packFrom = 8 << 10 // bytes
+
+func writeAnswer(w http.ResponseWriter, r *http.Request, answer objectsAnswer) {
+	w.Header().Set("Content-Type", "application/json")
+	data, err := json.Marshal(answer)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if len(data) < packFrom || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = w.Write(data) // a peer that left reads no answer
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	packed, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		return
+	}
+	_, _ = packed.Write(data)
+	_ = packed.Close()
+}
+
 // askCache lists, or watches where the query names a revision.
 func askCache(r *http.Request, cache *store.Cache) (objectsAnswer, error) {
 	var answer objectsAnswer
@@ -119,7 +144,7 @@
 // sourceClient is the client to peers' caches; each call bounds itself.
 func sourceClient() *http.Client {
 	dialer := &net.Dialer{Timeout: sourceDial, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}}
 }
 
 const (
@@ -129,7 +154,7 @@
 
 // List implements store.Reader.
 func (r Remote) List(ctx context.Context, kind string) ([]store.Object, int64, error) {
-	answer, err := r.get(ctx, kind, nil)
+	answer, err := r.get(ctx, kind, nil, 0)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -142,7 +167,7 @@
 
 // Watch implements store.Reader.
 func (r Remote) Watch(ctx context.Context, kind string, since int64, wait time.Duration) ([]store.Event, int64, error) {
-	answer, err := r.get(ctx, kind, url.Values{"since": {strconv.FormatInt(since, 10)}, "waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}})
+	answer, err := r.get(ctx, kind, url.Values{"since": {strconv.FormatInt(since, 10)}, "waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}}, wait)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -153,8 +178,12 @@
 	return events, answer.Revision, nil
 }
 
-func (r Remote) get(ctx context.Context, kind string, query url.Values) (objectsAnswer, error) {
+func (r Remote) get(ctx context.Context, kind string, query url.Values, wait time.Duration) (objectsAnswer, error) {
 	var answer objectsAnswer
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(wait+store.AnswerBegins, cancel)
+	defer silent.Stop()
 	target := url.URL{Scheme: "http", Host: r.address, Path: objectsPath + kind, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
@@ -164,6 +193,7 @@
 	if err != nil {
 		return answer, errors.Wrapf(err, "ask peer %s", r.address)
 	}
+	silent.Stop()
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
--- a/fleet/relay/peer/source_test.go
+++ b/fleet/relay/peer/source_test.go
@@ -55,6 +55,54 @@
 	assert.ErrorIs(t, err, store.ErrUnfit)
 }
 
+// A source that takes a call and says nothing is felt soon; one whose answer has
+// begun may take its time, and large answers are compressed.
+func TestASilentSourceIsToldFromASlowOne(t *testing.T) {
+	big := strings.Repeat(`{"route":"a"},`, 5000)
+	cases := []struct {
+		name  string
+		begin time.Duration // until the answer begins
+		rest  time.Duration // and from then until it ends
+		fails bool
+	}{
+		{"at once", 0, 0, false},
+		{"slow, once it has begun", 0, 700 * time.Millisecond, false},
+		{"silent", 5 * time.Second, 0, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-time.After(c.begin):
+				case <-r.Context().Done():
+					return
+				}
+				_, _ = w.Write([]byte(`{"revision":3,`))
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(c.rest)
+				_, _ = w.Write([]byte(`"objects":[]}`))
+			}))
+			defer server.Close()
+			began := time.Now()
+			_, _, err := Remote{client: sourceClient(), address: strings.TrimPrefix(server.URL, "http://")}.Watch(t.Context(), "k", 1, 10*time.Millisecond)
+			assert.Equal(t, c.fails, err != nil)
+			assert.Less(t, time.Since(began), 3*time.Second)
+		})
+	}
+	cache := store.NewCache()
+	cache.Apply(store.Snapshot{Objects: []store.Object{{Name: "n", Revision: 1, Data: json.RawMessage("[" + strings.TrimSuffix(big, ",") + "]")}}, Revision: 1}, true)
+	asked := httptest.NewRequest(http.MethodGet, objectsPath+"k", nil)
+	asked.Header.Set("Accept-Encoding", "gzip")
+	answer := httptest.NewRecorder()
+	CacheHandler(map[string]*store.Cache{"k": cache}).ServeHTTP(answer, asked)
+	assert.Equal(t, "gzip", answer.Header().Get("Content-Encoding"))
+	assert.Less(t, answer.Body.Len(), len(big)/10)
+	objects, _, err := remoteTo(t, cache).List(t.Context(), "k")
+	require.NoError(t, err)
+	require.Len(t, objects, 1)
+	assert.Greater(t, len(objects[0].Data), 50_000)
+}
+
 func TestAPeersOddQuestionsAreRefused(t *testing.T) {
 	cache := store.NewCache()
 	cache.Apply(store.Snapshot{Revision: 1}, true)
--- a/fleet/relay/store/cache.go
+++ b/fleet/relay/store/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,11 +122,23 @@
 	case since < c.floor:
 		return nil, 0, nil, ErrCompacted
 	}
+	return c.newest(since), c.revision, c.changed, nil
+}
+
+// newest lists the last change of each object after a revision: who is behind by
+// many versions of a large object needs the last one only.
+func (c *Cache) newest(since int64) []Event {
 	var events []Event
-	for _, e := range c.events {
-		if e.at > since {
+	seen := map[string]bool{}
+	for _, e := range slices.Backward(c.events) {
+		if e.at <= since {
+			break
+		}
+		if !seen[e.Object.Name] {
+			seen[e.Object.Name] = true
 			events = append(events, e.Event)
 		}
 	}
-	return events, c.revision, c.changed, nil
+	slices.Reverse(events)
+	return events
 }
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -8,7 +8,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Reader answers lists and watches.
+// Reader answers lists and watches. It gives up by itself where no answer begins
+// within AnswerBegins after the time that a watch waits.
 type Reader interface {
 	List(ctx context.Context, kind string) ([]Object, int64, error)
 	Watch(ctx context.Context, kind string, since int64, wait time.Duration) ([]Event, int64, error)
@@ -23,9 +24,9 @@
 // How a source is asked.
 const (
 	sourceWait  = time.Second            // that one watch waits at most, so that a silent source is felt
-	sourceSlack = 400 * time.Millisecond // beyond that
-	sourceList  = time.Second
-	sourceRest  = 5 * time.Second // that a source which failed is left alone
+	sourceSlack = 400 * time.Millisecond // beyond that, until an answer begins
+	sourceBody  = 2 * time.Second        // for an answer that has begun, on a narrow link that callers fill, too
+	sourceRest  = 5 * time.Second        // that a source which failed is left alone
 
 	// While sources are named and fail, the store is asked in short watches: one that
 	// is sent into its silence is not answered when it is back, and nobody tells
@@ -46,6 +47,10 @@
 	direct map[string]bool // by kind: the last answer came from the store
 }
 
+// AnswerBegins is how long a source may take, beyond what a watch waits, until its
+// answer begins: a silent source is felt by then.
+const AnswerBegins = sourceSlack
+
 // NewSourced returns a store that asks the sources first.
 func NewSourced(s Store, sources func() []Source) *Sourced {
 	return &Sourced{Store: s, sources: sources, failed: map[string]time.Time{}, direct: map[string]bool{}}
@@ -105,7 +110,7 @@
 }
 
 func listFrom(ctx context.Context, from Source, kind string) ([]Object, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, sourceList)
+	ctx, cancel := context.WithTimeout(ctx, sourceSlack+sourceBody)
 	defer cancel()
 	return from.Reader.List(ctx, kind)
 }
@@ -135,7 +140,7 @@
 }
 
 func watchFrom(ctx context.Context, from Source, kind string, since int64, wait time.Duration) ([]Event, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+sourceSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+sourceSlack+sourceBody)
 	defer cancel()
 	return from.Reader.Watch(ctx, kind, since, wait)
 }
