--- a/fleet/relay/choice/cache.go
+++ b/fleet/relay/choice/cache.go
@@ -54,9 +54,6 @@
 	return ok
 }
 
-// reserve notes that a call which is to read the part was sent.
-func (c *prefixCache) reserve(p call.Part) { c.touch(p) }
-
 // read notes that the part was read; shared ones may be taken from there.
 func (c *prefixCache) read(p call.Part, shared bool) {
 	k := c.touch(p)
@@ -66,6 +63,7 @@
 	k.read = true
 }
 
+// touch notes that a call which reads the part, or is to read it, was sent.
 func (c *prefixCache) touch(p call.Part) *cachedPart {
 	if e, ok := c.byID[p.ID]; ok {
 		c.order.MoveToFront(e)
--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -40,7 +40,6 @@
 	Service    string
 	Tokens     bool    // they read prompts and generate
 	Capacity   int64   // tokens that one keeps
-	Stride     int64   // tokens in one event of a stream
 	TokenBytes int64   // of a kept token, when it is moved to another endpoint; 0: nothing can be moved
 	LinkMbps   float64 // between two endpoints
 }
@@ -71,14 +70,14 @@
 
 // place counts a placement at its endpoint.
 func (p *Picker) place(t *Placement, r Request) {
-	e := p.endpoint(t.Engine, r.Profile.Capacity)
+	e := p.endpoint(t.Engine.ID, r.Profile.Capacity)
 	t.picker, t.model, t.request = p, p.model(r.Profile.Service), r
 	e.inFlight++
 	e.waiting += t.Uncached
 	if r.Profile.Tokens {
 		t.model.value = t.model.value.with(valueOf(r.Call))
 		for _, part := range r.Call.Parts {
-			e.cache.reserve(part)
+			e.cache.touch(part)
 		}
 	}
 }
@@ -110,7 +109,7 @@
 		if e.State != engine.Ready || r.Exclude[e.ID] {
 			continue
 		}
-		s := p.endpoint(e, r.Profile.Capacity)
+		s := p.endpoint(e.ID, r.Profile.Capacity)
 		if s.gone || s.inFlight >= r.Cap || (!suspects && r.Now.Before(s.suspected)) {
 			continue
 		}
--- a/fleet/relay/choice/choice_test.go
+++ b/fleet/relay/choice/choice_test.go
@@ -33,7 +33,7 @@
 }
 
 func ask(c call.Call, all []engine.Engine, now time.Time) choice.Request {
-	return choice.Request{Call: c, Engines: all, Profile: choice.Profile{Service: "s", Tokens: true, Capacity: 400_000, Stride: 3}, Cap: 40, Now: now}
+	return choice.Request{Call: c, Engines: all, Profile: choice.Profile{Service: "s", Tokens: true, Capacity: 400_000}, Cap: 40, Now: now}
 }
 
 // readTime is how long an engine that reads 20 tokens in a ms takes to the first event.
--- a/fleet/relay/choice/cost.go
+++ b/fleet/relay/choice/cost.go
@@ -39,7 +39,7 @@
 	t.ahead = waiting + t.Uncached
 	t.FirstMs = slower*m.firstMs(t.ahead) + fetchMs + p.slotMs(m, e, inFlight)
 	value := valueOf(r.Call)
-	t.Cost = value * (p.missesFirst(r, t.FirstMs) + p.tuning.Waiting*t.FirstMs/objectiveMs(r))
+	t.Cost = value * (chanceOfMore(t.FirstMs, objectiveMs(r)) + p.tuning.Waiting*t.FirstMs/objectiveMs(r))
 	if p.tuning.Pauses {
 		t.Cost += value * s.pauseShare(r.Now)
 	}
@@ -113,11 +113,6 @@
 	return float64(d) / float64(time.Millisecond)
 }
 
-// missesFirst is the chance that the first event comes too late.
-func (p *Picker) missesFirst(r Request, firstMs float64) float64 {
-	return chanceOfMore(firstMs, objectiveMs(r))
-}
-
 // predictionSpread is how far what is expected lies off, as a part of the bound.
 const predictionSpread = 0.12
 
--- a/fleet/relay/choice/digest.go
+++ b/fleet/relay/choice/digest.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
-	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
 
 // Digest is what one node tells the others about an endpoint.
@@ -116,7 +115,7 @@
 	for id, d := range digests {
 		d = d.sound()
 		d.At = now
-		s := p.endpoint(engine.Engine{ID: id}, 0)
+		s := p.endpoint(id, 0)
 		s.peers[peer] = d
 		s.gone = s.gone || d.Gone
 	}
--- a/fleet/relay/choice/endpoint.go
+++ b/fleet/relay/choice/endpoint.go
@@ -4,12 +4,10 @@
 	"time"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
-	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
 
 // endpoint is what is known of one endpoint beside what it says of itself.
 type endpoint struct {
-	engine    engine.Engine
 	inFlight  int
 	waiting   int64 // uncached prompt tokens sent, without a first event yet
 	peers     map[string]Digest
@@ -23,14 +21,11 @@
 	pauses    average // share of streams that paused for too long, lately
 }
 
-func (p *Picker) endpoint(e engine.Engine, capacity int64) *endpoint {
-	s, ok := p.endpoints[e.ID]
+func (p *Picker) endpoint(id string, capacity int64) *endpoint {
+	s, ok := p.endpoints[id]
 	if !ok {
-		s = &endpoint{peers: map[string]Digest{}, cache: newPrefixCache(max(capacity, 1), e.ID, p.holders)}
-		p.endpoints[e.ID] = s
-	}
-	if e.Address != "" {
-		s.engine = e
+		s = &endpoint{peers: map[string]Digest{}, cache: newPrefixCache(max(capacity, 1), id, p.holders)}
+		p.endpoints[id] = s
 	}
 	if capacity > 0 {
 		s.cache.capacity = capacity
--- a/fleet/relay/choice/model_test.go
+++ b/fleet/relay/choice/model_test.go
@@ -161,7 +161,7 @@
 				require.True(t, ok)
 				stream.First(35*time.Millisecond, now) // as the prior expects
 			}
-			p.endpoint(all[1], 0).waiting = 300 // a little more waits where no stream runs
+			p.endpoint(all[1].ID, 0).waiting = 300 // a little more waits where no stream runs
 			got, ok := p.Pick(Request{Call: long, Engines: all, Profile: Profile{Service: service, Tokens: true, Capacity: 1}, Gap: 300 * time.Millisecond, Objective: time.Second, Cap: 100, Now: now})
 			require.True(t, ok)
 			assert.Equal(t, c.want, got.Engine.ID)
@@ -202,7 +202,7 @@
 			p := sender
 			if c.told {
 				p = NewPicker("z", DefaultTuning())
-				p.endpoint(all[0], 100_000)
+				p.endpoint(all[0].ID, 100_000)
 				p.HeardReads(sender.Reads(now))
 			}
 			if c.suspect {
@@ -230,7 +230,7 @@
 	got, ok := p.Pick(r)
 	require.True(t, ok)
 	assert.Equal(t, target.Address, got.Source)
-	p.endpoint(target, 1).gone = true
+	p.endpoint(target.ID, 1).gone = true
 	got, ok = p.Pick(r)
 	require.True(t, ok)
 	assert.Empty(t, got.Source)
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -80,7 +80,7 @@
 
 func profile(s policy.Service) choice.Profile {
 	return choice.Profile{
-		Service: s.Name, Tokens: s.KVCapacity > 0, Capacity: s.KVCapacity, Stride: s.Stride,
+		Service: s.Name, Tokens: s.KVCapacity > 0, Capacity: s.KVCapacity,
 		TokenBytes: s.TokenBytes, LinkMbps: s.LinkMbps,
 	}
 }
