Keep a large fleet's budgets, callers and store calls through an outage

A node heard once a minute counted as silent, too. - One customer keeps to one small node of a zone and sends half of the zone's calls there (163 a second, 340 when hot).

Change: - peer/delegates.go: a writer that is out goes on; only those that should be heard can be silent; a zone whose writers alone lost the store gets others. - fleet/relay/overload: a node whose runnable goroutines wait for too long, or whose bodies come in slowly, hands its heaviest customers' calls on at once (503, come back in 50 ms: another try reaches another node). - store/sourced.go: the next source is asked before the store; where all say that they lost it, the store is asked late and seldom. A node that starts waits for the list of nodes, and asks peers for the rest. - account/outages.go: holdings last through an outage of the length that was seen lately, within 0.3 of what is left; a low holding is refilled sooner. - The choice looks at few holders of a part that all keep, and a peer's digests are taken in without a look at every endpoint.

--- a/fleet/relay/account/allowance.go
+++ b/fleet/relay/account/allowance.go
@@ -15,8 +15,9 @@
 
 	mu        sync.Mutex
 	quotas    map[string]*quota
-	revision  int64 // newest revision of the ledger that was seen
-	shortfall bool  // a reservation failed since the last proposal that was answered
+	revision  int64  // newest revision of the ledger that was seen
+	shortfall bool   // a reservation failed since the last proposal that was answered
+	outage    outage // of the store, that is expected again
 }
 
 // quota is the part of one tenant.
--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -9,6 +9,8 @@
 type Tuning struct {
 	Horizon  time.Duration // holdings last this long at the present demand
 	Exposure float64       // of what is left of a budget, the part that all nodes together hold at most
+	Outage   float64       // the same where what an outage of the store took lately needs more
+	Margin   float64       // holdings last this many times the longest outage seen lately
 	First    float64       // part of a budget that all nodes together draw before any demand is known
 	Step     float64       // least draw worth a write, as a part of the target
 	Surplus  float64       // a holding this many times its target is given back
@@ -17,12 +19,13 @@
 
 // DefaultTuning is what measurements led to; docs/design/07-platform.md.
 func DefaultTuning() Tuning {
-	return Tuning{Horizon: 10 * time.Second, Exposure: 0.18, First: 0.1, Step: 0.2, Surplus: 1.5, Report: 0.02}
+	return Tuning{Horizon: 10 * time.Second, Exposure: 0.18, Outage: 0.3, Margin: 1.25, First: 0.1, Step: 0.2, Surplus: 1.5, Report: 0.02}
 }
 
 // target is how many free tokens a node should hold of a budget: what its own
-// demand takes for the horizon, within this node's part of the exposure.
-func (t Tuning) target(k *quota, nodes int, now time.Time) int64 {
+// demand takes for the horizon, within this node's part of the exposure. An
+// outage of the store that was seen lately is expected again.
+func (t Tuning) target(k *quota, nodes int, outage time.Duration, now time.Time) int64 {
 	if !k.demand.known && k.others <= 0 {
 		return int64(t.First * float64(k.prepaid) / float64(max(nodes, 1)))
 	}
@@ -31,8 +34,10 @@
 	if all <= 0 {
 		return 0
 	}
-	exposed := t.Exposure * float64(max(k.estimate, 0)) * (steady + k.clients) / all
-	return int64(min((k.demand.rate(now)+k.clients)*t.Horizon.Seconds(), exposed))
+	left := float64(max(k.estimate, 0))
+	through := t.Margin * outage.Seconds()
+	exposed := max(t.Exposure*left, min(t.Outage*left, all*through)) * (steady + k.clients) / all
+	return int64(min((k.demand.rate(now)+k.clients)*max(t.Horizon.Seconds(), through), exposed))
 }
 
 // share is how much of a pool one node may draw: what it wants while much is
--- a/fleet/relay/account/fleet.go
+++ b/fleet/relay/account/fleet.go
@@ -67,7 +67,7 @@
 	defer p.mu.Unlock()
 	deficits := map[string]int64{}
 	for tenant, k := range p.quotas {
-		target := p.tuning.target(k, nodes, now) / aheadPart
+		target := p.tuning.target(k, nodes, p.outage.expected(now), now) / aheadPart
 		if k.demand.known && target >= worthHolding*k.demand.typical() && float64(k.free()) < fraction*float64(target) {
 			deficits[tenant] = target - k.free()
 		}
--- /dev/null
+++ b/fleet/relay/account/outages_test.go
@@ -0,0 +1,79 @@
+package account
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// askedFor returns an allowance of which so many tokens a second are asked for.
+func askedFor(perSecond, prepaid int64, now time.Time) *Allowance {
+	p := NewAllowance("n", "n/1", DefaultTuning())
+	p.Budget(map[string]int64{modelTenant: prepaid})
+	p.Saw(Ledger{}, 1)
+	for i := range 40 {
+		p.Reserve(modelTenant, perSecond/4, now.Add(time.Duration(i-40)*250*time.Millisecond))
+	}
+	return p
+}
+
+func drawn(p *Allowance, now time.Time) int64 {
+	next, _ := p.Propose(Ledger{}, Round{Nodes: 1, Now: now, All: true})
+	row, _ := next.Account(modelTenant).Row("n/1")
+	return row.Drawn
+}
+
+// An outage that was seen is expected again: holdings last through it, by this node's
+// own experience or by a peer's, within a bound, and for some minutes.
+func TestHoldingsLastThroughAnOutageThatWasSeen(t *testing.T) {
+	now := testStart
+	const rate, prepaid = 1000, 30_000
+	cases := []struct {
+		name  string
+		learn func(p *Allowance)
+		after time.Duration
+		least int64
+		most  int64
+	}{
+		{"none seen", func(*Allowance) {}, 0, 5000, 5700},
+		{"one of 8 s", func(p *Allowance) { p.StoreBack(8*time.Second, now) }, 0, 8500, 9400},
+		{"a peer's", func(p *Allowance) { p.Expect(Outage{Ms: 8000, LeftMs: 60_000}, now) }, 0, 8500, 9400},
+		{"a peer's, forgotten by now", func(p *Allowance) { p.Expect(Outage{Ms: 8000, LeftMs: 0}, now) }, 0, 5000, 5700},
+		{"a short one after a long one", func(p *Allowance) { p.StoreBack(8*time.Second, now); p.StoreBack(time.Second, now) }, 0, 8500, 9400},
+		{"one of an hour", func(p *Allowance) { p.StoreBack(time.Hour, now) }, 0, 8500, 9400},
+		{"long ago", func(p *Allowance) { p.StoreBack(8*time.Second, now.Add(-outageMemory)) }, 0, 5000, 5700},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := askedFor(rate, prepaid, now)
+			c.learn(p)
+			got := drawn(p, now)
+			assert.GreaterOrEqual(t, got, c.least)
+			assert.LessOrEqual(t, got, c.most)
+		})
+	}
+}
+
+func TestAnOutageIsToldWithTheTimeItIsExpectedFor(t *testing.T) {
+	p := NewAllowance("n", "n/1", DefaultTuning())
+	assert.Nil(t, p.Expected(testStart))
+	p.StoreBack(8*time.Second, testStart)
+	told := p.Expected(testStart.Add(time.Minute))
+	assert.Equal(t, &Outage{Ms: 8000, LeftMs: (outageMemory - time.Minute).Milliseconds()}, told)
+	peer := NewAllowance("m", "m/1", DefaultTuning())
+	peer.Expect(*told, testStart.Add(time.Minute))
+	assert.Nil(t, peer.Expected(testStart.Add(outageMemory)), "nodes that tell each other forget it nevertheless")
+}
+
+// A holding that has fallen far below its target is refilled soon.
+func TestALowHoldingIsToldFromAFullOne(t *testing.T) {
+	p := askedFor(1000, 30_000, testStart)
+	assert.True(t, p.Low(1, testStart))
+	p.Saw(Ledger{Accounts: []Account{{Tenant: modelTenant, Rows: []Row{{Node: "n", Life: "n/1", Drawn: 6000}}}}}, 2)
+	assert.False(t, p.Low(1, testStart))
+	idle := NewAllowance("n", "n/1", DefaultTuning())
+	idle.Budget(map[string]int64{modelTenant: 30_000})
+	idle.Saw(Ledger{}, 1)
+	assert.False(t, idle.Low(1, testStart), "nobody asks")
+}
--- a/fleet/relay/account/propose.go
+++ b/fleet/relay/account/propose.go
@@ -96,7 +96,7 @@
 	}
 	target := k.shortfall
 	if r.All {
-		target += p.tuning.target(k, r.Nodes, r.Now)
+		target += p.tuning.target(k, r.Nodes, p.outage.expected(r.Now), r.Now)
 	}
 	free := drawn - busy
 	pool := a.Pool(k.prepaid)
--- a/fleet/relay/account/syncer.go
+++ b/fleet/relay/account/syncer.go
@@ -26,6 +26,8 @@
 	tick          = 150 * time.Millisecond
 	calmPace      = 1100 * time.Millisecond // between writes that no request waits for, at least
 	calmPerNode   = 250 * time.Millisecond
+	lowPace       = 500 * time.Millisecond // where a holding is far below its target
+	lowPerNode    = 80 * time.Millisecond
 	urgentPace    = 300 * time.Millisecond // where requests lacked tokens lately
 	urgentPerNode = 50 * time.Millisecond
 	askedPace     = 100 * time.Millisecond // where one waits
@@ -61,6 +63,7 @@
 	revision int64
 	fresh    bool // ledger and revision are as the store last showed them
 	last     time.Time
+	answered time.Time   // when the store last answered
 	out      atomic.Bool // the store does not answer
 }
 
@@ -70,7 +73,7 @@
 	stop, stopped := context.WithCancel(context.Background())
 	return &Syncer{
 		store: s, allowance: p, nodes: nodes, writes: writes, health: health, log: l,
-		asks: make(chan chan struct{}, waitingAsks), stop: stop, stopped: stopped,
+		asks: make(chan chan struct{}, waitingAsks), stop: stop, stopped: stopped, answered: time.Now(),
 	}
 }
 
@@ -142,6 +145,8 @@
 		return askedPace + time.Duration(k.nodes())*askedPerNode
 	case k.allowance.HasShortfall():
 		return urgentPace + time.Duration(k.nodes())*urgentPerNode
+	case k.allowance.Low(k.nodes(), time.Now()):
+		return lowPace + time.Duration(k.nodes())*lowPerNode
 	default:
 		return max(calmPace, time.Duration(k.nodes())*calmPerNode)
 	}
@@ -159,6 +164,7 @@
 	err := k.settle(ctx, now, false)
 	if err == nil || errors.Is(err, store.ErrConflict) { // a conflict is an answer too
 		k.tell(false, nil)
+		k.answered = now
 		return 0
 	}
 	k.tell(true, err)
@@ -179,7 +185,9 @@
 		entry.WithError(err).Warn("accounts: store lost")
 		return
 	}
-	entry.Info("accounts: store reconnected")
+	outage := time.Since(k.answered)
+	k.allowance.StoreBack(outage, time.Now())
+	entry.WithField("outageMs", outage.Milliseconds()).Info("accounts: store reconnected")
 	k.health.Reconnected(Kind)
 }
 
--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -28,11 +28,12 @@
 	models    map[string]*model // by service
 	holders   holders
 	recent    recent
+	told      map[string][]string // ids of the endpoints that a peer's last digests named, by peer
 }
 
 // NewPicker returns a picker for a node of a zone.
 func NewPicker(zone string, t Tuning) *Picker {
-	return &Picker{tuning: t, zone: zone, endpoints: map[string]*endpoint{}, models: map[string]*model{}, holders: holders{}}
+	return &Picker{tuning: t, zone: zone, endpoints: map[string]*endpoint{}, models: map[string]*model{}, holders: holders{}, told: map[string][]string{}}
 }
 
 // Profile is what the policy says of a service's endpoints.
--- a/fleet/relay/choice/digest.go
+++ b/fleet/relay/choice/digest.go
@@ -107,18 +107,24 @@
 func (p *Picker) Heard(peer string, digests map[string]Digest, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, s := range p.endpoints {
-		if _, ok := digests[id]; !ok {
+	for _, id := range p.told[peer] {
+		if _, ok := digests[id]; ok {
+			continue
+		}
+		if s, known := p.endpoints[id]; known {
 			delete(s.peers, peer)
 		}
 	}
+	told := p.told[peer][:0]
 	for id, d := range digests {
+		told = append(told, id)
 		d = d.sound()
 		d.At = now
 		s := p.endpoint(id, 0)
 		s.peers[peer] = d
 		s.gone = s.gone || d.Gone
 	}
+	p.told[peer] = told
 }
 
 // HeardReads takes in which prompts a peer had read where.
--- a/fleet/relay/choice/source.go
+++ b/fleet/relay/choice/source.go
@@ -1,6 +1,11 @@
 package choice
 
 import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
 
@@ -33,23 +38,59 @@
 	if len(shared) == 0 {
 		return best
 	}
-	for id := range p.holders[shared[0].ID] {
-		e, sound := p.soundSource(r, id)
-		if !sound {
+	for depth := len(shared); depth > 0; depth-- {
+		if e, ok := p.holderOf(r, shared[:depth], affinity); ok {
+			best.id, best.address, best.tokens = e.ID, e.Address, tokensOf(shared[:depth])
+			break
+		}
+	}
+	return p.orAffinity(r, best, affinity)
+}
+
+// holdersSeen bounds how many of those that keep a part are looked at: a part that
+// all calls share is kept nearly everywhere.
+const holdersSeen = 16
+
+// holderOf finds a sound endpoint that keeps all of some parts: the affinity target
+// where it does, else one drawn by the call's id, so that the calls of one moment
+// do not all load one link.
+func (p *Picker) holderOf(r Request, parts []call.Part, affinity string) (engine.Engine, bool) {
+	var best engine.Engine
+	found, seen := false, 0
+	key := xxhash.Sum64String(r.Call.ID)
+	rank := func(e engine.Engine) uint64 { return ident.Mix(key ^ e.Hash) }
+	holders := p.holders[parts[len(parts)-1].ID]
+	if holders[affinity] && p.keepsAll(affinity, parts) {
+		if e, sound := p.soundSource(r, affinity); sound {
+			return e, true
+		}
+	}
+	for id := range holders {
+		if seen++; seen > holdersSeen {
+			break
+		}
+		if !p.keepsAll(id, parts) {
 			continue
 		}
-		tokens := int64(0)
-		for _, part := range shared {
-			if !p.holders[part.ID][id] {
-				break
-			}
-			tokens += part.Tokens
+		if e, sound := p.soundSource(r, id); sound && (!found || rank(e) > rank(best)) {
+			best, found = e, true
 		}
-		if tokens > best.tokens || tokens == best.tokens && (id == affinity || best.id != affinity && id < best.id) {
-			best.id, best.address, best.tokens = id, e.Address, tokens
+	}
+	return best, found
+}
+
+// keepsAll is whether an endpoint is thought to keep all of some parts.
+func (p *Picker) keepsAll(id string, parts []call.Part) bool {
+	for _, part := range parts {
+		if !p.holders[part.ID][id] {
+			return false
 		}
 	}
-	return p.orAffinity(r, best, affinity)
+	return true
+}
+
+func tokensOf(parts []call.Part) int64 {
+	return lo.SumBy(parts, func(part call.Part) int64 { return part.Tokens })
 }
 
 // soundSource finds an endpoint that parts may be taken from now.
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -105,6 +105,9 @@
 	if refused, ok := j.authenticate(); !ok {
 		return refused, false
 	}
+	if !j.Gate.Keep(j.tenant.Name, xxhash.Sum64String(j.call.ID)) && j.Nodes() > 1 {
+		return refuseOverloaded, false
+	}
 	j.setEnd()
 	if refused, ok := j.readBody(); !ok {
 		return refused, false
@@ -146,7 +149,9 @@
 	if j.r.ContentLength == 0 {
 		return refusal{}, true
 	}
+	began := time.Now()
 	body, err := readAll(http.MaxBytesReader(j.w, j.r.Body, limit), j.r.ContentLength)
+	j.Gate.Body(time.Since(began))
 	if err != nil {
 		if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
 			return refuseTooLarge, false
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -31,6 +31,7 @@
 	TokenSource TokenSource
 	Picker      *choice.Picker
 	Retries     *retry.Budget
+	Gate        Gate
 	Nodes       func() int // how many nodes share the endpoints' connections
 	Transport   http.RoundTripper
 	Log         log.Interface
@@ -44,6 +45,12 @@
 	Acquire(ctx context.Context, tenant string, tokens int64) bool
 }
 
+// Gate says which calls this node takes while it is overloaded.
+type Gate interface {
+	Keep(customer string, key uint64) bool
+	Body(took time.Duration) // until the body of a call came in
+}
+
 // Metrics counts what the handler does.
 type Metrics interface {
 	Finished(route, outcome string, took time.Duration)
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -42,6 +42,7 @@
 var (
 	refuseNoPolicy     = refusal{http.StatusServiceUnavailable, "no-configuration", 500 * time.Millisecond}
 	refuseLeaving      = refusal{http.StatusServiceUnavailable, "leaving", 50 * time.Millisecond}
+	refuseOverloaded   = refusal{http.StatusServiceUnavailable, "node-overloaded", 50 * time.Millisecond} // another try reaches another node
 	refuseNoRoute      = refusal{http.StatusNotFound, "unknown-route", 0}
 	refuseKey          = refusal{http.StatusUnauthorized, "unknown-key", 0}
 	refuseHead         = refusal{http.StatusBadRequest, "bad-head", 0}
--- a/fleet/relay/mechanisms.go
+++ b/fleet/relay/mechanisms.go
@@ -24,11 +24,14 @@
 	{"affinity", func(t *choice.Tuning) { t.AffinityTrust = 0 }},    // belief in the affinity target
 }
 
-// delegatesMechanism is that some nodes watch the store for the others.
-const delegatesMechanism = "delegates"
+// Mechanisms that are no part of the choice.
+const (
+	delegatesMechanism = "delegates" // some nodes watch the store for the others
+	handOnMechanism    = "hand-on"   // an overloaded node hands callers on
+)
 
 func mechanismNames() []string {
-	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism)
+	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, handOnMechanism)
 }
 
 // Enabled is whether a mechanism is not switched off.
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -40,6 +40,7 @@
 	BudgetReports map[string]account.BudgetReport `json:"reports,omitempty"`
 	Out           bool                            `json:"out,omitempty"`        // the node does not reach the store
 	Reconnects    uint64                          `json:"reconnects,omitempty"` // how often the node found the store back
+	Outage        *account.Outage                 `json:"outage,omitempty"`     // of the store, that is expected again
 	Requests      []transferRequest               `json:"requests,omitempty"`
 	Grants        []grant                         `json:"grants,omitempty"`
 }
@@ -57,7 +58,11 @@
 	writerCount atomic.Int64
 	sources     atomic.Pointer[[]store.Source]
 	client      *http.Client
-	reports     map[string]account.BudgetReport // as of the last budgets
+
+	choosing  sync.Mutex // who writes, and what follows from it
+	delegates *delegates
+	chosen    map[string]bool                 // the writers, as of the last budgets or change of the list of nodes
+	reports   map[string]account.BudgetReport // of the same time
 
 	mu    sync.Mutex
 	heard map[string]heard // by the node's name
@@ -77,7 +82,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	return &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), address: address, out: out, client: sourceClient()}, nil
+	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), address: address, out: out, client: sourceClient(), delegates: newDelegates(r.self.Name)}
+	r.changed = g.choose
+	return g, nil
 }
 
 // Close gives the socket up, where Run is not called.
@@ -104,17 +111,21 @@
 	for peer, requests := range t.transfers.overdue(time.Now()) {
 		t.send(peer, t.signed(message{Requests: requests}))
 	}
-	writers := Writers(t.registry.Members(), t.fit)
 	if t.number%budgetEvery == 1 {
-		t.reports = t.refreshBudgets(writers)
+		t.choose()
 	}
+	writers, reports := t.choice()
 	to, budgets := t.listeners(writers)
 	if len(to) == 0 {
 		return
 	}
-	m := t.signed(message{Number: t.number, Digests: t.picker.Digests(), Reads: t.picker.Reads(time.Now()), Out: t.out(), Reconnects: t.registry.health.Reconnects()})
+	now := time.Now()
+	m := t.signed(message{
+		Number: t.number, Digests: t.picker.Digests(), Reads: t.picker.Reads(now), Out: t.out(),
+		Reconnects: t.registry.health.Reconnects(), Outage: t.transfers.allowance.Expected(now),
+	})
 	if budgets {
-		m.HasBudgets, m.BudgetReports = true, t.reports
+		m.HasBudgets, m.BudgetReports = true, reports
 	}
 	for _, member := range to {
 		t.send(member.Address, m)
@@ -142,7 +153,7 @@
 	}
 	t.writes.Store(writers[self.Name])
 	t.writerCount.Store(int64(len(writers)))
-	t.sources.Store(t.sourcesOf(writers, near))
+	t.sources.Store(t.sourcesOf(writers, near, any))
 	if !writers[self.Name] {
 		t.transfers.allowance.Fleets(t.transfers.fleets(nil, 1, now), now)
 		t.requestAhead(lo.Ternary(len(near) > 0, near, any))
@@ -160,23 +171,33 @@
 	return reports
 }
 
-// sourcesOf lists the nodes of the zone that watch the store for this one, in the
-// order in which it asks them, which spreads askers; none where it watches itself.
-func (t *Gossip) sourcesOf(writers map[string]bool, near []Member) *[]store.Source {
-	self := t.registry.self.Name
+// farSources is how many nodes of other zones are asked where none of the zone's answers.
+const farSources = 2
+
+// sourcesOf lists the nodes that watch the store for this one, in the order in which
+// it asks them, which spreads askers: those of the zone, then some of others; none
+// where it watches itself.
+func (t *Gossip) sourcesOf(writers map[string]bool, near, all []Member) *[]store.Source {
 	sources := []store.Source{}
-	if writers[self] {
+	if writers[t.registry.self.Name] {
 		return &sources
 	}
-	order := slices.Clone(near)
-	rank := func(m Member) uint64 { return xxhash.Sum64String(self + m.Name) }
-	slices.SortFunc(order, func(a, b Member) int { return cmp.Compare(rank(a), rank(b)) })
-	for _, m := range order {
+	far := lo.Filter(all, func(m Member, _ int) bool { return m.Zone != t.registry.self.Zone && !t.word(m.Name).out })
+	far = t.spread(far)
+	for _, m := range append(t.spread(near), far[:min(len(far), farSources)]...) {
 		sources = append(sources, store.Source{Name: m.Name, Reader: Remote{client: t.client, address: m.Address}})
 	}
 	return &sources
 }
 
+// spread orders members differently for each node that asks them.
+func (t *Gossip) spread(members []Member) []Member {
+	order := slices.Clone(members)
+	rank := func(m Member) uint64 { return xxhash.Sum64String(t.registry.self.Name + m.Name) }
+	slices.SortFunc(order, func(a, b Member) int { return cmp.Compare(rank(a), rank(b)) })
+	return order
+}
+
 // Sources lists the nodes that this one asks in the store's place.
 func (t *Gossip) Sources() []store.Source {
 	if s := t.sources.Load(); s != nil {
@@ -191,28 +212,31 @@
 // Writes is whether this node writes the ledger.
 func (t *Gossip) Writes() bool { return t.writes.Load() }
 
-// silentAfter is how long a node that was heard of may say nothing before
-// another one writes the ledger in its place.
-const silentAfter = 4 * time.Second
+// choose names the nodes that write the ledger, as this one sees the fleet, and does
+// what follows from it for this node.
+func (t *Gossip) choose() {
+	t.choosing.Lock()
+	defer t.choosing.Unlock()
+	t.chosen = t.delegates.choose(t.registry.Members(), t.word, time.Now())
+	t.reports = t.refreshBudgets(t.chosen)
+}
 
-// fit lists the members that may write the ledger: not those that fell silent, nor
-// those that do not reach the store, unless no member does.
-func (t *Gossip) fit() []Member {
+// choice is who was last chosen, and what this node reports since.
+func (t *Gossip) choice() (map[string]bool, map[string]account.BudgetReport) {
+	t.choosing.Lock()
+	defer t.choosing.Unlock()
+	return t.chosen, t.reports
+}
+
+// word is what was last heard of a node; of itself a node knows the present.
+func (t *Gossip) word(name string) word {
+	if name == t.registry.self.Name {
+		return word{at: time.Now(), out: t.out()}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	members := t.registry.Members()
-	fit := lo.Filter(members, func(m Member, _ int) bool {
-		if m.Name == t.registry.self.Name {
-			return !t.out()
-		}
-		h, ok := t.heard[m.Name]
-		return !ok || !h.out && now.Sub(h.at) < silentAfter
-	})
-	if len(fit) == 0 {
-		return members
-	}
-	return fit
+	h := t.heard[name]
+	return word{at: h.at, out: h.out}
 }
 
 // listeners picks the peers of one beat, and whether they are told the budgets: all
@@ -315,6 +339,9 @@
 	if before.life == m.Life && m.Reconnects > before.reconnects && len(t.Sources()) == 0 {
 		t.registry.health.Renew()
 	}
+	if m.Outage != nil {
+		t.transfers.allowance.Expect(*m.Outage, now)
+	}
 	t.picker.Heard(m.Node, m.Digests, now)
 	t.picker.HeardReads(m.Reads)
 	if m.HasBudgets {
--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,13 +37,16 @@
 	health  *store.Health
 	history time.Duration
 	members atomic.Pointer[[]Member]
+	changed func()        // told of each change of the members; nil is nobody
+	listed  chan struct{} // closed once the nodes of the fleet were listed
+	once    sync.Once
 	byName  map[string]Member // of the follower's goroutine only
 }
 
 // NewRegistry returns a registry that knows no other node yet; health is shared
 // with the node's other followers, and history is how long the store keeps it.
 func NewRegistry(s store.Store, self Member, health *store.Health, history time.Duration, l log.Interface) *Registry {
-	r := &Registry{store: s, self: self, log: l, health: health, history: history, byName: map[string]Member{}}
+	r := &Registry{store: s, self: self, log: l, health: health, history: history, byName: map[string]Member{}, listed: make(chan struct{})}
 	r.publish()
 	return r
 }
@@ -131,6 +135,7 @@
 		return
 	}
 	r.publish()
+	r.once.Do(func() { close(r.listed) })
 }
 
 func (r *Registry) put(o store.Object) {
@@ -152,4 +157,10 @@
 	}
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	r.members.Store(&members)
+	if r.changed != nil {
+		r.changed()
+	}
 }
+
+// Listed is closed once the nodes of the fleet were listed and taken note of.
+func (r *Registry) Listed() <-chan struct{} { return r.listed }
--- a/fleet/relay/peer/transfer.go
+++ b/fleet/relay/peer/transfer.go
@@ -23,6 +23,8 @@
 	Fleets(fleets map[string]account.Fleet, now time.Time)
 	Deficits(nodes int, fraction float64, now time.Time) map[string]int64
 	State(tenant string) account.Holding
+	Expected(now time.Time) *account.Outage
+	Expect(o account.Outage, now time.Time)
 }
 
 // transferRequest is a node's request for a peer's tokens. Sent again, it has the same id.
@@ -177,9 +179,12 @@
 		peer   string
 		tokens int64
 	}
-	var all []rich
+	all := make([]rich, 0, 2*grantPeers)
 	for peer, o := range l.reported {
-		if tokens := o.budgets[tenant].Free; tokens >= need && now.Sub(o.at) < freeAge {
+		if now.Sub(o.at) >= freeAge {
+			continue
+		}
+		if tokens := o.budgets[tenant].Free; tokens >= need {
 			all = append(all, rich{peer: peer, tokens: tokens})
 		}
 	}
--- a/fleet/relay/peer/writers.go
+++ b/fleet/relay/peer/writers.go
@@ -28,13 +28,8 @@
 		}
 		return writers
 	}
-	members = fit()
-	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
-	})
 	inZone := map[string]int{}
-	for _, m := range sorted {
+	for _, m := range ranked(fit()) {
 		if inZone[m.Zone] < zoneWriters {
 			inZone[m.Zone]++
 			writers[m.Name] = true
@@ -42,3 +37,12 @@
 	}
 	return writers
 }
+
+// ranked lists members in the order in which they are chosen.
+func ranked(members []Member) []Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
+	})
+	return sorted
+}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
 	"github.com/lynxshed/lynxshed/fleet/relay/ingress"
+	"github.com/lynxshed/lynxshed/fleet/relay/overload"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
@@ -57,6 +58,7 @@
 	picker    *choice.Picker
 	registry  *peer.Registry
 	gossip    *peer.Gossip
+	gate      *overload.Gate
 	handler   *forward.Handler
 	ingress   *ingress.Listener
 	telemetry *telemetry.Telemetry
@@ -87,7 +89,7 @@
 	if err := n.measure(); err != nil {
 		return nil, err
 	}
-	n.store = store.NewSourced(store.Counted(a.Store(), n.metrics), n.sources)
+	n.store = store.NewSourced(store.Counted(a.Store(), n.metrics), n.sources, n.directPace)
 	life := uuid.NewString()
 	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps}
 	n.allowance = account.NewAllowance(s.Node, life, s.Budget.Tuning())
@@ -99,10 +101,11 @@
 	}
 	n.gossip = gossip
 	n.syncer = account.NewSyncer(n.store, n.allowance, gossip.WriterCount, gossip.Writes, n.health, l)
+	n.gate = overload.NewGate(overload.DefaultRule())
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Allowance: n.allowance, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
-		Nodes:   n.registry.Count, Transport: forward.NewTransport(), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Gate:    n.gate, Nodes: n.registry.Count, Transport: forward.NewTransport(), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
@@ -174,12 +177,21 @@
 	kind, name := n.adapter.PolicyAt()
 	n.caches = map[string]*store.Cache{kind: store.NewCache(), n.adapter.EngineKind(): store.NewCache(), peer.Kind: store.NewCache()}
 	policies := store.Watching{Kind: kind, Rest: part(policyRestPart, n.settings.Apply()), History: n.settings.History(), Health: n.health, Leads: true, Longest: n.longestWatch}
-	go store.Follow(ctx, n.store, policies, n.cached(kind, func(c store.Change) { n.applyPolicy(name, c) }))
+	go func() {
+		n.awaitPeers(ctx)
+		store.Follow(ctx, n.store, policies, n.cached(kind, func(c store.Change) { n.applyPolicy(name, c) }))
+	}()
 	engines := store.Watching{Kind: n.adapter.EngineKind(), Rest: part(engineRestPart, n.settings.EndpointDrain()), History: n.settings.History(), Health: n.health}
-	go store.Follow(ctx, n.store, engines, n.cached(n.adapter.EngineKind(), newEngineTable(n).apply))
+	go func() {
+		n.awaitPeers(ctx)
+		store.Follow(ctx, n.store, engines, n.cached(n.adapter.EngineKind(), newEngineTable(n).apply))
+	}()
 	go n.registry.Run(ctx, n.cached(peer.Kind, func(store.Change) {}))
 	go n.gossip.Run(ctx)
 	go n.syncer.Run(ctx)
+	if n.settings.Enabled(handOnMechanism) {
+		go overload.Watch(ctx, n.gate, n.log)
+	}
 }
 
 // cached hands a follower's changes to the cache of its kind, too.
@@ -199,6 +211,35 @@
 	return n.gossip.Sources()
 }
 
+// How often a node asks a store that those who watch it for the node have lost: all
+// nodes together some twenty times a second, whatever the size of the fleet.
+const (
+	leastDirectPace   = 2 * time.Second
+	directPacePerNode = 50 * time.Millisecond
+)
+
+func (n *Node) directPace() time.Duration {
+	return max(leastDirectPace, time.Duration(n.registry.Count())*directPacePerNode)
+}
+
+// knowPeers bounds how long a node that starts waits for the list of nodes, so that it
+// asks peers for the rest in the store's place.
+const knowPeers = time.Second
+
+// awaitPeers returns when the list of nodes is known, or soon.
+func (n *Node) awaitPeers(ctx context.Context) {
+	if !n.settings.Enabled(delegatesMechanism) {
+		return
+	}
+	timer := time.NewTimer(knowPeers)
+	defer timer.Stop()
+	select {
+	case <-n.registry.Listed():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // longestWatch bounds the watch that leads on nodes that write the ledger, so that
 // these feel a silent store in time and tell the others.
 func (n *Node) longestWatch() time.Duration {
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,24 +29,42 @@
 	sourceSlack = 400 * time.Millisecond // beyond that, until an answer begins
 	sourceBody  = 2 * time.Second        // for an answer that has begun, on a narrow link that callers fill, too
 	sourceRest  = 5 * time.Second        // that a source which failed is left alone
+	unfitRest   = 300 * time.Millisecond // and one that says that it lost the store
+	sourceTries = 3                      // sources that one call asks at most
 
 	// While sources are named and fail, the store is asked in short watches: one that
 	// is sent into its silence is not answered when it is back, and nobody tells
 	// this node when that is.
 	fallbackWait  = 1500 * time.Millisecond
 	fallbackSlack = 700 * time.Millisecond
+
+	// Sources that lost the store ask it themselves, and are fit again when it answers:
+	// a node leaves asking to them for this long at first, and asks seldom from then on.
+	patience = 2500 * time.Millisecond
 )
 
+// ErrSourcesOut says that all who watch the store for this node have lost it, and that
+// it is not this node's turn to ask the store itself.
+var ErrSourcesOut = errors.New("store: those that watch it for this node have lost it")
+
 // Sourced is a store whose lists and watches are answered by other nodes, where
-// such are named, and by the store itself where none is or one fails. It is safe
+// such are named, and by the store itself where none is or all fail. It is safe
 // for concurrent use.
 type Sourced struct {
 	Store
-	sources func() []Source // in the order in which they are asked; none: this node asks the store
+	sources func() []Source      // in the order in which they are asked; none: this node asks the store
+	pace    func() time.Duration // between two calls of this node to a store that its sources have lost
 
 	mu     sync.Mutex
-	failed map[string]time.Time
-	direct map[string]bool // by kind: the last answer came from the store
+	rests  map[string]rest      // by the source's name
+	turns  map[string]time.Time // by kind, when this node may ask a store that its sources have lost
+	direct map[string]bool      // by kind: the last answer came from the store
+}
+
+// rest is a time in which a source is not asked.
+type rest struct {
+	until time.Time
+	unfit bool // it answers, and has lost the store
 }
 
 // AnswerBegins is how long a source may take, beyond what a watch waits, until its
@@ -52,8 +72,8 @@
 const AnswerBegins = sourceSlack
 
 // NewSourced returns a store that asks the sources first.
-func NewSourced(s Store, sources func() []Source) *Sourced {
-	return &Sourced{Store: s, sources: sources, failed: map[string]time.Time{}, direct: map[string]bool{}}
+func NewSourced(s Store, sources func() []Source, pace func() time.Duration) *Sourced {
+	return &Sourced{Store: s, sources: sources, pace: pace, rests: map[string]rest{}, turns: map[string]time.Time{}, direct: map[string]bool{}}
 }
 
 // Direct is whether the last answer for a kind came from the store itself.
@@ -69,42 +89,98 @@
 	s.direct[kind] = direct
 }
 
-// source is the one to ask: the first of those that never failed, else the one
-// that failed longest ago; none that failed lately.
-func (s *Sourced) source() (Source, bool) {
+// awake lists the sources to ask: those that did not fail lately, in their order.
+func (s *Sourced) awake() []Source {
 	all := s.sources()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var best Source
-	found := false
+	now := time.Now()
+	var awake []Source
 	for _, one := range all {
-		at := s.failed[one.Name]
-		if time.Since(at) >= sourceRest && (!found || at.Before(s.failed[best.Name])) {
-			best, found = one, true
+		if !now.Before(s.rests[one.Name].until) && len(awake) < sourceTries {
+			awake = append(awake, one)
 		}
 	}
-	return best, found
+	return awake
 }
 
-func (s *Sourced) note(source string) {
+// failed lets a source rest.
+func (s *Sourced) failed(source string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failed[source] = time.Now()
+	unfit := errors.Is(err, ErrUnfit)
+	length := sourceRest
+	if unfit {
+		length = unfitRest
+	}
+	s.rests[source] = rest{until: time.Now().Add(length), unfit: unfit}
 }
 
-// List implements Store.
-func (s *Sourced) List(ctx context.Context, kind string) ([]Object, int64, error) {
-	if from, ok := s.source(); ok {
-		objects, at, err := listFrom(ctx, from, kind)
-		if err == nil {
-			s.came(kind, false)
-			return objects, at, nil
+// ask asks the sources one after another until one answers; false where none did.
+func (s *Sourced) ask(ctx context.Context, kind string, call func(Source) error) (bool, error) {
+	for _, from := range s.awake() {
+		err := call(from)
+		if err == nil || errors.Is(err, ErrCompacted) {
+			s.answered(kind, false)
+			return true, err
+		}
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return true, err // the caller gave up: that says nothing of the source
 		}
-		s.note(from.Name)
+		s.failed(from.Name, err)
+		if ctx.Err() != nil {
+			return true, err
+		}
+	}
+	return false, nil
+}
+
+// answered notes who answered for a kind.
+func (s *Sourced) answered(kind string, direct bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.direct[kind] = direct
+	delete(s.turns, kind)
+}
+
+// mayAskStore is whether this node may ask the store itself now: at once where no
+// source is named or all of them are silent, and now and then where one says that it
+// has lost the store.
+func (s *Sourced) mayAskStore(kind string) bool {
+	all := s.sources()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.ContainsFunc(all, func(one Source) bool { return s.rests[one.Name].unfit }) {
+		return true
+	}
+	now := time.Now()
+	turn, waits := s.turns[kind]
+	if !waits {
+		s.turns[kind] = now.Add(patience + rand.N(s.pace()))
+		return false
 	}
-	objects, at, err := s.Store.List(ctx, kind)
+	if now.Before(turn) {
+		return false
+	}
+	s.turns[kind] = now.Add(s.pace()/2 + rand.N(s.pace()))
+	return true
+}
+
+// List implements Store.
+func (s *Sourced) List(ctx context.Context, kind string) (objects []Object, at int64, err error) {
+	asked, err := s.ask(ctx, kind, func(from Source) (err error) {
+		objects, at, err = listFrom(ctx, from, kind)
+		return err
+	})
+	if asked {
+		return objects, at, err
+	}
+	if !s.mayAskStore(kind) {
+		return nil, 0, ErrSourcesOut
+	}
+	objects, at, err = s.Store.List(ctx, kind)
 	if err == nil {
-		s.came(kind, true)
+		s.answered(kind, true)
 	}
 	return objects, at, err
 }
@@ -117,14 +193,16 @@
 
 // Watch implements Store. A watch that a source answers waits for less than was
 // asked: a source that falls silent is to be felt.
-func (s *Sourced) Watch(ctx context.Context, kind string, since int64, wait time.Duration) ([]Event, int64, error) {
-	if from, ok := s.source(); ok {
-		events, at, err := watchFrom(ctx, from, kind, since, min(wait, sourceWait))
-		if err == nil || errors.Is(err, ErrCompacted) {
-			s.came(kind, false)
-			return events, at, err
-		}
-		s.note(from.Name)
+func (s *Sourced) Watch(ctx context.Context, kind string, since int64, wait time.Duration) (events []Event, at int64, err error) {
+	asked, err := s.ask(ctx, kind, func(from Source) (err error) {
+		events, at, err = watchFrom(ctx, from, kind, since, min(wait, sourceWait))
+		return err
+	})
+	if asked {
+		return events, at, err
+	}
+	if !s.mayAskStore(kind) {
+		return nil, 0, ErrSourcesOut
 	}
 	if len(s.sources()) > 0 {
 		wait = min(wait, fallbackWait)
@@ -132,9 +210,9 @@
 		defer cancel()
 		ctx = bounded
 	}
-	events, at, err := s.Store.Watch(ctx, kind, since, wait)
+	events, at, err = s.Store.Watch(ctx, kind, since, wait)
 	if err == nil {
-		s.came(kind, true)
+		s.answered(kind, true)
 	}
 	return events, at, err
 }
