--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -9,7 +9,8 @@
 type Tuning struct {
 	Horizon  time.Duration // holdings last this long at the present demand
 	Exposure float64       // of what is left of a budget, the part that all nodes together hold at most
-	Outage   float64       // the same where what an outage of the store took lately needs more
+	Ample    float64       // a budget that lasts for so many horizons is far from its end; nearer to it, less of it is held
+	Least    float64       // of the exposure, held of a budget that is about to end
 	Margin   float64       // holdings last this many times the longest outage seen lately
 	First    float64       // part of a budget that all nodes together draw before any demand is known
 	Step     float64       // least draw worth a write, as a part of the target
@@ -19,12 +20,12 @@
 
 // DefaultTuning is what measurements led to; docs/design/07-platform.md.
 func DefaultTuning() Tuning {
-	return Tuning{Horizon: 10 * time.Second, Exposure: 0.18, Outage: 0.3, Margin: 1.25, First: 0.1, Step: 0.2, Surplus: 1.5, Report: 0.02}
+	return Tuning{Horizon: 10 * time.Second, Exposure: 0.3, Ample: 4, Least: 0.25, Margin: 1.25, First: 0.1, Step: 0.2, Surplus: 1.5, Report: 0.02}
 }
 
 // target is how many free tokens a node should hold of a budget: what its own
-// demand takes for the horizon, within this node's part of the exposure. An
-// outage of the store that was seen lately is expected again.
+// demand takes for the horizon, or for an outage of the store that was seen lately,
+// within this node's part of the exposure.
 func (t Tuning) target(k *quota, nodes int, outage time.Duration, now time.Time) int64 {
 	if !k.demand.known && k.others <= 0 {
 		return int64(t.First * float64(k.prepaid) / float64(max(nodes, 1)))
@@ -35,9 +36,17 @@
 		return 0
 	}
 	left := float64(max(k.estimate, 0))
-	through := t.Margin * outage.Seconds()
-	exposed := max(t.Exposure*left, min(t.Outage*left, all*through)) * (steady + k.clients) / all
-	return int64(min((k.demand.rate(now)+k.clients)*max(t.Horizon.Seconds(), through), exposed))
+	exposed := t.exposure(left/all) * left * (steady + k.clients) / all
+	length := max(t.Horizon.Seconds(), t.Margin*outage.Seconds())
+	return int64(min((k.demand.rate(now)+k.clients)*length, exposed))
+}
+
+// exposure is the part of a budget that all nodes together hold, which lasts for so
+// many seconds at the present demand. What is held is lost with the nodes, and what is
+// not can't be spent in an outage: far from the end of a budget the first costs
+// nothing; near to it the second does not, since it can be spent afterwards.
+func (t Tuning) exposure(lasts float64) float64 {
+	return t.Exposure * min(max(lasts/(t.Ample*t.Horizon.Seconds()), t.Least), 1)
 }
 
 // share is how much of a pool one node may draw: what it wants while much is
--- a/fleet/relay/account/outages_test.go
+++ b/fleet/relay/account/outages_test.go
@@ -28,7 +28,7 @@
 // own experience or by a peer's, within a bound, and for some minutes.
 func TestHoldingsLastThroughAnOutageThatWasSeen(t *testing.T) {
 	now := testStart
-	const rate, prepaid = 1000, 30_000
+	const rate, prepaid = 1000, 60_000
 	cases := []struct {
 		name  string
 		learn func(p *Allowance)
@@ -36,13 +36,13 @@
 		least int64
 		most  int64
 	}{
-		{"none seen", func(*Allowance) {}, 0, 5000, 5700},
-		{"one of 8 s", func(p *Allowance) { p.StoreBack(8*time.Second, now) }, 0, 8500, 9400},
-		{"a peer's", func(p *Allowance) { p.Expect(Outage{Ms: 8000, LeftMs: 60_000}, now) }, 0, 8500, 9400},
-		{"a peer's, forgotten by now", func(p *Allowance) { p.Expect(Outage{Ms: 8000, LeftMs: 0}, now) }, 0, 5000, 5700},
-		{"a short one after a long one", func(p *Allowance) { p.StoreBack(8*time.Second, now); p.StoreBack(time.Second, now) }, 0, 8500, 9400},
-		{"one of an hour", func(p *Allowance) { p.StoreBack(time.Hour, now) }, 0, 8500, 9400},
-		{"long ago", func(p *Allowance) { p.StoreBack(8*time.Second, now.Add(-outageMemory)) }, 0, 5000, 5700},
+		{"none seen", func(*Allowance) {}, 0, 10_000, 10_400},
+		{"one of 16 s", func(p *Allowance) { p.StoreBack(16*time.Second, now) }, 0, 17_500, 18_400},
+		{"a peer's", func(p *Allowance) { p.Expect(Outage{Ms: 16_000, LeftMs: 60_000}, now) }, 0, 17_500, 18_400},
+		{"a peer's, forgotten by now", func(p *Allowance) { p.Expect(Outage{Ms: 16_000, LeftMs: 0}, now) }, 0, 10_000, 10_400},
+		{"a short one after a long one", func(p *Allowance) { p.StoreBack(16*time.Second, now); p.StoreBack(time.Second, now) }, 0, 17_500, 18_400},
+		{"one of an hour", func(p *Allowance) { p.StoreBack(time.Hour, now) }, 0, 17_500, 18_400},
+		{"long ago", func(p *Allowance) { p.StoreBack(16*time.Second, now.Add(-outageMemory)) }, 0, 10_000, 10_400},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -66,11 +66,26 @@
 	assert.Nil(t, peer.Expected(testStart.Add(outageMemory)), "nodes that tell each other forget it nevertheless")
 }
 
+// What is held of a budget falls with how long it lasts: near to its end an outage
+// costs nothing that can't be spent afterwards, and a loss of nodes costs all they held.
+func TestLessIsHeldOfABudgetThatIsNearItsEnd(t *testing.T) {
+	tuning := DefaultTuning()
+	cases := []struct {
+		lasts float64 // seconds
+		want  float64
+	}{
+		{3600, tuning.Exposure}, {40, tuning.Exposure}, {20, tuning.Exposure / 2}, {10, tuning.Exposure / 4}, {1, tuning.Exposure / 4},
+	}
+	for _, c := range cases {
+		assert.InDelta(t, c.want, tuning.exposure(c.lasts), 1e-9, c)
+	}
+}
+
 // A holding that has fallen far below its target is refilled soon.
 func TestALowHoldingIsToldFromAFullOne(t *testing.T) {
 	p := askedFor(1000, 30_000, testStart)
 	assert.True(t, p.Low(1, testStart))
-	p.Saw(Ledger{Accounts: []Account{{Tenant: modelTenant, Rows: []Row{{Node: "n", Life: "n/1", Drawn: 6000}}}}}, 2)
+	p.Saw(Ledger{Accounts: []Account{{Tenant: modelTenant, Rows: []Row{{Node: "n", Life: "n/1", Drawn: 7500}}}}}, 2)
 	assert.False(t, p.Low(1, testStart))
 	idle := NewAllowance("n", "n/1", DefaultTuning())
 	idle.Budget(map[string]int64{modelTenant: 30_000})
--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -28,12 +28,13 @@
 	models    map[string]*model // by service
 	holders   holders
 	recent    recent
+	zones     zones
 	told      map[string][]string // ids of the endpoints that a peer's last digests named, by peer
 }
 
 // NewPicker returns a picker for a node of a zone.
 func NewPicker(zone string, t Tuning) *Picker {
-	return &Picker{tuning: t, zone: zone, endpoints: map[string]*endpoint{}, models: map[string]*model{}, holders: holders{}, told: map[string][]string{}}
+	return &Picker{tuning: t, zone: zone, endpoints: map[string]*endpoint{}, models: map[string]*model{}, holders: holders{}, zones: zones{}, told: map[string][]string{}}
 }
 
 // Profile is what the policy says of a service's endpoints.
@@ -111,7 +112,7 @@
 			continue
 		}
 		s := p.endpoint(e.ID, r.Profile.Capacity)
-		if s.gone || s.inFlight >= r.Cap || (!suspects && r.Now.Before(s.suspected)) {
+		if s.gone || s.inFlight >= r.Cap || !suspects && (r.Now.Before(s.suspected) || p.unreachable(e.Zone, r.Now)) {
 			continue
 		}
 		t := p.weigh(r, e, s, affinity, source)
--- a/fleet/relay/choice/cost.go
+++ b/fleet/relay/choice/cost.go
@@ -32,7 +32,9 @@
 	if p.tuning.Fetch && from.id != e.ID && from.tokens > kept {
 		if ms := from.moveMs(from.tokens - kept); ms < m.readMs(from.tokens-kept) {
 			t.Source, t.Fetched, fetchMs = from.address, from.tokens-kept, ms
-			kept = from.tokens
+			if from.known || !p.tuning.Homes {
+				kept = from.tokens
+			}
 		}
 	}
 	t.Uncached = max(r.Call.PromptMax-kept, 0)
--- a/fleet/relay/choice/model_test.go
+++ b/fleet/relay/choice/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -230,6 +231,7 @@
 	got, ok := p.Pick(r)
 	require.True(t, ok)
 	assert.Equal(t, target.Address, got.Source)
+	assert.Equal(t, c.PromptMax, got.Uncached, "it may lack them, and nothing counts on it")
 	p.endpoint(target.ID, 1).gone = true
 	got, ok = p.Pick(r)
 	require.True(t, ok)
@@ -248,3 +250,91 @@
 	l.add("e", nil, now)
 	assert.Empty(t, l.list(now.Add(2*readsFor)), "a prompt that shares nothing is not told")
 }
+
+// Where nobody is known to keep a large prompt's parts, the call goes to their affinity
+// target, on which all nodes agree, though that lies in another zone: so that the next
+// call finds them there. Small parts are not worth leaving the zone.
+func TestPromptsAreReadWhereAllNodesExpectThem(t *testing.T) {
+	now := time.Unix(1000, 0)
+	all := testEngines(5)
+	cases := []struct {
+		name   string
+		shared int64
+		off    bool
+		home   bool
+	}{
+		{"large parts", 6000, false, true},
+		{"small parts", 60, false, false},
+		{"switched off", 6000, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tuning := DefaultTuning()
+			tuning.Homes = !c.off
+			p := NewPicker("mine", tuning)
+			r := Request{
+				Call:    call.Call{ID: "a", PromptMax: c.shared + 500, OutputMax: 10, Parts: []call.Part{{ID: "session", Tokens: c.shared}, {ID: "own", Tokens: 500}}},
+				Engines: all, Profile: Profile{Service: service, Tokens: true, Capacity: 100_000, TokenBytes: 131_072, LinkMbps: 500_000}, Cap: 9, Now: now, Objective: 800 * time.Millisecond,
+			}
+			home := p.affinity(r)
+			r.Engines = slices.Clone(all)
+			for i := range r.Engines {
+				r.Engines[i].Zone = "mine"
+				if r.Engines[i].ID == home {
+					r.Engines[i].Zone = "other"
+				}
+			}
+			got, ok := p.Pick(r)
+			require.True(t, ok)
+			assert.Equal(t, c.home, got.Engine.ID == home)
+		})
+	}
+}
+
+// Two endpoints of another zone that can't be reached tell for the zone, for a while,
+// until one is reached; the node's own zone is never given up.
+func TestAZoneThatIsCutOffIsAvoided(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cases := []struct {
+		name    string
+		zone    string // in which connects fail
+		fail    []int
+		reached bool // one of the zone in between
+		avoided bool
+	}{
+		{"one endpoint", "far", []int{0}, false, false},
+		{"one endpoint again and again", "far", []int{0, 0, 0}, false, false},
+		{"two", "far", []int{0, 1}, false, true},
+		{"two, and one that is reached", "far", []int{0, 1}, true, false},
+		{"two of its own zone", "mine", []int{0, 1}, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewPicker("mine", DefaultTuning())
+			all := testEngines(6)
+			for i := range all {
+				all[i].Zone = "far"
+				if i >= 3 {
+					all[i].Zone = "mine"
+				}
+			}
+			first := 0
+			if c.zone == "mine" {
+				first = 3
+			}
+			attempt := func(i int, result Result) {
+				placed, ok := p.Pick(Request{Call: call.Call{ID: "x"}, Engines: all[first+i : first+i+1], Cap: 9, Now: now, Profile: Profile{Service: service}})
+				require.True(t, ok)
+				placed.Close(result, now)
+			}
+			for _, i := range c.fail {
+				attempt(i, Unreached)
+			}
+			if c.reached {
+				attempt(2, Good)
+			}
+			assert.Equal(t, c.avoided, p.unreachable(c.zone, now))
+			assert.False(t, p.unreachable(c.zone, now.Add(10*time.Second)))
+		})
+	}
+}
--- a/fleet/relay/choice/placement.go
+++ b/fleet/relay/choice/placement.go
@@ -112,11 +112,12 @@
 
 // The results.
 const (
-	Good     Result = iota
-	Rejected        // refused as full
-	Bad             // failed, broke off or could not be reached
-	Gone            // another endpoint has the address: this one, one life of it, is never back
-	Neutral         // says nothing about the endpoint
+	Good      Result = iota
+	Rejected         // refused as full
+	Bad              // failed or broke off
+	Unreached        // could not be reached
+	Gone             // another endpoint has the address: this one, one life of it, is never back
+	Neutral          // says nothing about the endpoint
 )
 
 // rejectedPart is the part of the time for failures that an endpoint is avoided
@@ -145,12 +146,16 @@
 	switch r {
 	case Good:
 		e.failures = 0
+		t.picker.zones.reached(t.Engine.Zone)
 		t.model.lasts = t.model.lasts.with(now.Sub(t.request.Now).Seconds())
 	case Rejected:
 		e.suspected = now.Add(suspect / rejectedPart)
-	case Bad:
+	case Bad, Unreached:
 		e.failures++
 		e.suspected = now.Add(suspect * time.Duration(min(e.failures, mostFailures)))
+		if r == Unreached {
+			t.picker.zones.unreached(t.Engine, now, suspect)
+		}
 	case Gone:
 		e.gone = true
 	case Neutral:
--- a/fleet/relay/choice/source.go
+++ b/fleet/relay/choice/source.go
@@ -15,6 +15,7 @@
 	id      string
 	address string
 	tokens  int64
+	known   bool    // it was seen or heard to have read them; else it is only thought to, as the affinity target
 	bytesMs float64 // of the link, in a ms
 	bytes   int64   // of a token
 }
@@ -40,7 +41,7 @@
 	}
 	for depth := len(shared); depth > 0; depth-- {
 		if e, ok := p.holderOf(r, shared[:depth], affinity); ok {
-			best.id, best.address, best.tokens = e.ID, e.Address, tokensOf(shared[:depth])
+			best.id, best.address, best.tokens, best.known = e.ID, e.Address, tokensOf(shared[:depth]), true
 			break
 		}
 	}
@@ -119,6 +120,6 @@
 	if !sound || tokens <= known.tokens {
 		return known
 	}
-	known.id, known.address, known.tokens = affinity, e.Address, tokens
+	known.id, known.address, known.tokens, known.known = affinity, e.Address, tokens, false
 	return known
 }
--- a/fleet/relay/choice/tuning.go
+++ b/fleet/relay/choice/tuning.go
@@ -10,6 +10,7 @@
 	Suspect       time.Duration // how long an endpoint that failed is avoided at first
 	LoadAge       time.Duration // a reported load older than this says nothing
 	Fetch         bool          // parts kept elsewhere are taken from there
+	Homes         bool          // only where parts are known to lie counts on fetching: else their affinity target is the place to read them
 	Harm          bool          // streams that run there count
 	Pauses        bool          // pauses that streams had there count
 	Gossip        bool          // peers tell which parts lie where
@@ -19,6 +20,6 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		AffinityTrust: 0.9, CrossZone: 0.03, Waiting: 0.3, Suspect: 600 * time.Millisecond, LoadAge: 400 * time.Millisecond,
-		Fetch: true, Harm: true, Pauses: true, Gossip: true,
+		Fetch: true, Homes: true, Harm: true, Pauses: true, Gossip: true,
 	}
 }
--- a/fleet/relay/forward/answer.go
+++ b/fleet/relay/forward/answer.go
@@ -23,7 +23,7 @@
 	defer drop(o.resp)
 	body, err := io.ReadAll(o.resp.Body)
 	if err != nil {
-		t.Close(resultOf(ctx), time.Now())
+		t.Close(resultOf(ctx, choice.Bad), time.Now())
 		j.note = at("body", t, err).Error()
 		if j.mayRunAgain(ctx) {
 			return nil, true
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -105,7 +105,7 @@
 func (j *job) judge(ctx context.Context, t *choice.Placement, out outcome) (*refusal, bool) {
 	switch o := out.(type) {
 	case neverSent:
-		t.Close(choice.Bad, time.Now())
+		t.Close(resultOf(ctx, choice.Unreached), time.Now())
 		j.note = o.err.Error()
 		return j.ifOver(ctx, refuseUnstarted)
 	case rejected:
@@ -115,7 +115,7 @@
 		}
 		return &refuseFull, false
 	case failed:
-		t.Close(resultOf(ctx), time.Now())
+		t.Close(resultOf(ctx, choice.Bad), time.Now())
 		j.note = o.err.Error()
 		if j.mayRunAgain(ctx) {
 			return nil, true
@@ -127,12 +127,12 @@
 	return &refuseUnknown, false
 }
 
-// resultOf an attempt that failed: where the caller left, it says nothing.
-func resultOf(ctx context.Context) choice.Result {
+// resultOf an attempt that failed in some way: where the caller left, it says nothing.
+func resultOf(ctx context.Context, failed choice.Result) choice.Result {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return choice.Neutral
 	}
-	return choice.Bad
+	return failed
 }
 
 // resultOfRejection tells an endpoint that is full from one that is never back.
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -28,7 +28,7 @@
 			j.finish("streamed", o.resp.StatusCode)
 			return
 		}
-		t.Close(resultOf(ctx), time.Now())
+		t.Close(resultOf(ctx, choice.Bad), time.Now())
 		j.note = at("stream", t, err).Error()
 		next, out, ok := j.resume(ctx, t, s)
 		if !ok {
@@ -65,7 +65,7 @@
 	j.engine, j.placed = t.Engine.ID, t
 	out, ok := j.send(ctx, t, s.lastID).(answered)
 	if !ok {
-		t.Close(resultOf(ctx), time.Now())
+		t.Close(resultOf(ctx, choice.Bad), time.Now())
 		return nil, answered{}, false
 	}
 	if out.resp.StatusCode != http.StatusOK || !isStream(out.resp) {
--- a/fleet/relay/overload/gate.go
+++ b/fleet/relay/overload/gate.go
@@ -25,13 +25,16 @@
 // DefaultRule is what measurements led to; docs/design/09-scale.md.
 func DefaultRule() Rule {
 	return Rule{
-		Wait: 20 * time.Millisecond, Body: 50 * time.Millisecond, BodyShare: 0.5,
-		Steps: 2, Cut: 0.85, Grow: 0.02, Least: 0.15, Heavy: 0.25,
+		Wait: 8 * time.Millisecond, Body: 50 * time.Millisecond, BodyShare: 0.5,
+		Steps: 2, Cut: 0.75, Grow: 0.03, Least: 0.15, Heavy: 0.25,
 	}
 }
 
-// leastBodies is how many bodies a reading needs to say anything of the link.
-const leastBodies = 8
+// Bounds below which a reading says nothing.
+const (
+	leastBodies = 8 // of the link
+	leastCalls  = 4 // of the calls: what else the node does makes it wait
+)
 
 // Gate decides which calls a node keeps. It is safe for concurrent use.
 type Gate struct {
@@ -116,9 +119,11 @@
 func (g *Gate) Read(wait time.Duration) State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	full := g.kept
 	s := State{Wait: wait, Slow: g.slowBodies, Bodies: g.bodies, Calls: g.calls.total}
-	g.adjust(wait > g.rule.Wait || g.bodies >= leastBodies && float64(g.slowBodies) > g.rule.BodyShare*float64(g.bodies))
+	full := g.kept
+	busy := wait > g.rule.Wait && g.calls.total >= leastCalls
+	choked := g.bodies >= leastBodies && float64(g.slowBodies) > g.rule.BodyShare*float64(g.bodies)
+	g.adjust(busy || choked)
 	g.before, g.calls = g.calls, census{byCustomer: map[string]int{}}
 	g.bodies, g.slowBodies = 0, 0
 	s.Kept, s.Changed = g.kept, (full < 1) != (g.kept < 1)
--- a/fleet/relay/overload/gate_test.go
+++ b/fleet/relay/overload/gate_test.go
@@ -39,8 +39,8 @@
 	}{
 		{"calm", lo.Times(9, func(int) time.Duration { return calm }), map[string]int{"a": 400, "b": 40}, map[string]float64{"a": 1, "b": 1}, map[string]float64{"a": 1, "b": 1}, false},
 		{"one burst", []time.Duration{calm, choky, calm}, map[string]int{"a": 400}, map[string]float64{"a": 1}, map[string]float64{"a": 1}, false},
-		{"overloaded by one customer", lo.Times(5, func(int) time.Duration { return choky }), map[string]int{"a": 400, "b": 40}, map[string]float64{"a": 0.3, "b": 1}, map[string]float64{"a": 0.7, "b": 1}, true},
-		{"overloaded by many", lo.Times(5, func(int) time.Duration { return choky }), map[string]int{"a": 90, "b": 90, "c": 90, "d": 90, "e": 90}, map[string]float64{"a": 0.3, "e": 0.3}, map[string]float64{"a": 0.8, "e": 0.8}, true},
+		{"overloaded by one customer", lo.Times(4, func(int) time.Duration { return choky }), map[string]int{"a": 400, "b": 40}, map[string]float64{"a": 0.3, "b": 1}, map[string]float64{"a": 0.7, "b": 1}, true},
+		{"overloaded by many", lo.Times(4, func(int) time.Duration { return choky }), map[string]int{"a": 90, "b": 90, "c": 90, "d": 90, "e": 90}, map[string]float64{"a": 0.3, "e": 0.3}, map[string]float64{"a": 0.8, "e": 0.8}, true},
 		{"for long", lo.Times(60, func(int) time.Duration { return choky }), map[string]int{"a": 400}, map[string]float64{"a": 0.08}, map[string]float64{"a": 0.25}, true},
 	}
 	for _, c := range cases {
--- a/fleet/relay/peer/delegates.go
+++ b/fleet/relay/peer/delegates.go
@@ -14,46 +14,62 @@
 )
 
 // delegates chooses the nodes that write the ledger, and remembers since when each is
-// to be heard: only of these does silence say anything, since the others of a large
-// fleet tell this node something once in a minute.
+// to be heard: only of these does silence say anything, since most of a large fleet
+// tell this node nothing.
 type delegates struct {
-	self  string
-	since map[string]time.Time
+	self    Member
+	since   map[string]time.Time
+	writes  bool     // this node was chosen last
+	members []Member // as of the order
+	order   []Member // of the members, in which they are chosen
 }
 
-func newDelegates(self string) *delegates {
+func newDelegates(self Member) *delegates {
 	return &delegates{self: self, since: map[string]time.Time{}}
 }
 
-// word is when a node was last heard, and whether it said that it does not reach the store.
+// word is when a node was last heard, and what it said of itself.
 type word struct {
-	at  time.Time
-	out bool
+	at        time.Time
+	out       bool // it does not reach the store
+	elsewhere bool // a writer of another zone does, as it was told
 }
 
 // choose names the writers among the members. One that does not reach the store goes
 // on: it holds its zone's tokens, and in most outages nobody else reaches it either.
 // Where some other writer does, a zone without one gets others beside its own.
 func (d *delegates) choose(members []Member, heard func(name string) word, now time.Time) map[string]bool {
-	fit := func() []Member {
-		sound := lo.Reject(members, func(m Member, _ int) bool { return d.silent(m.Name, heard(m.Name).at, now) })
-		if len(sound) == 0 {
-			return members
-		}
-		return sound
+	order := d.ordered(members)
+	sound := lo.Reject(order, func(m Member, _ int) bool { return d.silent(m, heard(m.Name).at, now) })
+	if len(sound) == 0 {
+		sound = order
 	}
-	writers := Writers(members, fit)
+	writers := Writers(members, func() []Member { return sound })
 	if len(members) > allWrite {
-		addSpares(writers, ranked(fit()), func(name string) bool { return heard(name).out })
+		addSpares(writers, sound, heard)
 	}
+	d.writes = writers[d.self.Name]
 	d.expect(writers, now)
 	return writers
 }
 
+// ordered lists the members in the order in which they are chosen. Lists of members
+// are never changed in place, so that one order serves until there is another list.
+func (d *delegates) ordered(members []Member) []Member {
+	if len(members) != len(d.members) || len(members) > 0 && &members[0] != &d.members[0] {
+		d.members, d.order = members, ranked(members)
+	}
+	return d.order
+}
+
+// audible is whether a writer tells this node of itself: writers tell their zone, and
+// each other.
+func (d *delegates) audible(m Member) bool { return d.writes || m.Zone == d.self.Zone }
+
 // silent is whether a member that is to be heard is not.
-func (d *delegates) silent(name string, heard, now time.Time) bool {
-	since, expected := d.since[name]
-	if name == d.self || !expected {
+func (d *delegates) silent(m Member, heard, now time.Time) bool {
+	since, expected := d.since[m.Name]
+	if m.Name == d.self.Name || !expected || !d.audible(m) {
 		return false
 	}
 	if heard.After(since) {
@@ -61,7 +77,7 @@
 	}
 	quiet := now.Sub(since)
 	if quiet > silentAfter+silentFor {
-		delete(d.since, name)
+		delete(d.since, m.Name)
 		return false
 	}
 	return quiet > silentAfter
@@ -70,9 +86,9 @@
 // expect notes who is to be heard from now on. One that fell silent is remembered
 // though it is no longer chosen, until it may be chosen again.
 func (d *delegates) expect(writers map[string]bool, now time.Time) {
-	for name := range writers {
-		if _, expected := d.since[name]; !expected {
-			d.since[name] = now
+	for _, m := range d.order {
+		if _, expected := d.since[m.Name]; writers[m.Name] && !expected && d.audible(m) {
+			d.since[m.Name] = now
 		}
 	}
 	for name, since := range d.since {
@@ -84,23 +100,25 @@
 
 // addSpares adds, in zones where no writer reaches the store though one elsewhere
 // does, the next members in their order until one is not known to be out.
-func addSpares(writers map[string]bool, order []Member, out func(name string) bool) {
+func addSpares(writers map[string]bool, order []Member, heard func(name string) word) {
+	inZone := map[string]int{}
 	reached := map[string]bool{}
+	elsewhere := map[string]bool{} // by zone: its writers were told so
 	for _, m := range order {
-		if writers[m.Name] && !out(m.Name) {
-			reached[m.Zone] = true
+		if !writers[m.Name] {
+			continue
 		}
+		w := heard(m.Name)
+		inZone[m.Zone]++
+		reached[m.Zone] = reached[m.Zone] || !w.out
+		elsewhere[m.Zone] = elsewhere[m.Zone] || w.elsewhere
 	}
-	if len(reached) == 0 {
-		return
-	}
-	inZone := lo.CountValuesBy(lo.Filter(order, func(m Member, _ int) bool { return writers[m.Name] }), func(m Member) string { return m.Zone })
 	for _, m := range order {
-		if reached[m.Zone] || writers[m.Name] || inZone[m.Zone] >= zoneMost {
+		if writers[m.Name] || reached[m.Zone] || !elsewhere[m.Zone] || inZone[m.Zone] >= zoneMost {
 			continue
 		}
 		writers[m.Name] = true
 		inZone[m.Zone]++
-		reached[m.Zone] = !out(m.Name)
+		reached[m.Zone] = !heard(m.Name).out
 	}
 }
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -40,6 +40,7 @@
 	BudgetReports map[string]account.BudgetReport `json:"reports,omitempty"`
 	Out           bool                            `json:"out,omitempty"`        // the node does not reach the store
 	Reconnects    uint64                          `json:"reconnects,omitempty"` // how often the node found the store back
+	Elsewhere     bool                            `json:"elsewhere,omitempty"`  // a writer of another zone reaches the store
 	Outage        *account.Outage                 `json:"outage,omitempty"`     // of the store, that is expected again
 	Requests      []transferRequest               `json:"requests,omitempty"`
 	Grants        []grant                         `json:"grants,omitempty"`
@@ -56,6 +57,7 @@
 	out         func() bool // whether this node does not reach the store
 	writes      atomic.Bool
 	writerCount atomic.Int64
+	elsewhere   atomic.Bool // a writer of another zone reaches the store, as this one heard
 	sources     atomic.Pointer[[]store.Source]
 	client      *http.Client
 
@@ -73,6 +75,7 @@
 	number     uint64
 	at         time.Time
 	out        bool
+	elsewhere  bool
 	reconnects uint64
 }
 
@@ -82,7 +85,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), address: address, out: out, client: sourceClient(), delegates: newDelegates(r.self.Name)}
+	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), address: address, out: out, client: sourceClient(), delegates: newDelegates(r.self)}
 	r.changed = g.choose
 	return g, nil
 }
@@ -122,7 +125,7 @@
 	now := time.Now()
 	m := t.signed(message{
 		Number: t.number, Digests: t.picker.Digests(), Reads: t.picker.Reads(now), Out: t.out(),
-		Reconnects: t.registry.health.Reconnects(), Outage: t.transfers.allowance.Expected(now),
+		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now),
 	})
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, reports
@@ -154,6 +157,7 @@
 	t.writes.Store(writers[self.Name])
 	t.writerCount.Store(int64(len(writers)))
 	t.sources.Store(t.sourcesOf(writers, near, any))
+	t.elsewhere.Store(t.reachedElsewhere(writers, any))
 	if !writers[self.Name] {
 		t.transfers.allowance.Fleets(t.transfers.fleets(nil, 1, now), now)
 		t.requestAhead(lo.Ternary(len(near) > 0, near, any))
@@ -163,14 +167,32 @@
 	t.transfers.allowance.Fleets(fleets, now)
 	reports := t.transfers.allowance.BudgetReports(now)
 	if len(clients) > 0 {
-		for tenant, o := range reports {
-			o.All, o.Left = math.Round(max(fleets[tenant].Others+o.Rate, fleets[tenant].All)), t.transfers.allowance.State(tenant).Left
-			reports[tenant] = o
-		}
+		t.speakForClients(reports, fleets)
 	}
 	return reports
 }
 
+// speakForClients adds to a writer's reports what its clients ask for, and what only
+// writers know of the whole fleet.
+func (t *Gossip) speakForClients(reports map[string]account.BudgetReport, fleets map[string]account.Fleet) {
+	for tenant, fleet := range fleets {
+		o := reports[tenant]
+		o.All = math.Round(max(fleet.Others+o.Rate, fleet.All))
+		o.Rate = math.Round(o.Rate + fleet.Clients)
+		o.Left = t.transfers.allowance.State(tenant).Left
+		reports[tenant] = o
+	}
+}
+
+// reachedElsewhere is whether a writer of another zone reaches the store; only writers
+// hear them.
+func (t *Gossip) reachedElsewhere(writers map[string]bool, others []Member) bool {
+	return writers[t.registry.self.Name] && lo.ContainsBy(others, func(m Member) bool {
+		w := t.word(m.Name)
+		return m.Zone != t.registry.self.Zone && !w.out && time.Since(w.at) < silentAfter
+	})
+}
+
 // farSources is how many nodes of other zones are asked where none of the zone's answers.
 const farSources = 2
 
@@ -231,18 +253,20 @@
 // word is what was last heard of a node; of itself a node knows the present.
 func (t *Gossip) word(name string) word {
 	if name == t.registry.self.Name {
-		return word{at: time.Now(), out: t.out()}
+		return word{at: time.Now(), out: t.out(), elsewhere: t.elsewhere.Load()}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.heard[name]
-	return word{at: h.at, out: h.out}
+	return word{at: h.at, out: h.out, elsewhere: h.elsewhere}
 }
 
 // listeners picks the peers of one beat, and whether they are told the budgets: all
 // of them in a small fleet. In a large one a node that draws for others tells a
-// part of the fleet at a time, since a burst to all would fill its link and lose
-// grants; others tell those, and a few at random, now and then.
+// part of its zone at a time, since a burst to all would fill its link and lose
+// grants, and now and then those that do so in other zones; others tell those of
+// their zone, and a few at random, now and then. So what a node hears grows with its
+// zone, and only what these few hear grows with the fleet.
 func (t *Gossip) listeners(writers map[string]bool) ([]Member, bool) {
 	self := t.registry.self
 	peers := lo.Filter(t.registry.Members(), func(m Member, _ int) bool { return m.Name != self.Name })
@@ -250,12 +274,19 @@
 	switch {
 	case len(writers) > len(peers): // everyone writes
 		return peers, due
-	case writers[self.Name]:
-		return part(peers, int(t.number%roundBeats)), true
-	case !due:
+	case !writers[self.Name] && !due:
 		return nil, false
 	}
-	sure, others := lo.FilterReject(peers, func(m Member, _ int) bool { return writers[m.Name] })
+	near := lo.Filter(peers, func(m Member, _ int) bool { return m.Zone == self.Zone })
+	if writers[self.Name] {
+		to := part(near, int(t.number%roundBeats))
+		if due {
+			far := lo.Filter(peers, func(m Member, _ int) bool { return m.Zone != self.Zone && writers[m.Name] })
+			to = append(to, far...)
+		}
+		return to, true
+	}
+	sure, others := lo.FilterReject(near, func(m Member, _ int) bool { return writers[m.Name] })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	return append(sure, others[:min(len(others), randomOthers)]...), true
 }
@@ -330,7 +361,7 @@
 	before := t.heard[m.Node]
 	old := before.life == m.Life && m.Number <= before.number
 	if !old {
-		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, reconnects: m.Reconnects}
+		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, elsewhere: m.Elsewhere, reconnects: m.Reconnects}
 	}
 	t.mu.Unlock()
 	if old {
--- a/fleet/relay/peer/gossip_test.go
+++ b/fleet/relay/peer/gossip_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
@@ -28,20 +29,21 @@
 	return &Gossip{registry: r, heard: map[string]heard{}}
 }
 
-// In a round of beats a node that draws for others tells every peer once and
-// never many at a time; others tell those now and then, with what they have.
+// In a round of beats a node that draws for others tells every peer of its zone once,
+// never many at a time, and those that draw in other zones; others tell those of their
+// zone now and then, with what they have, and a few more.
 func TestListenersOfARound(t *testing.T) {
 	cases := []struct {
-		name     string
-		fleet    int
-		writes   bool
-		most     int // peers in one beat
-		told     int // of the peers in a round
-		withFree bool
+		name   string
+		fleet  int
+		writes bool
+		most   int // peers in one beat
 	}{
-		{"a small fleet", 8, true, 7, 7, false},
-		{"a large fleet, one that draws for others", 73, true, 15, 72, true},
-		{"a large fleet, another", 73, false, 8 + randomOthers, 8, true},
+		{"a small fleet", 8, true, 7},
+		{"a large fleet, one that draws for others", 73, true, 4 + 6},
+		{"a large fleet, another", 73, false, zoneWriters + randomOthers},
+		{"a fleet of hundreds, one that draws for others", 295, true, 15 + 6},
+		{"a fleet of hundreds, another", 295, false, zoneWriters + randomOthers},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -50,12 +52,13 @@
 			self, ok := lo.Find(all, func(m Member) bool { return writers[m.Name] == c.writes })
 			assert.True(t, ok)
 			gossip := gossipOf(self.Name, all)
+			gossip.registry.self = self
 			told := map[string]int{}
 			for range budgetEvery * roundBeats {
 				gossip.number++
 				to, budgets := gossip.listeners(writers)
 				assert.LessOrEqual(t, len(to), c.most)
-				if c.withFree && len(to) > 0 {
+				if c.fleet > allWrite && len(to) > 0 {
 					assert.True(t, budgets)
 				}
 				for _, m := range to {
@@ -63,9 +66,17 @@
 					told[m.Name]++
 				}
 			}
-			assert.GreaterOrEqual(t, len(told), c.told)
-			for name := range writers {
-				assert.True(t, name == self.Name || told[name] >= 3, fmt.Sprint(name, " is told ", told[name], " times"))
+			for _, m := range all {
+				near := m.Zone == self.Zone
+				switch {
+				case m.Name == self.Name:
+				case len(writers) == len(all), near && writers[m.Name], c.writes && writers[m.Name]:
+					assert.GreaterOrEqual(t, told[m.Name], 3, m)
+				case near && c.writes:
+					assert.GreaterOrEqual(t, told[m.Name], 1, m)
+				case !near:
+					assert.Zero(t, told[m.Name], "another zone's: %v", m)
+				}
 			}
 		})
 	}
@@ -94,3 +105,48 @@
 	assert.Equal(t, uint64(7), m.Number)
 	assert.Empty(t, m.Reads)
 }
+
+// Two levels of knowledge: nodes tell their zone's writers what they are asked for, and
+// these tell each other sums. What all know of the whole is counted once.
+func TestWhatAFleetIsAskedForIsCountedOnce(t *testing.T) {
+	all := members(295)
+	for i := range all {
+		all[i].Address = fmt.Sprint("10.0.0.1:", 1000+i)
+	}
+	writers := Writers(all, func() []Member { return ranked(all) })
+	now := time.Now()
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0") // what is asked for goes nowhere
+	require.NoError(t, err)
+	require.NoError(t, socket.Close())
+	gossips := map[string]*Gossip{}
+	total := 0.0
+	for i, m := range all {
+		p := account.NewAllowance(m.Name, m.Name+"/1", account.DefaultTuning())
+		p.Budget(map[string]int64{tenant: 1 << 30})
+		for at := 20; at > 0; at-- { // ten seconds, each node at a rate of its own
+			p.Reserve(tenant, int64(100+i), now.Add(-time.Duration(at)*500*time.Millisecond))
+		}
+		g := gossipOf(m.Name, all)
+		g.registry.self, g.transfers, g.socket = m, newTransfers(p), socket
+		gossips[m.Name] = g
+		total += p.BudgetReports(now)[tenant].Rate
+	}
+	for range 3 { // rounds: what a writer tells rests on what it heard before
+		reports := map[string]map[string]account.BudgetReport{}
+		for name, g := range gossips {
+			reports[name] = g.refreshBudgets(writers)
+		}
+		for _, from := range all {
+			for _, to := range all {
+				near := from.Zone == to.Zone
+				if to.Name != from.Name && writers[to.Name] && (near || writers[from.Name]) {
+					gossips[to.Name].transfers.record(from.Address, reports[from.Name], now)
+				}
+			}
+		}
+	}
+	for name := range writers {
+		told := gossips[name].refreshBudgets(writers)[tenant]
+		assert.InEpsilon(t, total, told.All, 0.02, name)
+	}
+}
--- a/fleet/relay/peer/source_test.go
+++ b/fleet/relay/peer/source_test.go
@@ -158,7 +158,7 @@
 			all[i].LinkMbps = 200
 		}
 	}
-	writers := Writers(all, func() []Member { return all })
+	writers := Writers(all, func() []Member { return ranked(all) })
 	for _, m := range all {
 		if writers[m.Name] {
 			assert.Equal(t, 200.0, m.LinkMbps)
--- a/fleet/relay/peer/transfer.go
+++ b/fleet/relay/peer/transfer.go
@@ -49,7 +49,9 @@
 	grantTries   = 2                     // at a peer, with the same id, while a request waits
 	grantRepeats = 6                     // and afterwards, so that what was counted out already is not lost with its datagram
 	grantPause   = 150 * time.Millisecond
-	grantPeers   = 6                // asked one after another
+	grantPeers   = 6 // asked one after another
+	rankingAge   = 100 * time.Millisecond
+	vainAge      = 100 * time.Millisecond
 	freeAge      = 2 * time.Second  // a peer's word on what it could give counts so long
 	rateAge      = 10 * time.Second // and its word on what it is asked for
 	grantKept    = 10 * time.Second // answers are repeated, and late grants taken, so long
@@ -66,6 +68,21 @@
 	reported map[string]peerReport // by the peer's address
 	pending  map[string]*pending   // by the request's id
 	answers  map[string]answer
+	ranking  map[string]ranking // by tenant
+	vain     map[string]vain    // by tenant
+}
+
+// ranking is the order in which peers are asked for a tenant's tokens, used for a
+// moment: what peers tell is older than that.
+type ranking struct {
+	peers []string
+	at    time.Time
+}
+
+// vain is what was asked for and not found: for a moment nobody is asked for as much.
+type vain struct {
+	tokens int64
+	at     time.Time
 }
 
 type peerReport struct {
@@ -88,7 +105,7 @@
 }
 
 func newTransfers(p Allowance) *transfers {
-	return &transfers{allowance: p, reported: map[string]peerReport{}, pending: map[string]*pending{}, answers: map[string]answer{}}
+	return &transfers{allowance: p, reported: map[string]peerReport{}, pending: map[string]*pending{}, answers: map[string]answer{}, ranking: map[string]ranking{}, vain: map[string]vain{}}
 }
 
 // record notes what a peer could give.
@@ -99,7 +116,8 @@
 }
 
 // fleets sums up what the peers told, by tenant. Clients are the nodes, by
-// address, that this one draws for, together with writers-1 others.
+// address, that this one draws for, together with writers-1 others: each of these
+// counts its part of what they ask for, and speaks for it to the rest of the fleet.
 func (l *transfers) fleets(clients map[string]bool, writers int, now time.Time) map[string]account.Fleet {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -110,15 +128,20 @@
 		}
 		for tenant, b := range o.budgets {
 			f := fleets[tenant]
-			f.Others += b.Rate
 			f.All = max(f.All, b.All)
 			f.Left = max(f.Left, b.Left)
 			if clients[peer] {
 				f.Clients += b.Rate / float64(max(writers, 1))
+			} else {
+				f.Others += b.Rate
 			}
 			fleets[tenant] = f
 		}
 	}
+	for tenant, f := range fleets {
+		f.Others += f.Clients
+		fleets[tenant] = f
+	}
 	return fleets
 }
 
@@ -166,14 +189,34 @@
 	}
 }
 
-// sources lists the peers that could give so much, the richest first.
-func (l *transfers) sources(tenant string, need int64, now time.Time) []string {
+// sources lists the peers that could give something, the richest first.
+func (l *transfers) sources(tenant string, now time.Time) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.richest(tenant, need, now)
+	if r, ok := l.ranking[tenant]; ok && now.Sub(r.at) < rankingAge {
+		return r.peers
+	}
+	r := ranking{peers: l.richest(tenant, 1, now), at: now}
+	l.ranking[tenant] = r
+	return r.peers
 }
 
-// richest is sources with the lock held.
+// inVain is whether so much was asked for a moment ago and not found.
+func (l *transfers) inVain(tenant string, tokens int64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v, ok := l.vain[tenant]
+	return ok && now.Sub(v.at) < vainAge && tokens >= v.tokens
+}
+
+// notFound notes that so much was asked for and not found.
+func (l *transfers) notFound(tenant string, tokens int64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vain[tenant] = vain{tokens: tokens, at: now}
+}
+
+// richest lists the peers that could give so much, the richest first; the lock is held.
 func (l *transfers) richest(tenant string, need int64, now time.Time) []string {
 	type rich struct {
 		peer   string
@@ -243,7 +286,10 @@
 // Acquire asks peers for what a reservation of tokens lacks; true where it came.
 // A peer that has too little names richer ones.
 func (t *Gossip) Acquire(ctx context.Context, tenant string, tokens int64) bool {
-	peers := t.transfers.sources(tenant, 1, time.Now())
+	if t.transfers.inVain(tenant, t.transfers.allowance.Missing(tenant, tokens), time.Now()) {
+		return false
+	}
+	peers := slices.Clone(t.transfers.sources(tenant, time.Now()))
 	for i := 0; i < len(peers) && i < grantPeers; i++ {
 		need := t.transfers.allowance.Missing(tenant, tokens)
 		if need == 0 {
@@ -256,7 +302,11 @@
 		richer := t.requestFrom(ctx, peers[i], transferRequest{ID: uuid.NewString(), Tenant: tenant, Need: need, Want: want})
 		peers = append(peers[:i+1:i+1], lo.Uniq(append(lo.Without(richer, append(peers[:i+1:i+1], t.address)...), peers[i+1:]...))...)
 	}
-	return t.transfers.allowance.Missing(tenant, tokens) == 0
+	missing := t.transfers.allowance.Missing(tenant, tokens)
+	if missing > 0 {
+		t.transfers.notFound(tenant, missing, time.Now())
+	}
+	return missing == 0
 }
 
 // requestFrom asks one peer, and returns the richer ones that it names.
--- a/fleet/relay/peer/transfer_test.go
+++ b/fleet/relay/peer/transfer_test.go
@@ -69,7 +69,30 @@
 	l.record("rich", map[string]account.BudgetReport{tenant: {Free: 50}}, now)
 	l.record("silent", map[string]account.BudgetReport{tenant: {Free: 500}}, now.Add(-3*time.Second))
 	l.record("other", map[string]account.BudgetReport{"another": {Free: 500}}, now)
-	assert.Equal(t, []string{"rich", "poor"}, l.sources(tenant, 1, now))
+	assert.Equal(t, []string{"rich", "poor"}, l.sources(tenant, now))
+}
+
+// What was asked for and not found is not asked for again at once, nor is more; less is.
+func TestWhatWasNotFoundIsNotAskedForAtOnce(t *testing.T) {
+	now := time.Now()
+	l := newTransfers(allowanceWith("b", 0))
+	l.notFound(tenant, 100, now)
+	cases := []struct {
+		name   string
+		tenant string
+		tokens int64
+		after  time.Duration
+		vain   bool
+	}{
+		{"the same", tenant, 100, 0, true},
+		{"more", tenant, 200, 0, true},
+		{"less", tenant, 99, 0, false},
+		{"another's", "another", 100, 0, false},
+		{"later", tenant, 100, vainAge, false},
+	}
+	for _, c := range cases {
+		assert.Equal(t, c.vain, l.inVain(c.tenant, c.tokens, now.Add(c.after)), c.name)
+	}
 }
 
 // A grant whose datagram is lost was counted out: it is asked for again, with the
--- a/fleet/relay/peer/writers.go
+++ b/fleet/relay/peer/writers.go
@@ -13,13 +13,13 @@
 const (
 	allWrite     = 12 // nodes up to which every one writes
 	zoneWriters  = 2  // in each zone beyond that
-	randomOthers = 4  // peers told by a node that does not write, beside the writers
+	randomOthers = 2  // peers of its zone that a node which does not write tells, beside the writers
 	refillBelow  = 0.6
 )
 
 // Writers names the members that write the ledger and watch the store for others:
-// those with the widest links, since many ask them; fit picks, in a large fleet,
-// those that may.
+// those with the widest links, since many ask them; fit lists, in a large fleet, those
+// that may, in the order in which they are chosen.
 func Writers(members []Member, fit func() []Member) map[string]bool {
 	writers := make(map[string]bool, len(members))
 	if len(members) <= allWrite {
@@ -29,7 +29,7 @@
 		return writers
 	}
 	inZone := map[string]int{}
-	for _, m := range ranked(fit()) {
+	for _, m := range fit() {
 		if inZone[m.Zone] < zoneWriters {
 			inZone[m.Zone]++
 			writers[m.Name] = true
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -89,7 +89,7 @@
 	if err := n.measure(); err != nil {
 		return nil, err
 	}
-	n.store = store.NewSourced(store.Counted(a.Store(), n.metrics), n.sources, n.directPace)
+	n.store = store.NewSourced(store.Counted(a.Store(), n.metrics), n.sources)
 	life := uuid.NewString()
 	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps}
 	n.allowance = account.NewAllowance(s.Node, life, s.Budget.Tuning())
@@ -211,17 +211,6 @@
 	return n.gossip.Sources()
 }
 
-// How often a node asks a store that those who watch it for the node have lost: all
-// nodes together some twenty times a second, whatever the size of the fleet.
-const (
-	leastDirectPace   = 2 * time.Second
-	directPacePerNode = 50 * time.Millisecond
-)
-
-func (n *Node) directPace() time.Duration {
-	return max(leastDirectPace, time.Duration(n.registry.Count())*directPacePerNode)
-}
-
 // knowPeers bounds how long a node that starts waits for the list of nodes, so that it
 // asks peers for the rest in the store's place.
 const knowPeers = time.Second
--- a/fleet/relay/store/counted.go
+++ b/fleet/relay/store/counted.go
@@ -71,6 +71,13 @@
 	return after, err
 }
 
+// Ping implements Store.
+func (c counted) Ping(ctx context.Context) error {
+	err := c.store.Ping(ctx)
+	c.count("", "ping", err)
+	return err
+}
+
 // Delete implements Store.
 func (c counted) Delete(ctx context.Context, kind, name string) error {
 	err := c.store.Delete(ctx, kind, name)
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -38,13 +38,17 @@
 	fallbackWait  = 1500 * time.Millisecond
 	fallbackSlack = 700 * time.Millisecond
 
-	// Sources that lost the store ask it themselves, and are fit again when it answers:
-	// a node leaves asking to them for this long at first, and asks seldom from then on.
-	patience = 2500 * time.Millisecond
+	// Sources that lost the store ask it themselves, and are fit again when it answers.
+	// A node that may reach it nevertheless finds out by a ping, soon, since what changes
+	// meanwhile binds it, and asks the store only while that is so.
+	patience    = 300 * time.Millisecond // after the sources lost the store, half of it at least
+	pingEvery   = 2 * time.Second        // and then, half of it at least
+	pingTimeout = 500 * time.Millisecond
+	proved      = 5 * time.Second // that the store counts as reached, unless a call fails
 )
 
 // ErrSourcesOut says that all who watch the store for this node have lost it, and that
-// it is not this node's turn to ask the store itself.
+// this node did not reach it either when it last tried.
 var ErrSourcesOut = errors.New("store: those that watch it for this node have lost it")
 
 // Sourced is a store whose lists and watches are answered by other nodes, where
@@ -52,13 +56,13 @@
 // for concurrent use.
 type Sourced struct {
 	Store
-	sources func() []Source      // in the order in which they are asked; none: this node asks the store
-	pace    func() time.Duration // between two calls of this node to a store that its sources have lost
+	sources func() []Source // in the order in which they are asked; none: this node asks the store
 
-	mu     sync.Mutex
-	rests  map[string]rest      // by the source's name
-	turns  map[string]time.Time // by kind, when this node may ask a store that its sources have lost
-	direct map[string]bool      // by kind: the last answer came from the store
+	mu      sync.Mutex
+	rests   map[string]rest // by the source's name
+	direct  map[string]bool // by kind: the last answer came from the store
+	ping    time.Time       // when the next one is due; zero: the sources have the store
+	reached time.Time       // until then the store, which the sources lost, counts as reached
 }
 
 // rest is a time in which a source is not asked.
@@ -72,8 +76,8 @@
 const AnswerBegins = sourceSlack
 
 // NewSourced returns a store that asks the sources first.
-func NewSourced(s Store, sources func() []Source, pace func() time.Duration) *Sourced {
-	return &Sourced{Store: s, sources: sources, pace: pace, rests: map[string]rest{}, turns: map[string]time.Time{}, direct: map[string]bool{}}
+func NewSourced(s Store, sources func() []Source) *Sourced {
+	return &Sourced{Store: s, sources: sources, rests: map[string]rest{}, direct: map[string]bool{}}
 }
 
 // Direct is whether the last answer for a kind came from the store itself.
@@ -140,13 +144,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.direct[kind] = direct
-	delete(s.turns, kind)
+	if !direct {
+		s.ping, s.reached = time.Time{}, time.Time{}
+	}
 }
 
-// mayAskStore is whether this node may ask the store itself now: at once where no
-// source is named or all of them are silent, and now and then where one says that it
-// has lost the store.
-func (s *Sourced) mayAskStore(kind string) bool {
+// reachesStore is whether this node is to ask the store itself now: where no source is
+// named or all of them are silent, and where one says that it has lost the store while
+// this node, by a ping, has not.
+func (s *Sourced) reachesStore(ctx context.Context) bool {
 	all := s.sources()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,34 +160,60 @@
 		return true
 	}
 	now := time.Now()
-	turn, waits := s.turns[kind]
-	if !waits {
-		s.turns[kind] = now.Add(patience + rand.N(s.pace()))
+	switch {
+	case now.Before(s.reached):
+		return true
+	case s.ping.IsZero():
+		s.ping = now.Add(jittered(patience))
+		return false
+	case now.Before(s.ping):
 		return false
 	}
-	if now.Before(turn) {
+	s.ping = now.Add(jittered(pingEvery))
+	s.mu.Unlock()
+	err := s.pinged(ctx)
+	s.mu.Lock()
+	if err != nil {
 		return false
 	}
-	s.turns[kind] = now.Add(s.pace()/2 + rand.N(s.pace()))
+	s.reached = time.Now().Add(proved)
 	return true
 }
 
+func (s *Sourced) pinged(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	return s.Store.Ping(ctx)
+}
+
+// jittered is half of a time at least, and one and a half of it at most.
+func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+// asked notes how a call to the store itself ended.
+func (s *Sourced) asked(kind string, err error) {
+	if err == nil {
+		s.answered(kind, true)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reached = time.Time{}
+}
+
 // List implements Store.
 func (s *Sourced) List(ctx context.Context, kind string) (objects []Object, at int64, err error) {
-	asked, err := s.ask(ctx, kind, func(from Source) (err error) {
+	done, err := s.ask(ctx, kind, func(from Source) (err error) {
 		objects, at, err = listFrom(ctx, from, kind)
 		return err
 	})
-	if asked {
+	if done {
 		return objects, at, err
 	}
-	if !s.mayAskStore(kind) {
+	if !s.reachesStore(ctx) {
 		return nil, 0, ErrSourcesOut
 	}
 	objects, at, err = s.Store.List(ctx, kind)
-	if err == nil {
-		s.answered(kind, true)
-	}
+	s.asked(kind, err)
 	return objects, at, err
 }
 
@@ -194,14 +226,14 @@
 // Watch implements Store. A watch that a source answers waits for less than was
 // asked: a source that falls silent is to be felt.
 func (s *Sourced) Watch(ctx context.Context, kind string, since int64, wait time.Duration) (events []Event, at int64, err error) {
-	asked, err := s.ask(ctx, kind, func(from Source) (err error) {
+	done, err := s.ask(ctx, kind, func(from Source) (err error) {
 		events, at, err = watchFrom(ctx, from, kind, since, min(wait, sourceWait))
 		return err
 	})
-	if asked {
+	if done {
 		return events, at, err
 	}
-	if !s.mayAskStore(kind) {
+	if !s.reachesStore(ctx) {
 		return nil, 0, ErrSourcesOut
 	}
 	if len(s.sources()) > 0 {
@@ -211,9 +243,7 @@
 		ctx = bounded
 	}
 	events, at, err = s.Store.Watch(ctx, kind, since, wait)
-	if err == nil {
-		s.answered(kind, true)
-	}
+	s.asked(kind, err)
 	return events, at, err
 }
 
--- a/fleet/relay/store/sourced_test.go
+++ b/fleet/relay/store/sourced_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
@@ -196,7 +197,7 @@
 					r.name, r.calls, r.mu = string(rune('a'+i)), &calls, &mu
 					readers = append(readers, store.Source{Name: r.name, Reader: r})
 				}
-				s := store.NewSourced(asked{name: "store", calls: &calls, mu: &mu, hangs: c.hangs}, func() []store.Source { return readers[:c.sources] }, slowly)
+				s := store.NewSourced(asked{name: "store", calls: &calls, mu: &mu, hangs: c.hangs}, func() []store.Source { return readers[:c.sources] })
 				began := time.Now()
 				for range c.rounds {
 					_, _, _ = s.Watch(t.Context(), "kind", 5, 8*time.Second)
@@ -211,40 +212,77 @@
 
 var errDead = errors.New("connection refused")
 
-// directPace is how often a node of these tests asks a store that its sources lost.
-const directPace = 10 * time.Second
+// Ping implements store.Store.
+func (a asked) Ping(ctx context.Context) error {
+	a.name += " pinged"
+	return a.answer(ctx, 0)
+}
 
-func slowly() time.Duration { return directPace }
+// Where all sources say that they lost the store, this node finds out within a second
+// whether it reaches it, since what changes meanwhile binds it: if it does, it asks the
+// store itself; if not, it pings it now and then and asks nothing. The first source
+// that has the store again serves it.
+func TestAStoreThatTheSourcesLost(t *testing.T) {
+	cases := []struct {
+		name    string
+		reached bool
+	}{{"this node reaches it", true}, {"nor does this node", false}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var calls []string
+				var mu sync.Mutex
+				source := &asked{name: "a", calls: &calls, mu: &mu, err: errors.Wrap(store.ErrUnfit, "peer")}
+				platform := &asked{name: "store", calls: &calls, mu: &mu, hangs: !c.reached}
+				s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: source}} })
+				const length = 2 * time.Minute
+				began, first := time.Now(), time.Duration(0)
+				for time.Since(began) < length {
+					_, _, err := s.Watch(t.Context(), "kind", 5, time.Second)
+					if err == nil && first == 0 {
+						first = time.Since(began)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				pings, direct := lo.Count(calls, "store pinged"), lo.Count(calls, "store")
+				assert.LessOrEqual(t, pings, int(length/time.Second))
+				assert.Equal(t, c.reached, s.Direct("kind"))
+				if c.reached {
+					assert.LessOrEqual(t, first, time.Second+700*time.Millisecond, "a watch waits for a second")
+					assert.Greater(t, direct, int(length/(2*time.Second)))
+				} else {
+					assert.Zero(t, direct)
+					assert.GreaterOrEqual(t, pings, int(length/(5*time.Second)))
+				}
+				source.err = nil
+				time.Sleep(time.Second)
+				_, _, err := s.Watch(t.Context(), "kind", 5, time.Second)
+				assert.NoError(t, err)
+				assert.False(t, s.Direct("kind"))
+			})
+		})
+	}
+}
 
-// Where all sources say that they lost the store they ask it themselves: this node
-// asks it late and seldom, so that a fleet does not, and is served by the first
-// source that has it again.
-func TestAStoreThatTheSourcesLostIsAskedSeldom(t *testing.T) {
+// A store that is lost again while this node asks it is left to pings once more.
+func TestAStoreThatIsLostAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var calls []string
 		var mu sync.Mutex
-		source := &asked{name: "a", calls: &calls, mu: &mu, err: errors.Wrap(store.ErrUnfit, "peer")}
-		sources := func() []store.Source { return []store.Source{{Name: "a", Reader: source}} }
-		s := store.NewSourced(asked{name: "store", calls: &calls, mu: &mu, err: errDead}, sources, slowly)
-		const length = 2 * time.Minute
-		began, first := time.Now(), time.Duration(0)
-		for time.Since(began) < length {
-			_, _, err := s.Watch(t.Context(), "kind", 5, time.Second)
-			assert.Error(t, err)
-			if lo.Contains(calls, "store") && first == 0 {
-				first = time.Since(began)
-			}
-			time.Sleep(200 * time.Millisecond)
+		source := asked{name: "a", calls: &calls, mu: &mu, err: errors.Wrap(store.ErrUnfit, "peer")}
+		platform := &asked{name: "store", calls: &calls, mu: &mu}
+		s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: source}} })
+		for range 10 {
+			_, _, _ = s.Watch(t.Context(), "kind", 5, time.Second)
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.True(t, s.Direct("kind"))
+		platform.err = errDead
+		calls = nil
+		for range 20 {
+			_, _, _ = s.Watch(t.Context(), "kind", 5, time.Second)
+			time.Sleep(100 * time.Millisecond)
 		}
-		direct := lo.Count(calls, "store")
-		assert.GreaterOrEqual(t, first, 2500*time.Millisecond)
-		assert.LessOrEqual(t, first, 13*time.Second)
-		assert.LessOrEqual(t, direct, int(length/(directPace/2)))
-		assert.GreaterOrEqual(t, direct, int(length/(2*directPace)))
-		source.err = nil
-		time.Sleep(time.Second)
-		_, _, err := s.Watch(t.Context(), "kind", 5, time.Second)
-		assert.NoError(t, err)
-		assert.False(t, s.Direct("kind"))
+		assert.LessOrEqual(t, lo.Count(calls, "store"), 2)
 	})
 }
--- a/fleet/relay/store/store.go
+++ b/fleet/relay/store/store.go
@@ -40,6 +40,8 @@
 	Put(ctx context.Context, o Object) (Object, error)
 	// Delete removes an object; ErrNotFound where there is none.
 	Delete(ctx context.Context, kind, name string) error
+	// Ping is whether the store answers at all, at the least price.
+	Ping(ctx context.Context) error
 }
 
 // What a store may say.
