Let holdings follow rising demand, and forget demand that is over

And what all nodes are asked for could only grow: each writer told the greatest sum it had heard, its own older word among them (500 in place of 1 after the demand was over, TestDemandThatIsOverIsForgotten on the code before). A node that draws for nobody heard its own demand back as others'.

Change: nodes report the fast average, too, and a writer's target takes the larger of both sums. Writers add up what they hear and repeat no total; others take the whole from their writers. A message that exceeds a datagram is cut to the endpoints that have most in flight, in place of not being sent; one that goes to many peers is encoded once.

--- a/fleet/relay/account/allowance.go
+++ b/fleet/relay/account/allowance.go
@@ -22,19 +22,20 @@
 
 // quota is the part of one tenant.
 type quota struct {
-	prepaid   int64
-	limit     int64 // drawn: the least of what the store may hold for this life
-	granted   int64 // net of what peers gave: counted out here before the message left
-	spent     int64
-	reserved  int64
-	closed    bool // this life's row was closed, or may be: nothing can be spent any more
-	demand    demand
-	shortfall int64   // tokens that reservations lacked since the last proposal that was answered
-	others    float64 // tokens a second that the other nodes are asked for
-	clients   float64 // of these, what this node draws for
-	left      int64   // of the whole budget by the last ledger, at most
-	estimate  int64   // of the whole budget by the last ledger, as estimated: left, less what was granted to nodes that do not report
-	pool      int64   // not drawn by anyone, by the last ledger
+	prepaid     int64
+	limit       int64 // drawn: the least of what the store may hold for this life
+	granted     int64 // net of what peers gave: counted out here before the message left
+	spent       int64
+	reserved    int64
+	closed      bool // this life's row was closed, or may be: nothing can be spent any more
+	demand      demand
+	shortfall   int64   // tokens that reservations lacked since the last proposal that was answered
+	others      float64 // tokens a second that the other nodes are asked for
+	clients     float64 // of these, what this node draws for
+	clientsFast float64 // the same over the last second or so
+	left        int64   // of the whole budget by the last ledger, at most
+	estimate    int64   // of the whole budget by the last ledger, as estimated: left, less what was granted to nodes that do not report
+	pool        int64   // not drawn by anyone, by the last ledger
 }
 
 // busy is what can't be given back, net of tokens that came from peers.
--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -38,7 +38,8 @@
 	left := float64(max(k.estimate, 0))
 	exposed := t.exposed(left, all) * (steady + k.clients) / all
 	length := max(t.Horizon.Seconds(), t.Margin*outage.Seconds())
-	return int64(min((k.demand.rate(now)+k.clients)*length, exposed))
+	rising := max(steady+k.clients, k.demand.fast+k.clientsFast)
+	return int64(min(rising*length, exposed))
 }
 
 // exposed is how much all nodes together hold at most of what is left of a budget that
--- a/fleet/relay/account/fleet.go
+++ b/fleet/relay/account/fleet.go
@@ -12,6 +12,7 @@
 type BudgetReport struct {
 	Free int64   `json:"f,omitempty"` // that it could give
 	Rate float64 `json:"r,omitempty"` // that it is asked for
+	Fast float64 `json:"q,omitempty"` // the same over the last second or so, where that is more
 	All  float64 `json:"a,omitempty"` // that all nodes it heard of are asked for
 	Left int64   `json:"l,omitempty"` // of the whole budget at most
 }
@@ -22,7 +23,11 @@
 	defer p.mu.Unlock()
 	reports := make(map[string]BudgetReport, len(p.quotas))
 	for tenant, k := range p.quotas {
-		if o := (BudgetReport{Free: max(k.free(), 0), Rate: math.Round(k.demand.steady(now))}); o != (BudgetReport{}) {
+		o := BudgetReport{Free: max(k.free(), 0), Rate: math.Round(k.demand.steady(now))}
+		if fast := math.Round(k.demand.fast); fast > o.Rate {
+			o.Fast = fast
+		}
+		if o != (BudgetReport{}) {
 			reports[tenant] = o
 		}
 	}
@@ -34,6 +39,7 @@
 	Others  float64 // tokens a second that they are asked for, by those this node heard
 	All     float64 // the same with this node's own, as nodes that hear all of them told
 	Clients float64 // of the others, what this node draws for
+	Fast    float64 // the same over the last second or so
 	Left    int64   // of the whole budget at most, by a node that reads the ledger; 0 is not known
 }
 
@@ -44,7 +50,7 @@
 	for tenant, k := range p.quotas {
 		f := fleets[tenant]
 		own := k.demand.steady(now)
-		k.others, k.clients = max(f.Others, f.All-own), f.Clients
+		k.others, k.clients, k.clientsFast = max(f.Others, f.All-own), f.Clients, f.Fast
 		if f.Left > 0 && p.revision == 0 {
 			k.left, k.estimate = f.Left, f.Left
 		}
--- a/fleet/relay/account/outages_test.go
+++ b/fleet/relay/account/outages_test.go
@@ -88,6 +88,26 @@
 	}
 }
 
+// Demand that rises fast shows at once, this node's own and that of those it draws for.
+func TestHoldingsFollowDemandThatRises(t *testing.T) {
+	cases := []struct {
+		name  string
+		fleet Fleet
+		want  int64
+	}{
+		{"steady", Fleet{Others: 1000, Clients: 1000, Fast: 1000}, 10_000},
+		{"rising", Fleet{Others: 1000, Clients: 1000, Fast: 1800}, 18_000},
+		{"falling", Fleet{Others: 1000, Clients: 1000, Fast: 100}, 10_000},
+	}
+	for _, c := range cases {
+		p := NewAllowance("n", "n/1", DefaultTuning())
+		p.Budget(map[string]int64{modelTenant: 1_000_000})
+		p.Saw(Ledger{}, 1)
+		p.Fleets(map[string]Fleet{modelTenant: c.fleet}, testStart)
+		assert.InDelta(t, c.want, drawn(p, testStart), 10, c.name)
+	}
+}
+
 // A holding that has fallen far below its target is refilled soon.
 func TestALowHoldingIsToldFromAFullOne(t *testing.T) {
 	p := askedFor(1000, 30_000, testStart)
--- a/fleet/relay/choice/digest.go
+++ b/fleet/relay/choice/digest.go
@@ -1,9 +1,13 @@
 package choice
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 )
 
@@ -25,6 +29,22 @@
 	return d
 }
 
+// Busiest is the digests of the endpoints that have most in flight, so many at most, and
+// of those whose life has ended.
+func Busiest(digests map[string]Digest, most int) map[string]Digest {
+	ids := lo.Keys(digests)
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(digests[b].InFlight, digests[a].InFlight), cmp.Compare(a, b))
+	})
+	busiest := make(map[string]Digest, most)
+	for _, id := range ids {
+		if d := digests[id]; d.Gone || len(busiest) < most {
+			busiest[id] = d
+		}
+	}
+	return busiest
+}
+
 // digestAge is how long a peer's word counts.
 const digestAge = 1500 * time.Millisecond
 
--- a/fleet/relay/overload/gate_test.go
+++ b/fleet/relay/overload/gate_test.go
@@ -46,12 +46,11 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewGate(DefaultRule())
-			var kept map[string]float64
 			for i, wait := range c.waits {
-				kept = take(g, i, c.calls)
+				take(g, i, c.calls)
 				g.Read(wait)
 			}
-			kept = take(g, len(c.waits), c.calls)
+			kept := take(g, len(c.waits), c.calls)
 			for customer, share := range c.least {
 				assert.GreaterOrEqual(t, kept[customer]+1e-9, share, customer)
 				assert.LessOrEqual(t, kept[customer]-1e-9, c.most[customer], customer)
--- a/fleet/relay/peer/gossip_test.go
+++ b/fleet/relay/peer/gossip_test.go
@@ -95,7 +95,7 @@
 	for i := range reads {
 		reads[i] = choice.Read{Endpoint: "i-0123456789", Parts: []string{"part"}, Tokens: []int64{1}}
 	}
-	g.send(socket.LocalAddr().String(), message{Node: "a", Number: 7, Reads: reads})
+	g.send(message{Node: "a", Number: 7, Reads: reads}, socket.LocalAddr().String())
 	buffer := make([]byte, 2*maxMessage)
 	require.NoError(t, socket.SetReadDeadline(time.Now().Add(5*time.Second)))
 	n, _, err := socket.ReadFrom(buffer)
@@ -149,4 +149,63 @@
 		told := gossips[name].refreshBudgets(writers)[tenant]
 		assert.InEpsilon(t, total, told.All, 0.02, name)
 	}
+	// A node that draws for nobody takes the whole from its writers, its own part in it.
+	self, _ := lo.Find(all, func(m Member) bool { return !writers[m.Name] })
+	g := gossips[self.Name]
+	for _, m := range all {
+		if writers[m.Name] && m.Zone == self.Zone {
+			g.transfers.record(m.Address, gossips[m.Name].refreshBudgets(writers), now)
+		}
+	}
+	g.refreshBudgets(writers)
+	h := g.transfers.allowance.State(tenant)
+	assert.InEpsilon(t, total, h.Rate+h.Others, 0.02)
+}
+
+// What all are asked for falls again when they are asked for less: no node's word comes
+// back to it as news.
+func TestDemandThatIsOverIsForgotten(t *testing.T) {
+	all := members(73)
+	writers := Writers(all, func() []Member { return ranked(all) })
+	var pair []*Gossip
+	for _, m := range all {
+		if writers[m.Name] && len(pair) < 2 {
+			p := account.NewAllowance(m.Name, m.Name+"/1", account.DefaultTuning())
+			p.Budget(map[string]int64{tenant: 1000})
+			g := gossipOf(m.Name, all)
+			g.registry.self, g.transfers = m, newTransfers(p)
+			pair = append(pair, g)
+		}
+	}
+	now := time.Now()
+	pair[0].transfers.record("a third", map[string]account.BudgetReport{tenant: {Rate: 500}}, now)
+	told := func(g *Gossip) float64 { return g.refreshBudgets(writers)[tenant].All }
+	for i := range 4 {
+		from, to := pair[i%2], pair[1-i%2]
+		to.transfers.record("the other", from.refreshBudgets(writers), now)
+	}
+	assert.Positive(t, told(pair[0]))
+	pair[0].transfers.record("a third", map[string]account.BudgetReport{tenant: {Rate: 1}}, now)
+	for i := range 6 {
+		from, to := pair[i%2], pair[1-i%2]
+		to.transfers.record("the other", from.refreshBudgets(writers), now)
+	}
+	assert.LessOrEqual(t, told(pair[0]), 1.0)
+}
+
+// A node with calls at every endpoint of a large fleet is still heard: it tells of the
+// endpoints that have most in flight.
+func TestAMessageOfManyEndpointsIsCutToADatagram(t *testing.T) {
+	digests := map[string]choice.Digest{}
+	for i := range 1000 {
+		digests[fmt.Sprintf("i-%08x", i)] = choice.Digest{InFlight: i, Waiting: 123_456, Paused: 0.05, Streams: 12.34}
+	}
+	data, err := encode(message{Node: "a", Number: 7, Digests: digests})
+	require.NoError(t, err)
+	var m message
+	require.NoError(t, json.Unmarshal(data, &m))
+	assert.Len(t, m.Digests, mostDigests)
+	for id, d := range m.Digests {
+		assert.GreaterOrEqual(t, d.InFlight, 1000-mostDigests, id)
+	}
 }
--- a/fleet/relay/peer/transfer.go
+++ b/fleet/relay/peer/transfer.go
@@ -119,6 +119,7 @@
 // fleets sums up what the peers told, by tenant. Clients are the nodes, by
 // address, that this one draws for, together with writers-1 others: each of these
 // counts its part of what they ask for, and speaks for it to the rest of the fleet.
+// They are nil on a node that draws for nobody, which takes the whole from those that do.
 func (l *transfers) fleets(clients map[string]bool, writers int, now time.Time) map[string]account.Fleet {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -129,11 +130,14 @@
 		}
 		for tenant, b := range o.budgets {
 			f := fleets[tenant]
-			f.All = max(f.All, b.All)
 			f.Left = max(f.Left, b.Left)
-			if clients[peer] {
+			switch {
+			case clients == nil && b.All > 0: // a writer's word, with this node's own demand in it
+				f.All = max(f.All, b.All)
+			case clients[peer]:
 				f.Clients += b.Rate / float64(max(writers, 1))
-			} else {
+				f.Fast += max(b.Rate, b.Fast) / float64(max(writers, 1))
+			default:
 				f.Others += b.Rate
 			}
 			fleets[tenant] = f
@@ -280,7 +284,7 @@
 		requests = append(requests, a)
 	}
 	if len(requests) > 0 {
-		t.send(from.Address, t.signed(message{Requests: requests}))
+		t.send(t.signed(message{Requests: requests}), from.Address)
 	}
 }
 
@@ -314,7 +318,7 @@
 func (t *Gossip) requestFrom(ctx context.Context, peer string, a transferRequest) []string {
 	done := t.transfers.open(a, peer, time.Now())
 	for range grantTries {
-		t.send(peer, t.signed(message{Requests: []transferRequest{a}}))
+		t.send(t.signed(message{Requests: []transferRequest{a}}), peer)
 		timer := time.NewTimer(grantTimeout)
 		select {
 		case g := <-done:
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -87,12 +87,6 @@
 	return s.direct[kind]
 }
 
-func (s *Sourced) came(kind string, direct bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.direct[kind] = direct
-}
-
 // awake lists the sources to ask: those that did not fail lately, in their order.
 func (s *Sourced) awake() []Source {
 	all := s.sources()
