--- /dev/null
+++ b/fleet/relay/peer/slope_test.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+)
+
+// The sizes of a fleet at which slopes are taken, and what grows with it.
+const (
+	slopeZones   = 6
+	slopeTenants = 40
+	slopeCalls   = 8 // in flight at each node
+	beatsASecond = int(time.Second / beat)
+)
+
+// counted is a socket that counts what is sent and sends nothing.
+type counted struct {
+	net.PacketConn
+	datagrams, bytes int
+}
+
+func (c *counted) WriteTo(data []byte, _ net.Addr) (int, error) {
+	c.datagrams++
+	c.bytes += len(data)
+	return len(data), nil
+}
+
+// slopeGossip is one node of a fleet of so many, with calls in flight and demand.
+func slopeGossip(size int, writes bool) (*Gossip, *counted) {
+	all := members(size)
+	for i := range all {
+		all[i].Zone = fmt.Sprint("z", i%slopeZones)
+		all[i].Address = fmt.Sprint("10.0.0.1:", 1000+i)
+	}
+	order := ranked(all)
+	writers := Writers(all, func() []Member { return order })
+	self, _ := lo.Find(all, func(m Member) bool { return writers[m.Name] == writes })
+	now := time.Now()
+	allowance := account.NewAllowance(self.Name, self.Name+"/1", account.DefaultTuning())
+	picker := choice.NewPicker(self.Zone, choice.DefaultTuning())
+	var engines []engine.Engine
+	for i := range size {
+		engines = append(engines, engine.Engine{ID: fmt.Sprintf("i-%010x", i), Service: "s", Address: fmt.Sprint("10.0.1.1:", 1000+i), Zone: fmt.Sprint("z", i%slopeZones), Slots: 24})
+	}
+	listed := engine.NewDirectory(1, engines).Of("s")
+	for i := range slopeCalls {
+		c := call.Call{ID: fmt.Sprint(i), PromptMax: 9000, OutputMax: 50, Parts: []call.Part{{ID: "0123456789abcdef", Tokens: 2520}, {ID: fmt.Sprint("own", i), Tokens: 6000}}}
+		if placed, ok := picker.Pick(choice.Request{Call: c, Engines: listed, Profile: choice.Profile{Service: "s", Tokens: true, Capacity: 347_000}, Cap: 9, Now: now}); ok {
+			placed.First(100*time.Millisecond, now)
+		}
+	}
+	prepaid := map[string]int64{}
+	for i := range slopeTenants {
+		prepaid[fmt.Sprint("customer", i)] = 1 << 24
+	}
+	allowance.Budget(prepaid)
+	for tenant := range prepaid {
+		allowance.Reserve(tenant, 9000, now)
+	}
+	g := gossipOf(self.Name, all)
+	socket := &counted{}
+	g.registry.self, g.picker, g.transfers, g.socket = self, picker, newTransfers(allowance), socket
+	g.delegates, g.out = newDelegates(self), func() bool { return false }
+	g.registry.publish()
+	return g, socket
+}
+
+// BenchmarkASecondOfGossip is what one node sends in a second, and what composing it
+// takes, in fleets of growing size with as many endpoints. What it hears follows: a
+// node hears its zone's writers and two more, a writer its zone and the other writers.
+func BenchmarkASecondOfGossip(b *testing.B) {
+	for _, size := range []int{30, 100, 300, 1000} {
+		for _, writes := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/%s", size, lo.Ternary(writes, "writer", "other")), func(b *testing.B) {
+				g, socket := slopeGossip(size, writes)
+				for b.Loop() {
+					for range beatsASecond {
+						g.broadcast()
+					}
+				}
+				b.ReportMetric(float64(socket.datagrams)/float64(b.N), "datagrams/s")
+				b.ReportMetric(float64(socket.bytes)/float64(b.N)/1000, "kB/s")
+			})
+		}
+	}
+}
