--- a/fleet/relay/peer/gossip_test.go
+++ b/fleet/relay/peer/gossip_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -109,88 +110,90 @@
 // Two levels of knowledge: nodes tell their zone's writers what they are asked for, and
 // these tell each other sums. What all know of the whole is counted once.
 func TestWhatAFleetIsAskedForIsCountedOnce(t *testing.T) {
-	all := members(295)
-	for i := range all {
-		all[i].Address = fmt.Sprint("10.0.0.1:", 1000+i)
-	}
-	writers := Writers(all, func() []Member { return ranked(all) })
-	now := time.Now()
-	socket, err := net.ListenPacket("udp4", "127.0.0.1:0") // what is asked for goes nowhere
-	require.NoError(t, err)
-	require.NoError(t, socket.Close())
-	gossips := map[string]*Gossip{}
-	total := 0.0
-	for i, m := range all {
-		p := account.NewAllowance(m.Name, m.Name+"/1", account.DefaultTuning())
-		p.Budget(map[string]int64{tenant: 1 << 30})
-		for at := 20; at > 0; at-- { // ten seconds, each node at a rate of its own
-			p.Reserve(tenant, int64(100+i), now.Add(-time.Duration(at)*500*time.Millisecond))
+	synctest.Test(t, func(t *testing.T) { // demand falls as time goes by: none does here
+		all := members(295)
+		for i := range all {
+			all[i].Address = fmt.Sprint("10.0.0.1:", 1000+i)
 		}
-		g := gossipOf(m.Name, all)
-		g.registry.self, g.transfers, g.socket = m, newTransfers(p), socket
-		gossips[m.Name] = g
-		total += p.BudgetReports(now)[tenant].Rate
-	}
-	for range 3 { // rounds: what a writer tells rests on what it heard before
-		reports := map[string]map[string]account.BudgetReport{}
-		for name, g := range gossips {
-			reports[name] = g.refreshBudgets(writers)
+		writers := Writers(all, func() []Member { return ranked(all) })
+		now := time.Now()
+		socket := &counted{} // what is asked for goes nowhere
+		gossips := map[string]*Gossip{}
+		total := 0.0
+		for i, m := range all {
+			p := account.NewAllowance(m.Name, m.Name+"/1", account.DefaultTuning())
+			p.Budget(map[string]int64{tenant: 1 << 30})
+			for at := 20; at > 0; at-- { // ten seconds, each node at a rate of its own
+				p.Reserve(tenant, int64(100+i), now.Add(-time.Duration(at)*500*time.Millisecond))
+			}
+			g := gossipOf(m.Name, all)
+			g.registry.self, g.transfers, g.socket = m, newTransfers(p), socket
+			gossips[m.Name] = g
+			total += p.BudgetReports(now)[tenant].Rate
 		}
-		for _, from := range all {
-			for _, to := range all {
-				near := from.Zone == to.Zone
-				if to.Name != from.Name && writers[to.Name] && (near || writers[from.Name]) {
-					gossips[to.Name].transfers.record(from.Address, reports[from.Name], now)
+		for range 3 { // rounds: what a writer tells rests on what it heard before
+			reports := map[string]map[string]account.BudgetReport{}
+			for name, g := range gossips {
+				reports[name] = g.refreshBudgets(writers)
+			}
+			for _, from := range all {
+				for _, to := range all {
+					near := from.Zone == to.Zone
+					if to.Name != from.Name && writers[to.Name] && (near || writers[from.Name]) {
+						gossips[to.Name].transfers.record(from.Address, reports[from.Name], now)
+					}
 				}
 			}
 		}
-	}
-	for name := range writers {
-		told := gossips[name].refreshBudgets(writers)[tenant]
-		assert.InEpsilon(t, total, told.All, 0.02, name)
-	}
-	// A node that draws for nobody takes the whole from its writers, its own part in it.
-	self, _ := lo.Find(all, func(m Member) bool { return !writers[m.Name] })
-	g := gossips[self.Name]
-	for _, m := range all {
-		if writers[m.Name] && m.Zone == self.Zone {
-			g.transfers.record(m.Address, gossips[m.Name].refreshBudgets(writers), now)
+		for name := range writers {
+			told := gossips[name].refreshBudgets(writers)[tenant]
+			assert.InEpsilon(t, total, told.All, 0.02, name)
 		}
-	}
-	g.refreshBudgets(writers)
-	h := g.transfers.allowance.State(tenant)
-	assert.InEpsilon(t, total, h.Rate+h.Others, 0.02)
+		// A node that draws for nobody takes the whole from its writers, its own part in it.
+		self, _ := lo.Find(all, func(m Member) bool { return !writers[m.Name] })
+		g := gossips[self.Name]
+		for _, m := range all {
+			if writers[m.Name] && m.Zone == self.Zone {
+				g.transfers.record(m.Address, gossips[m.Name].refreshBudgets(writers), now)
+			}
+		}
+		g.refreshBudgets(writers)
+		h := g.transfers.allowance.State(tenant)
+		assert.InEpsilon(t, total, h.Rate+h.Others, 0.02)
+	})
 }
 
 // What all are asked for falls again when they are asked for less: no node's word comes
 // back to it as news.
 func TestDemandThatIsOverIsForgotten(t *testing.T) {
-	all := members(73)
-	writers := Writers(all, func() []Member { return ranked(all) })
-	var pair []*Gossip
-	for _, m := range all {
-		if writers[m.Name] && len(pair) < 2 {
-			p := account.NewAllowance(m.Name, m.Name+"/1", account.DefaultTuning())
-			p.Budget(map[string]int64{tenant: 1000})
-			g := gossipOf(m.Name, all)
-			g.registry.self, g.transfers = m, newTransfers(p)
-			pair = append(pair, g)
+	synctest.Test(t, func(t *testing.T) {
+		all := members(73)
+		writers := Writers(all, func() []Member { return ranked(all) })
+		var pair []*Gossip
+		for _, m := range all {
+			if writers[m.Name] && len(pair) < 2 {
+				p := account.NewAllowance(m.Name, m.Name+"/1", account.DefaultTuning())
+				p.Budget(map[string]int64{tenant: 1000})
+				g := gossipOf(m.Name, all)
+				g.registry.self, g.transfers = m, newTransfers(p)
+				pair = append(pair, g)
+			}
 		}
-	}
-	now := time.Now()
-	pair[0].transfers.record("a third", map[string]account.BudgetReport{tenant: {Rate: 500}}, now)
-	told := func(g *Gossip) float64 { return g.refreshBudgets(writers)[tenant].All }
-	for i := range 4 {
-		from, to := pair[i%2], pair[1-i%2]
-		to.transfers.record("the other", from.refreshBudgets(writers), now)
-	}
-	assert.Positive(t, told(pair[0]))
-	pair[0].transfers.record("a third", map[string]account.BudgetReport{tenant: {Rate: 1}}, now)
-	for i := range 6 {
-		from, to := pair[i%2], pair[1-i%2]
-		to.transfers.record("the other", from.refreshBudgets(writers), now)
-	}
-	assert.LessOrEqual(t, told(pair[0]), 1.0)
+		now := time.Now()
+		pair[0].transfers.record("a third", map[string]account.BudgetReport{tenant: {Rate: 500}}, now)
+		told := func(g *Gossip) float64 { return g.refreshBudgets(writers)[tenant].All }
+		for i := range 4 {
+			from, to := pair[i%2], pair[1-i%2]
+			to.transfers.record("the other", from.refreshBudgets(writers), now)
+		}
+		assert.Positive(t, told(pair[0]))
+		pair[0].transfers.record("a third", map[string]account.BudgetReport{tenant: {Rate: 1}}, now)
+		for i := range 6 {
+			from, to := pair[i%2], pair[1-i%2]
+			to.transfers.record("the other", from.refreshBudgets(writers), now)
+		}
+		assert.LessOrEqual(t, told(pair[0]), 1.0)
+	})
 }
 
 // A node with calls at every endpoint of a large fleet is still heard: it tells of the
