Test that an overloaded node hands calls on before their body is read

Nothing runs, nothing stays reserved, Retry-After is short, and a node that is alone keeps every call.

--- a/fleet/relay/forward/forward_test.go
+++ b/fleet/relay/forward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -228,3 +229,39 @@
 	assert.NotEmpty(t, got.header.Get("Retry-After"))
 	assert.Len(t, f.seen(), 1)
 }
+
+// An overloaded node hands on what its gate says, at once: the body is not read, nothing
+// runs or stays reserved, and the caller is told to come back. A node that is alone
+// keeps every call.
+func TestAnOverloadedNodeHandsCallsOn(t *testing.T) {
+	cases := []struct {
+		name    string
+		handsOn string
+		nodes   int
+		status  int
+	}{
+		{"its customer", "t", 2, 503},
+		{"another's", "another", 2, 200},
+		{"nobody else is there", "t", 1, 200},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 1000, good("answer"))
+			f.gate.handsOn, f.nodes = c.handsOn, c.nodes
+			got := f.do(t, f.request(t, "POST", "/once/", "body", "Prompt", "500"))
+			require.Equal(t, c.status, got.status)
+			if c.status == 200 {
+				assert.Len(t, f.seen(), 1)
+				return
+			}
+			assert.Empty(t, f.seen())
+			assert.Contains(t, got.body, "node-overloaded")
+			after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			require.NoError(t, err)
+			assert.Positive(t, after)
+			assert.Less(t, after, 0.5)
+			assert.Zero(t, f.gate.bodies.Load())
+			assert.Equal(t, int64(1000), f.allowance.State("t").Free)
+		})
+	}
+}
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -72,11 +72,14 @@
 
 func (noSource) Acquire(context.Context, string, int64) bool { return false }
 
-// keepAll hands no call on.
-type keepAll struct{}
+// gate keeps every call, or none of one customer.
+type gate struct {
+	handsOn string
+	bodies  atomic.Int32 // that came in
+}
 
-func (keepAll) Keep(string, uint64) bool { return true }
-func (keepAll) Body(time.Duration)       {}
+func (g *gate) Keep(customer string, _ uint64) bool { return customer != g.handsOn }
+func (g *gate) Body(time.Duration)                  { g.bodies.Add(1) }
 
 // run is one call as an endpoint saw it.
 type run struct {
@@ -93,6 +96,8 @@
 	handler   *forward.Handler
 	allowance *account.Allowance
 	policy    policy.Policy
+	gate      gate
+	nodes     int // in the fleet; 0 is one
 
 	mu   sync.Mutex
 	runs []run
@@ -161,7 +166,7 @@
 		Wire: plainWire{}, Policy: &p, Engines: &d, Allowance: f.allowance, TokenSource: noSource{},
 		Picker:  choice.NewPicker("z", choice.DefaultTuning()),
 		Retries: retry.NewBudget(retry.Rule{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one),
-		Gate:    keepAll{}, Nodes: one, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
+		Gate:    &f.gate, Nodes: func() int { return max(f.nodes, 1) }, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
 	})
 	f.Server = httptest.NewServer(f.handler)
 	t.Cleanup(f.Server.Close)
