Let only nodes that asked the store tell how long it was away

Change: a node that has nothing to ask counts as answered. TestANodeThatAskedNothing- TellsNoOutage fails without it (60 s in place of 10).

--- a/fleet/relay/account/outages_test.go
+++ b/fleet/relay/account/outages_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
 // askedFor returns an allowance of which so many tokens a second are asked for.
@@ -119,3 +123,34 @@
 	idle.Saw(Ledger{}, 1)
 	assert.False(t, idle.Low(1, testStart), "nobody asks")
 }
+
+// A node that asked nothing of the store can't tell how long it was away: one that
+// begins to write while the store is lost counts from then.
+func TestANodeThatAskedNothingTellsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &oneObject{}
+		p := NewAllowance("n", "n/1", DefaultTuning())
+		p.Budget(map[string]int64{modelTenant: 1000})
+		writes := false
+		k := NewSyncer(s, p, func() int { return 1 }, func() bool { return writes }, store.NewHealth(), quiet())
+		second := func() {
+			k.round(t.Context(), time.Now(), 0)
+			time.Sleep(time.Second)
+		}
+		for range 60 { // a minute in which it draws for nobody
+			second()
+		}
+		writes, s.refuses = true, true
+		for range 10 {
+			p.Reserve(modelTenant, 900, time.Now())
+			second()
+		}
+		s.refuses = false
+		second()
+		told := p.Expected(time.Now())
+		require.NotNil(t, told)
+		length := time.Duration(told.Ms) * time.Millisecond
+		assert.GreaterOrEqual(t, length, 9*time.Second)
+		assert.LessOrEqual(t, length, 12*time.Second)
+	})
+}
--- a/fleet/relay/account/syncer.go
+++ b/fleet/relay/account/syncer.go
@@ -63,7 +63,7 @@
 	revision int64
 	fresh    bool // ledger and revision are as the store last showed them
 	last     time.Time
-	answered time.Time   // when the store last answered
+	answered time.Time   // when the store last answered, or this node last had nothing to ask
 	out      atomic.Bool // the store does not answer
 }
 
@@ -156,6 +156,7 @@
 	k.rounds.Lock()
 	defer k.rounds.Unlock()
 	if k.leaving || !k.writes() && !k.allowance.HoldsRow() && !k.Out() { // a node that is out goes on asking, to learn when it is not
+		k.answered = now // one that asks nothing can't tell of an outage
 		return 0
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/fleet/relay/account/syncer_test.go
+++ b/fleet/relay/account/syncer_test.go
@@ -18,14 +18,18 @@
 // oneObject is a store of one object, which others may change between two calls.
 type oneObject struct {
 	store.Store
-	object store.Object
-	mute   bool // a conflict does not tell the object
-	calls  []string
-	before func() // each put
+	object  store.Object
+	mute    bool // a conflict does not tell the object
+	calls   []string
+	before  func() // each put
+	refuses bool   // every call
 }
 
 func (s *oneObject) Get(context.Context, string, string) (store.Object, error) {
 	s.calls = append(s.calls, "get")
+	if s.refuses {
+		return store.Object{}, store.ErrRefused
+	}
 	if s.object.Revision == 0 {
 		return store.Object{}, store.ErrNotFound
 	}
@@ -37,6 +41,9 @@
 	if s.before != nil {
 		s.before()
 	}
+	if s.refuses {
+		return store.Object{}, store.ErrRefused
+	}
 	if o.Revision != s.object.Revision {
 		if s.mute {
 			return store.Object{}, store.ErrConflict
--- a/fleet/relay/peer/roles.go
+++ b/fleet/relay/peer/roles.go
@@ -18,7 +18,7 @@
 func (t *Gossip) refreshBudgets(writers map[string]bool) map[string]account.BudgetReport {
 	self := t.registry.self
 	now := time.Now()
-	var near, any []Member // that write the ledger
+	var near, all []Member // that write the ledger: of the zone, and of the fleet
 	clients := map[string]bool{}
 	for _, m := range t.registry.Members() {
 		switch {
@@ -27,18 +27,18 @@
 			clients[m.Address] = true
 		case writers[m.Name] && m.Zone == self.Zone:
 			near = append(near, m)
-			any = append(any, m)
+			all = append(all, m)
 		case writers[m.Name]:
-			any = append(any, m)
+			all = append(all, m)
 		}
 	}
 	t.writes.Store(writers[self.Name])
 	t.writerCount.Store(int64(len(writers)))
-	t.sources.Store(t.sourcesOf(writers, near, any))
-	t.elsewhere.Store(t.reachedElsewhere(writers, any))
+	t.sources.Store(t.sourcesOf(writers, near, all))
+	t.elsewhere.Store(t.reachedElsewhere(writers, all))
 	if !writers[self.Name] {
 		t.transfers.allowance.Fleets(t.transfers.fleets(nil, 1, now), now)
-		t.requestAhead(lo.Ternary(len(near) > 0, near, any))
+		t.requestAhead(lo.Ternary(len(near) > 0, near, all))
 		return t.transfers.allowance.BudgetReports(now)
 	}
 	fleets := t.transfers.fleets(clients, len(near)+1, now)
