Ask all sources until one has the store; ask peers again soon

All three nodes that watched for a zone were cut off; a node that was not asked those three and no more in one call, took the answer of one in another zone that lagged for a failure of its own, and after each third failure waited up to 3 s for its other follower.

Change: one call asks all sources in turn (those that lost the store say so at once), a list older than what was seen counts as a lost store, a source that answered is fit again, and where peers alone were asked the follower asks again after 0.1 to 0.3 s, whatever leads.

TestASourceThatHasTheStoreIsFoundAtOnce fails on the code before (three sources a call). The test's readers are pointers now, so that the race detector sees them.

--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -17,8 +17,9 @@
 	callTimeout = 2 * time.Second
 	backoffMin  = 150 * time.Millisecond
 	backoffMax  = 1200 * time.Millisecond
-	aloneTries  = 2               // failures in a row after which a follower leaves asking to the leader
-	leaderWait  = 3 * time.Second // for the leader, before a follower asks again by itself
+	aloneTries  = 2                      // failures in a row after which a follower leaves asking to the leader
+	leaderWait  = 3 * time.Second        // for the leader, before a follower asks again by itself
+	peersPause  = 200 * time.Millisecond // before peers are asked again: it costs the store nothing
 )
 
 // Watching says what is followed, and how.
@@ -46,6 +47,9 @@
 	return wait
 }
 
+// errBehind says that an answer is older than what was handed on already.
+var errBehind = errors.New("store: the answer is older than what was seen")
+
 // Change is what a follower hands on: sealed.
 type Change interface{ change() }
 
@@ -122,7 +126,7 @@
 		return err
 	}
 	if at < f.at {
-		return errors.Newf("list of %s at revision %d is older than %d", f.Kind, at, f.at)
+		return errors.Wrapf(errBehind, "list of %s at revision %d, after %d", f.Kind, at, f.at)
 	}
 	f.at, f.listed, f.lost = at, true, false
 	f.apply(Snapshot{Objects: objects, Revision: at})
@@ -144,7 +148,7 @@
 		return err
 	}
 	if at < f.at {
-		return errors.Newf("watch of %s went back from revision %d to %d", f.Kind, f.at, at)
+		return errors.Wrapf(errBehind, "watch of %s at revision %d, after %d", f.Kind, at, f.at)
 	}
 	f.at = at
 	f.apply(Update{Events: events, Revision: at})
@@ -181,12 +185,16 @@
 		f.apply(Lost{Err: err})
 	}
 	f.lost = true
-	f.failures++
 	if f.Leads {
 		f.Health.leaderLost()
 	} else {
 		f.Health.Lost(f.Kind)
 	}
+	if errors.Is(err, ErrSourcesOut) || errors.Is(err, errBehind) {
+		pause(ctx, peersPause/2+rand.N(peersPause))
+		return
+	}
+	f.failures++
 	if !f.Leads && f.failures > aloneTries && f.Health.wait(ctx, leaderWait) {
 		pause(ctx, rand.N(backoffMin))
 		return
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -29,8 +29,8 @@
 	sourceSlack = 400 * time.Millisecond // beyond that, until an answer begins
 	sourceBody  = 2 * time.Second        // for an answer that has begun, on a narrow link that callers fill, too
 	sourceRest  = 5 * time.Second        // that a source which failed is left alone
-	unfitRest   = 300 * time.Millisecond // and one that says that it lost the store
-	sourceTries = 3                      // sources that one call asks at most
+	unfitRest   = time.Second            // and one that says that it lost the store: another one serves meanwhile
+	sourceTries = 6                      // sources that one call asks at most; those that lost the store say so at once
 
 	// While sources are named and fail, the store is asked in short watches: one that
 	// is sent into its silence is not answered when it is back, and nobody tells
@@ -59,10 +59,11 @@
 	sources func() []Source // in the order in which they are asked; none: this node asks the store
 
 	mu      sync.Mutex
-	rests   map[string]rest // by the source's name
-	direct  map[string]bool // by kind: the last answer came from the store
-	ping    time.Time       // when the next one is due; zero: the sources have the store
-	reached time.Time       // until then the store, which the sources lost, counts as reached
+	rests   map[string]rest  // by the source's name
+	direct  map[string]bool  // by kind: the last answer came from the store
+	newest  map[string]int64 // by kind: revision of the newest list
+	ping    time.Time        // when the next one is due; zero: the sources have the store
+	reached time.Time        // until then the store, which the sources lost, counts as reached
 }
 
 // rest is a time in which a source is not asked.
@@ -77,7 +78,7 @@
 
 // NewSourced returns a store that asks the sources first.
 func NewSourced(s Store, sources func() []Source) *Sourced {
-	return &Sourced{Store: s, sources: sources, rests: map[string]rest{}, direct: map[string]bool{}}
+	return &Sourced{Store: s, sources: sources, rests: map[string]rest{}, direct: map[string]bool{}, newest: map[string]int64{}}
 }
 
 // Direct is whether the last answer for a kind came from the store itself.
@@ -102,6 +103,21 @@
 	return awake
 }
 
+// checked says of a source's list that it is older than one that was seen: such a
+// source is as good as one that lost the store.
+func (s *Sourced) checked(kind string, at int64, err error) error {
+	if err != nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at < s.newest[kind] {
+		return errors.Wrapf(ErrUnfit, "list of %s at revision %d, after %d", kind, at, s.newest[kind])
+	}
+	s.newest[kind] = at
+	return nil
+}
+
 // failed lets a source rest.
 func (s *Sourced) failed(source string, err error) {
 	s.mu.Lock()
@@ -119,7 +135,7 @@
 	for _, from := range s.awake() {
 		err := call(from)
 		if err == nil || errors.Is(err, ErrCompacted) {
-			s.answered(kind, false)
+			s.answeredBy(from.Name, kind)
 			return true, err
 		}
 		if errors.Is(ctx.Err(), context.Canceled) {
@@ -133,14 +149,13 @@
 	return false, nil
 }
 
-// answered notes who answered for a kind.
-func (s *Sourced) answered(kind string, direct bool) {
+// answeredBy notes that a source answered for a kind.
+func (s *Sourced) answeredBy(source, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.direct[kind] = direct
-	if !direct {
-		s.ping, s.reached = time.Time{}, time.Time{}
-	}
+	s.direct[kind] = false
+	delete(s.rests, source)
+	s.ping, s.reached = time.Time{}, time.Time{}
 }
 
 // reachesStore is whether this node is to ask the store itself now: where no source is
@@ -185,20 +200,20 @@
 
 // asked notes how a call to the store itself ended.
 func (s *Sourced) asked(kind string, err error) {
-	if err == nil {
-		s.answered(kind, true)
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reached = time.Time{}
+	if err != nil {
+		s.reached = time.Time{}
+		return
+	}
+	s.direct[kind] = true
 }
 
 // List implements Store.
 func (s *Sourced) List(ctx context.Context, kind string) (objects []Object, at int64, err error) {
 	done, err := s.ask(ctx, kind, func(from Source) (err error) {
 		objects, at, err = listFrom(ctx, from, kind)
-		return err
+		return errors.CombineErrors(err, s.checked(kind, at, err))
 	})
 	if done {
 		return objects, at, err
--- a/fleet/relay/store/sourced_test.go
+++ b/fleet/relay/store/sourced_test.go
@@ -139,27 +139,40 @@
 	mu    *sync.Mutex
 	err   error
 	hangs bool
+	at    int64 // revision of its lists; 0 is 3
 }
 
-func (a asked) answer(ctx context.Context, wait time.Duration) error {
+func (a *asked) setErr(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.err = err
+}
+
+func (a *asked) answer(ctx context.Context, wait time.Duration) error {
 	a.mu.Lock()
 	*a.calls = append(*a.calls, a.name)
+	err := a.err
 	a.mu.Unlock()
 	if a.hangs {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	if a.err == nil {
-		time.Sleep(wait)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(wait):
+		return nil
 	}
-	return a.err
 }
 
-func (a asked) List(ctx context.Context, _ string) ([]store.Object, int64, error) {
-	return nil, 3, a.answer(ctx, 0)
+func (a *asked) List(ctx context.Context, _ string) ([]store.Object, int64, error) {
+	return nil, lo.CoalesceOrEmpty(a.at, 3), a.answer(ctx, 0)
 }
 
-func (a asked) Watch(ctx context.Context, _ string, since int64, wait time.Duration) ([]store.Event, int64, error) {
+func (a *asked) Watch(ctx context.Context, _ string, since int64, wait time.Duration) ([]store.Event, int64, error) {
 	return nil, since, a.answer(ctx, wait)
 }
 
@@ -195,9 +208,9 @@
 				readers := []store.Source{}
 				for i, r := range []asked{c.a, c.b} {
 					r.name, r.calls, r.mu = string(rune('a'+i)), &calls, &mu
-					readers = append(readers, store.Source{Name: r.name, Reader: r})
+					readers = append(readers, store.Source{Name: r.name, Reader: &r})
 				}
-				s := store.NewSourced(asked{name: "store", calls: &calls, mu: &mu, hangs: c.hangs}, func() []store.Source { return readers[:c.sources] })
+				s := store.NewSourced(&asked{name: "store", calls: &calls, mu: &mu, hangs: c.hangs}, func() []store.Source { return readers[:c.sources] })
 				began := time.Now()
 				for range c.rounds {
 					_, _, _ = s.Watch(t.Context(), "kind", 5, 8*time.Second)
@@ -213,9 +226,10 @@
 var errDead = errors.New("connection refused")
 
 // Ping implements store.Store.
-func (a asked) Ping(ctx context.Context) error {
-	a.name += " pinged"
-	return a.answer(ctx, 0)
+func (a *asked) Ping(ctx context.Context) error {
+	pinged := *a
+	pinged.name += " pinged"
+	return pinged.answer(ctx, 0)
 }
 
 // Where all sources say that they lost the store, this node finds out within a second
@@ -264,12 +278,72 @@
 	}
 }
 
+// Where the sources of the zone lost the store, one of another zone that has it answers
+// the same call, and goes on doing so; one whose list is older than what was seen is
+// passed over.
+func TestASourceThatHasTheStoreIsFoundAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var calls []string
+		var mu sync.Mutex
+		unfit := errors.Wrap(store.ErrUnfit, "peer")
+		readers := []store.Source{}
+		for _, r := range []*asked{{name: "a", err: unfit}, {name: "b", err: unfit}, {name: "c", err: unfit}, {name: "behind", at: 2}, {name: "far", at: 9}} {
+			r.calls, r.mu = &calls, &mu
+			readers = append(readers, store.Source{Name: r.name, Reader: r})
+		}
+		s := store.NewSourced(&asked{name: "store", calls: &calls, mu: &mu, hangs: true}, func() []store.Source { return readers })
+		_, at, err := s.List(t.Context(), "kind")
+		require.NoError(t, err)
+		assert.Equal(t, int64(2), at)
+		readers = append(readers[4:5:5], readers[:4]...)
+		_, at, err = s.List(t.Context(), "kind")
+		require.NoError(t, err)
+		assert.Equal(t, int64(9), at)
+		readers = append(readers[1:5:5], readers[0])
+		calls = nil
+		for range 5 {
+			_, at, err = s.List(t.Context(), "kind")
+			require.NoError(t, err)
+			assert.Equal(t, int64(9), at)
+		}
+		assert.NotContains(t, calls, "store")
+		assert.NotContains(t, calls, "store pinged")
+	})
+}
+
+// A follower whose sources all lost the store asks them again several times a second,
+// whatever leads: what changes meanwhile binds this node as soon as one has it again.
+func TestAFollowerOfLostSourcesAsksThemAgainSoon(t *testing.T) {
+	for _, leads := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer synctest.Wait()
+			defer cancel()
+			var calls []string
+			var mu sync.Mutex
+			source := &asked{name: "a", calls: &calls, mu: &mu, err: errors.Wrap(store.ErrUnfit, "peer")}
+			s := store.NewSourced(&asked{name: "store", calls: &calls, mu: &mu, err: errDead}, func() []store.Source { return []store.Source{{Name: "a", Reader: source}} })
+			health := store.NewHealth()
+			listed := make(chan time.Time, 100)
+			go store.Follow(ctx, s, store.Watching{Kind: "kind", Rest: store.Always(time.Millisecond), Health: health, Leads: leads}, func(c store.Change) {
+				if _, ok := c.(store.Snapshot); ok {
+					listed <- time.Now()
+				}
+			})
+			time.Sleep(20 * time.Second)
+			back := time.Now()
+			source.setErr(nil)
+			assert.LessOrEqual(t, (<-listed).Sub(back), 1500*time.Millisecond, "a source rests for a second")
+		})
+	}
+}
+
 // A store that is lost again while this node asks it is left to pings once more.
 func TestAStoreThatIsLostAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var calls []string
 		var mu sync.Mutex
-		source := asked{name: "a", calls: &calls, mu: &mu, err: errors.Wrap(store.ErrUnfit, "peer")}
+		source := &asked{name: "a", calls: &calls, mu: &mu, err: errors.Wrap(store.ErrUnfit, "peer")}
 		platform := &asked{name: "store", calls: &calls, mu: &mu}
 		s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: source}} })
 		for range 10 {
