Wait for the list of nodes in one place; drop a parameter that was always 1

Read once more, behaviour as it was: registering and a node's other followers waited for the first list by two copies of one select (Registry.AwaitListed now); transfers.richest took a need that both callers gave as 1; a source's list was checked through a combined error where two steps say it. Tests keep their assertions.

--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -82,21 +82,12 @@
 	return smallRest
 }
 
-// How a node registers: after the first list of the nodes, which tells what an earlier
-// life of it left there, and again after a pause where that fails.
-const (
-	registerWait  = time.Second
-	registerPause = 500 * time.Millisecond
-)
+// registerPause is the time between tries to register. The first one waits for the
+// list of the nodes, which tells what an earlier life of this one left there.
+const registerPause = 500 * time.Millisecond
 
 func (r *Registry) register(ctx context.Context) {
-	timer := time.NewTimer(registerWait)
-	defer timer.Stop()
-	select {
-	case <-r.listed:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	r.AwaitListed(ctx)
 	for ctx.Err() == nil {
 		if err := r.write(ctx); err == nil {
 			r.log.WithField("life", r.self.Life).Info("registered")
@@ -195,5 +186,16 @@
 	}
 }
 
-// Listed is closed once the nodes of the fleet were listed and taken note of.
-func (r *Registry) Listed() <-chan struct{} { return r.listed }
+// listedWait bounds how long a node that starts waits for the first list of the nodes.
+const listedWait = time.Second
+
+// AwaitListed returns once the nodes of the fleet were listed and taken note of, or soon.
+func (r *Registry) AwaitListed(ctx context.Context) {
+	timer := time.NewTimer(listedWait)
+	defer timer.Stop()
+	select {
+	case <-r.listed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/fleet/relay/peer/registry_test.go
+++ b/fleet/relay/peer/registry_test.go
@@ -91,7 +91,7 @@
 				quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 				r := NewRegistry(s, Member{Name: "a", Life: "now"}, store.NewHealth(), 0, quiet)
 				go r.Run(ctx, func(store.Change) {})
-				time.Sleep(registerWait + 100*time.Millisecond)
+				time.Sleep(listedWait + 100*time.Millisecond)
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				for _, call := range c.calls {
--- a/fleet/relay/peer/transfer.go
+++ b/fleet/relay/peer/transfer.go
@@ -160,7 +160,7 @@
 	}
 	g := grant{ID: a.ID, Tenant: a.Tenant, Tokens: l.allowance.Grant(a.Tenant, a.Need, a.Want)}
 	if g.Tokens < a.Need {
-		g.Try = l.richest(a.Tenant, 1, now)
+		g.Try = l.richest(a.Tenant, now)
 	}
 	l.answers[a.ID] = answer{grant: g, at: now}
 	return &g
@@ -201,7 +201,7 @@
 	if r, ok := l.ranking[tenant]; ok && now.Sub(r.at) < rankingAge {
 		return r.peers
 	}
-	r := ranking{peers: l.richest(tenant, 1, now), at: now}
+	r := ranking{peers: l.richest(tenant, now), at: now}
 	l.ranking[tenant] = r
 	return r.peers
 }
@@ -221,8 +221,8 @@
 	l.vain[tenant] = vain{tokens: tokens, at: now}
 }
 
-// richest lists the peers that could give so much, the richest first; the lock is held.
-func (l *transfers) richest(tenant string, need int64, now time.Time) []string {
+// richest lists the peers that could give something, the richest first; the lock is held.
+func (l *transfers) richest(tenant string, now time.Time) []string {
 	type rich struct {
 		peer   string
 		tokens int64
@@ -232,7 +232,7 @@
 		if now.Sub(o.at) >= freeAge {
 			continue
 		}
-		if tokens := o.budgets[tenant].Free; tokens >= need {
+		if tokens := o.budgets[tenant].Free; tokens > 0 {
 			all = append(all, rich{peer: peer, tokens: tokens})
 		}
 	}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -211,21 +211,11 @@
 	return n.gossip.Sources()
 }
 
-// knowPeers bounds how long a node that starts waits for the list of nodes, so that it
-// asks peers for the rest in the store's place.
-const knowPeers = time.Second
-
-// awaitPeers returns when the list of nodes is known, or soon.
+// awaitPeers lets a node that starts know the others first, so that it asks them for
+// the rest in the store's place.
 func (n *Node) awaitPeers(ctx context.Context) {
-	if !n.settings.Enabled(delegatesMechanism) {
-		return
-	}
-	timer := time.NewTimer(knowPeers)
-	defer timer.Stop()
-	select {
-	case <-n.registry.Listed():
-	case <-timer.C:
-	case <-ctx.Done():
+	if n.settings.Enabled(delegatesMechanism) {
+		n.registry.AwaitListed(ctx)
 	}
 }
 
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -105,10 +105,7 @@
 
 // checked says of a source's list that it is older than one that was seen: such a
 // source is as good as one that lost the store.
-func (s *Sourced) checked(kind string, at int64, err error) error {
-	if err != nil {
-		return nil
-	}
+func (s *Sourced) checked(kind string, at int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if at < s.newest[kind] {
@@ -213,7 +210,10 @@
 func (s *Sourced) List(ctx context.Context, kind string) (objects []Object, at int64, err error) {
 	done, err := s.ask(ctx, kind, func(from Source) (err error) {
 		objects, at, err = listFrom(ctx, from, kind)
-		return errors.CombineErrors(err, s.checked(kind, at, err))
+		if err != nil {
+			return err
+		}
+		return s.checked(kind, at)
 	})
 	if done {
 		return objects, at, err
