Let a node that reaches nobody doubt itself, not the store

Change: such failures are marked (store.ErrAlone) and leave the store undoubted; one source that says it lost the store, or a store that fails a node without sources, is doubt as before. Test fails on the code before in three of six cases.

--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -185,11 +185,7 @@
 		f.apply(Lost{Err: err})
 	}
 	f.lost = true
-	if f.Leads {
-		f.Health.leaderLost()
-	} else {
-		f.Health.Lost(f.Kind)
-	}
+	f.tellLost(errors.Is(err, ErrAlone))
 	if errors.Is(err, ErrSourcesOut) || errors.Is(err, errBehind) {
 		pause(ctx, peersPause/2+rand.N(peersPause))
 		return
@@ -203,6 +199,18 @@
 	f.backoff = min(2*f.backoff, backoffMax)
 }
 
+// tellLost notes that the follower got no answer. A node that is alone, since its link is
+// full or it is cut off, has no reason to believe that entries lapsed for want of the
+// store: what its sources list when they answer again is what the store lists.
+func (f *follower) tellLost(alone bool) {
+	switch {
+	case f.Leads:
+		f.Health.leaderLost(alone)
+	case !alone:
+		f.Health.Lost(f.Kind)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/fleet/relay/store/health.go
+++ b/fleet/relay/store/health.go
@@ -94,11 +94,14 @@
 // leaderPart names the follower that leads among the parts of a node.
 const leaderPart = "leader"
 
-// leaderLost notes that the leader got no answer.
-func (h *Health) leaderLost() {
+// leaderLost notes that the leader got no answer; where the node is alone, that says
+// nothing of the store.
+func (h *Health) leaderLost(alone bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.away[leaderPart] = true
+	if !alone {
+		h.away[leaderPart] = true
+	}
 	if h.lost == nil {
 		h.lost = make(chan struct{})
 	}
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -51,6 +51,11 @@
 // this node did not reach it either when it last tried.
 var ErrSourcesOut = errors.New("store: those that watch it for this node have lost it")
 
+// ErrAlone marks failures of a node that reaches neither those who watch the store for
+// it, of whom none says that it lost the store, nor the store: that says more of the
+// node, its link or a cut than of the store.
+var ErrAlone = errors.New("store: neither it nor those that watch it for this node were reached")
+
 // Sourced is a store whose lists and watches are answered by other nodes, where
 // such are named, and by the store itself where none is or all fail. It is safe
 // for concurrent use.
@@ -159,12 +164,11 @@
 // named or all of them are silent, and where one says that it has lost the store while
 // this node, by a ping, has not.
 func (s *Sourced) reachesStore(ctx context.Context) bool {
-	all := s.sources()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !slices.ContainsFunc(all, func(one Source) bool { return s.rests[one.Name].unfit }) {
+	if !s.hasUnfit() {
 		return true
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := time.Now()
 	switch {
 	case now.Before(s.reached):
@@ -216,14 +220,31 @@
 		return s.checked(kind, at)
 	})
 	if done {
-		return objects, at, err
+		return objects, at, s.marked(err)
 	}
 	if !s.reachesStore(ctx) {
 		return nil, 0, ErrSourcesOut
 	}
 	objects, at, err = s.Store.List(ctx, kind)
 	s.asked(kind, err)
-	return objects, at, err
+	return objects, at, s.marked(err)
+}
+
+// marked marks the error of a node that reaches nobody.
+func (s *Sourced) marked(err error) error {
+	if err == nil || errors.Is(err, ErrCompacted) || len(s.sources()) == 0 || s.hasUnfit() {
+		return err
+	}
+	return errors.Mark(err, ErrAlone)
+}
+
+// hasUnfit is whether one of those that watch the store for this node says that it
+// lost the store.
+func (s *Sourced) hasUnfit() bool {
+	all := s.sources()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(all, func(one Source) bool { return s.rests[one.Name].unfit })
 }
 
 func listFrom(ctx context.Context, from Source, kind string) ([]Object, int64, error) {
@@ -240,7 +261,7 @@
 		return err
 	})
 	if done {
-		return events, at, err
+		return events, at, s.marked(err)
 	}
 	if !s.reachesStore(ctx) {
 		return nil, 0, ErrSourcesOut
@@ -253,7 +274,7 @@
 	}
 	events, at, err = s.Store.Watch(ctx, kind, since, wait)
 	s.asked(kind, err)
-	return events, at, err
+	return events, at, s.marked(err)
 }
 
 func watchFrom(ctx context.Context, from Source, kind string, since int64, wait time.Duration) ([]Event, int64, error) {
--- a/fleet/relay/store/sourced_test.go
+++ b/fleet/relay/store/sourced_test.go
@@ -360,3 +360,49 @@
 		assert.LessOrEqual(t, lo.Count(calls, "store"), 2)
 	})
 }
+
+// A node that reaches nobody, since its link is full or it is cut off, does not take
+// that for an outage of the store in which entries lapse.
+func TestANodeThatIsAloneDoesNotDoubtTheStore(t *testing.T) {
+	refused := errors.Wrap(store.ErrUnfit, "peer")
+	cases := []struct {
+		name    string
+		source  asked
+		sources int
+		leads   bool
+		doubted bool
+	}{
+		{"the source is silent and so is the store", asked{hangs: true}, 1, false, false},
+		{"the same, asked by the follower that leads", asked{hangs: true}, 1, true, false},
+		{"the source can't be reached", asked{err: errDead}, 1, false, false},
+		{"the source lost the store", asked{err: refused}, 1, false, true},
+		{"and the follower leads", asked{err: refused}, 1, true, true},
+		{"no source is named", asked{}, 0, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var calls []string
+				var mu sync.Mutex
+				source := c.source
+				source.name, source.calls, source.mu = "a", &calls, &mu
+				platform := &asked{name: "store", calls: &calls, mu: &mu, err: errDead}
+				s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: &source}}[:c.sources] })
+				health := store.NewHealth()
+				ctx, cancel := context.WithCancel(t.Context())
+				lost := 0
+				w := store.Watching{Kind: "k", Rest: store.Always(0), Health: health, Leads: c.leads}
+				go store.Follow(ctx, s, w, func(change store.Change) {
+					if _, ok := change.(store.Lost); ok {
+						lost++
+					}
+				})
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, 1, lost, "it is told once")
+				assert.Equal(t, c.doubted, health.Doubted())
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
