Let calls that may run again leave a silent endpoint; drop connections as old as a silent one

Cause: a stream that reached an endpoint which went dark was answered (502) after 3.2 s, when the kernel's probes gave up; each kept connection that had gone silent cost a call.

Change: an attempt of a call that may run again, and may still be sent once more, waits four times what was expected for the head of an answer, 300 ms at least; the connections that rest at that address go with one that fell silent. Any other call waits as before.

--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -34,7 +34,7 @@
 	Gate        Gate
 	Nodes       func() int        // how many nodes share the endpoints' connections
 	Regions     map[string]string // of the availability zones
-	Transport   http.RoundTripper
+	Transport   *Transport
 	Log         log.Interface
 	Metrics     Metrics
 	Tracer      trace.Tracer // nil: nothing is traced
@@ -70,16 +70,30 @@
 	idlePerHost    = 64
 )
 
+// Transport carries calls to endpoints, and answers for its connections.
+type Transport struct {
+	*http.Transport
+	pool *pool
+}
+
 // NewTransport returns the transport to endpoints. It neither compresses nor
 // repeats: see onceBody.
-func NewTransport() *http.Transport {
+func NewTransport() *Transport {
 	dialer := &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount},
 		Control:         limitUnacked,
 	}
-	return &http.Transport{
-		DialContext:           dialer.DialContext,
+	connections := newPool()
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return connections.dialed(c, address), nil
+	}
+	return &Transport{pool: connections, Transport: &http.Transport{
+		DialContext:           dial,
 		DisableCompression:    true,
 		MaxIdleConns:          0,
 		MaxIdleConnsPerHost:   idlePerHost,
@@ -87,7 +101,7 @@
 		ExpectContinueTimeout: 0,
 		WriteBufferSize:       16 << 10,
 		ReadBufferSize:        4 << 10,
-	}
+	}}
 }
 
 func limitUnacked(_, _ string, c syscall.RawConn) error {
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -37,23 +38,35 @@
 func (j *job) exchange(ctx context.Context, t *choice.Placement, lastEventID string) outcome {
 	sent := false
 	connections := 0
+	heard := func() {}
+	var used net.Conn
 	ctx, cancel := context.WithCancelCause(ctx)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
 			if connections++; connections > 1 {
 				cancel(errTwice)
 			}
 			sent = true
+			used = info.Conn
+			use(used, true)
+			heard = whileSilent(j.patience(t), cancel)
+		},
+		PutIdleConn: func(err error) {
+			if err == nil {
+				use(used, false)
+			}
 		},
 	})
 	started := time.Now()
 	resp, err := j.Transport.RoundTrip(j.request(ctx, t, lastEventID))
+	heard()
 	if !sent && err != nil {
 		cancel(nil)
 		return neverSent{err: at("connect", t, err)}
 	}
 	j.attempts++
 	if err != nil {
+		err = j.dropSilent(ctx, t, err)
 		cancel(nil)
 		return failed{err: at("send", t, err)}
 	}
@@ -61,6 +74,20 @@
 	return j.judgeHead(t, resp, started)
 }
 
+// dropSilent drops the connections that rest beside one that fell silent, and says so
+// in the error.
+func (j *job) dropSilent(ctx context.Context, t *choice.Placement, err error) error {
+	silent := errors.Is(context.Cause(ctx), errSilent)
+	if silent {
+		err = errSilent
+	}
+	var network net.Error
+	if !silent && (ctx.Err() != nil || !errors.As(err, &network) || !network.Timeout()) {
+		return err
+	}
+	return errors.Wrapf(err, "%d idle connections dropped", j.Transport.pool.dropIdle(t.Engine.Address))
+}
+
 // cancelBody ends the attempt's context with its body.
 type cancelBody struct {
 	io.ReadCloser
