--- a/fleet/relay/account/allowance.go
+++ b/fleet/relay/account/allowance.go
@@ -16,10 +16,8 @@
 	mu        sync.Mutex
 	quotas    map[string]*quota
 	revision  int64  // newest revision of the ledger that was seen
-	out       bool   // the store does not answer
 	shortfall bool   // a reservation failed since the last proposal that was answered
 	outage    outage // of the store, that is expected again
-	mix       mix    // what this node is asked for
 }
 
 // quota is the part of one tenant.
@@ -38,7 +36,6 @@
 	left        int64   // of the whole budget by the last ledger, at most
 	estimate    int64   // of the whole budget by the last ledger, as estimated: left, less what was granted to nodes that do not report
 	pool        int64   // not drawn by anyone, by the last ledger
-	near        Near    // what nodes that this one can ask have
 }
 
 // busy is what can't be given back, net of tokens that came from peers.
@@ -64,7 +61,6 @@
 	Reserved     Answer = iota
 	Insufficient        // this node's part is short, the whole budget may not be
 	Exhausted           // the whole budget can't hold the request
-	Kept                // what is left here is kept for smaller calls
 )
 
 // Holding is a tenant's state on this node, for logs: tokens, and tokens a second.
@@ -74,7 +70,6 @@
 	Free     int64 // can be reserved now
 	Reserved int64
 	Pool     int64 // not drawn by anyone, by the last ledger
-	Drawable int64 // of the pool: none while the store does not answer
 	Left     int64 // of the whole budget at most, by the last ledger
 	Revision int64 // of that ledger
 	Rate     float64
@@ -114,39 +109,15 @@
 	return k
 }
 
-// Reserve sets the most that a call of a kind can cost aside.
-func (p *Allowance) Reserve(tenant, kind string, tokens int64, now time.Time) Answer {
+// Reserve sets the most that a call can cost aside.
+func (p *Allowance) Reserve(tenant string, tokens int64, now time.Time) Answer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	k := p.quota(tenant)
 	k.demand.add(tokens, now)
-	p.mix.add(kind, tokens, now)
-	if p.keptForSmaller(k, kind, tokens, now) {
-		return Kept
-	}
 	return p.reserve(k, tokens)
 }
 
-// keptForSmaller is whether what is left of a budget within reach is kept for smaller
-// calls: a call goes only where enough stays for all kinds of calls that are smaller in
-// the mean, for so long as the tuning says. Tokens that are short serve several times
-// as many callers so; kinds are told apart, not calls, so that the large calls of a kind
-// fare like its others.
-func (p *Allowance) keptForSmaller(k *quota, kind string, tokens int64, now time.Time) bool {
-	share := p.mix.smaller(kind)
-	if p.tuning.Guard <= 0 || share <= 0 {
-		return false
-	}
-	rate, reach := k.near.Rate, k.free()+k.near.Free+k.near.Pool
-	if rate == 0 { // it hears all others, and reads the ledger
-		rate = k.demand.steady(now) + k.others
-		if !p.out {
-			reach += k.pool
-		}
-	}
-	return float64(reach-tokens) < p.tuning.Guard.Seconds()*rate*share
-}
-
 // ReserveAgain is Reserve for a call that was answered Insufficient before: it is not
 // counted as demand once more.
 func (p *Allowance) ReserveAgain(tenant string, tokens int64) Answer {
@@ -174,9 +145,6 @@
 	defer p.mu.Unlock()
 	h := p.quota(tenant).holding(tenant, time.Now())
 	h.Revision = p.revision
-	if !p.out {
-		h.Drawable = h.Pool
-	}
 	return h
 }
 
--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -15,13 +15,12 @@
 	First    float64       // part of a budget that all nodes together draw before any demand is known
 	Step     float64       // least draw worth a write, as a part of the target
 	Surplus  float64       // a holding this many times its target is given back
-	Guard    time.Duration // what is left is kept for smaller calls from so long before they would run out; 0: it is not
 	Report   float64       // spending that is worth a report, as a part of the budget
 }
 
 // DefaultTuning is what measurements led to; docs/design/07-platform.md.
 func DefaultTuning() Tuning {
-	return Tuning{Horizon: 10 * time.Second, Exposure: 0.4, Reserve: 1, Least: 0.07, Margin: 1.25, First: 0.1, Step: 0.2, Surplus: 1.5, Report: 0.02, Guard: 8 * time.Second}
+	return Tuning{Horizon: 10 * time.Second, Exposure: 0.4, Reserve: 1, Least: 0.07, Margin: 1.25, First: 0.1, Step: 0.2, Surplus: 1.5, Report: 0.02}
 }
 
 // target is how many free tokens a node should hold of a budget: what its own
--- a/fleet/relay/account/fleet.go
+++ b/fleet/relay/account/fleet.go
@@ -15,7 +15,6 @@
 	Fast float64 `json:"q,omitempty"` // the same over the last second or so, where that is more
 	All  float64 `json:"a,omitempty"` // that all nodes it heard of are asked for
 	Left int64   `json:"l,omitempty"` // of the whole budget at most
-	Pool int64   `json:"p,omitempty"` // that nobody has drawn, where the store answers
 }
 
 // BudgetReports lists what this node could give and is asked for, by tenant.
@@ -42,14 +41,6 @@
 	Clients float64 // of the others, what this node draws for
 	Fast    float64 // the same over the last second or so
 	Left    int64   // of the whole budget at most, by a node that reads the ledger; 0 is not known
-	Near    Near
-}
-
-// Near is what the nodes that a node can ask have of one budget.
-type Near struct {
-	Free int64   // that they could give
-	Pool int64   // their part of what nobody has drawn
-	Rate float64 // tokens a second that all draw on it; 0 on a node that hears the whole fleet
 }
 
 // Fleets sets what is known of the other nodes, by tenant.
@@ -59,7 +50,7 @@
 	for tenant, k := range p.quotas {
 		f := fleets[tenant]
 		own := k.demand.steady(now)
-		k.others, k.clients, k.clientsFast, k.near = max(f.Others, f.All-own), f.Clients, f.Fast, f.Near
+		k.others, k.clients, k.clientsFast = max(f.Others, f.All-own), f.Clients, f.Fast
 		if f.Left > 0 && p.revision == 0 {
 			k.left, k.estimate = f.Left, f.Left
 		}
@@ -101,13 +92,6 @@
 	return deficits
 }
 
-// Out sets whether the store does not answer: what nobody has drawn is out of reach then.
-func (p *Allowance) Out(out bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.out = out
-}
-
 // HoldsRow is whether this life's row may say that it has drawn something: a node
 // that no longer draws gives it back.
 func (p *Allowance) HoldsRow() bool {
--- a/fleet/relay/account/fleet_test.go
+++ b/fleet/relay/account/fleet_test.go
@@ -13,7 +13,7 @@
 	p.Budget(map[string]int64{modelTenant: 1_000_000})
 	now := testStart
 	for range 40 {
-		p.Reserve(modelTenant, "kind", perSecond/2, now)
+		p.Reserve(modelTenant, perSecond/2, now)
 		now = now.Add(demandBucket)
 	}
 	return p, now
--- a/fleet/relay/account/model_test.go
+++ b/fleet/relay/account/model_test.go
@@ -113,7 +113,7 @@
 
 func (w *world) reserve(n *modelNode) {
 	tokens := int64(w.random.IntN(3000) + 1)
-	if n.allowance.Reserve(modelTenant, "kind", tokens, w.now) == Reserved {
+	if n.allowance.Reserve(modelTenant, tokens, w.now) == Reserved {
 		n.calls = append(n.calls, tokens)
 	}
 }
--- a/fleet/relay/account/outages_test.go
+++ b/fleet/relay/account/outages_test.go
@@ -17,7 +17,7 @@
 	p.Budget(map[string]int64{modelTenant: prepaid})
 	p.Saw(Ledger{}, 1)
 	for i := range 40 {
-		p.Reserve(modelTenant, "kind", perSecond/4, now.Add(time.Duration(i-40)*250*time.Millisecond))
+		p.Reserve(modelTenant, perSecond/4, now.Add(time.Duration(i-40)*250*time.Millisecond))
 	}
 	return p
 }
@@ -142,7 +142,7 @@
 		}
 		writes, s.refuses = true, true
 		for range 10 {
-			p.Reserve(modelTenant, "kind", 900, time.Now())
+			p.Reserve(modelTenant, 900, time.Now())
 			second()
 		}
 		s.refuses = false
--- a/fleet/relay/account/syncer.go
+++ b/fleet/relay/account/syncer.go
@@ -180,7 +180,6 @@
 	if k.out.Swap(out) == out {
 		return
 	}
-	k.allowance.Out(out)
 	entry := k.log.WithField("dependency", "store").WithField("revision", k.revision)
 	if out {
 		k.health.Lost(Kind)
--- a/fleet/relay/account/syncer_test.go
+++ b/fleet/relay/account/syncer_test.go
@@ -84,7 +84,7 @@
 			k := NewSyncer(s, p, func() int { return 1 }, func() bool { return true }, store.NewHealth(), quiet())
 			require.NoError(t, k.settle(t.Context(), testStart, false))
 			s.changedByAnother(t, 300)
-			p.Reserve(modelTenant, "kind", 500, testStart) // more than the node holds
+			p.Reserve(modelTenant, 500, testStart) // more than the node holds
 			s.calls = nil
 			require.NoError(t, k.settle(t.Context(), testStart, false))
 			assert.Equal(t, c.want, s.calls)
@@ -100,7 +100,7 @@
 	k := NewSyncer(s, p, func() int { return 1 }, func() bool { return true }, store.NewHealth(), quiet())
 	require.NoError(t, k.settle(t.Context(), testStart, false))
 	s.before = func() { s.changedByAnother(t, 300) }
-	p.Reserve(modelTenant, "kind", 500, testStart)
+	p.Reserve(modelTenant, 500, testStart)
 	assert.Zero(t, k.round(t.Context(), testStart, 0), "no backoff")
 	assert.False(t, k.Out())
 	assert.True(t, p.HasShortfall(), "what was deficits is still to be drawn")
@@ -147,7 +147,7 @@
 				p := NewAllowance("n", "n/1", DefaultTuning())
 				p.Budget(map[string]int64{modelTenant: 1000})
 				k := NewSyncer(s, p, func() int { return 1 }, func() bool { return c.direct }, store.NewHealth(), quiet())
-				assert.Equal(t, Insufficient, p.Reserve(modelTenant, "kind", 500, time.Now()))
+				assert.Equal(t, Insufficient, p.Reserve(modelTenant, 500, time.Now()))
 				go k.Run(ctx)
 				time.Sleep(askedPace / 2)
 				began := time.Now()
@@ -169,7 +169,7 @@
 		p := NewAllowance("n", "n/1", DefaultTuning())
 		p.Budget(map[string]int64{modelTenant: 1000})
 		k := NewSyncer(s, p, func() int { return 1 }, func() bool { return true }, store.NewHealth(), quiet())
-		p.Reserve(modelTenant, "kind", 500, time.Now())
+		p.Reserve(modelTenant, 500, time.Now())
 		go k.Run(ctx)
 		time.Sleep(2 * tick) // its put hangs by now
 		began := time.Now()
@@ -201,7 +201,7 @@
 		p := NewAllowance("n", "n/1", DefaultTuning())
 		p.Budget(map[string]int64{modelTenant: 1000})
 		if c.lacks {
-			p.Reserve(modelTenant, "kind", 500, testStart)
+			p.Reserve(modelTenant, 500, testStart)
 		}
 		k := NewSyncer(nil, p, func() int { return c.nodes }, func() bool { return true }, store.NewHealth(), quiet())
 		got := k.pace(c.asked)
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -178,7 +178,7 @@
 	if !j.tenant.HasPrepaid || j.call.Cost() == 0 {
 		return refusal{}, true
 	}
-	answer := j.Allowance.Reserve(j.tenant.Name, j.route.Name, j.call.Cost(), j.start)
+	answer := j.Allowance.Reserve(j.tenant.Name, j.call.Cost(), j.start)
 	if answer == account.Insufficient && j.TokenSource.Acquire(j.r.Context(), j.tenant.Name, j.call.Cost()) {
 		j.note = "transferred"
 		answer = j.Allowance.ReserveAgain(j.tenant.Name, j.call.Cost())
@@ -190,9 +190,6 @@
 	case account.Insufficient:
 		j.noteBudget()
 		return refuseInsufficient, false
-	case account.Kept:
-		j.noteBudget()
-		return refuseKept, false
 	case account.Reserved:
 	}
 	j.reserved = j.call.Cost()
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -49,7 +49,6 @@
 	refuseTooLarge     = refusal{http.StatusRequestEntityTooLarge, "too-large", 0}
 	refuseBudget       = refusal{http.StatusPaymentRequired, "budget-exhausted", 0}
 	refuseInsufficient = refusal{http.StatusServiceUnavailable, "budget-insufficient-here", 2 * time.Second}
-	refuseKept         = refusal{http.StatusServiceUnavailable, "budget-kept-for-smaller-calls", 2 * time.Second}
 	refuseNoEngine     = refusal{http.StatusServiceUnavailable, "no-endpoint", 300 * time.Millisecond}
 	refuseFull         = refusal{http.StatusServiceUnavailable, "endpoints-full", 200 * time.Millisecond}
 	refuseUnknown      = refusal{http.StatusBadGateway, "endpoint-failed", 0}
--- a/fleet/relay/peer/gossip_test.go
+++ b/fleet/relay/peer/gossip_test.go
@@ -124,7 +124,7 @@
 			p := account.NewAllowance(m.Name, m.Name+"/1", account.DefaultTuning())
 			p.Budget(map[string]int64{tenant: 1 << 30})
 			for at := 20; at > 0; at-- { // ten seconds, each node at a rate of its own
-				p.Reserve(tenant, "kind", int64(100+i), now.Add(-time.Duration(at)*500*time.Millisecond))
+				p.Reserve(tenant, int64(100+i), now.Add(-time.Duration(at)*500*time.Millisecond))
 			}
 			g := gossipOf(m.Name, all)
 			g.registry.self, g.transfers, g.socket = m, newTransfers(p), socket
--- a/fleet/relay/peer/roles.go
+++ b/fleet/relay/peer/roles.go
@@ -57,8 +57,7 @@
 		o := reports[tenant]
 		o.All = math.Round(fleet.Others + o.Rate)
 		o.Rate = math.Round(o.Rate + fleet.Clients)
-		state := t.transfers.allowance.State(tenant)
-		o.Left, o.Pool = state.Left, state.Drawable
+		o.Left = t.transfers.allowance.State(tenant).Left
 		reports[tenant] = o
 	}
 }
--- a/fleet/relay/peer/slope_test.go
+++ b/fleet/relay/peer/slope_test.go
@@ -64,7 +64,7 @@
 	}
 	allowance.Budget(prepaid)
 	for tenant := range prepaid {
-		allowance.Reserve(tenant, "kind", 9000, now)
+		allowance.Reserve(tenant, 9000, now)
 	}
 	g := gossipOf(self.Name, all)
 	socket := &counted{}
--- a/fleet/relay/peer/transfer.go
+++ b/fleet/relay/peer/transfer.go
@@ -131,14 +131,9 @@
 		for tenant, b := range o.budgets {
 			f := fleets[tenant]
 			f.Left = max(f.Left, b.Left)
-			if now.Sub(o.at) < freeAge {
-				f.Near.Free += b.Free
-			}
 			switch {
 			case clients == nil && b.All > 0: // a writer's word, with this node's own demand in it
 				f.All = max(f.All, b.All)
-				f.Near.Rate += b.Rate
-				f.Near.Pool = max(f.Near.Pool, b.Pool)
 			case clients[peer]:
 				f.Clients += b.Rate / float64(max(writers, 1))
 				f.Fast += max(b.Rate, b.Fast) / float64(max(writers, 1))
@@ -150,9 +145,6 @@
 	}
 	for tenant, f := range fleets {
 		f.Others += f.Clients
-		if f.All > 0 {
-			f.Near.Pool = int64(float64(f.Near.Pool) * min(f.Near.Rate/f.All, 1))
-		}
 		fleets[tenant] = f
 	}
 	return fleets
