Let writers of the ledger tell each other; leave a store that is back to the sources

A node whose ping succeeds again asks its sources once more before it asks the store. A fleet that starts as a whole registers before its nodes ask for anything else. A round that begins during a planned stop ends at once instead of waiting for it.

--- a/fleet/relay/account/syncer.go
+++ b/fleet/relay/account/syncer.go
@@ -44,12 +44,22 @@
 	backoffMax  = 2 * time.Second
 )
 
+// Writers are the other nodes that write the ledger. Each write but the first after
+// another's would conflict, only to learn of that one, so they tell each other.
+type Writers interface {
+	// Newer returns the ledger's object where another writer has a newer one.
+	Newer(ctx context.Context, revision int64) (store.Object, bool)
+	// Wrote tells the others of a newer one, and keeps it for them.
+	Wrote(o store.Object)
+}
+
 // Syncer moves tokens between the store's ledger and an allowance.
 type Syncer struct {
 	store     store.Store
 	allowance *Allowance
 	nodes     func() int
 	writes    func() bool // whether this node draws every budget, or acquires from those that do
+	writers   Writers
 	health    *store.Health
 	log       log.Interface
 
@@ -72,15 +82,27 @@
 func NewSyncer(s store.Store, p *Allowance, nodes func() int, writes func() bool, health *store.Health, l log.Interface) *Syncer {
 	stop, stopped := context.WithCancel(context.Background())
 	return &Syncer{
-		store: s, allowance: p, nodes: nodes, writes: writes, health: health, log: l,
+		store: s, allowance: p, nodes: nodes, writes: writes, writers: noWriters{}, health: health, log: l,
 		asks: make(chan chan struct{}, waitingAsks), stop: stop, stopped: stopped, answered: time.Now(),
 	}
 }
 
+// WithWriters has the syncer tell the other writers of the ledger, and hear of theirs.
+func (k *Syncer) WithWriters(w Writers) *Syncer {
+	k.writers = w
+	return k
+}
+
+// noWriters is no other writer.
+type noWriters struct{}
+
+func (noWriters) Newer(context.Context, int64) (store.Object, bool) { return store.Object{}, false }
+func (noWriters) Wrote(store.Object)                                {}
+
 // Run keeps the allowance filled until ctx ends.
 func (k *Syncer) Run(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(jittered(tick))
+	defer timer.Stop()
 	backoff := time.Duration(0)
 	for ctx.Err() == nil {
 		var asks []chan struct{}
@@ -89,7 +111,8 @@
 			return
 		case done := <-k.asks:
 			asks = k.waiting(done)
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(jittered(tick))
 		}
 		if now := time.Now(); now.Sub(k.last) >= max(k.pace(len(asks) > 0), backoff) {
 			k.last = now
@@ -101,6 +124,10 @@
 	}
 }
 
+// jittered is half of a time at least, and one and a half of it at most: writers that
+// started together would else write at the same moments.
+func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
 // waiting takes all requests that wait for a draw.
 func (k *Syncer) waiting(first chan struct{}) []chan struct{} {
 	pauseBriefly() // others may come with it
@@ -153,6 +180,9 @@
 }
 
 func (k *Syncer) round(ctx context.Context, now time.Time, backoff time.Duration) time.Duration {
+	if k.stop.Err() != nil {
+		return 0 // the node is leaving, which may take its time
+	}
 	k.rounds.Lock()
 	defer k.rounds.Unlock()
 	if k.leaving || !k.writes() && !k.allowance.HoldsRow() && !k.Out() { // a node that is out goes on asking, to learn when it is not
@@ -204,6 +234,7 @@
 
 func (k *Syncer) settle(ctx context.Context, now time.Time, leaving bool) error {
 	var err error
+	k.catchUp(ctx)
 	for range conflicts {
 		if !k.fresh {
 			if err = k.read(ctx); err != nil {
@@ -227,6 +258,18 @@
 	return err
 }
 
+// catchUp takes in what another writer wrote meanwhile, where one told of it. An object
+// that can't be read is passed over: the store's own answer to a write decides.
+func (k *Syncer) catchUp(ctx context.Context) {
+	o, newer := k.writers.Newer(ctx, k.revision)
+	if !newer || o.Revision <= k.revision {
+		return
+	}
+	if err := k.saw(o); err != nil {
+		k.log.WithField("revision", o.Revision).WithError(err).Warn("accounts: a peer's ledger is not understood")
+	}
+}
+
 func pauseBriefly() { time.Sleep(time.Duration(2+rand.IntN(10)) * time.Millisecond) }
 
 // pauseAfterConflict lets the other writers go first, the longer the more there are.
@@ -277,7 +320,11 @@
 		return errors.Wrap(err, "write accounts")
 	}
 	k.logMoves(next)
-	return k.saw(o)
+	if err := k.saw(o); err != nil {
+		return err
+	}
+	k.writers.Wrote(o)
+	return nil
 }
 
 // logMoves tells what a write that took effect has moved, one line for all tenants.
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -33,6 +33,7 @@
 	socket      net.PacketConn
 	number      uint64
 	transfers   *transfers
+	ledgers     *ledgers
 	address     string      // of this node's socket
 	out         func() bool // whether this node does not reach the store
 	writes      atomic.Bool
@@ -65,7 +66,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), address: address, out: out, client: sourceClient(), delegates: newDelegates(r.self)}
+	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), ledgers: &ledgers{own: store.NewCache()}, address: address, out: out, client: sourceClient(), delegates: newDelegates(r.self)}
 	r.OnChange(func([]Member) { g.choose() })
 	return g, nil
 }
@@ -177,6 +178,8 @@
 		for _, g := range m.Grants {
 			t.transfers.arrived(g)
 		}
+	case m.Ledger > 0:
+		t.ledgers.told(m.Ledger, from)
 	default:
 		t.receiveDigest(m, from)
 	}
--- /dev/null
+++ b/fleet/relay/peer/ledger.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// Nodes that write the ledger tell each other of each write by a datagram with its
+// revision, and whoever is about to write asks for a newer one where it lies. Without
+// that each write first conflicts, to learn of the others'.
+
+// ledgerWait bounds asking a peer for the ledger: the store tells it as well.
+const ledgerWait = 60 * time.Millisecond
+
+// ledgers is the newest ledger that this node wrote, for its peers, and the newest
+// that a peer told of. It is safe for concurrent use.
+type ledgers struct {
+	own *store.Cache
+
+	mu     sync.Mutex
+	newest int64  // revision that a peer told of
+	from   string // the peer's address; "" is none
+}
+
+// told notes that a peer wrote the ledger.
+func (l *ledgers) told(revision int64, from string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision > l.newest {
+		l.newest, l.from = revision, from
+	}
+}
+
+// newer is where a newer ledger lies than that of a revision; "" is nowhere.
+func (l *ledgers) newer(revision int64) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.newest <= revision {
+		return ""
+	}
+	return l.from
+}
+
+// forget drops a peer's word that it could not stand by.
+func (l *ledgers) forget(from string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.from == from {
+		l.from = ""
+	}
+}
+
+// Ledgers is the ledger as this node last wrote it, for peers that ask.
+func (t *Gossip) Ledgers() *store.Cache { return t.ledgers.own }
+
+// Wrote implements account.Writers.
+func (t *Gossip) Wrote(o store.Object) {
+	t.ledgers.own.Apply(store.Snapshot{Objects: []store.Object{o}, Revision: o.Revision}, true)
+	writers, _ := t.choice()
+	others := lo.FilterMap(t.registry.Members(), func(m Member, _ int) (string, bool) {
+		return m.Address, writers[m.Name] && m.Name != t.registry.self.Name
+	})
+	t.send(t.signed(message{Ledger: o.Revision}), others...)
+}
+
+// Newer implements account.Writers.
+func (t *Gossip) Newer(ctx context.Context, revision int64) (store.Object, bool) {
+	from := t.ledgers.newer(revision)
+	if from == "" {
+		return store.Object{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, ledgerWait)
+	defer cancel()
+	objects, _, err := Remote{client: t.client, address: from}.List(ctx, account.Kind)
+	if err != nil || len(objects) != 1 {
+		t.ledgers.forget(from)
+		return store.Object{}, false
+	}
+	return objects[0], true
+}
--- /dev/null
+++ b/fleet/relay/peer/ledger_test.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// Who is about to write the ledger finds a newer one where a peer told that it lies; a
+// peer that does not stand by its word is not asked again.
+func TestANewerLedgerIsFoundAtThePeerThatToldOfIt(t *testing.T) {
+	own := store.NewCache()
+	server := httptest.NewServer(CacheHandler(map[string]*store.Cache{account.Kind: own}))
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	ledger := store.Object{Kind: account.Kind, Name: "ledger", Revision: 7, Data: []byte(`{}`)}
+	cases := []struct {
+		name  string
+		told  []int64 // revisions, in the order in which they are heard
+		holds bool    // the peer has it
+		since int64
+		found bool
+		again bool // the peer is still believed
+	}{
+		{"nobody told", nil, true, 3, false, false},
+		{"a newer one", []int64{7}, true, 3, true, true},
+		{"datagrams out of order", []int64{7, 5}, true, 3, true, true},
+		{"not newer than this node's", []int64{7}, true, 7, false, true},
+		{"the peer has none", []int64{7}, false, 3, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			own.Apply(store.Lost{}, false)
+			if c.holds {
+				own.Apply(store.Snapshot{Objects: []store.Object{ledger}, Revision: 7}, true)
+			}
+			g := gossipOf("n", nil)
+			g.client, g.ledgers = sourceClient(), &ledgers{own: store.NewCache()}
+			for _, revision := range c.told {
+				g.receive(message{Node: "peer", Ledger: revision}, address)
+			}
+			o, found := g.Newer(t.Context(), c.since)
+			require.Equal(t, c.found, found)
+			if found {
+				assert.Equal(t, ledger, o)
+			}
+			assert.Equal(t, c.again, g.ledgers.newer(0) != "")
+		})
+	}
+}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -114,7 +114,7 @@
 	n.registry.OnChange(func(members []peer.Member) {
 		n.cold.Nodes(lo.Map(members, func(m peer.Member, _ int) string { return m.Name }), time.Now())
 	})
-	n.syncer = account.NewSyncer(n.store, n.allowance, gossip.WriterCount, gossip.Writes, n.health, l)
+	n.syncer = account.NewSyncer(n.store, n.allowance, gossip.WriterCount, gossip.Writes, n.health, l).WithWriters(gossip)
 	n.gate = overload.NewGate(overload.DefaultRule())
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Allowance: n.allowance, Picker: n.picker,
@@ -189,7 +189,7 @@
 // follow keeps up with what the store holds, and with the other nodes.
 func (n *Node) follow(ctx context.Context) {
 	kind, name := n.adapter.PolicyAt()
-	n.caches = map[string]*store.Cache{kind: store.NewCache(), n.adapter.EngineKind(): store.NewCache(), peer.Kind: store.NewCache(), n.adapter.EvacuationKind(): store.NewCache()}
+	n.caches = map[string]*store.Cache{kind: store.NewCache(), n.adapter.EngineKind(): store.NewCache(), peer.Kind: store.NewCache(), n.adapter.EvacuationKind(): store.NewCache(), account.Kind: n.gossip.Ledgers()}
 	policies := store.Watching{Kind: kind, Rest: store.Always(part(policyRestPart, n.settings.Apply())), History: n.settings.History(), Health: n.health, Leads: true, Longest: n.longestWatch}
 	go func() {
 		n.awaitPeers(ctx)
@@ -241,11 +241,22 @@
 	return n.gossip.Sources()
 }
 
+// firstRegistrations is how long the nodes of a fleet that starts as a whole take to
+// register: those that list them before know too few to tell who watches the store.
+const firstRegistrations = 1500 * time.Millisecond
+
 // awaitPeers lets a node that starts know the others first, so that it asks them for
 // the rest in the store's place.
 func (n *Node) awaitPeers(ctx context.Context) {
-	if n.settings.Enabled(delegatesMechanism) {
-		n.registry.AwaitListed(ctx)
+	if !n.settings.Enabled(delegatesMechanism) {
+		return
+	}
+	n.registry.AwaitListed(ctx)
+	if n.settings.Bootstrap {
+		select {
+		case <-ctx.Done():
+		case <-time.After(firstRegistrations):
+		}
 	}
 }
 
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -28,6 +28,7 @@
 	LinkMbps   float64           `json:"linkMbps"`   // of the VM; 0 is not known
 	MemoryMB   float64           `json:"memoryMB"`   // what the process may use; 0 is no bound
 	DrainS     float64           `json:"drainS"`     // seconds that a planned stop may take
+	Bootstrap  bool              `json:"bootstrap"`  // the whole fleet starts for the first time
 	Retry      RetrySettings     `json:"retry"`      // the fleet's bound on what is sent again
 	Budget     BudgetSettings    `json:"budget"`     // how much of the budgets a node holds
 	Cold       ColdSettings      `json:"cold"`       // bounds on what endpoints get that have just started
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -43,6 +43,8 @@
 	// meanwhile binds it, and asks the store only while that is so.
 	patience    = 300 * time.Millisecond // after the sources lost the store, half of it at least
 	pingEvery   = 2 * time.Second        // and then, half of it at least
+	pingAgain   = 600 * time.Millisecond // after the first that succeeds again, half of it at least: after most outages the sources have the store back by then, and a list of theirs serves many nodes
+	wakeAfter   = 200 * time.Millisecond // and the sources are asked in between, half of it later at least
 	pingTimeout = 500 * time.Millisecond
 	proved      = 5 * time.Second // that the store counts as reached, unless a call fails
 )
@@ -68,6 +70,7 @@
 	direct  map[string]bool  // by kind: the last answer came from the store
 	newest  map[string]int64 // by kind: revision of the newest list
 	ping    time.Time        // when the next one is due; zero: the sources have the store
+	away    bool             // the last ping failed
 	reached time.Time        // until then the store, which the sources lost, counts as reached
 }
 
@@ -157,7 +160,7 @@
 	defer s.mu.Unlock()
 	s.direct[kind] = false
 	delete(s.rests, source)
-	s.ping, s.reached = time.Time{}, time.Time{}
+	s.ping, s.away, s.reached = time.Time{}, false, time.Time{}
 }
 
 // reachesStore is whether this node is to ask the store itself now: where no source is
@@ -183,13 +186,29 @@
 	s.mu.Unlock()
 	err := s.pinged(ctx)
 	s.mu.Lock()
-	if err != nil {
+	wasAway := s.away
+	s.away = err != nil
+	switch {
+	case err != nil:
+		return false
+	case wasAway:
+		s.ping = time.Now().Add(jittered(pingAgain))
+		s.wake()
 		return false
 	}
 	s.reached = time.Now().Add(proved)
 	return true
 }
 
+// wake ends the rest of the sources that lost the store; the lock is held.
+func (s *Sourced) wake() {
+	for name, r := range s.rests {
+		if r.unfit {
+			s.rests[name] = rest{until: time.Now().Add(jittered(wakeAfter)), unfit: true}
+		}
+	}
+}
+
 func (s *Sourced) pinged(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
--- a/fleet/relay/store/sourced_test.go
+++ b/fleet/relay/store/sourced_test.go
@@ -406,3 +406,43 @@
 		})
 	}
 }
+
+// A store that was away for this node too, and answers again, is left to the sources for
+// a moment: they find it back as well, and a list of theirs serves many nodes.
+func TestAStoreThatIsBackIsLeftToTheSourcesForAMoment(t *testing.T) {
+	cases := []struct {
+		name   string
+		after  time.Duration // until the source has the store again
+		direct int           // calls to the store, at most
+	}{
+		{"the source has it soon", 250 * time.Millisecond, 0},
+		{"the source does not get it back", time.Hour, 5},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var calls []string
+				var mu sync.Mutex
+				source := &asked{name: "a", calls: &calls, mu: &mu, err: errors.Wrap(store.ErrUnfit, "peer")}
+				platform := &asked{name: "store", calls: &calls, mu: &mu, err: errDead}
+				s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: source}} })
+				list := func(length time.Duration) (answered bool) {
+					for began := time.Now(); time.Since(began) < length; time.Sleep(50 * time.Millisecond) {
+						_, _, err := s.List(t.Context(), "kind")
+						answered = answered || err == nil
+					}
+					return answered
+				}
+				require.False(t, list(5*time.Second))
+				platform.setErr(nil)
+				calls = nil
+				for !lo.Contains(calls, "store pinged") {
+					require.False(t, list(50*time.Millisecond))
+				}
+				source.setErr(lo.Ternary(c.after < time.Minute, nil, errors.Wrap(store.ErrUnfit, "peer")))
+				require.True(t, list(3*time.Second), "one of them answers")
+				assert.Equal(t, c.direct == 0, lo.Count(calls, "store") == 0)
+			})
+		})
+	}
+}
