Take an entry that goes alone for an endpoint that has left, also in doubt

Change: entries lapse together, so lapsed ones stay in use only where no more of their service are still listed than lapsed.

--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -4,10 +4,16 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
+// Entries lapse together, when the store is away for longer than they last without a
+// heartbeat. One that goes while most of its service stay has left, whatever is doubted:
+// it gets no new work at once, and so no node is late with it.
+
 // lapsePart is the part of the time in which a leaving endpoint must get no new
 // work that an entry is kept in use after it went while the store was in doubt.
 // Entries lapse while the store is away, though their endpoints live, and are
@@ -119,6 +125,19 @@
 	t.publish()
 }
 
+// lapsedApart names the services of which more endpoints are listed than lapsed.
+func (t *engineTable) lapsedApart() map[string]bool {
+	lapsed, listed := map[string]int{}, map[string]int{}
+	for name, e := range t.byName {
+		if t.lapsed[name].IsZero() {
+			listed[e.Service]++
+			continue
+		}
+		lapsed[e.Service]++
+	}
+	return lo.PickBy(lo.MapValues(lapsed, func(n int, service string) bool { return listed[service] > n }), func(_ string, apart bool) bool { return apart })
+}
+
 // refresh takes evacuations in force that have changed.
 func (t *engineTable) refresh() {
 	t.mu.Lock()
@@ -136,7 +155,11 @@
 	}
 	zones := t.evacuated()
 	all := make([]engine.Engine, 0, len(t.byName))
+	apart := t.lapsedApart()
 	for _, e := range t.byName {
+		if !t.lapsed[e.ID].IsZero() && apart[e.Service] {
+			continue
+		}
 		if e.State == engine.Ready && zones.Active(e.Zone) {
 			e.State = engine.Evacuated
 		}
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -166,6 +166,40 @@
 	}
 }
 
+// Entries lapse together: one that goes alone while most of its service stay has left,
+// also while the store is in doubt, and where most go they are kept.
+func TestOneEntryThatGoesAloneHasLeft(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	gone := func(name string) store.Change {
+		return store.Update{Events: []store.Event{{Object: store.Object{Name: name}, Gone: true}}}
+	}
+	cases := []struct {
+		name    string
+		changes []store.Change
+		want    []string
+	}{
+		{"one of four, by an event", []store.Change{gone("a")}, []string{"b", "c", "d"}},
+		{"one of four, by a list", []store.Change{store.Snapshot{Objects: named("b", "c", "d")}}, []string{"b", "c", "d"}},
+		{"two of four", []store.Change{gone("a"), gone("b")}, names},
+		{"all of them, one after another", []store.Change{gone("a"), gone("b"), gone("c"), gone("d")}, names},
+		{"all of them, and one comes back", []store.Change{store.Snapshot{}, store.Snapshot{Objects: named("c")}}, names},
+		{"most come back", []store.Change{store.Snapshot{}, store.Snapshot{Objects: named("b", "c", "d")}}, []string{"b", "c", "d"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := testNode()
+			table := newEngineTable(n)
+			table.apply(store.Snapshot{Objects: named(names...)})
+			n.health.Lost("endpoints")
+			for _, change := range c.changes {
+				table.apply(change)
+			}
+			got := lo.Map(n.engines.Load().Of("s"), func(e engine.Engine, _ int) string { return e.ID })
+			assert.Equal(t, c.want, got)
+		})
+	}
+}
+
 func TestSettingsNameWhatIsMissing(t *testing.T) {
 	sound := `{"node":"n","zone":"z","listen":"a:1","ready":{"address":"a:2"},"peer":"a:3","store":"a:4", // comment
 		"budget":{"exposure":0.5},"drainS":7.5,"of tomorrow":1}`
