--- a/ctl/command/story.go
+++ b/ctl/command/story.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
+	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/ctl/story"
 )
@@ -41,9 +42,7 @@
 func (a *app) lossesCommand() *flaggy.Subcommand {
 	c := flaggy.NewSubcommand("losses")
 	c.Description = "which calls were not served, when and why, from the logs of relaying nodes"
-	c.StringSlice(&a.flags.logs, "f", "file", "a log file; may be given more than once; standard input where none is")
-	a.flags.slice = defaultSlice
-	c.Duration(&a.flags.slice, "", "slice", "length of the slices of time that are summed up")
+	a.readsLogs(c)
 	return c
 }
 
@@ -66,6 +65,64 @@
 	return a.print(losses, []string{"FROM", "ROUTE", "REASON", "CALLS", "OF", "EXAMPLE"}, cells)
 }
 
+func (a *app) spendingCommand() *flaggy.Subcommand {
+	c := flaggy.NewSubcommand("spending")
+	c.Description = "what became of each customer's budget, from the logs of relaying nodes"
+	a.readsLogs(c)
+	return c
+}
+
+// readsLogs adds the flags of verbs that sum up logs.
+func (a *app) readsLogs(c *flaggy.Subcommand) {
+	c.StringSlice(&a.flags.logs, "f", "file", "a log file; may be given more than once; standard input where none is")
+	a.flags.slice = defaultSlice
+	c.Duration(&a.flags.slice, "", "slice", "length of the slices of time that are summed up")
+}
+
+func (a *app) spending() error {
+	if a.flags.slice <= 0 {
+		return usage("slice %s: want a time above 0", a.flags.slice)
+	}
+	lines, err := a.readLogs()
+	if err != nil {
+		return err
+	}
+	spendings := story.Spendings(lines, a.flags.slice)
+	cells := make([][]string, 0, len(spendings))
+	for _, s := range spendings {
+		row := []string{lo.Ternary(s.From.IsZero(), "all", s.From.Format(time.RFC3339)), s.Customer}
+		for _, n := range []int64{s.Prepaid, s.Asked, s.Refused, int64(s.Calls), s.Spent, s.Drawn, s.Lost, s.PoolLeft} {
+			row = append(row, strconv.FormatInt(n, 10))
+		}
+		cells = append(cells, row)
+	}
+	return a.print(spendings, []string{"FROM", "CUSTOMER", "PREPAID", "ASKED", "REFUSED", "CALLS", "SPENT", "DRAWN", "LOST", "POOL"}, cells)
+}
+
+func (a *app) placementsCommand() *flaggy.Subcommand {
+	c := flaggy.NewSubcommand("placements")
+	c.Description = "first events as expected and as met, by node and route, from the logs of relaying nodes"
+	c.StringSlice(&a.flags.logs, "f", "file", "a log file; may be given more than once; standard input where none is")
+	return c
+}
+
+func (a *app) placements() error {
+	lines, err := a.readLogs()
+	if err != nil {
+		return err
+	}
+	placements := story.PlacementsOf(lines)
+	cells := make([][]string, 0, len(placements))
+	for _, p := range placements {
+		row := []string{p.Node, p.Route}
+		for _, n := range []int64{int64(p.Streams), p.Expected, p.Met, p.Later} {
+			row = append(row, strconv.FormatInt(n, 10))
+		}
+		cells = append(cells, append(row, strconv.FormatFloat(p.Fetched, 'f', 2, 64)))
+	}
+	return a.print(placements, []string{"NODE", "ROUTE", "STREAMS", "EXPECTED-MS", "MET-MS", "LATER-MS", "FETCHED"}, cells)
+}
+
 // fieldsOf is what a line says beside its node, as JSON.
 func fieldsOf(l story.Line) string {
 	fields := map[string]any{}
