--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -20,7 +20,7 @@
 
 // DefaultTuning is what measurements led to; docs/design/07-platform.md.
 func DefaultTuning() Tuning {
-	return Tuning{Horizon: 10 * time.Second, Exposure: 0.4, Reserve: 1, Least: 0.07, Margin: 1.25, First: 0.1, Step: 0.2, Surplus: 1.5, Report: 0.02}
+	return Tuning{Horizon: 10 * time.Second, Exposure: 0.4, Reserve: 1, Least: 0.07, Margin: 1.25, First: 0.2, Step: 0.2, Surplus: 1.5, Report: 0.02}
 }
 
 // target is how many free tokens a node should hold of a budget: what its own
