--- a/fleet/operator/api.go
+++ b/fleet/operator/api.go
@@ -219,8 +219,13 @@
 	return &output[NodeStatus]{Body: status}, nil
 }
 
-// statusError lets huma answer with a problem of the fleet's own form.
-type statusError struct{ *problem.Problem }
+// statusError lets huma answer with a problem of the fleet's own form. It has a
+// problem's fields, not an embedded problem: huma can't link a schema to a type that
+// embeds one with methods, and says so for each such answer at the start.
+type statusError problem.Problem
+
+// Error implements error.
+func (s statusError) Error() string { return (*problem.Problem)(&s).Error() }
 
 // GetStatus implements huma.StatusError.
 func (s statusError) GetStatus() int { return s.Status }
@@ -242,9 +247,9 @@
 	}
 	p := problem.New(reason, strings.Join(append([]string{message}, details...), "; "))
 	p.Status = status
-	return statusError{Problem: p}
+	return statusError(*p)
 }
 
 func init() { huma.NewError = newError }
 
-func refusal(p *problem.Problem) error { return statusError{Problem: p} }
+func refusal(p *problem.Problem) error { return statusError(*p) }
--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -83,12 +83,17 @@
 		return
 	}
 	delete(t.lapsed, o.Name)
-	if before, known := t.byName[o.Name]; !known || before.State != e.State || e.ColdUntil.After(before.ColdUntil) && !time.Now().Before(before.ColdUntil) {
+	if before, known := t.byName[o.Name]; !known || before.State != e.State || turnedCold(before, e) {
 		t.log.WithFields(engineFields(e)).Info("endpoint seen")
 	}
 	t.byName[o.Name] = e
 }
 
+// turnedCold is whether an endpoint that was not slow, as far as it said, is slow now.
+func turnedCold(before, e engine.Engine) bool {
+	return time.Now().Before(e.ColdUntil) && !time.Now().Before(before.ColdUntil)
+}
+
 // gone drops an endpoint, or keeps it for a while where its entry may have
 // lapsed for want of the store. One that was leaving is dropped at once.
 func (t *engineTable) gone(name string) {
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -81,14 +81,6 @@
 	memoryShare   = 0.8 // of the bound, for the collector's aim
 )
 
-// How long a watch rests after events, so that a burst of changes costs few
-// calls: a part of what they may take to be in force, since a change that comes
-// during the rest waits for its end and for an answer of the store.
-const (
-	policyRestPart = 0.2
-	engineRestPart = 0.25
-)
-
 func part(of float64, whole time.Duration) time.Duration { return time.Duration(of * float64(whole)) }
 
 // New builds a node.
@@ -186,89 +178,6 @@
 	return errors.CombineErrors(err, n.telemetry.Close(closing))
 }
 
-// follow keeps up with what the store holds, and with the other nodes.
-func (n *Node) follow(ctx context.Context) {
-	kind, name := n.adapter.PolicyAt()
-	n.caches = map[string]*store.Cache{kind: store.NewCache(), n.adapter.EngineKind(): store.NewCache(), peer.Kind: store.NewCache(), n.adapter.EvacuationKind(): store.NewCache(), account.Kind: n.gossip.Ledgers()}
-	policies := store.Watching{Kind: kind, Rest: store.Always(part(policyRestPart, n.settings.Apply())), History: n.settings.History(), Health: n.health, Leads: true, Longest: n.longestWatch}
-	go func() {
-		n.awaitPeers(ctx)
-		store.Follow(ctx, n.store, policies, n.cached(kind, func(c store.Change) { n.applyPolicy(name, c) }))
-	}()
-	engines := store.Watching{Kind: n.adapter.EngineKind(), Rest: store.Always(part(engineRestPart, n.settings.EndpointDrain())), History: n.settings.History(), Health: n.health}
-	go func() {
-		n.awaitPeers(ctx)
-		store.Follow(ctx, n.store, engines, n.cached(n.adapter.EngineKind(), n.engineTable.apply))
-	}()
-	n.followEvacuations(ctx)
-	go n.registry.Run(ctx, n.cached(peer.Kind, func(store.Change) {}))
-	go n.gossip.Run(ctx)
-	go n.syncer.Run(ctx)
-	if n.settings.Enabled(handOnMechanism) {
-		go overload.Watch(ctx, n.gate, n.log)
-	}
-}
-
-// followEvacuations keeps up with the zones that operators want emptied, where the
-// deployment has such. There is no rest between changes: each is in force at once.
-func (n *Node) followEvacuations(ctx context.Context) {
-	if !n.settings.Evacuates() {
-		n.evacuations.Store(&evacuation.Zones{})
-		return
-	}
-	kind := n.adapter.EvacuationKind()
-	w := store.Watching{Kind: kind, Rest: store.Always(0), History: n.settings.History(), Health: n.health}
-	go func() {
-		n.awaitPeers(ctx)
-		store.Follow(ctx, n.store, w, n.cached(kind, n.applyEvacuations))
-	}()
-}
-
-// cached hands a follower's changes to the cache of its kind, too.
-func (n *Node) cached(kind string, apply func(store.Change)) func(store.Change) {
-	cache := n.caches[kind]
-	return func(c store.Change) {
-		apply(c)
-		cache.Apply(c, n.store.Direct(kind))
-	}
-}
-
-// sources are the nodes that this one asks in the store's place.
-func (n *Node) sources() []store.Source {
-	if n.gossip == nil || !n.settings.Enabled(delegatesMechanism) {
-		return nil
-	}
-	return n.gossip.Sources()
-}
-
-// firstRegistrations is how long the nodes of a fleet that starts as a whole take to
-// register: those that list them before know too few to tell who watches the store.
-const firstRegistrations = 1500 * time.Millisecond
-
-// awaitPeers lets a node that starts know the others first, so that it asks them for
-// the rest in the store's place.
-func (n *Node) awaitPeers(ctx context.Context) {
-	if !n.settings.Enabled(delegatesMechanism) {
-		return
-	}
-	n.registry.AwaitListed(ctx)
-	if n.settings.Bootstrap {
-		select {
-		case <-ctx.Done():
-		case <-time.After(firstRegistrations):
-		}
-	}
-}
-
-// longestWatch bounds the watch that leads on nodes that write the ledger, so that
-// these feel a silent store in time and tell the others.
-func (n *Node) longestWatch() time.Duration {
-	if !n.gossip.Writes() {
-		return time.Hour // bounded by the store's history
-	}
-	return n.settings.Contact() / 2
-}
-
 // readyHandler answers what the balancer asks, and serves the metrics.
 func (n *Node) readyHandler() http.Handler {
 	mux := http.NewServeMux()
