--- a/fleet/relay/account/fleet_test.go
+++ b/fleet/relay/account/fleet_test.go
@@ -65,3 +65,30 @@
 	closed := b.Account(modelTenant).WithClosed(func(Row) bool { return true })
 	assert.Equal(t, int64(6000), closed.Granted())
 }
+
+// What lives that ended had drawn and not spent is lost: it is not counted as left, or
+// as much more would be held again, and lost with the next ones.
+func TestWhatWasLostIsNotHeldAgainst(t *testing.T) {
+	live := Row{Node: "n", Life: "n/1", Drawn: 3000, Spent: 500, Granted: 1500}
+	cases := []struct {
+		name    string
+		account Account
+		want    int64
+	}{
+		{"nothing drawn", Account{}, 10000},
+		{"a life that goes on", Account{Rows: []Row{live}}, 8000},
+		{"one that ended and lost what it had not spent", Account{ClosedDrawn: 4000, ClosedSpent: 1000}, 6000},
+		{"one that ended and had handed it on", Account{ClosedDrawn: 4000, ClosedSpent: 1000, ClosedGranted: 3000}, 6000},
+		{"both", Account{ClosedDrawn: 4000, ClosedSpent: 1000, Rows: []Row{live}}, 4000},
+		{"more drawn than a budget that was lowered", Account{ClosedDrawn: 12000, ClosedSpent: 2000}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.account.Tenant = modelTenant
+			p := NewAllowance("n", "n/1", DefaultTuning())
+			p.Budget(map[string]int64{modelTenant: 10000})
+			p.Saw(Ledger{Accounts: []Account{c.account}}, 1)
+			assert.Equal(t, c.want, p.quotas[modelTenant].estimate)
+		})
+	}
+}
--- a/fleet/relay/account/ledger.go
+++ b/fleet/relay/account/ledger.go
@@ -107,5 +107,12 @@
 	return max(a.ClosedGranted+lo.SumBy(a.Rows, func(r Row) int64 { return r.Granted }), 0)
 }
 
+// Remaining is what can still be spent, as far as the ledger tells: what nobody has
+// drawn, and what lives that go on hold. What an ended life had drawn beyond its
+// spending is lost: counted as left, it would have as much more held, and lost in turn.
+func (a Account) Remaining(prepaid int64) int64 {
+	return a.Pool(prepaid) + lo.SumBy(a.Rows, func(r Row) int64 { return max(r.Drawn-r.Spent-r.Granted, 0) })
+}
+
 // Pool is what can still be drawn.
 func (a Account) Pool(prepaid int64) int64 { return max(prepaid-a.Drawn(), 0) }
--- a/fleet/relay/account/propose.go
+++ b/fleet/relay/account/propose.go
@@ -20,7 +20,7 @@
 		k.limit = row.Drawn
 		k.pool = a.Pool(k.prepaid)
 		k.left = k.prepaid - a.Spent()
-		k.estimate = k.left - a.Granted()
+		k.estimate = a.Remaining(k.prepaid)
 	}
 }
 
