--- a/fleet/relay/store/sourced_test.go
+++ b/fleet/relay/store/sourced_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -390,15 +391,15 @@
 				s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: &source}}[:c.sources] })
 				health := store.NewHealth()
 				ctx, cancel := context.WithCancel(t.Context())
-				lost := 0
+				var lost atomic.Int32
 				w := store.Watching{Kind: "k", Rest: store.Always(0), Health: health, Leads: c.leads}
 				go store.Follow(ctx, s, w, func(change store.Change) {
 					if _, ok := change.(store.Lost); ok {
-						lost++
+						lost.Add(1)
 					}
 				})
 				time.Sleep(10 * time.Second)
-				assert.Equal(t, 1, lost, "it is told once")
+				assert.EqualValues(t, 1, lost.Load(), "it is told once")
 				assert.Equal(t, c.doubted, health.Doubted())
 				cancel()
 				synctest.Wait()
