--- a/fleet/relay/account/demand.go
+++ b/fleet/relay/account/demand.go
@@ -12,7 +12,7 @@
 	Reserve  float64       // horizons of demand that nobody holds, so that they are there after a loss of all nodes
 	Least    float64       // of what is left, the part that may be held in any case
 	Margin   float64       // holdings last this many times the longest outage seen lately
-	First    float64       // part of a budget that all nodes together draw before any demand is known
+	First    float64       // of what is left of a budget, the part that all nodes together draw before any demand is known
 	Step     float64       // least draw worth a write, as a part of the target
 	Surplus  float64       // a holding this many times its target is given back
 	Report   float64       // spending that is worth a report, as a part of the budget
@@ -28,7 +28,7 @@
 // within this node's part of the exposure.
 func (t Tuning) target(k *quota, nodes int, outage time.Duration, now time.Time) int64 {
 	if !k.demand.known && k.others <= 0 {
-		return int64(t.First * float64(k.prepaid) / float64(max(nodes, 1)))
+		return int64(t.First * float64(max(k.estimate, 0)) / float64(max(nodes, 1)))
 	}
 	steady := k.demand.steady(now)
 	all := steady + k.others
--- a/fleet/relay/account/fleet_test.go
+++ b/fleet/relay/account/fleet_test.go
@@ -92,3 +92,23 @@
 		})
 	}
 }
+
+// A node that starts near the end of a budget, after a loss of all nodes, draws a part of
+// what is left, not of the whole: a next loss would take most of the rest.
+func TestAStartNearTheEndDrawsAPartOfWhatIsLeft(t *testing.T) {
+	cases := []struct {
+		name   string
+		closed int64 // drawn by lives that ended
+		want   int64
+	}{
+		{"a first start", 0, 2000},
+		{"near the end", 9000, 200},
+		{"nothing is left", 10000, 0},
+	}
+	for _, c := range cases {
+		p := NewAllowance("n", "n/1", DefaultTuning())
+		p.Budget(map[string]int64{modelTenant: 10000})
+		p.Saw(Ledger{Accounts: []Account{{Tenant: modelTenant, ClosedDrawn: c.closed, ClosedSpent: c.closed / 2}}}, 1)
+		assert.Equal(t, c.want, p.tuning.target(p.quotas[modelTenant], 1, 0, time.Unix(1000, 0)), c.name)
+	}
+}
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -69,7 +69,7 @@
 type BudgetSettings struct {
 	HorizonS float64 `json:"horizonS"` // seconds that holdings last at the present demand
 	Exposure float64 `json:"exposure"` // of what is left of a budget, the part held at most
-	First    float64 `json:"first"`    // part of a budget held before any demand is known
+	First    float64 `json:"first"`    // of what is left of a budget, the part held before any demand is known
 }
 
 // Tuning fills in the defaults.
