--- a/fleet/relay/account/allowance.go
+++ b/fleet/relay/account/allowance.go
@@ -34,7 +34,7 @@
 	clients     float64 // of these, what this node draws for
 	clientsFast float64 // the same over the last second or so
 	left        int64   // of the whole budget by the last ledger, at most
-	estimate    int64   // of the whole budget by the last ledger, as estimated: left, less what was granted to nodes that do not report
+	estimate    int64   // of the whole budget by the last ledger, as estimated: what can still be spent (Account.Remaining)
 	pool        int64   // not drawn by anyone, by the last ledger
 }
 
--- a/fleet/relay/account/fleet_test.go
+++ b/fleet/relay/account/fleet_test.go
@@ -63,7 +63,7 @@
 	assert.Equal(t, int64(9000), p.State(modelTenant).Left)
 	assert.Equal(t, int64(3000), p.quotas[modelTenant].estimate)
 	closed := b.Account(modelTenant).WithClosed(func(Row) bool { return true })
-	assert.Equal(t, int64(6000), closed.Granted())
+	assert.Equal(t, int64(6000), closed.ClosedGranted)
 }
 
 // What lives that ended had drawn and not spent is lost: it is not counted as left, or
--- a/fleet/relay/account/ledger.go
+++ b/fleet/relay/account/ledger.go
@@ -101,12 +101,6 @@
 	return a.ClosedSpent + lo.SumBy(a.Rows, func(r Row) int64 { return r.Spent })
 }
 
-// Granted is what rows have handed to nodes that have none: these spend it without
-// reporting it, so that it counts as gone where the rest of a budget is estimated.
-func (a Account) Granted() int64 {
-	return max(a.ClosedGranted+lo.SumBy(a.Rows, func(r Row) int64 { return r.Granted }), 0)
-}
-
 // Remaining is what can still be spent, as far as the ledger tells: what nobody has
 // drawn, and what lives that go on hold. What an ended life had drawn beyond its
 // spending is lost: counted as left, it would have as much more held, and lost in turn.
