Jitter by one function; one place for the flags and checks of verbs that read logs

Found by reading the change once more: jittered stood in store and account alike, and the slice's check and the flag of log files three times in ctl. Behaviour as it was; a negative slice still ends with exit code 2.

--- a/ctl/command/story.go
+++ b/ctl/command/story.go
@@ -19,7 +19,7 @@
 	c := flaggy.NewSubcommand("story")
 	c.Description = "what happened to one call, from the logs of relaying nodes"
 	c.AddPositionalValue(&a.flags.first, "request-id", 1, true, "the call's id")
-	c.StringSlice(&a.flags.logs, "f", "file", "a log file; may be given more than once; standard input where none is")
+	a.logFiles(c)
 	return c
 }
 
@@ -42,7 +42,7 @@
 func (a *app) lossesCommand() *flaggy.Subcommand {
 	c := flaggy.NewSubcommand("losses")
 	c.Description = "which calls were not served, when and why, from the logs of relaying nodes"
-	a.readsLogs(c)
+	a.sumsUpLogs(c)
 	return c
 }
 
@@ -50,10 +50,7 @@
 const defaultSlice = 4 * time.Second
 
 func (a *app) losses() error {
-	if a.flags.slice <= 0 {
-		return usage("slice %s: want a time above 0", a.flags.slice)
-	}
-	lines, err := a.readLogs()
+	lines, err := a.slicedLogs()
 	if err != nil {
 		return err
 	}
@@ -68,22 +65,24 @@
 func (a *app) spendingCommand() *flaggy.Subcommand {
 	c := flaggy.NewSubcommand("spending")
 	c.Description = "what became of each customer's budget, from the logs of relaying nodes"
-	a.readsLogs(c)
+	a.sumsUpLogs(c)
 	return c
 }
 
-// readsLogs adds the flags of verbs that sum up logs.
-func (a *app) readsLogs(c *flaggy.Subcommand) {
+// logFiles adds the flag of verbs that read logs.
+func (a *app) logFiles(c *flaggy.Subcommand) {
 	c.StringSlice(&a.flags.logs, "f", "file", "a log file; may be given more than once; standard input where none is")
+}
+
+// sumsUpLogs adds the flags of verbs that sum up logs by slice of time.
+func (a *app) sumsUpLogs(c *flaggy.Subcommand) {
+	a.logFiles(c)
 	a.flags.slice = defaultSlice
 	c.Duration(&a.flags.slice, "", "slice", "length of the slices of time that are summed up")
 }
 
 func (a *app) spending() error {
-	if a.flags.slice <= 0 {
-		return usage("slice %s: want a time above 0", a.flags.slice)
-	}
-	lines, err := a.readLogs()
+	lines, err := a.slicedLogs()
 	if err != nil {
 		return err
 	}
@@ -102,7 +101,7 @@
 func (a *app) placementsCommand() *flaggy.Subcommand {
 	c := flaggy.NewSubcommand("placements")
 	c.Description = "first events as expected and as met, by node and route, from the logs of relaying nodes"
-	c.StringSlice(&a.flags.logs, "f", "file", "a log file; may be given more than once; standard input where none is")
+	a.logFiles(c)
 	return c
 }
 
@@ -138,6 +137,14 @@
 	return strings.Trim(string(data), "{}")
 }
 
+// slicedLogs reads the logs that are summed up by slice of time.
+func (a *app) slicedLogs() ([]story.Line, error) {
+	if a.flags.slice <= 0 {
+		return nil, usage("slice %s: want a time above 0", a.flags.slice)
+	}
+	return a.readLogs()
+}
+
 func (a *app) readLogs() ([]story.Line, error) {
 	if len(a.flags.logs) == 0 {
 		return story.Read(os.Stdin)
--- a/fleet/relay/account/syncer.go
+++ b/fleet/relay/account/syncer.go
@@ -101,7 +101,7 @@
 
 // Run keeps the allowance filled until ctx ends.
 func (k *Syncer) Run(ctx context.Context) {
-	timer := time.NewTimer(jittered(tick))
+	timer := time.NewTimer(store.Jittered(tick))
 	defer timer.Stop()
 	backoff := time.Duration(0)
 	for ctx.Err() == nil {
@@ -112,7 +112,7 @@
 		case done := <-k.asks:
 			asks = k.waiting(done)
 		case <-timer.C:
-			timer.Reset(jittered(tick))
+			timer.Reset(store.Jittered(tick))
 		}
 		if now := time.Now(); now.Sub(k.last) >= max(k.pace(len(asks) > 0), backoff) {
 			k.last = now
@@ -124,10 +124,6 @@
 	}
 }
 
-// jittered is half of a time at least, and one and a half of it at most: writers that
-// started together would else write at the same moments.
-func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
-
 // waiting takes all requests that wait for a draw.
 func (k *Syncer) waiting(first chan struct{}) []chan struct{} {
 	pauseBriefly() // others may come with it
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -177,12 +177,12 @@
 	case now.Before(s.reached):
 		return true
 	case s.ping.IsZero():
-		s.ping = now.Add(jittered(patience))
+		s.ping = now.Add(Jittered(patience))
 		return false
 	case now.Before(s.ping):
 		return false
 	}
-	s.ping = now.Add(jittered(pingEvery))
+	s.ping = now.Add(Jittered(pingEvery))
 	s.mu.Unlock()
 	err := s.pinged(ctx)
 	s.mu.Lock()
@@ -192,7 +192,7 @@
 	case err != nil:
 		return false
 	case wasAway:
-		s.ping = time.Now().Add(jittered(pingAgain))
+		s.ping = time.Now().Add(Jittered(pingAgain))
 		s.wake()
 		return false
 	}
@@ -204,7 +204,7 @@
 func (s *Sourced) wake() {
 	for name, r := range s.rests {
 		if r.unfit {
-			s.rests[name] = rest{until: time.Now().Add(jittered(wakeAfter)), unfit: true}
+			s.rests[name] = rest{until: time.Now().Add(Jittered(wakeAfter)), unfit: true}
 		}
 	}
 }
@@ -215,8 +215,9 @@
 	return s.Store.Ping(ctx)
 }
 
-// jittered is half of a time at least, and one and a half of it at most.
-func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+// Jittered is half of a time at least, and one and a half of it at most, so that nodes
+// which began together do not act at the same moments.
+func Jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
 // asked notes how a call to the store itself ended.
 func (s *Sourced) asked(kind string, err error) {
