--- a/fleet/relay/account/writers_test.go
+++ b/fleet/relay/account/writers_test.go
@@ -101,6 +101,8 @@
 				time.Sleep(time.Minute)
 				cancel()
 				time.Sleep(time.Second) // until all have ended
+				s.mu.Lock()
+				defer s.mu.Unlock()
 				rate := float64(s.conflicts) / float64(s.puts-s.conflicts)
 				assert.GreaterOrEqual(t, rate, c.least)
 				assert.LessOrEqual(t, rate, c.most, "%d conflicts of %d writes", s.conflicts, s.puts)
--- a/fleet/relay/forward/silence_test.go
+++ b/fleet/relay/forward/silence_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,10 +111,11 @@
 func TestASilentConnectionCostsOneCall(t *testing.T) {
 	const together = 4
 	var gate sync.WaitGroup
-	held := true
+	var held atomic.Bool
+	held.Store(true)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		if held {
+		if held.Load() {
 			gate.Done()
 			gate.Wait() // until all connections are open
 		}
@@ -136,7 +138,7 @@
 		})
 	}
 	calls.Wait()
-	held = false
+	held.Store(false)
 	require.Equal(t, together, listener.silence())
 	failed := 0
 	for i := range together {
