--- a/fleet/relay/engine/engine.go
+++ b/fleet/relay/engine/engine.go
@@ -26,6 +26,8 @@
 	Service string
 	Address string // IP:PORT
 	Zone    string
+	Version string // of its software; "" is not told
+	Seen    int64  // revision of its entry in the store
 	Slots   int
 	State   State
 	Hash    uint64 // of the id, for placement; a directory fills it in
--- a/fleet/relay/log.go
+++ b/fleet/relay/log.go
@@ -12,7 +12,7 @@
 )
 
 func engineFields(e engine.Engine) log.Fields {
-	fields := log.Fields{"endpoint": e.ID, "service": e.Service, "address": e.Address, "zone": e.Zone, "draining": e.State == engine.Draining}
+	fields := log.Fields{"endpoint": e.ID, "service": e.Service, "address": e.Address, "zone": e.Zone, "version": e.Version, "draining": e.State == engine.Draining}
 	if left := time.Until(e.ColdUntil); left > 0 {
 		fields["coldMs"] = left.Milliseconds()
 	}
