Ask a writer of the zone for tokens where no peer is known to have any

Cause: a node that does not write the ledger hears its zone's writers and two more nodes. Change: a writer of the zone is asked, which names richer nodes.

--- a/fleet/relay/peer/transfer.go
+++ b/fleet/relay/peer/transfer.go
@@ -295,6 +295,9 @@
 		return false
 	}
 	peers := slices.Clone(t.transfers.sources(tenant, time.Now()))
+	if len(peers) == 0 {
+		peers = t.namers()
+	}
 	for i := 0; i < len(peers) && i < grantPeers; i++ {
 		need := t.transfers.allowance.Missing(tenant, tokens)
 		if need == 0 {
@@ -314,6 +317,18 @@
 	return missing == 0
 }
 
+// namers lists the nodes of the zone that write the ledger, one of which is asked where
+// no peer is known that could give: it hears from those of other zones, and names them.
+func (t *Gossip) namers() []string {
+	writers, _ := t.choice()
+	self := t.registry.self
+	near := lo.Filter(t.registry.Members(), func(m Member, _ int) bool { return writers[m.Name] && m.Zone == self.Zone && m.Name != self.Name })
+	if len(near) == 0 {
+		return nil
+	}
+	return []string{near[rand.IntN(len(near))].Address}
+}
+
 // requestFrom asks one peer, and returns the richer ones that it names.
 func (t *Gossip) requestFrom(ctx context.Context, peer string, a transferRequest) []string {
 	done := t.transfers.open(a, peer, time.Now())
--- a/fleet/relay/peer/transfer_test.go
+++ b/fleet/relay/peer/transfer_test.go
@@ -1,10 +1,12 @@
 package peer
 
 import (
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 )
@@ -121,3 +123,41 @@
 	}
 	assert.Equal(t, grantRepeats, times)
 }
+
+// talking is the gossip of a member with a socket on loopback, which listens until the test ends.
+func talking(t *testing.T, self Member, all []Member, held int64) *Gossip {
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	g := gossipOf(self.Name, all)
+	g.registry.self = self
+	g.socket, g.address = socket, socket.LocalAddr().String()
+	g.transfers = newTransfers(allowanceWith(self.Name, held))
+	go g.listen()
+	return g
+}
+
+// A node whose zone has no tokens of a customer left hears of none elsewhere: its zone's
+// writers hear from those of other zones, and name them.
+func TestTokensOfAnotherZoneAreFoundThroughAWriter(t *testing.T) {
+	rich := talking(t, Member{Name: "rich", Zone: "b"}, nil, 100)
+	writer := talking(t, Member{Name: "writer", Zone: "a"}, nil, 0)
+	writer.transfers.record(rich.address, map[string]account.BudgetReport{tenant: {Free: 100}}, time.Now())
+	members := []Member{{Name: "node", Zone: "a"}, {Name: "writer", Zone: "a", Address: writer.address}, {Name: "rich", Zone: "b", Address: rich.address}}
+	cases := []struct {
+		name    string
+		writers map[string]bool
+		found   bool
+	}{
+		{"through the zone's writer", map[string]bool{"writer": true, "rich": true}, true},
+		{"no writer in the zone", map[string]bool{"rich": true}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			node := talking(t, members[0], members, 0)
+			node.chosen = c.writers
+			assert.Equal(t, c.found, node.Acquire(t.Context(), tenant, 30))
+		})
+	}
+	assert.Equal(t, int64(70), rich.transfers.allowance.State(tenant).Free)
+}
