Delegates feel a lost store by pings, and say so for every kind

A delegate felt the loss by watches alone, 1.7 to 2.5 s later, one kind after another; at the node that asks, an answer for one kind forgot what another kind's follower had found out, and a watch that was given up to be sent anew counted as a store that was lost again.

Change: delegates ping the store every 0.15 of the time in which a leaving endpoint must get no new work; two pings without an answer, and their caches answer for no kind. What is unfit is kept by kind; the state of the store is forgotten once no kind needs it; calls that were given up say nothing.

--- a/fleet/relay/following.go
+++ b/fleet/relay/following.go
@@ -19,6 +19,12 @@
 	engineRestPart = 0.25
 )
 
+// pulsePart is the part of the time in which a leaving endpoint must get no new work
+// that passes between two pings of a node which watches the store for others. With what
+// two pings may take, an outage is felt within 1.4 s of 3 at most, and those who ask this
+// node need up to 0.5 s more to turn to the store: a ping of their own, and a list.
+const pulsePart = 0.15
+
 // follow keeps up with what the store holds, and with the other nodes.
 func (n *Node) follow(ctx context.Context) {
 	kind, name := n.adapter.PolicyAt()
@@ -36,6 +42,7 @@
 	n.followEvacuations(ctx)
 	go n.registry.Run(ctx, n.cached(peer.Kind, func(store.Change) {}))
 	go n.gossip.Run(ctx)
+	go n.pulse().Run(ctx)
 	go n.syncer.Run(ctx)
 	if n.settings.Enabled(handOnMechanism) {
 		go overload.Watch(ctx, n.gate, n.log)
@@ -66,6 +73,21 @@
 	}
 }
 
+// pulse feels for the store while other nodes ask this one in its place.
+func (n *Node) pulse() store.Pulse {
+	return store.Pulse{
+		Store: n.store, Every: part(pulsePart, n.settings.EndpointDrain()), Health: n.health, Log: n.log,
+		Serves: func() bool { return n.settings.Enabled(delegatesMechanism) && n.gossip.Serves() },
+		Lost: func(err error) {
+			for kind, cache := range n.caches {
+				if kind != account.Kind { // the ledger as this node wrote it, whoever is away
+					cache.Apply(store.Lost{Err: err}, false)
+				}
+			}
+		},
+	}
+}
+
 // sources are the nodes that this one asks in the store's place.
 func (n *Node) sources() []store.Source {
 	if n.gossip == nil || !n.settings.Enabled(delegatesMechanism) {
--- a/fleet/relay/peer/roles.go
+++ b/fleet/relay/peer/roles.go
@@ -112,6 +112,9 @@
 // Writes is whether this node writes the ledger.
 func (t *Gossip) Writes() bool { return t.writes.Load() }
 
+// Serves is whether other nodes ask this one in the store's place.
+func (t *Gossip) Serves() bool { return t.Writes() && t.registry.Count() > allWrite }
+
 // choose names the nodes that write the ledger, as this one sees the fleet, and does
 // what follows from it for this node.
 func (t *Gossip) choose() {
--- a/fleet/relay/store/health.go
+++ b/fleet/relay/store/health.go
@@ -75,14 +75,20 @@
 }
 
 // Renew has the watches that wait sent anew.
-func (h *Health) Renew() {
+func (h *Health) Renew() { h.tryRenew() }
+
+// tryRenew is whether it does so: not where that was done a moment ago.
+func (h *Health) tryRenew() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if now := time.Now(); now.Sub(h.renewedAt) >= renewPause {
-		h.renewedAt = now
-		close(h.renew)
-		h.renew = make(chan struct{})
+	now := time.Now()
+	if now.Sub(h.renewedAt) < renewPause {
+		return false
 	}
+	h.renewedAt = now
+	close(h.renew)
+	h.renew = make(chan struct{})
+	return true
 }
 
 func (h *Health) renewed() <-chan struct{} {
--- /dev/null
+++ b/fleet/relay/store/pulse_test.go
@@ -0,0 +1,142 @@
+package store_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// Ping implements store.Store.
+func (s *silence) Ping(ctx context.Context) error {
+	silent, _, _ := s.now()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+// cacheReader asks a node's caches as a peer does.
+type cacheReader map[string]*store.Cache
+
+func (c cacheReader) List(_ context.Context, kind string) ([]store.Object, int64, error) {
+	return c[kind].List()
+}
+
+func (c cacheReader) Watch(ctx context.Context, kind string, since int64, wait time.Duration) ([]store.Event, int64, error) {
+	return c[kind].Watch(ctx, since, wait)
+}
+
+var pulseKinds = []string{"policy", "endpoints", "evacuations"}
+
+// followAll follows every kind, the first of which leads, and tells each revision.
+func followAll(ctx context.Context, s *store.Sourced, health *store.Health, longest func() time.Duration, tell func(kind string, c store.Change)) {
+	for i, kind := range pulseKinds {
+		w := store.Watching{Kind: kind, Rest: store.Always(time.Millisecond), History: 20 * time.Second, Health: health, Leads: i == 0}
+		if i == 0 {
+			w.Longest = longest
+		}
+		go store.Follow(ctx, s, w, func(c store.Change) { tell(kind, c) })
+	}
+}
+
+// A node whose sources are cut off from the store in silence, while it is not, learns of
+// what changes from then on within the time in which an endpoint that leaves must get no
+// new work, whenever the cut begins and whichever of the kinds is asked for.
+func TestWhatChangesWhileTheSourcesAreCutOffIsKnownInTime(t *testing.T) {
+	for _, leaving := range []time.Duration{2 * time.Second, 3 * time.Second} {
+		for begins := 5 * time.Second; begins < 8*time.Second; begins += 230 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) { cutOff(t, leaving, begins) })
+		}
+	}
+}
+
+func cutOff(t *testing.T, leaving, begins time.Duration) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer synctest.Wait()
+	defer cancel()
+	behind := &silence{revision: 1, changed: make(chan struct{})} // the store as the source reaches it
+	reached := &silence{revision: 1, changed: make(chan struct{})}
+	source := source(ctx, behind, leaving)
+	node := store.NewSourced(reached, func() []store.Source { return []store.Source{{Name: "a", Reader: source}} })
+	var mu sync.Mutex
+	known := map[string]time.Time{}
+	time.Sleep(time.Second)
+	followAll(ctx, node, store.NewHealth(), func() time.Duration { return time.Hour }, func(kind string, c store.Change) {
+		mu.Lock()
+		defer mu.Unlock()
+		s, listed := c.(store.Snapshot)
+		u, updated := c.(store.Update)
+		if _, before := known[kind]; !before && (listed && s.Revision == 2 || updated && u.Revision == 2) {
+			known[kind] = time.Now()
+		}
+	})
+	time.Sleep(begins)
+	behind.set(true, 1)
+	reached.set(false, 2)
+	changed := time.Now()
+	time.Sleep(10 * time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	require.Len(t, known, len(pulseKinds))
+	for kind, at := range known {
+		assert.Less(t, at.Sub(changed), leaving, "%s, %s", kind, begins)
+	}
+}
+
+// source is a node that watches the store for others.
+func source(ctx context.Context, s store.Store, leaving time.Duration) cacheReader {
+	caches := cacheReader{}
+	for _, kind := range pulseKinds {
+		caches[kind] = store.NewCache()
+	}
+	health := store.NewHealth()
+	direct := store.NewSourced(s, func() []store.Source { return nil })
+	followAll(ctx, direct, health, func() time.Duration { return 2 * time.Second }, func(kind string, c store.Change) {
+		caches[kind].Apply(c, direct.Direct(kind))
+	})
+	pulse := store.Pulse{
+		Store: s, Every: leaving * 15 / 100, Health: health, Log: &log.Logger{Handler: discard.New()},
+		Serves: func() bool { return true },
+		Lost: func(err error) {
+			for _, cache := range caches {
+				cache.Apply(store.Lost{Err: err}, false)
+			}
+		},
+	}
+	go pulse.Run(ctx)
+	return caches
+}
+
+// Once the store is back, the source answers for every kind again soon, though watches
+// were sent into the silence.
+func TestASourceServesAgainOnceTheStoreIsBack(t *testing.T) {
+	for length := 500 * time.Millisecond; length < 9*time.Second; length += 700 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer synctest.Wait()
+			defer cancel()
+			s := &silence{revision: 1, changed: make(chan struct{})}
+			source := source(ctx, s, 3*time.Second)
+			time.Sleep(5 * time.Second)
+			s.set(true, 1)
+			time.Sleep(length)
+			s.set(false, 2)
+			time.Sleep(3 * time.Second)
+			for _, kind := range pulseKinds {
+				_, at, err := source.List(ctx, kind)
+				assert.NoError(t, err, "%s after %s", kind, length)
+				assert.Equal(t, int64(2), at)
+			}
+		})
+	}
+}
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -66,18 +66,14 @@
 	sources func() []Source // in the order in which they are asked; none: this node asks the store
 
 	mu      sync.Mutex
-	rests   map[string]rest  // by the source's name
-	direct  map[string]bool  // by kind: the last answer came from the store
-	newest  map[string]int64 // by kind: revision of the newest list
-	ping    time.Time        // when the next one is due; zero: the sources have the store
-	away    bool             // the last ping failed
-	reached time.Time        // until then the store, which the sources lost, counts as reached
-}
-
-// rest is a time in which a source is not asked.
-type rest struct {
-	until time.Time
-	unfit bool // it answers, and has lost the store
+	silent  map[string]time.Time            // by the source's name: it is not asked until then
+	unfit   map[string]map[string]time.Time // by kind and the source's name: it answers, and has lost the store; asked again then
+	direct  map[string]bool                 // by kind: the last answer came from the store
+	newest  map[string]int64                // by kind: revision of the newest list
+	lost    map[string]bool                 // kinds for which no source had the store when last asked
+	ping    time.Time                       // when the next one is due; zero: the sources have the store for every kind
+	away    bool                            // the last ping failed
+	reached time.Time                       // until then the store, which the sources lost, counts as reached
 }
 
 // AnswerBegins is how long a source may take, beyond what a watch waits, until its
@@ -86,7 +82,7 @@
 
 // NewSourced returns a store that asks the sources first.
 func NewSourced(s Store, sources func() []Source) *Sourced {
-	return &Sourced{Store: s, sources: sources, rests: map[string]rest{}, direct: map[string]bool{}, newest: map[string]int64{}}
+	return &Sourced{Store: s, sources: sources, silent: map[string]time.Time{}, unfit: map[string]map[string]time.Time{}, lost: map[string]bool{}, direct: map[string]bool{}, newest: map[string]int64{}}
 }
 
 // Direct is whether the last answer for a kind came from the store itself.
@@ -96,15 +92,17 @@
 	return s.direct[kind]
 }
 
-// awake lists the sources to ask: those that did not fail lately, in their order.
-func (s *Sourced) awake() []Source {
+// awake lists the sources to ask for a kind: those that did not fail lately, in their
+// order.
+func (s *Sourced) awake(kind string) []Source {
 	all := s.sources()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	var awake []Source
 	for _, one := range all {
-		if !now.Before(s.rests[one.Name].until) && len(awake) < sourceTries {
+		rests := now.Before(s.silent[one.Name]) || now.Before(s.unfit[kind][one.Name])
+		if !rests && len(awake) < sourceTries {
 			awake = append(awake, one)
 		}
 	}
@@ -123,21 +121,25 @@
 	return nil
 }
 
-// failed lets a source rest.
-func (s *Sourced) failed(source string, err error) {
+// failed lets a source rest: for every kind where it is silent, and for the one that was
+// asked for where it lost the store, since it may still watch other kinds, or believe so.
+func (s *Sourced) failed(source, kind string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	unfit := errors.Is(err, ErrUnfit)
-	length := sourceRest
-	if unfit {
-		length = unfitRest
+	if !errors.Is(err, ErrUnfit) {
+		s.silent[source] = time.Now().Add(sourceRest)
+		return
+	}
+	delete(s.silent, source)
+	if s.unfit[kind] == nil {
+		s.unfit[kind] = map[string]time.Time{}
 	}
-	s.rests[source] = rest{until: time.Now().Add(length), unfit: unfit}
+	s.unfit[kind][source] = time.Now().Add(unfitRest)
 }
 
 // ask asks the sources one after another until one answers; false where none did.
 func (s *Sourced) ask(ctx context.Context, kind string, call func(Source) error) (bool, error) {
-	for _, from := range s.awake() {
+	for _, from := range s.awake(kind) {
 		err := call(from)
 		if err == nil || errors.Is(err, ErrCompacted) {
 			s.answeredBy(from.Name, kind)
@@ -146,7 +148,7 @@
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return true, err // the caller gave up: that says nothing of the source
 		}
-		s.failed(from.Name, err)
+		s.failed(from.Name, kind, err)
 		if ctx.Err() != nil {
 			return true, err
 		}
@@ -154,24 +156,31 @@
 	return false, nil
 }
 
-// answeredBy notes that a source answered for a kind.
+// answeredBy notes that a source answered for a kind. What was found out about the store
+// is forgotten only once no kind needs it: each answer for one kind would begin the wait
+// for a ping anew that another kind's follower waits for.
 func (s *Sourced) answeredBy(source, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.direct[kind] = false
-	delete(s.rests, source)
-	s.ping, s.away, s.reached = time.Time{}, false, time.Time{}
+	delete(s.silent, source)
+	delete(s.unfit[kind], source)
+	delete(s.lost, kind)
+	if len(s.lost) == 0 {
+		s.ping, s.away, s.reached = time.Time{}, false, time.Time{}
+	}
 }
 
 // reachesStore is whether this node is to ask the store itself now: where no source is
 // named or all of them are silent, and where one says that it has lost the store while
 // this node, by a ping, has not.
-func (s *Sourced) reachesStore(ctx context.Context) bool {
-	if !s.hasUnfit() {
+func (s *Sourced) reachesStore(ctx context.Context, kind string) bool {
+	if !s.hasUnfit(kind) {
 		return true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lost[kind] = true
 	now := time.Now()
 	switch {
 	case now.Before(s.reached):
@@ -202,9 +211,9 @@
 
 // wake ends the rest of the sources that lost the store; the lock is held.
 func (s *Sourced) wake() {
-	for name, r := range s.rests {
-		if r.unfit {
-			s.rests[name] = rest{until: time.Now().Add(Jittered(wakeAfter)), unfit: true}
+	for _, sources := range s.unfit {
+		for name := range sources {
+			sources[name] = time.Now().Add(Jittered(wakeAfter))
 		}
 	}
 }
@@ -219,8 +228,12 @@
 // which began together do not act at the same moments.
 func Jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
-// asked notes how a call to the store itself ended.
-func (s *Sourced) asked(kind string, err error) {
+// asked notes how a call to the store itself ended. One that was given up, since watches
+// are sent anew once the leader has the store back, says nothing of it.
+func (s *Sourced) asked(ctx context.Context, kind string, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
@@ -240,31 +253,34 @@
 		return s.checked(kind, at)
 	})
 	if done {
-		return objects, at, s.marked(err)
+		return objects, at, s.marked(kind, err)
 	}
-	if !s.reachesStore(ctx) {
+	if !s.reachesStore(ctx, kind) {
 		return nil, 0, ErrSourcesOut
 	}
 	objects, at, err = s.Store.List(ctx, kind)
-	s.asked(kind, err)
-	return objects, at, s.marked(err)
+	s.asked(ctx, kind, err)
+	return objects, at, s.marked(kind, err)
 }
 
 // marked marks the error of a node that reaches nobody.
-func (s *Sourced) marked(err error) error {
-	if err == nil || errors.Is(err, ErrCompacted) || len(s.sources()) == 0 || s.hasUnfit() {
+func (s *Sourced) marked(kind string, err error) error {
+	if err == nil || errors.Is(err, ErrCompacted) || len(s.sources()) == 0 || s.hasUnfit(kind) {
 		return err
 	}
 	return errors.Mark(err, ErrAlone)
 }
 
 // hasUnfit is whether one of those that watch the store for this node says that it
-// lost the store.
-func (s *Sourced) hasUnfit() bool {
+// lost the store, as far as a kind goes.
+func (s *Sourced) hasUnfit(kind string) bool {
 	all := s.sources()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(all, func(one Source) bool { return s.rests[one.Name].unfit })
+	return slices.ContainsFunc(all, func(one Source) bool {
+		_, unfit := s.unfit[kind][one.Name]
+		return unfit
+	})
 }
 
 func listFrom(ctx context.Context, from Source, kind string) ([]Object, int64, error) {
@@ -281,20 +297,21 @@
 		return err
 	})
 	if done {
-		return events, at, s.marked(err)
+		return events, at, s.marked(kind, err)
 	}
-	if !s.reachesStore(ctx) {
+	if !s.reachesStore(ctx, kind) {
 		return nil, 0, ErrSourcesOut
 	}
+	bounded := ctx
 	if len(s.sources()) > 0 {
 		wait = min(wait, fallbackWait)
-		bounded, cancel := context.WithTimeout(ctx, wait+fallbackSlack)
+		short, cancel := context.WithTimeout(ctx, wait+fallbackSlack)
 		defer cancel()
-		ctx = bounded
+		bounded = short
 	}
-	events, at, err = s.Store.Watch(ctx, kind, since, wait)
-	s.asked(kind, err)
-	return events, at, s.marked(err)
+	events, at, err = s.Store.Watch(bounded, kind, since, wait)
+	s.asked(ctx, kind, err)
+	return events, at, s.marked(kind, err)
 }
 
 func watchFrom(ctx context.Context, from Source, kind string, since int64, wait time.Duration) ([]Event, int64, error) {
