Send lists anew, too, once the store is back

Cause: a list sent into a silent store is swallowed as a watch is; watches were sent anew when the store was found back, a list in flight was waited for, up to 2 s, and then up to 1.2 s of backoff.

Change: a list older than 50 ms is given up and sent again with the watches, and the wait before the next try ends.

--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -47,6 +47,13 @@
 	return wait
 }
 
+// swallowedAfter is how old a list is at least that is sent anew together with the
+// watches: a store that answers takes less, and a list too many costs one call.
+const swallowedAfter = 50 * time.Millisecond
+
+// errRenewed says that a list was given up to be sent anew, since the store is back.
+var errRenewed = errors.New("store: sent anew")
+
 // errBehind says that an answer is older than what was handed on already.
 var errBehind = errors.New("store: the answer is older than what was seen")
 
@@ -81,6 +88,9 @@
 	}
 	for ctx.Err() == nil {
 		err := f.step(ctx)
+		if errors.Is(err, errRenewed) {
+			continue
+		}
 		if err != nil && ctx.Err() == nil {
 			f.failed(ctx, err)
 			continue
@@ -119,9 +129,19 @@
 }
 
 func (f *follower) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	renew := f.Health.renewed()
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	objects, at, err := f.store.List(ctx, f.Kind)
+	began := time.Now()
+	go cancelOn(bounded, func() {
+		if time.Since(began) > swallowedAfter {
+			cancel()
+		}
+	}, renew)
+	objects, at, err := f.store.List(bounded, f.Kind)
+	if errors.Is(bounded.Err(), context.Canceled) && ctx.Err() == nil {
+		return errRenewed
+	}
 	if err != nil {
 		return err
 	}
@@ -195,10 +215,17 @@
 		pause(ctx, rand.N(backoffMin))
 		return
 	}
-	pause(ctx, f.backoff/2+rand.N(f.backoff/2))
+	f.rest(ctx, f.backoff/2+rand.N(f.backoff/2))
 	f.backoff = min(2*f.backoff, backoffMax)
 }
 
+// rest waits before the next try, or until watches are sent anew.
+func (f *follower) rest(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	cancelOn(ctx, cancel, f.Health.renewed())
+}
+
 // tellLost notes that the follower got no answer. A node that is alone, since its link is
 // full or it is cut off, has no reason to believe that entries lapsed for want of the
 // store: what its sources list when they answer again is what the store lists.
