Ask for no new connections while one customer fills the link

Change: a meter counts the bytes of callers' and endpoints' connections; from 0.6 of the link on, smoothed over a second, where one customer sends 0.4 of the calls, the node is not ready, until 0.4, three seconds at least; not in zones of fewer than three nodes.

--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -18,6 +18,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/link"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
 )
@@ -104,6 +105,20 @@
 	}}
 }
 
+// WithMeter counts what new connections carry.
+func (t *Transport) WithMeter(m *link.Meter) *Transport {
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		c.(*pooled).Conn = m.Conn(c.(*pooled).Conn)
+		return c, nil
+	}
+	return t
+}
+
 func limitUnacked(_, _ string, c syscall.RawConn) error {
 	var failed error
 	err := c.Control(func(fd uintptr) {
--- a/fleet/relay/ingress/ingress.go
+++ b/fleet/relay/ingress/ingress.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/link"
 )
 
 // Bounds are what a caller may send, and how long it may take.
@@ -40,6 +42,7 @@
 type Listener struct {
 	handler  http.Handler
 	listener net.Listener
+	meter    *link.Meter // nil: nothing is counted
 
 	mu          sync.Mutex
 	bounds      Bounds
@@ -65,6 +68,19 @@
 	return l, nil
 }
 
+// WithMeter counts what new connections carry; before Serve.
+func (l *Listener) WithMeter(m *link.Meter) *Listener {
+	l.meter = m
+	return l
+}
+
+func (l *Listener) metered(c net.Conn) net.Conn {
+	if l.meter == nil {
+		return c
+	}
+	return l.meter.Conn(c)
+}
+
 // Address is where the listener listens.
 func (l *Listener) Address() net.Addr { return l.listener.Addr() }
 
@@ -100,7 +116,7 @@
 		l.mu.Lock()
 		r := l.newest
 		l.mu.Unlock()
-		r.conns.take(conn)
+		r.conns.take(l.metered(conn))
 	}
 }
 
--- /dev/null
+++ b/fleet/relay/intake.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/peer"
+)
+
+const (
+	linkEvery    = 200 * time.Millisecond // between two readings of the link
+	leastOfZones = 3                      // nodes of a zone of which one may ask for no new connections: with fewer, the rest carry too much more
+)
+
+// watchIntake reads how full the link is until ctx ends, and has the balancer send new
+// connections elsewhere while one customer's callers fill it.
+func (n *Node) watchIntake(ctx context.Context) {
+	reader := n.meter.Reader()
+	ticker := time.NewTicker(linkEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		use := reader.Read()
+		customer, share := n.gate.Heaviest()
+		changed := n.intake.Read(use.Fuller(), share, n.zoneSize() >= leastOfZones)
+		n.metrics.Link(n.intake.Share(), n.intake.Open())
+		if !changed {
+			continue
+		}
+		entry := n.log.WithFields(log.Fields{"linkIn": use.In, "linkOut": use.Out, "link": n.intake.Share(), "tenant": customer, "ofCalls": share})
+		if n.intake.Open() {
+			entry.Info("new connections are welcome again")
+			continue
+		}
+		entry.Warn("one customer fills the link: new connections are asked to go elsewhere")
+	}
+}
+
+// zoneSize is how many nodes this zone has, this one included.
+func (n *Node) zoneSize() int {
+	return lo.CountBy(n.registry.Members(), func(m peer.Member) bool { return m.Zone == n.settings.Zone })
+}
--- a/fleet/relay/mechanisms.go
+++ b/fleet/relay/mechanisms.go
@@ -29,10 +29,11 @@
 const (
 	delegatesMechanism = "delegates" // some nodes watch the store for the others
 	handOnMechanism    = "hand-on"   // an overloaded node hands callers on
+	steerMechanism     = "steer"     // a node whose link one customer fills gets no new connections
 )
 
 func mechanismNames() []string {
-	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, handOnMechanism)
+	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, handOnMechanism, steerMechanism)
 }
 
 // Enabled is whether a mechanism is not switched off.
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 )
@@ -17,6 +18,8 @@
 	first    metric.Float64Histogram
 
 	evacuated metric.Int64Gauge
+	link      metric.Float64Gauge
+	intake    metric.Int64Gauge
 }
 
 // latencyBuckets are seconds, from a local call to a long stream.
@@ -39,6 +42,10 @@
 	}
 	metrics.evacuated, err = m.Int64Gauge("lynxshed.relay.evacuated_zones", metric.WithDescription("availability zones whose endpoints are to get no new work"))
 	failed = errors.CombineErrors(failed, errors.Wrap(err, "metric lynxshed.relay.evacuated_zones"))
+	metrics.link, err = m.Float64Gauge("lynxshed.relay.link_used", metric.WithDescription("share of the VM's link that is used, the fuller way, smoothed"))
+	failed = errors.CombineErrors(failed, errors.Wrap(err, "metric lynxshed.relay.link_used"))
+	metrics.intake, err = m.Int64Gauge("lynxshed.relay.intake_open", metric.WithDescription("1 while new connections are welcome as far as the link goes, 0 while one customer's callers fill it"))
+	failed = errors.CombineErrors(failed, errors.Wrap(err, "metric lynxshed.relay.intake_open"))
 	histograms := []struct {
 		to         *metric.Float64Histogram
 		name, what string
@@ -74,3 +81,9 @@
 func (m *Metrics) Evacuated(zones int) {
 	m.evacuated.Record(context.Background(), int64(zones))
 }
+
+// Link records how full the link is, and whether new connections are welcome.
+func (m *Metrics) Link(used float64, open bool) {
+	m.link.Record(context.Background(), used)
+	m.intake.Record(context.Background(), lo.Ternary[int64](open, 1, 0))
+}
--- a/fleet/relay/overload/gate.go
+++ b/fleet/relay/overload/gate.go
@@ -85,6 +85,22 @@
 	return draw >= g.refusedShare(customer)
 }
 
+// Heaviest names the customer that sent most calls between the last two readings, and
+// its share of them; none where too few came to tell.
+func (g *Gate) Heaviest() (customer string, share float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.before.total < leastCalls {
+		return "", 0
+	}
+	for name, calls := range g.before.byCustomer {
+		if of := float64(calls) / float64(g.before.total); of > share {
+			customer, share = name, of
+		}
+	}
+	return customer, share
+}
+
 // refusedShare is the share of a customer's calls that go to other nodes: the whole
 // excess is taken from the heavy customers, where there are any.
 func (g *Gate) refusedShare(customer string) float64 {
--- /dev/null
+++ b/fleet/relay/overload/intake_test.go
@@ -0,0 +1,75 @@
+package overload
+
+import (
+	"testing"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+)
+
+// reading is one reading of an intake, so many times.
+type reading struct {
+	times          int
+	used, heaviest float64
+	others         bool
+}
+
+func TestOneCustomerThatFillsTheLinkIsSentElsewhere(t *testing.T) {
+	cases := []struct {
+		name     string
+		readings []reading
+		open     bool
+	}{
+		{"calm", []reading{{50, 0.3, 0.9, true}}, true},
+		{"one burst", []reading{{20, 0.2, 0.9, true}, {1, 1, 0.9, true}, {1, 0.2, 0.9, true}}, true},
+		{"full by one customer", []reading{{20, 0.2, 0.9, true}, {6, 1, 0.9, true}}, false},
+		{"full by many", []reading{{20, 0.2, 0.1, true}, {20, 1, 0.1, true}}, true},
+		{"no other node", []reading{{50, 1, 0.9, false}}, true},
+		{"others end", []reading{{20, 1, 0.9, true}, {20, 1, 0.9, false}}, true},
+		{"between the bounds after it was full", []reading{{20, 1, 0.9, true}, {60, 0.5, 0.9, true}}, false},
+		{"between the bounds", []reading{{60, 0.5, 0.9, true}}, true},
+		{"empty again, a moment later", []reading{{8, 1, 0.9, true}, {4, 0, 0, true}}, false},
+		{"empty again", []reading{{8, 1, 0.9, true}, {20, 0, 0, true}}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			i := NewIntake(DefaultIntakeRule())
+			for _, r := range c.readings {
+				for range r.times {
+					i.Read(r.used, r.heaviest, r.others)
+				}
+			}
+			assert.Equal(t, c.open, i.Open())
+		})
+	}
+}
+
+// Whatever the link does, the balancer has the time to notice each change.
+func TestAChangeHoldsForAWhile(t *testing.T) {
+	rule := DefaultIntakeRule()
+	i := NewIntake(rule)
+	last := -rule.Stay
+	for at := range 2000 {
+		used := lo.Ternary(at%7 < 4, 1.0, 0.0)
+		if i.Read(used, 1, true) {
+			assert.GreaterOrEqual(t, at-last, rule.Stay)
+			last = at
+		}
+	}
+}
+
+func TestTheHeaviestCustomer(t *testing.T) {
+	g := NewGate(DefaultRule())
+	take(g, 0, map[string]int{"a": 30, "b": 10})
+	name, share := g.Heaviest()
+	assert.Zero(t, share, "nothing was read yet")
+	assert.Empty(t, name)
+	g.Read(calm)
+	name, share = g.Heaviest()
+	assert.Equal(t, "a", name)
+	assert.InDelta(t, 0.75, share, 1e-9)
+	take(g, 1, map[string]int{"a": 2})
+	g.Read(calm)
+	_, share = g.Heaviest()
+	assert.Zero(t, share, "too few to tell")
+}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -25,6 +25,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/evacuation"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
 	"github.com/lynxshed/lynxshed/fleet/relay/ingress"
+	"github.com/lynxshed/lynxshed/fleet/relay/link"
 	"github.com/lynxshed/lynxshed/fleet/relay/overload"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
@@ -68,6 +69,8 @@
 	registry    *peer.Registry
 	gossip      *peer.Gossip
 	gate        *overload.Gate
+	intake      *overload.Intake
+	meter       *link.Meter
 	handler     *forward.Handler
 	ingress     *ingress.Listener
 	telemetry   *telemetry.Telemetry
@@ -108,14 +111,17 @@
 	})
 	n.syncer = account.NewSyncer(n.store, n.allowance, gossip.WriterCount, gossip.Writes, n.health, l).WithWriters(gossip)
 	n.gate = overload.NewGate(overload.DefaultRule())
+	n.intake = overload.NewIntake(overload.DefaultIntakeRule())
+	n.meter = link.NewMeter(s.LinkMbps)
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Allowance: n.allowance, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
-		Gate:    n.gate, Nodes: n.registry.Count, Regions: s.Regions, Transport: forward.NewTransport(), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Gate:    n.gate, Nodes: n.registry.Count, Regions: s.Regions, Transport: forward.NewTransport().WithMeter(n.meter), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
 	}
+	n.ingress.WithMeter(n.meter)
 	return n, nil
 }
 
@@ -192,7 +198,7 @@
 
 // Ready is whether new callers are welcome.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.policy.Load() != nil && n.engines.Load() != nil && n.evacuations.Load() != nil
+	return !n.leaving.Load() && n.intake.Open() && n.policy.Load() != nil && n.engines.Load() != nil && n.evacuations.Load() != nil
 }
 
 // Bounds of a planned stop.
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -22,6 +22,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/evacuation"
+	"github.com/lynxshed/lynxshed/fleet/relay/overload"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 	"github.com/lynxshed/lynxshed/fleet/telemetry"
@@ -55,7 +56,7 @@
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	n := &Node{
 		adapter: numbers{}, log: quiet, settings: DefaultSettings(), health: store.NewHealth(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning()),
-		picker: choice.NewPicker("z", choice.DefaultTuning()),
+		picker: choice.NewPicker("z", choice.DefaultTuning()), intake: overload.NewIntake(overload.DefaultIntakeRule()),
 	}
 	n.metrics, _ = NewMetrics(noop.Meter{})
 	n.engineTable = newEngineTable(n)
@@ -229,7 +230,7 @@
 		s, err := ParseSettings([]byte(`{"disable":["` + name + `"],` + rest + `}`))
 		require.NoError(t, err)
 		assert.False(t, s.Enabled(name))
-		ofTheChoice := name != delegatesMechanism && name != handOnMechanism
+		ofTheChoice := name != delegatesMechanism && name != handOnMechanism && name != steerMechanism
 		assert.Equal(t, !ofTheChoice, s.Choice() == choice.DefaultTuning(), name)
 	}
 	_, err := ParseSettings([]byte(`{"disable":["luck"],` + rest + `}`))
