Tell on which endpoints keep a prompt's parts, within the zone

What is heard of an endpoint that the node had never used was dropped. Change: a delegate tells its zone of a read that it heard, once, while fewer than two endpoints are known to keep the part; between zones only a delegate's own news goes.

--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -29,6 +29,7 @@
 	endpoints map[string]*endpoint
 	models    map[string]*model // by service
 	holders   holders
+	capacity  int64 // tokens that an endpoint keeps, the most that a service said
 	recent    recent
 	zones     zones
 	told      map[string][]string // ids of the endpoints that a peer's last digests named, by peer
@@ -90,6 +91,7 @@
 func (p *Picker) place(t *Placement, r Request) {
 	e := p.endpoint(t.Engine.ID, r.Profile.Capacity)
 	t.picker, t.model, t.request = p, p.model(r.Profile.Service), r
+	p.capacity = max(p.capacity, r.Profile.Capacity)
 	if r.isCold(t.Engine) {
 		p.cold.Sent(t.Engine.ID, r.Now)
 	}
--- a/fleet/relay/choice/digest.go
+++ b/fleet/relay/choice/digest.go
@@ -61,20 +61,21 @@
 
 type timedRead struct {
 	Read
-	at time.Time
+	at   time.Time
+	news bool // hardly any endpoint was known to keep its parts
 }
 
 // Bounds of what is told of prompts that were read.
 const (
 	readsFor  = time.Second
-	readsMost = 64
+	readsMost = 128
 )
 
-func (l *recent) add(endpoint string, parts []call.Part, now time.Time) {
+func (l *recent) add(endpoint string, parts []call.Part, news bool, now time.Time) {
 	if len(parts) == 0 {
 		return
 	}
-	r := timedRead{Read: Read{Endpoint: endpoint}, at: now}
+	r := timedRead{Read: Read{Endpoint: endpoint}, at: now, news: news}
 	for _, p := range parts {
 		r.Parts = append(r.Parts, p.ID)
 		r.Tokens = append(r.Tokens, p.Tokens)
@@ -82,7 +83,7 @@
 	l.reads = append(l.reads, r)
 }
 
-func (l *recent) list(now time.Time) []Read {
+func (l *recent) list(now time.Time, newsOnly bool) []Read {
 	from := 0
 	for from < len(l.reads) && now.Sub(l.reads[from].at) > readsFor {
 		from++
@@ -90,7 +91,9 @@
 	l.reads = l.reads[max(from, len(l.reads)-readsMost):]
 	all := make([]Read, 0, len(l.reads))
 	for _, r := range l.reads {
-		all = append(all, r.Read)
+		if r.news || !newsOnly {
+			all = append(all, r.Read)
+		}
 	}
 	return all
 }
@@ -113,14 +116,20 @@
 	return all
 }
 
-// Reads lists the prompts that this node had read lately.
-func (p *Picker) Reads(now time.Time) []Read {
+// Reads lists the prompts that this node had read lately, and what it tells on.
+func (p *Picker) Reads(now time.Time) []Read { return p.listReads(now, false) }
+
+// News lists of them those whose parts hardly any endpoint was known to keep: what is
+// worth its bytes between zones.
+func (p *Picker) News(now time.Time) []Read { return p.listReads(now, true) }
+
+func (p *Picker) listReads(now time.Time, newsOnly bool) []Read {
 	if !p.tuning.Gossip {
 		return nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.recent.list(now)
+	return p.recent.list(now, newsOnly)
 }
 
 // Heard takes in a peer's digests; what it does not name is nothing.
@@ -147,8 +156,11 @@
 	p.told[peer] = told
 }
 
-// HeardReads takes in which prompts a peer had read where.
-func (p *Picker) HeardReads(reads []Read) {
+// HeardReads takes in which prompts a peer had read where. Those whose parts hardly any
+// endpoint is known to keep are told on where the node tells others of its zone, so that
+// every node knows a source of each part that calls share: most reads are never heard of
+// in a large fleet, and what nobody knows to be kept is read again.
+func (p *Picker) HeardReads(reads []Read, tellOn bool, now time.Time) {
 	if !p.tuning.Gossip {
 		return
 	}
@@ -156,13 +168,28 @@
 	defer p.mu.Unlock()
 	for _, r := range reads {
 		s, known := p.endpoints[r.Endpoint]
-		if !known || len(r.Parts) != len(r.Tokens) {
+		if len(r.Parts) != len(r.Tokens) || len(r.Parts) == 0 || !known && p.capacity <= 0 {
 			continue
 		}
+		deepest := r.Parts[len(r.Parts)-1]
+		news := p.isNews(deepest) && !p.holders[deepest][r.Endpoint]
+		if !known {
+			s = p.endpoint(r.Endpoint, p.capacity)
+		}
 		for i, id := range r.Parts {
 			if r.Tokens[i] >= 0 {
 				s.cache.read(call.Part{ID: id, Tokens: r.Tokens[i]}, true)
 			}
 		}
+		if tellOn && news {
+			p.recent.reads = append(p.recent.reads, timedRead{Read: r, at: now})
+		}
 	}
 }
+
+// isNews is whether hardly any endpoint is known to keep a part.
+func (p *Picker) isNews(part string) bool { return len(p.holders[part]) < holdersTold }
+
+// holdersTold is how many endpoints that keep a part are told on to others: one may be
+// leaving, or its link taken.
+const holdersTold = 2
--- a/fleet/relay/choice/model_test.go
+++ b/fleet/relay/choice/model_test.go
@@ -128,7 +128,7 @@
 			playCall(t, p, random, e, k, 1, now)
 		}
 		p.Heard("liar", map[string]Digest{e.ID: {InFlight: -5, Waiting: -1 << 40, Paused: 1e300, Streams: -1}}, now)
-		p.HeardReads([]Read{{Endpoint: e.ID, Parts: []string{"a"}, Tokens: []int64{-5}}, {Endpoint: e.ID, Parts: []string{"a", "b"}, Tokens: []int64{1}}})
+		p.HeardReads([]Read{{Endpoint: e.ID, Parts: []string{"a"}, Tokens: []int64{-5}}, {Endpoint: e.ID, Parts: []string{"a", "b"}, Tokens: []int64{1}}}, false, now)
 		now = now.Add(20 * time.Millisecond)
 	}
 	m := p.model(service)
@@ -204,7 +204,7 @@
 			if c.told {
 				p = NewPicker("z", DefaultTuning())
 				p.endpoint(all[0].ID, 100_000)
-				p.HeardReads(sender.Reads(now))
+				p.HeardReads(sender.Reads(now), false, now)
 			}
 			if c.suspect {
 				p.endpoints[all[0].ID].suspected = now.Add(time.Second)
@@ -243,12 +243,12 @@
 	var l recent
 	now := time.Unix(1000, 0)
 	for i := range 500 {
-		l.add("e", []call.Part{{ID: fmt.Sprint(i), Tokens: 5}}, now)
+		l.add("e", []call.Part{{ID: fmt.Sprint(i), Tokens: 5}}, false, now)
 	}
-	assert.Len(t, l.list(now), readsMost)
-	assert.Empty(t, l.list(now.Add(2*readsFor)))
-	l.add("e", nil, now)
-	assert.Empty(t, l.list(now.Add(2*readsFor)), "a prompt that shares nothing is not told")
+	assert.Len(t, l.list(now, false), readsMost)
+	assert.Empty(t, l.list(now.Add(2*readsFor), false))
+	l.add("e", nil, true, now)
+	assert.Empty(t, l.list(now.Add(2*readsFor), false), "a prompt that shares nothing is not told")
 }
 
 // Where nobody is known to keep a large prompt's parts, the call goes to their affinity
@@ -338,3 +338,39 @@
 		})
 	}
 }
+
+// What a node hears of prompts that were read is told on by nodes that tell others, as
+// long as hardly any endpoint is known to keep their parts; what nodes far away hear is
+// their own news alone.
+func TestReadsThatAreNewsAreToldOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	all := testEngines(holdersTold + 2)
+	read := func(i int) []Read { return []Read{{Endpoint: all[i].ID, Parts: []string{"a"}, Tokens: []int64{6000}}} }
+	cases := []struct {
+		name   string
+		tellOn bool
+		told   int
+	}{{"a node that tells others", true, holdersTold}, {"another node", false, 0}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewPicker("z", DefaultTuning())
+			p.capacity = 100_000
+			for i := range all {
+				p.HeardReads(read(i), c.tellOn, now)
+				p.HeardReads(read(i), c.tellOn, now)
+			}
+			assert.Len(t, p.holders["a"], len(all), "also at endpoints that this node never used")
+			assert.Len(t, p.Reads(now), c.told)
+			assert.Empty(t, p.News(now))
+		})
+	}
+	p := NewPicker("z", DefaultTuning())
+	for i := range all {
+		got, ok := p.Pick(Request{Call: call.Call{ID: fmt.Sprint(i), PromptMax: 6500, Parts: []call.Part{{ID: "a", Tokens: 6000}, {ID: fmt.Sprint("own", i), Tokens: 500}}},
+			Engines: all[i : i+1], Profile: Profile{Service: service, Tokens: true, Capacity: 100_000}, Cap: 9, Now: now})
+		require.True(t, ok)
+		got.First(time.Millisecond, now)
+	}
+	assert.Len(t, p.Reads(now), len(all))
+	assert.Len(t, p.News(now), holdersTold)
+}
--- a/fleet/relay/choice/placement.go
+++ b/fleet/relay/choice/placement.go
@@ -62,10 +62,11 @@
 		return
 	}
 	shared := t.request.Call.Shared()
+	news := len(shared) > 0 && t.picker.isNews(shared[len(shared)-1].ID)
 	for i, part := range t.request.Call.Parts {
 		e.cache.read(part, i < len(shared))
 	}
-	t.picker.recent.add(t.Engine.ID, shared, now)
+	t.picker.recent.add(t.Engine.ID, shared, news, now)
 }
 
 func (t *Placement) endWaiting() {
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -111,7 +111,16 @@
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, reports
 	}
-	t.send(m, lo.Map(to, func(m Member, _ int) string { return m.Address })...)
+	near, far := lo.FilterReject(to, func(m Member, _ int) bool { return m.Zone == t.registry.self.Zone })
+	t.send(m, addresses(near)...)
+	if len(far) > 0 {
+		m.Reads = t.picker.News(now)
+		t.send(m, addresses(far)...)
+	}
+}
+
+func addresses(members []Member) []string {
+	return lo.Map(members, func(m Member, _ int) string { return m.Address })
 }
 
 // listeners picks the peers of one beat, and whether they are told the budgets: all
@@ -144,6 +153,10 @@
 	return append(sure, others[:min(len(others), randomOthers)]...), true
 }
 
+// tellsOn is whether this node passes on what it hears: where some nodes draw for the
+// others, these do.
+func (t *Gossip) tellsOn() bool { return t.Writes() && t.WriterCount() < t.registry.Count() }
+
 // roundBeats is in how many beats a node that draws for others has told all.
 const roundBeats = 5
 
@@ -204,7 +217,7 @@
 		t.transfers.allowance.Expect(*m.Outage, now)
 	}
 	t.picker.Heard(m.Node, m.Digests, now)
-	t.picker.HeardReads(m.Reads)
+	t.picker.HeardReads(m.Reads, t.tellsOn(), now)
 	if m.HasBudgets {
 		t.transfers.record(from, m.BudgetReports, now)
 	}
