--- a/fleet/relay/rollout/evidence.go
+++ b/fleet/relay/rollout/evidence.go
@@ -1,18 +1,27 @@
 package rollout
 
-// Sample is how one answer went, for the comparison of two versions on one route.
+import "slices"
+
+// Sample is how one answer went, for the comparison of two versions on one route. A
+// call that already takes many times what was expected may be told before it ends, once.
 type Sample struct {
-	Service  string
-	Route    string
-	Target   bool   // it ran at an endpoint of the target
-	Endpoint uint64 // hash of the endpoint's id
-	Failed   bool
-	Slowness float64 // time taken over time expected for its prompt and the load; 0 is not known
+	Service   string
+	Route     string
+	Once      bool   // calls of the route may run at most once
+	Target    bool   // it ran at an endpoint of the target
+	Endpoint  uint64 // hash of the endpoint's id
+	Failed    bool
+	Unreached bool    // no answer came: no connection, a reset, silence; Failed goes with it
+	Cold      bool    // the endpoint says that it is slow from its start: its slowness isn't counted
+	Slowness  float64 // time taken over time expected for its prompt and the load; 0 is not known
 }
 
 // Cohorts is how many groups the endpoints of a version are counted in, by the hash of
 // their ids: one endpoint that is ill spoils one of them.
-const Cohorts = 8
+const Cohorts = 16
+
+// CohortOf is the group of an endpoint, by the hash of its id.
+func CohortOf(endpoint uint64) int { return int(mix(endpoint) % Cohorts) }
 
 // Count is answers of one version on one route.
 type Count struct {
@@ -20,11 +29,46 @@
 	Bad     int `json:"b,omitempty"` // failed, or several times slower than the old version's usual
 }
 
+// Plus adds two counts.
+func (c Count) Plus(o Count) Count { return Count{c.Answers + o.Answers, c.Bad + o.Bad} }
+
+// Minus is what a count has more than an earlier one.
+func (c Count) Minus(o Count) Count { return Count{c.Answers - o.Answers, c.Bad - o.Bad} }
+
+// Counts is answers of one version on one route, by cohort.
+type Counts [Cohorts]Count
+
+// Plus adds two counts.
+func (c Counts) Plus(o Counts) Counts {
+	for i := range c {
+		c[i] = c[i].Plus(o[i])
+	}
+	return c
+}
+
+// Minus is what counts have more than earlier ones.
+func (c Counts) Minus(o Counts) Counts {
+	for i := range c {
+		c[i] = c[i].Minus(o[i])
+	}
+	return c
+}
+
+// Sum is all cohorts together.
+func (c Counts) Sum() Count {
+	var sum Count
+	for _, one := range c {
+		sum = sum.Plus(one)
+	}
+	return sum
+}
+
 // RouteEvidence is what was seen on one route.
 type RouteEvidence struct {
-	Route  string         `json:"r"`
-	Old    [Cohorts]Count `json:"o"`
-	Target [Cohorts]Count `json:"t"`
+	Route  string `json:"r"`
+	Once   bool   `json:"x,omitempty"` // its calls may run at most once
+	Old    Counts `json:"o"`
+	Target Counts `json:"t"`
 }
 
 // Evidence is what was seen of an order's two versions, by one node since it knows of
@@ -35,6 +79,41 @@
 	Routes  []RouteEvidence `json:"e,omitempty"`
 }
 
+// Route finds what was seen on a route.
+func (e Evidence) Route(name string) RouteEvidence {
+	for _, r := range e.Routes {
+		if r.Route == name {
+			return r
+		}
+	}
+	return RouteEvidence{Route: name}
+}
+
+// Plus adds what others have seen of the same order.
+func (e Evidence) Plus(o Evidence) Evidence {
+	e.Routes = slices.Clone(e.Routes)
+	for _, r := range o.Routes {
+		i := slices.IndexFunc(e.Routes, func(own RouteEvidence) bool { return own.Route == r.Route })
+		if i < 0 {
+			e.Routes = append(e.Routes, r)
+			continue
+		}
+		e.Routes[i].Old = e.Routes[i].Old.Plus(r.Old)
+		e.Routes[i].Target = e.Routes[i].Target.Plus(r.Target)
+	}
+	return e
+}
+
+// Answers is how many answers there are, of both versions and of the target.
+func (e Evidence) Answers() (all, target Count) {
+	for _, r := range e.Routes {
+		t := r.Target.Sum()
+		target = target.Plus(t)
+		all = all.Plus(t).Plus(r.Old.Sum())
+	}
+	return all, target
+}
+
 // Verdict is what evidence says of a target.
 type Verdict int
 
--- a/fleet/relay/rollout/order.go
+++ b/fleet/relay/rollout/order.go
@@ -5,7 +5,6 @@
 package rollout
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -53,8 +52,18 @@
 	Made   int64  // and that order's Made; 0 where it is not told
 	Stage  Stage
 	Share  float64       // of each node's calls that try the target while sampling
+	Parts  []Part        // shares of single routes; of the others Share holds
 	Used   time.Duration // of the order's duration when the status was written
 	Left   time.Duration // in the stage Moving: until nothing may run at old endpoints any more
+	Barred []string      // versions of earlier orders that were not found good: they get nothing
+	Writes int           // how often the status of this order was written
+}
+
+// Part is the share of one route's calls that tries the target: routes with few calls
+// need a larger one.
+type Part struct {
+	Route string
+	Share float64
 }
 
 // Stage is a part of the way while an order is in progress.
@@ -72,6 +81,7 @@
 	Status   Status
 	Revision int64     // of the object in the store
 	Learned  time.Time // when this node learned of this status, by its steady clock
+	Found    bool      // the status was there when this node first read of the order: how old it is isn't known
 }
 
 // State is the state of the order itself: a status that is about an earlier order
@@ -83,58 +93,14 @@
 	return r.Status.State
 }
 
-// Set is an immutable set of rollouts by the name of their object, at a revision of
-// the store.
-type Set struct {
-	revision int64
-	byName   map[string]Rollout
-}
-
-// Revision is the store's revision up to which the set is known.
-func (s Set) Revision() int64 { return s.revision }
-
-// Of finds the rollout of a service. Of several objects that name it the newest
-// order holds.
-func (s Set) Of(service string) (Rollout, bool) {
-	var found Rollout
-	ok := false
-	for _, r := range s.byName {
-		if r.Service == service && r.Fault() == "" && (!ok || r.Made > found.Made) {
-			found, ok = r, true
-		}
-	}
-	return found, ok
-}
-
-// All lists the rollouts by the name of their object, in order.
-func (s Set) All() []Rollout {
-	return lo.Map(slices.Sorted(maps.Keys(s.byName)), func(name string, _ int) Rollout { return s.byName[name] })
-}
-
-// Name finds a rollout by the name of its object.
-func (s Set) Name(name string) (Rollout, bool) {
-	r, ok := s.byName[name]
-	return r, ok
-}
-
-// With returns the set with the rollout of an object, which is dropped where what is
-// known of that object is newer.
-func (s Set) With(name string, r Rollout) Set {
-	if before, ok := s.byName[name]; ok && before.Revision > r.Revision {
-		return s
+// Unproven lists the versions beside the target that may not get work: those of earlier
+// orders that ended badly or were replaced before their end. The target itself may be
+// ordered again.
+func (r Rollout) Unproven() []string {
+	barred := lo.Without(r.Status.Barred, r.Target)
+	before := r.Status.Target
+	if before == "" || before == r.Target || r.Status.State == Completed || lo.Contains(barred, before) {
+		return barred
 	}
-	s.byName = lo.Assign(s.byName, map[string]Rollout{name: r})
-	return s.At(r.Revision)
-}
-
-// Without returns the set without an object that was taken away.
-func (s Set) Without(name string) Set {
-	s.byName = lo.OmitByKeys(s.byName, []string{name})
-	return s
-}
-
-// At returns the set as of a later revision of the store.
-func (s Set) At(revision int64) Set {
-	s.revision = max(s.revision, revision)
-	return s
+	return append(slices.Clone(barred), before)
 }
--- /dev/null
+++ b/fleet/relay/rollout/recorder.go
@@ -0,0 +1,112 @@
+package rollout
+
+import "math"
+
+const (
+	// slowTimes is from how many times the old version's usual slowness on an answer is
+	// slow: versions that are bad by it are several times slower, and a usual answer is
+	// one in thirty times that slow; what both versions show of it cancels out.
+	slowTimes = 2.5
+	// usualStep is how far one answer moves the usual logarithm of slowness: half of a
+	// change to twice the time shows within some 30 answers.
+	usualStep = 0.03
+	// mostRoutes bounds the evidence: a service with more is judged by the first ones.
+	mostRoutes = 24
+	// mostUnreached is how many attempts in a row without any answer may still be failed
+	// answers: after that the endpoint is out of this node's reach, which a cut does too.
+	mostUnreached = 2
+	// mostPending bounds the endpoints of which an attempt without answer is kept.
+	mostPending = 256
+)
+
+// Recorder counts one node's own evidence for an order since it knows of the order. It
+// changes in place, once an answer, and isn't safe for concurrent use.
+type Recorder struct {
+	evidence Evidence
+	usual    []float64 // by route: median of the logarithm of the old version's slowness
+	pending  map[uint64][]Sample
+}
+
+// NewRecorder returns a recorder for an order that has seen nothing.
+func NewRecorder(o Order) *Recorder {
+	return &Recorder{evidence: Evidence{Service: o.Service, Made: o.Made}, pending: map[uint64][]Sample{}}
+}
+
+// Evidence is what the node has seen so far.
+func (r *Recorder) Evidence() Evidence {
+	return Evidence{Service: r.evidence.Service, Made: r.evidence.Made}.Plus(r.evidence)
+}
+
+// Add takes an answer in. Attempts without any answer count as failed ones once the
+// endpoint answers this node again, and not at all where more than a few come in a row.
+func (r *Recorder) Add(s Sample) {
+	if s.Service != r.evidence.Service {
+		return
+	}
+	if s.Unreached {
+		r.keep(s)
+		return
+	}
+	for _, earlier := range r.pending[s.Endpoint] {
+		r.count(earlier)
+	}
+	delete(r.pending, s.Endpoint)
+	r.count(s)
+}
+
+func (r *Recorder) keep(s Sample) {
+	held, known := r.pending[s.Endpoint]
+	switch {
+	case !known && len(r.pending) >= mostPending:
+	case known && len(held) == 0: // out of reach already
+	case len(held) >= mostUnreached:
+		r.pending[s.Endpoint] = nil
+	default:
+		r.pending[s.Endpoint] = append(held, s)
+	}
+}
+
+func (r *Recorder) count(s Sample) {
+	i := r.route(s)
+	if i < 0 {
+		return
+	}
+	one := Count{Answers: 1}
+	if s.Failed || r.slow(i, s) {
+		one.Bad = 1
+	}
+	counts := &r.evidence.Routes[i].Old
+	if s.Target {
+		counts = &r.evidence.Routes[i].Target
+	}
+	c := CohortOf(s.Endpoint)
+	counts[c] = counts[c].Plus(one)
+}
+
+// route finds the place of a sample's route, or makes one; -1 where there are too many.
+func (r *Recorder) route(s Sample) int {
+	for i := range r.evidence.Routes {
+		if r.evidence.Routes[i].Route == s.Route {
+			return i
+		}
+	}
+	if len(r.usual) == mostRoutes {
+		return -1
+	}
+	r.evidence.Routes = append(r.evidence.Routes, RouteEvidence{Route: s.Route, Once: s.Once})
+	r.usual = append(r.usual, 0)
+	return len(r.usual) - 1
+}
+
+// slow is whether an answer took several times what the old version usually takes on
+// the route, and learns what that is.
+func (r *Recorder) slow(route int, s Sample) bool {
+	if s.Slowness <= 0 || s.Cold {
+		return false
+	}
+	lies := math.Log(s.Slowness) - r.usual[route]
+	if !s.Target {
+		r.usual[route] += math.Copysign(usualStep, lies)
+	}
+	return lies > math.Log(slowTimes)
+}
--- /dev/null
+++ b/fleet/relay/rollout/set.go
@@ -0,0 +1,79 @@
+package rollout
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/samber/lo"
+)
+
+// Set is an immutable set of rollouts by the name of their object, at a revision of
+// the store.
+type Set struct {
+	revision int64
+	byName   map[string]Rollout
+	used     map[string][]string // by service: versions that this node has sent calls to
+}
+
+// Revision is the store's revision up to which the set is known.
+func (s Set) Revision() int64 { return s.revision }
+
+// Of finds the rollout of a service. Of several objects that name it the newest
+// order holds.
+func (s Set) Of(service string) (Rollout, bool) {
+	var found Rollout
+	ok := false
+	for _, r := range s.byName {
+		if r.Service == service && r.Fault() == "" && (!ok || r.Made > found.Made) {
+			found, ok = r, true
+		}
+	}
+	return found, ok
+}
+
+// All lists the rollouts by the name of their object, in order.
+func (s Set) All() []Rollout {
+	return lo.Map(slices.Sorted(maps.Keys(s.byName)), func(name string, _ int) Rollout { return s.byName[name] })
+}
+
+// Name finds a rollout by the name of its object.
+func (s Set) Name(name string) (Rollout, bool) {
+	r, ok := s.byName[name]
+	return r, ok
+}
+
+// With returns the set with the rollout of an object, which is dropped where what is
+// known of that object is newer.
+func (s Set) With(name string, r Rollout) Set {
+	if before, ok := s.byName[name]; ok && before.Revision > r.Revision {
+		return s
+	}
+	s.byName = lo.Assign(s.byName, map[string]Rollout{name: r})
+	return s.At(r.Revision)
+}
+
+// Without returns the set without an object that was taken away.
+func (s Set) Without(name string) Set {
+	s.byName = lo.OmitByKeys(s.byName, []string{name})
+	return s
+}
+
+// At returns the set as of a later revision of the store.
+func (s Set) At(revision int64) Set {
+	s.revision = max(s.revision, revision)
+	return s
+}
+
+// Using returns the set of a node that has sent calls of a service to a version: later
+// endpoints of that version need no wait for the orders to be known.
+func (s Set) Using(service, version string) Set {
+	if lo.Contains(s.used[service], version) {
+		return s
+	}
+	versions := append(slices.Clone(s.used[service]), version)
+	s.used = lo.Assign(s.used, map[string][]string{service: versions})
+	return s
+}
+
+// Used is whether the node has sent calls of a service to a version.
+func (s Set) Used(service, version string) bool { return lo.Contains(s.used[service], version) }
--- /dev/null
+++ b/fleet/relay/rollout/usual.go
@@ -0,0 +1,73 @@
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// usualLong and usualShort are after how long half of what the old version showed has
+	// faded: the first bears few answers, the second follows trouble that both versions have.
+	usualLong  = 4 * time.Second
+	usualShort = 700 * time.Millisecond
+	// usualPrior is how many answers what is known before outweighs.
+	usualPrior = 10.0
+	// usualFloor is the share of bad answers of a version that shows none: its own answers
+	// that are several times slower by chance.
+	usualFloor = 0.012
+	// usualDoubt is how many standard errors the usual share is taken higher than it shows.
+	usualDoubt = 0.7
+)
+
+// fading is a count whose answers fade.
+type fading struct{ answers, bad float64 }
+
+func (f fading) with(c Count, keep float64) fading {
+	return fading{f.answers*keep + float64(c.Answers), f.bad*keep + float64(c.Bad)}
+}
+
+func (f fading) minus(o fading) fading { return fading{f.answers - o.answers, f.bad - o.bad} }
+
+func (f fading) share(prior float64) float64 {
+	return (f.bad + usualPrior*prior) / (f.answers + usualPrior)
+}
+
+// usual is what the old version shows of late on one route, by cohort.
+type usual struct{ long, short [Cohorts]fading }
+
+func (u usual) with(c Counts, passed time.Duration) usual {
+	keepLong := math.Exp2(-passed.Seconds() / usualLong.Seconds())
+	keepShort := math.Exp2(-passed.Seconds() / usualShort.Seconds())
+	for i := range c {
+		u.long[i] = u.long[i].with(c[i], keepLong)
+		u.short[i] = u.short[i].with(c[i], keepShort)
+	}
+	return u
+}
+
+// bad is the share of bad answers to expect of a version that is no worse.
+func (u usual) bad() float64 {
+	long := withoutWorst(u.long)
+	p := long.share(0)
+	short := withoutWorst(u.short)
+	p = max(p, short.share(p))
+	deviation := math.Sqrt((p*(1-p) + usualFloor/10) / (long.answers + usualPrior))
+	return min(p+usualFloor+usualDoubt*deviation, 0.95)
+}
+
+// withoutWorst sums cohorts but for the one with the greatest share of bad answers,
+// unless it is the only one.
+func withoutWorst(cohorts [Cohorts]fading) fading {
+	var sum, worst fading
+	for _, c := range cohorts {
+		sum.answers += c.answers
+		sum.bad += c.bad
+		if c.bad*(worst.answers+1) > worst.bad*(c.answers+1) {
+			worst = c
+		}
+	}
+	if rest := sum.minus(worst); rest.answers > sum.answers/10 {
+		return rest
+	}
+	return sum
+}
