Judge by calls sent, tell an ill endpoint by cohorts, try few endpoints in pulses

Cause: failures come sooner than answers and slow answers later, so that a version that has just got more calls looked worse than it is; three endpoints of three can't be filled by a twelfth of the calls.

--- a/fleet/relay/rollout/evidence.go
+++ b/fleet/relay/rollout/evidence.go
@@ -1,9 +1,11 @@
 package rollout
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
-// Sample is how one answer went, for the comparison of two versions on one route. A
-// call that already takes many times what was expected may be told before it ends, once.
+// Sample is how one answer went, for the comparison of two versions on one route.
 type Sample struct {
 	Service   string
 	Route     string
@@ -11,9 +13,11 @@
 	Target    bool   // it ran at an endpoint of the target
 	Endpoint  uint64 // hash of the endpoint's id
 	Failed    bool
-	Unreached bool    // no answer came: no connection, a reset, silence; Failed goes with it
-	Cold      bool    // the endpoint says that it is slow from its start: its slowness isn't counted
-	Slowness  float64 // time taken over time expected for its prompt and the load; 0 is not known
+	Unreached bool      // no answer came: no connection, a reset, silence; Failed goes with it
+	Cold      bool      // the endpoint says that it is slow from its start: its slowness isn't counted
+	Now       time.Time // by the node's steady clock
+	Sent      bool      // Recorder.Sent counted the call when it was sent
+	Slowness  float64   // time taken over time expected for its prompt and the load; 0 is not known
 }
 
 // Cohorts is how many groups the endpoints of a version are counted in, by the hash of
@@ -23,7 +27,9 @@
 // CohortOf is the group of an endpoint, by the hash of its id.
 func CohortOf(endpoint uint64) int { return int(mix(endpoint) % Cohorts) }
 
-// Count is answers of one version on one route.
+// Count is answers of one version on one route, with those that are still to come:
+// failures come sooner than answers, and late answers later, so that a version that has
+// just got more calls would else look worse or better than it is.
 type Count struct {
 	Answers int `json:"n,omitempty"`
 	Bad     int `json:"b,omitempty"` // failed, or several times slower than the old version's usual
@@ -104,14 +110,21 @@
 	return e
 }
 
-// Answers is how many answers there are, of both versions and of the target.
-func (e Evidence) Answers() (all, target Count) {
+// counts is the answers of both versions on a route; "" is all routes.
+func (e Evidence) counts(route string) (target, old Count) {
 	for _, r := range e.Routes {
-		t := r.Target.Sum()
-		target = target.Plus(t)
-		all = all.Plus(t).Plus(r.Old.Sum())
+		if route == "" || r.Route == route {
+			target = target.Plus(r.Target.Sum())
+			old = old.Plus(r.Old.Sum())
+		}
 	}
-	return all, target
+	return target, old
+}
+
+// Answers is how many answers there are, of both versions and of the target.
+func (e Evidence) Answers() (all, target Count) {
+	target, old := e.counts("")
+	return target.Plus(old), target
 }
 
 // Verdict is what evidence says of a target.
--- a/fleet/relay/rollout/order.go
+++ b/fleet/relay/rollout/order.go
@@ -54,7 +54,9 @@
 	Share  float64       // of each node's calls that try the target while sampling
 	Parts  []Part        // shares of single routes; of the others Share holds
 	Used   time.Duration // of the order's duration when the status was written
-	Left   time.Duration // in the stage Moving: until nothing may run at old endpoints any more
+	Filled float64       // while sampling: share that fills one endpoint as full as old ones; 0 is no pulses
+	Left   time.Duration // in the stage Moving: until old endpoints may stop
+	Full   time.Duration // and of that, how long at its end all new calls go to the target
 	Barred []string      // versions of earlier orders that were not found good: they get nothing
 	Writes int           // how often the status of this order was written
 }
--- a/fleet/relay/rollout/plan.go
+++ b/fleet/relay/rollout/plan.go
@@ -25,10 +25,14 @@
 	Now     time.Time     // by the node's steady clock
 }
 
-// ramp is how long before the stop the share of calls that could still end at old
-// endpoints rises from the sampled one to all: a version that breaks under load shows
-// that at a part of the load first.
-const ramp = 2500 * time.Millisecond
+// ramp is how long the share of calls that could still end at old endpoints takes to
+// rise from the sampled one to all: a version that breaks under load shows that at a part
+// of the load first.
+const ramp = time.Second
+
+// learnedLater is how much later than the one that decides a node may learn of a status:
+// what it sends to old endpoints ends that much sooner.
+const learnedLater = 500 * time.Millisecond
 
 // Plan is how one node routes a service's calls under a rollout: an immutable value,
 // made anew whenever the node learns something. It costs no allocation a call. The zero
@@ -37,13 +41,14 @@
 	rollout Rollout
 	ordered bool
 	state   State
-	salt    uint64 // draws of two orders are independent
-	bad     bool   // somebody found the target bad: it gets nothing, before the status says so
+	salt    uint64        // draws of two orders are independent
+	period  time.Duration // from one pulse to the next; 0 is no pulses
+	bad     bool          // somebody found the target bad: it gets nothing, before the status says so
 }
 
 // NewPlan returns the plan for a rollout.
 func NewPlan(r Rollout) Plan {
-	return Plan{rollout: r, ordered: true, state: r.State(), salt: mix(uint64(r.Made))}
+	return Plan{rollout: r, ordered: true, state: r.State(), salt: mix(uint64(r.Made)), period: period(r.Status)}
 }
 
 // WithBad returns the plan of a node that heard that the target is bad.
@@ -63,7 +68,7 @@
 		return Old
 	case p.rollout.Status.Stage == Moving:
 		return p.moving(c)
-	case c.Attempt == 0 && p.drawn(c, p.share(c)):
+	case c.Attempt == 0 && p.drawn(c, p.pulse(p.share(c), c.Now)):
 		return New
 	}
 	return Old
@@ -76,7 +81,7 @@
 	switch {
 	case c.Lasts >= left:
 		return New
-	case c.Attempt > 0:
+	case c.Attempt > 0 && left > p.rollout.Status.Full:
 		return Old
 	case p.drawn(c, p.rising(c, left)):
 		return New
@@ -84,24 +89,26 @@
 	return Old
 }
 
-// left is how long old endpoints are known to run on. A status whose age isn't known
+// left is how long old endpoints run on for certain. A status whose age isn't known
 // lets no call begin there.
 func (p *Plan) left(now time.Time) time.Duration {
 	if p.rollout.Found {
 		return 0
 	}
-	return p.rollout.Status.Left - now.Sub(p.rollout.Learned)
+	return p.rollout.Status.Left - now.Sub(p.rollout.Learned) - learnedLater
 }
 
 // rising is the share of calls that could still end at old endpoints which go to the
 // target: with the cube of time, so that half of the calls go there in the last fifth.
 func (p *Plan) rising(c Call, left time.Duration) float64 {
 	share := p.share(c)
-	begin := c.Lasts + ramp
-	if left >= begin {
+	x := float64(p.rollout.Status.Full+ramp-left) / float64(ramp)
+	switch {
+	case x <= 0:
 		return share
+	case x >= 1:
+		return 1
 	}
-	x := float64(begin-left) / float64(ramp)
 	return share + (1-share)*x*x*x
 }
 
--- a/fleet/relay/rollout/recorder.go
+++ b/fleet/relay/rollout/recorder.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// slowTimes is from how many times the old version's usual slowness on an answer is
@@ -13,8 +16,10 @@
 	// mostRoutes bounds the evidence: a service with more is judged by the first ones.
 	mostRoutes = 24
 	// mostUnreached is how many attempts in a row without any answer may still be failed
-	// answers: after that the endpoint is out of this node's reach, which a cut does too.
+	// answers, and unreachedFor how long: after that the endpoint is out of this node's
+	// reach, which a cut does too.
 	mostUnreached = 2
+	unreachedFor  = 1500 * time.Millisecond
 	// mostPending bounds the endpoints of which an attempt without answer is kept.
 	mostPending = 256
 )
@@ -37,21 +42,33 @@
 	return Evidence{Service: r.evidence.Service, Made: r.evidence.Made}.Plus(r.evidence)
 }
 
-// Add takes an answer in. Attempts without any answer count as failed ones once the
-// endpoint answers this node again, and not at all where more than a few come in a row.
-func (r *Recorder) Add(s Sample) {
+// Sent counts a call that is sent: its answer is told later, by samples that say Sent.
+func (r *Recorder) Sent(s Sample) {
+	if i := r.route(s); i >= 0 && s.Service == r.evidence.Service {
+		r.add(i, s, Count{Answers: 1})
+	}
+}
+
+// Add takes an answer in, and says whether it counts as bad. A call that was counted when
+// it was sent may be told of twice, by its first event and by its end, unless the first
+// counted as bad; another one once. Attempts without any answer count as failed ones once
+// the endpoint answers this node again soon, and not at all where more than a few come in
+// a row.
+func (r *Recorder) Add(s Sample) bool {
 	if s.Service != r.evidence.Service {
-		return
+		return false
 	}
 	if s.Unreached {
 		r.keep(s)
-		return
+		return true
 	}
 	for _, earlier := range r.pending[s.Endpoint] {
-		r.count(earlier)
+		if s.Now.Sub(earlier.Now) < unreachedFor {
+			r.count(earlier)
+		}
 	}
 	delete(r.pending, s.Endpoint)
-	r.count(s)
+	return r.count(s)
 }
 
 func (r *Recorder) keep(s Sample) {
@@ -66,15 +83,23 @@
 	}
 }
 
-func (r *Recorder) count(s Sample) {
+func (r *Recorder) count(s Sample) bool {
 	i := r.route(s)
 	if i < 0 {
-		return
+		return false
+	}
+	var one Count
+	if !s.Sent {
+		one.Answers = 1
 	}
-	one := Count{Answers: 1}
 	if s.Failed || r.slow(i, s) {
 		one.Bad = 1
 	}
+	r.add(i, s, one)
+	return one.Bad > 0
+}
+
+func (r *Recorder) add(i int, s Sample, one Count) {
 	counts := &r.evidence.Routes[i].Old
 	if s.Target {
 		counts = &r.evidence.Routes[i].Target
--- a/fleet/relay/rollout/split.go
+++ b/fleet/relay/rollout/split.go
@@ -25,17 +25,19 @@
 	All      []engine.Engine // that may get work
 }
 
-// Among lists the endpoints that a side means.
-func (l Lists) Among(s Side) []engine.Engine {
-	switch {
-	case s == Old:
+// For lists the endpoints among which an attempt chooses, by the plan.
+func (l *Lists) For(p *Plan, c Call) []engine.Engine {
+	switch p.Side(c) {
+	case Any:
+		return l.All
+	case Old:
 		return l.Old
-	case s == New && l.Rollout.Status.Stage == Sampling && l.Rollout.State() == InProgress:
-		return l.Tried
-	case s == New:
+	}
+	if p.state != InProgress || p.rollout.Status.Stage != Sampling {
 		return l.Target
 	}
-	return l.All
+	from, to := p.tried(len(l.Tried), c.Now)
+	return l.Tried[from:to]
 }
 
 // Split sorts the endpoints of a service by what its order and the order's status let
--- a/fleet/relay/rollout/usual.go
+++ b/fleet/relay/rollout/usual.go
@@ -35,7 +35,12 @@
 // usual is what the old version shows of late on one route, by cohort.
 type usual struct{ long, short [Cohorts]fading }
 
+// with takes in what the old version got in a time that passed. Where it got nothing,
+// as after the move, nothing fades: what both versions last showed is still the best guess.
 func (u usual) with(c Counts, passed time.Duration) usual {
+	if c.Sum().Answers == 0 {
+		passed = 0
+	}
 	keepLong := math.Exp2(-passed.Seconds() / usualLong.Seconds())
 	keepShort := math.Exp2(-passed.Seconds() / usualShort.Seconds())
 	for i := range c {
@@ -45,16 +50,27 @@
 	return u
 }
 
-// bad is the share of bad answers to expect of a version that is no worse.
-func (u usual) bad() float64 {
+// bad is the share of bad answers to expect of a version that is no worse. A route with
+// few calls of late takes the service's share of late for its own.
+func (u usual) bad(service float64) float64 {
 	long := withoutWorst(u.long)
 	p := long.share(0)
-	short := withoutWorst(u.short)
-	p = max(p, short.share(p))
+	p = max(p, withoutWorst(u.short).share(max(p, service)))
 	deviation := math.Sqrt((p*(1-p) + usualFloor/10) / (long.answers + usualPrior))
 	return min(p+usualFloor+usualDoubt*deviation, 0.95)
 }
 
+// lately is what all routes of the old version showed of late, without its worst cohort.
+func lately(routes []judged) float64 {
+	var sum [Cohorts]fading
+	for _, r := range routes {
+		for c, f := range r.usual.short {
+			sum[c] = fading{sum[c].answers + f.answers, sum[c].bad + f.bad}
+		}
+	}
+	return withoutWorst(sum).share(0)
+}
+
 // withoutWorst sums cohorts but for the one with the greatest share of bad answers,
 // unless it is the only one.
 func withoutWorst(cohorts [Cohorts]fading) fading {
