Read and write the orders and states of rollouts in the platform's store

The platform keeps what operators want of a service's version, and the state that the fleet records of it.

--- a/fleet/relay/peer/source.go
+++ b/fleet/relay/peer/source.go
@@ -33,7 +33,9 @@
 type objectForm struct {
 	Name     string          `json:"name"`
 	Revision int64           `json:"revision"`
+	Made     int64           `json:"made,omitempty"`
 	Data     json.RawMessage `json:"data,omitempty"`
+	Status   json.RawMessage `json:"status,omitempty"`
 }
 
 type changeForm struct {
@@ -42,11 +44,11 @@
 }
 
 func formOf(o store.Object) objectForm {
-	return objectForm{Name: o.Name, Revision: o.Revision, Data: o.Data}
+	return objectForm{Name: o.Name, Revision: o.Revision, Made: o.Made, Data: o.Data, Status: o.Status}
 }
 
 func (f objectForm) object(kind string) store.Object {
-	return store.Object{Kind: kind, Name: f.Name, Revision: f.Revision, Data: f.Data}
+	return store.Object{Kind: kind, Name: f.Name, Revision: f.Revision, Made: f.Made, Data: f.Data, Status: f.Status}
 }
 
 // mostWait bounds how long a peer's watch waits.
--- a/fleet/relay/store/counted.go
+++ b/fleet/relay/store/counted.go
@@ -71,6 +71,13 @@
 	return after, err
 }
 
+// PutStatus implements Store.
+func (c counted) PutStatus(ctx context.Context, o Object) (Object, error) {
+	after, err := c.store.PutStatus(ctx, o)
+	c.count(o.Kind, "put-status", err)
+	return after, err
+}
+
 // Ping implements Store.
 func (c counted) Ping(ctx context.Context) error {
 	err := c.store.Ping(ctx)
--- a/fleet/relay/store/store.go
+++ b/fleet/relay/store/store.go
@@ -15,7 +15,9 @@
 	Kind     string
 	Name     string
 	Revision int64           // of its last change; 0 is an object that is not there yet
+	Made     int64           // revision at which it was made; 0 is not told
 	Data     json.RawMessage // the value as JSON
+	Status   json.RawMessage // what the fleet wrote of it beside the value, as JSON; nil is nothing
 }
 
 // Event is a change of one object.
@@ -38,6 +40,9 @@
 	// error the write may have taken effect, or may yet. With ErrConflict comes
 	// the object as it is, where the store tells it.
 	Put(ctx context.Context, o Object) (Object, error)
+	// PutStatus writes an object's status, and nothing else of it, if its revision
+	// still holds; errors are those of Put.
+	PutStatus(ctx context.Context, o Object) (Object, error)
 	// Delete removes an object; ErrNotFound where there is none.
 	Delete(ctx context.Context, kind, name string) error
 	// Ping is whether the store answers at all, at the least price.
