Choose between two versions of a service by a plan, and tell how their answers go

A call of a service that moves to another version looks for its endpoint among those of the side that the plan says: drawn by its id, by how long it may take at the most and by the attempt. Its endpoints may take parts of prompts from those of the old version; a version on trial is no source, and teaches the service's model nothing. How an answer went, against what the model expects for its tokens and the load, is told where two versions are compared; a caller that left, a full endpoint and one that moved say nothing. A follower can be asked to list its kind anew at once.

Without a plan a call chooses as before.

--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -65,7 +65,9 @@
 // Request is what a choice depends on.
 type Request struct {
 	Call      call.Call
-	Engines   []engine.Engine
+	Engines   []engine.Engine // in the order of their ids
+	Sources   []engine.Engine // that parts of prompts may be taken from, in that order, too; nil: Engines
+	Trial     bool            // the endpoints are on trial: what they show is no word on the others of the service
 	Exclude   map[string]bool // ids already tried
 	Profile   Profile
 	Objective time.Duration // until the first event, from now; 0 is none
--- a/fleet/relay/choice/cost.go
+++ b/fleet/relay/choice/cost.go
@@ -23,7 +23,8 @@
 	if !r.Profile.Tokens {
 		t.ahead = int64(inFlight)
 		t.Cost = p.plainCost(r, e, s, inFlight)
-		t.FirstMs = s.speed.slower(r.Now) * m.firstMs(t.ahead)
+		t.usualMs = m.firstMs(t.ahead)
+		t.FirstMs = s.speed.slower(r.Now) * t.usualMs
 		return t
 	}
 	slower := s.speed.slower(r.Now)
@@ -39,7 +40,9 @@
 	}
 	t.Uncached = max(r.Call.PromptMax-kept, 0)
 	t.ahead = waiting + t.Uncached
-	t.FirstMs = slower*m.firstMs(t.ahead) + fetchMs + p.slotMs(m, e, inFlight)
+	first, beside := m.firstMs(t.ahead), fetchMs+p.slotMs(m, e, inFlight)
+	t.usualMs = first + beside
+	t.FirstMs = slower*first + beside
 	value := valueOf(r.Call)
 	t.Cost = value * (chanceOfMore(t.FirstMs, objectiveMs(r)) + p.tuning.Waiting*t.FirstMs/objectiveMs(r))
 	if p.tuning.Pauses {
--- a/fleet/relay/choice/placement.go
+++ b/fleet/relay/choice/placement.go
@@ -19,7 +19,8 @@
 	picker  *Picker
 	model   *model
 	request Request
-	ahead   int64 // prompt tokens before the first event, or calls in flight where there are no prompts
+	usualMs float64 // until the first event at an endpoint that is as fast as its service's usual one
+	ahead   int64   // prompt tokens before the first event, or calls in flight where there are no prompts
 	first   bool
 }
 
@@ -45,9 +46,11 @@
 	expected := t.model.firstMs(t.ahead)
 	slower := e.speed.slower(now)
 	ratio := logRatio(ms, expected)
-	t.model.ratio = t.model.ratio.with(ratio)
+	if !t.request.Trial {
+		t.model.ratio = t.model.ratio.with(ratio)
+	}
 	e.speed = e.speed.with(ratio, t.model.ratio.mean(), now)
-	if ms < outlier*slower*expected+speedBaseline {
+	if !t.request.Trial && ms < outlier*slower*expected+speedBaseline {
 		t.model.first = t.model.first.with(float64(t.ahead), ms/slower)
 	}
 }
@@ -86,7 +89,7 @@
 	if !ok {
 		return
 	}
-	if inFlight, waiting := e.total(now); waiting == 0 {
+	if inFlight, waiting := e.total(now); waiting == 0 && !t.request.Trial {
 		t.model.event = t.model.event.with(float64(inFlight), float64(gap)/float64(time.Millisecond)/e.speed.slower(now))
 	}
 }
@@ -147,7 +150,9 @@
 	case Good:
 		e.failures = 0
 		t.picker.zones.reached(t.Engine.Zone)
-		t.model.lasts = t.model.lasts.with(now.Sub(t.request.Now).Seconds())
+		if !t.request.Trial {
+			t.model.lasts = t.model.lasts.with(now.Sub(t.request.Now).Seconds())
+		}
 	case Rejected:
 		e.suspected = now.Add(suspect / rejectedPart)
 	case Bad, Unreached:
--- a/fleet/relay/choice/source.go
+++ b/fleet/relay/choice/source.go
@@ -94,9 +94,17 @@
 	return lo.SumBy(parts, func(part call.Part) int64 { return part.Tokens })
 }
 
+// sources lists the endpoints that parts may be taken from.
+func (r Request) sources() []engine.Engine {
+	if r.Sources != nil {
+		return r.Sources
+	}
+	return r.Engines
+}
+
 // soundSource finds an endpoint that parts may be taken from now.
 func (p *Picker) soundSource(r Request, id string) (engine.Engine, bool) {
-	e, listed := find(r.Engines, id)
+	e, listed := find(r.sources(), id)
 	if !listed || e.State != engine.Ready {
 		return e, false
 	}
--- a/fleet/relay/engine/engine.go
+++ b/fleet/relay/engine/engine.go
@@ -56,7 +56,17 @@
 	return d
 }
 
-// Of lists the endpoints of a service.
+// Limited returns the directory whose lists hold only some of each service's endpoints;
+// all of them are still found by id.
+func (d *Directory) Limited(allowed func(service string, all []Engine) []Engine) *Directory {
+	limited := &Directory{Revision: d.Revision, byService: make(map[string][]Engine, len(d.byService)), byID: d.byID}
+	for service, all := range d.byService {
+		limited.byService[service] = allowed(service, all)
+	}
+	return limited
+}
+
+// Of lists the endpoints of a service that may get work.
 func (d *Directory) Of(service string) []Engine { return d.byService[service] }
 
 // Get finds an endpoint by id.
--- a/fleet/relay/forward/answer.go
+++ b/fleet/relay/forward/answer.go
@@ -23,14 +23,14 @@
 	defer drop(o.resp)
 	body, err := io.ReadAll(o.resp.Body)
 	if err != nil {
-		t.Close(resultOf(ctx, choice.Bad), time.Now())
+		j.close(t, resultOf(ctx, choice.Bad), took{})
 		j.note = at("body", t, err).Error()
 		if j.mayRunAgain(ctx) {
 			return nil, true
 		}
 		return j.afterFailure(ctx), false
 	}
-	t.Close(resultOfStatus(o.resp.StatusCode), time.Now())
+	j.close(t, resultOfStatus(o.resp.StatusCode), took{whole: time.Since(o.sent)})
 	if o.resp.StatusCode < http.StatusBadRequest {
 		j.used = j.reserved
 	}
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -59,6 +59,7 @@
 	engine   string
 	note     string // what decided, for the log
 	placed   *choice.Placement
+	heard    bool // the endpoint of the last attempt answered, if not well
 	pace     pace // of the last stream
 }
 
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -98,6 +98,8 @@
 	policy    policy.Policy
 	gate      gate
 	nodes     int // in the fleet; 0 is one
+	trials    atomic.Pointer[forward.Trials]
+	samples   samples
 
 	mu   sync.Mutex
 	runs []run
@@ -166,7 +168,7 @@
 	p.Store(f.policy.Indexed())
 	d.Store(engine.NewDirectory(1, engines))
 	f.handler = forward.New(forward.Options{
-		Wire: plainWire{}, Policy: &p, Engines: &d, Allowance: f.allowance, TokenSource: noSource{},
+		Wire: plainWire{}, Policy: &p, Engines: &d, Trials: &f.trials, Samples: &f.samples, Allowance: f.allowance, TokenSource: noSource{},
 		Picker:  choice.NewPicker("z", choice.DefaultTuning()),
 		Retries: retry.NewBudget(retry.Rule{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one),
 		Gate:    &f.gate, Nodes: func() int { return max(f.nodes, 1) }, Regions: testRegions, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -27,6 +27,8 @@
 	Wire        call.Wire
 	Policy      *atomic.Pointer[policy.Policy]
 	Engines     *atomic.Pointer[engine.Directory]
+	Trials      *atomic.Pointer[Trials] // nil: no service ever moves to another version
+	Samples     Samples                 // of the services in Trials
 	Allowance   *account.Allowance
 	TokenSource TokenSource
 	Picker      *choice.Picker
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -18,7 +18,10 @@
 }
 
 // failed: the call may have run, and there is no answer to pass on.
-type failed struct{ err error }
+type failed struct {
+	err   error
+	heard bool // something answered, though not to this call
+}
 
 // answered: the head of an answer to this call has come.
 type answered struct {
--- a/fleet/relay/forward/pace.go
+++ b/fleet/relay/forward/pace.go
@@ -19,6 +19,16 @@
 	longest   time.Duration // between two events
 	since     time.Time     // when the events began that were not told yet
 	untold    int
+	events    int // since the first pieces came
+}
+
+// took is what the stream took until its first event, and between two of the others.
+func (p *pace) took() took {
+	t := took{whole: p.first}
+	if p.events > 0 {
+		t.gap = p.last.Sub(p.sent.Add(p.first)) / time.Duration(p.events)
+	}
+	return t
 }
 
 // passed notes that so many events came.
@@ -35,6 +45,7 @@
 	p.longest = max(p.longest, now.Sub(p.last))
 	p.last = now
 	p.untold += events
+	p.events += events
 	if p.untold >= paceEvery {
 		p.placement.Events(now.Sub(p.since)/time.Duration(p.untold), now)
 		p.since, p.untold = now, 0
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -72,10 +72,16 @@
 		return nil, false
 	}
 	now := time.Now()
-	return j.Picker.Pick(choice.Request{
-		Call: j.call, Engines: j.atHome(engines.Of(j.service.Name)), Exclude: tried, Profile: profile(j.service),
+	r := choice.Request{
+		Call: j.call, Exclude: tried, Profile: profile(j.service),
 		Objective: j.route.Objective - now.Sub(j.start), Gap: j.route.Gap, Cap: j.cap(), Now: now,
-	})
+	}
+	j.heard = false
+	if t := j.trial(); t != nil {
+		return j.pickBySide(t, r)
+	}
+	r.Engines = j.atHome(engines.Of(j.service.Name))
+	return j.Picker.Pick(r)
 }
 
 func profile(s policy.Service) choice.Profile {
@@ -106,17 +112,18 @@
 func (j *job) judge(ctx context.Context, t *choice.Placement, out outcome) (*refusal, bool) {
 	switch o := out.(type) {
 	case neverSent:
-		t.Close(resultOf(ctx, choice.Unreached), time.Now())
+		j.close(t, resultOf(ctx, choice.Unreached), took{})
 		j.note = o.err.Error()
 		return j.ifOver(ctx, refuseUnstarted)
 	case rejected:
-		t.Close(resultOfRejection(o), time.Now())
+		j.close(t, resultOfRejection(o), took{})
 		if j.mayRepeat(ctx) {
 			return nil, true
 		}
 		return &refuseFull, false
 	case failed:
-		t.Close(resultOf(ctx, choice.Bad), time.Now())
+		j.heard = o.heard
+		j.close(t, resultOf(ctx, choice.Bad), took{})
 		j.note = o.err.Error()
 		if j.mayRunAgain(ctx) {
 			return nil, true
@@ -176,9 +183,10 @@
 
 // answer passes an endpoint's answer on.
 func (j *job) answer(ctx context.Context, t *choice.Placement, o answered) (*refusal, bool) {
+	j.heard = true
 	if o.resp.StatusCode >= http.StatusInternalServerError && j.mayRunAgain(ctx) {
 		drop(o.resp)
-		t.Close(choice.Bad, time.Now())
+		j.close(t, choice.Bad, took{})
 		return nil, true
 	}
 	if isStream(o.resp) {
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -108,7 +108,7 @@
 	}
 	if v.CallID != j.call.ID {
 		drop(resp)
-		return failed{err: at("answer", t, errors.Newf("the answer is to call %q, status %d", v.CallID, resp.StatusCode))}
+		return failed{heard: true, err: at("answer", t, errors.Newf("the answer is to call %q, status %d", v.CallID, resp.StatusCode))}
 	}
 	if v.NotExecuted || v.Moved {
 		finishSmall(resp)
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -23,12 +23,12 @@
 		drop(o.resp)
 		if err == nil {
 			t.Paused(s.pace.longest)
-			t.Close(choice.Good, time.Now())
+			j.close(t, choice.Good, s.pace.took())
 			j.used = j.charge(s.events)
 			j.finish("streamed", o.resp.StatusCode)
 			return
 		}
-		t.Close(resultOf(ctx, choice.Bad), time.Now())
+		j.close(t, resultOf(ctx, choice.Bad), took{})
 		j.note = at("stream", t, err).Error()
 		next, out, ok := j.resume(ctx, t, s)
 		if !ok {
@@ -65,12 +65,13 @@
 	j.engine, j.placed = t.Engine.ID, t
 	out, ok := j.send(ctx, t, s.lastID).(answered)
 	if !ok {
-		t.Close(resultOf(ctx, choice.Bad), time.Now())
+		j.close(t, resultOf(ctx, choice.Bad), took{})
 		return nil, answered{}, false
 	}
+	j.heard = true
 	if out.resp.StatusCode != http.StatusOK || !isStream(out.resp) {
 		drop(out.resp)
-		t.Close(choice.Neutral, time.Now())
+		j.close(t, choice.Neutral, took{})
 		return nil, answered{}, false
 	}
 	return t, out, true
--- /dev/null
+++ b/fleet/relay/forward/trial.go
@@ -0,0 +1,152 @@
+package forward
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/policy"
+	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
+)
+
+// Trials is how the calls of services choose between two versions while they move to
+// another one, by service: immutable. A service that is not named has one list.
+type Trials map[string]*Trial
+
+// Trial is one service's plan while its order is open, and its endpoints by version in
+// the order of their ids.
+type Trial struct {
+	plan    rollout.Plan
+	version string // the target's
+	sampled bool   // the target gets a share only, and the old version may get all
+	moving  bool   // the target may get all
+	old     []engine.Engine
+	target  []engine.Engine
+	all     []engine.Engine
+}
+
+// NewTrial returns how calls choose among the endpoints that an order leaves; bad is
+// whether somebody found its target bad.
+func NewTrial(l rollout.Lists, bad bool) *Trial {
+	plan := rollout.NewPlan(l.Rollout)
+	if bad {
+		plan = plan.WithBad()
+	}
+	begun, stage := l.Rollout.State() == rollout.InProgress, l.Rollout.Status.Stage
+	return &Trial{
+		plan: plan, version: l.Rollout.Target,
+		sampled: begun && stage == rollout.Sampling, moving: begun && stage == rollout.Moving && !bad,
+		old: byID(l.Among(rollout.Old)), target: byID(l.Among(rollout.New)), all: byID(l.All),
+	}
+}
+
+func byID(engines []engine.Engine) []engine.Engine {
+	sorted := slices.Clone(engines)
+	slices.SortFunc(sorted, func(a, b engine.Engine) int { return strings.Compare(a.ID, b.ID) })
+	return sorted
+}
+
+// Samples takes in what answers show of a version. It is safe for concurrent use.
+type Samples interface {
+	Sample(s rollout.Sample)
+	// Lasts notes how long a call of a service is expected to take.
+	Lasts(service string, d time.Duration)
+}
+
+// trial is the trial of the call's service; nil is none.
+func (j *job) trial() *Trial {
+	if j.Trials == nil {
+		return nil
+	}
+	trials := j.Trials.Load()
+	if trials == nil {
+		return nil
+	}
+	return (*trials)[j.service.Name]
+}
+
+// pickBySide chooses among the endpoints of the version that the plan says.
+func (j *job) pickBySide(t *Trial, r choice.Request) (*choice.Placement, bool) {
+	c := rollout.Call{
+		Hash: xxhash.Sum64String(j.call.ID), Route: j.route.Name, Once: j.route.Kind == policy.Once,
+		Lasts: j.lasts(r), Attempt: len(r.Exclude), Now: r.Now,
+	}
+	j.Samples.Lasts(j.service.Name, c.Lasts)
+	side := t.plan.Side(c)
+	placement, ok := j.Picker.Pick(j.among(t, side, r))
+	switch {
+	case ok:
+	case side == rollout.New && t.sampled: // none of the few that are tried may take it
+		return j.Picker.Pick(j.among(t, rollout.Old, r))
+	case side == rollout.Old && t.moving: // none of the old ones is left, or fit
+		return j.Picker.Pick(j.among(t, rollout.New, r))
+	}
+	return placement, ok
+}
+
+// among fills in the endpoints of a side. New ones take parts of prompts from old ones,
+// too, so that a move does not read them all again; a version on trial is no source.
+func (j *job) among(t *Trial, side rollout.Side, r choice.Request) choice.Request {
+	switch side {
+	case rollout.Old:
+		r.Engines = j.atHome(t.old)
+	case rollout.New:
+		r.Engines, r.Sources, r.Trial = j.atHome(t.target), j.atHome(t.all), true
+	case rollout.Any:
+		r.Engines = j.atHome(t.all)
+	}
+	return r
+}
+
+// lastsMargin is how many times longer than expected a call may take, so that one in
+// some hundred does: beyond that, and in no case beyond its end, it is broken off.
+const lastsMargin = 1.6
+
+// lasts is how long an attempt may take at the most, as expected.
+func (j *job) lasts(r choice.Request) time.Duration {
+	events := int64(0)
+	if j.service.Stride > 0 {
+		events = j.call.OutputMax/j.service.Stride + 1
+	}
+	expected := j.Picker.Lasts(r.Profile, j.call.PromptMax, events, j.service.Slots)
+	return min(time.Duration(lastsMargin*float64(expected)), j.end.Sub(r.Now))
+}
+
+// took is how long an attempt took, as far as it came; 0 is not known.
+type took struct {
+	whole time.Duration // until the first event, or all of a plain call
+	gap   time.Duration // between two events, on average
+}
+
+// close ends an attempt, and tells how its answer went where two versions are compared.
+func (j *job) close(t *choice.Placement, r choice.Result, k took) {
+	now := time.Now()
+	if trial := j.trial(); trial != nil {
+		j.sample(trial, t, r, k, now)
+	}
+	t.Close(r, now)
+}
+
+// sample tells of an answer. An endpoint that was full or has moved, and a caller that
+// left, say nothing of a version.
+func (j *job) sample(trial *Trial, t *choice.Placement, r choice.Result, k took, now time.Time) {
+	s := rollout.Sample{
+		Service: j.service.Name, Route: j.route.Name, Once: j.route.Kind == policy.Once,
+		Target: t.Engine.Version == trial.version, Endpoint: t.Engine.Hash, Cold: t.Cold(),
+	}
+	switch r {
+	case choice.Good:
+		s.Slowness = t.Slowness(k.whole, k.gap, now)
+	case choice.Bad:
+		s.Failed, s.Unreached = true, !j.heard
+	case choice.Unreached:
+		s.Failed, s.Unreached = true, true
+	case choice.Rejected, choice.Gone, choice.Neutral:
+		return
+	}
+	j.Samples.Sample(s)
+}
--- /dev/null
+++ b/fleet/relay/forward/trial_test.go
@@ -0,0 +1,206 @@
+package forward_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/forward"
+	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
+)
+
+// samples keeps what was told of answers.
+type samples struct {
+	mu    sync.Mutex
+	seen  []rollout.Sample
+	lasts []time.Duration
+}
+
+func (s *samples) Sample(one rollout.Sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = append(s.seen, one)
+}
+
+func (s *samples) Lasts(_ string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lasts = append(s.lasts, d)
+}
+
+// list waits for so many samples, since one follows its answer.
+func (s *samples) list(t *testing.T, want int) []rollout.Sample {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.seen) >= want
+	}, 2*time.Second, time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
+
+var testOrder = rollout.Order{Service: "s", Target: "v2", Duration: time.Minute, Made: 7}
+
+func inProgress(s rollout.Status) rollout.Status {
+	s.State, s.Target, s.Made = rollout.InProgress, "v2", 7
+	return s
+}
+
+// movingFleet is a handler before one endpoint of the old version and some of the target
+// of an order.
+func movingFleet(t *testing.T, s rollout.Status, bad bool, old script, target ...script) *fleet {
+	t.Helper()
+	f := &fleet{policy: testPolicy(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning())}
+	f.policy.Services[0].KVCapacity = 1000
+	const tokens = 1 << 20
+	f.allowance.Budget(map[string]int64{"t": tokens})
+	f.allowance.Saw(account.Ledger{Accounts: []account.Account{{Tenant: "t", Rows: []account.Row{{Node: "n", Life: "n/1", Drawn: tokens}}}}}, 1)
+	e := f.startEngine(t, "old", old)
+	e.Version = "v1"
+	engines := []engine.Engine{e}
+	for i, s := range target {
+		e := f.startEngine(t, "target"+strconv.Itoa(i), s)
+		e.Version = "v2"
+		engines = append(engines, e)
+	}
+	f.start(t, engines)
+	d := engine.NewDirectory(1, engines)
+	set := rollout.Set{}.With("s", rollout.Rollout{Order: testOrder, Status: s, Revision: 9, Learned: time.Now()})
+	f.trials.Store(&forward.Trials{"s": forward.NewTrial(rollout.Split(d.Of("s"), set, "s"), bad)})
+	return f
+}
+
+// ran names the endpoints that calls ran at, in order.
+func (f *fleet) ran() []string {
+	return lo.Map(f.seen(), func(r run, _ int) string { return r.engine })
+}
+
+func TestCallsGoWhereThePlanSays(t *testing.T) {
+	all := inProgress(rollout.Status{Share: 1})
+	few := inProgress(rollout.Status{Share: 0})
+	ended := inProgress(rollout.Status{Share: 0, Stage: rollout.Moving})
+	long := inProgress(rollout.Status{Share: 0, Stage: rollout.Moving, Left: time.Hour})
+	cases := []struct {
+		name   string
+		status rollout.Status
+		bad    bool
+		old    script
+		target script
+		want   []string
+		code   int
+	}{
+		{"nothing is written yet", rollout.Status{}, false, good("old"), good("new"), []string{"old"}, 200},
+		{"a share of none", few, false, good("old"), good("new"), []string{"old"}, 200},
+		{"a share of all", all, false, good("old"), good("new"), []string{"target0"}, 200},
+		{"a share of all, and it is found bad", all, true, good("old"), good("new"), []string{"old"}, 200},
+		{"tried again on the old version", all, false, good("old"), status(500, false), []string{"target0", "old"}, 200},
+		{"refused as full there", all, false, good("old"), status(503, true), []string{"target0", "old"}, 200},
+		{"old ones may not run any more", ended, false, good("old"), good("new"), []string{"target0"}, 200},
+		{"they may, and the target is not found bad", long, false, good("old"), good("new"), []string{"old"}, 200},
+		{"they may, and the only one fails", long, false, status(503, true), good("new"), []string{"old", "target0"}, 200},
+		{"it does and the target is bad", long, true, status(503, true), good("new"), []string{"old"}, 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := movingFleet(t, c.status, c.bad, c.old, c.target)
+			a := f.do(t, f.request(t, http.MethodGet, "/repeat/", ""))
+			assert.Equal(t, c.code, a.status)
+			assert.Equal(t, c.want, f.ran())
+		})
+	}
+}
+
+// Where none of the few endpoints that are tried may take a call it stays where it would
+// have been.
+func TestACallThatNoTriedEndpointTakesStays(t *testing.T) {
+	f := movingFleet(t, inProgress(rollout.Status{Share: 1}), false, good("old"))
+	a := f.do(t, f.request(t, http.MethodGet, "/once/", ""))
+	assert.Equal(t, 200, a.status)
+	assert.Equal(t, []string{"old"}, f.ran())
+}
+
+func TestAnswersAreTold(t *testing.T) {
+	target := func(s rollout.Sample) rollout.Sample {
+		s.Service, s.Target = "s", true
+		return s
+	}
+	old := func(s rollout.Sample) rollout.Sample { s.Service = "s"; return s }
+	all := inProgress(rollout.Status{Share: 1, Parts: []rollout.Part{{Route: "once", Share: 1}}})
+	cases := []struct {
+		name   string
+		path   string
+		target script
+		want   []rollout.Sample
+		timed  bool // the last one tells how slow it was
+	}{
+		{"a good one", "/repeat/", good("new"), []rollout.Sample{target(rollout.Sample{Route: "repeat"})}, true},
+		{"a good one of a call that may run once", "/once/", good("new"), []rollout.Sample{target(rollout.Sample{Route: "once", Once: true})}, true},
+		{"one that failed, and went well again", "/repeat/", status(500, false), []rollout.Sample{target(rollout.Sample{Route: "repeat", Failed: true}), old(rollout.Sample{Route: "repeat"})}, true},
+		{"one that failed and may not run again", "/once/", status(500, false), []rollout.Sample{target(rollout.Sample{Route: "once", Once: true, Failed: true})}, false},
+		{"a reset", "/once/", reset, []rollout.Sample{target(rollout.Sample{Route: "once", Once: true, Failed: true, Unreached: true})}, false},
+		{"another's answer", "/once/", foreign, []rollout.Sample{target(rollout.Sample{Route: "once", Once: true, Failed: true})}, false},
+		{"half of one", "/once/", truncated, []rollout.Sample{target(rollout.Sample{Route: "once", Once: true, Failed: true})}, false},
+		{"a stream", "/stream/", events(0, 4, true), []rollout.Sample{target(rollout.Sample{Route: "stream"})}, true},
+		{"a broken stream", "/stream/", events(0, 4, false), []rollout.Sample{target(rollout.Sample{Route: "stream", Failed: true})}, false},
+		{"full", "/repeat/", status(503, true), []rollout.Sample{old(rollout.Sample{Route: "repeat"})}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := movingFleet(t, all, false, good("old"), c.target)
+			f.do(t, f.request(t, http.MethodGet, c.path, ""))
+			got := f.samples.list(t, len(c.want))
+			require.Len(t, got, len(c.want))
+			last := &got[len(got)-1]
+			assert.Equal(t, c.timed, last.Slowness > 0)
+			for i := range got {
+				assert.NotZero(t, got[i].Endpoint)
+				got[i].Endpoint, got[i].Slowness = 0, 0
+			}
+			assert.Equal(t, c.want, got)
+		})
+	}
+}
+
+func TestACallerWhoLeftSaysNothingOfAVersion(t *testing.T) {
+	f := movingFleet(t, inProgress(rollout.Status{Share: 1, Parts: []rollout.Part{{Route: "once", Share: 1}}}), false, good("old"), hang)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(100*time.Millisecond, cancel)
+	_, err := f.Client().Do(f.request(t, http.MethodGet, "/once/", "").WithContext(ctx))
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return f.left.Load() == 1 && f.handler.Open() == 0 }, 2*time.Second, time.Millisecond)
+	assert.Empty(t, f.samples.list(t, 0))
+}
+
+// How long a call may take bounds how long it may run at an endpoint that is to stop: by
+// what the model expects, and by the caller's own deadline.
+func TestALongCallIsPlacedByItsEnd(t *testing.T) {
+	moving := inProgress(rollout.Status{Stage: rollout.Moving, Left: 10 * time.Second})
+	cases := []struct {
+		name   string
+		header []string
+		want   string
+	}{
+		{"short", []string{"Prompt", "10", "Output", "3"}, "old"},
+		{"long", []string{"Prompt", "10", "Output", "3000"}, "target0"},
+		{"long, but its deadline is near", []string{"Prompt", "10", "Output", "3000", "Deadline", "1000"}, "old"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := movingFleet(t, moving, false, events(0, 4, true), events(0, 4, true))
+			a := f.do(t, f.request(t, http.MethodGet, "/stream/", "", c.header...))
+			assert.Equal(t, 200, a.status)
+			assert.Equal(t, []string{c.want}, f.ran())
+		})
+	}
+}
--- /dev/null
+++ b/fleet/relay/rollout/text.go
@@ -0,0 +1,72 @@
+package rollout
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// String names a state, for logs.
+func (s State) String() string {
+	switch s {
+	case InProgress:
+		return "in-progress"
+	case Completed:
+		return "completed"
+	case Reverted:
+		return "reverted"
+	}
+	return "ordered"
+}
+
+// String names a stage, for logs.
+func (s Stage) String() string {
+	if s == Moving {
+		return "moving"
+	}
+	return "sampling"
+}
+
+// Equal is whether two statuses say the same.
+func (s Status) Equal(o Status) bool {
+	same := s.State == o.State && s.Target == o.Target && s.Made == o.Made && s.Stage == o.Stage && s.Share == o.Share
+	same = same && s.Used == o.Used && s.Left == o.Left && s.Writes == o.Writes
+	return same && slices.Equal(s.Parts, o.Parts) && slices.Equal(s.Barred, o.Barred)
+}
+
+// Names lists the objects that the set knows, in order.
+func (s Set) Names() []string { return slices.Sorted(maps.Keys(s.byName)) }
+
+// MarshalJSON writes counts as pairs of numbers up to the last that is not nothing: they
+// are told several times a second.
+func (c Counts) MarshalJSON() ([]byte, error) {
+	var flat []int
+	for i, one := range c {
+		if one != (Count{}) {
+			flat = append(flat, make([]int, 2*i+2-len(flat))...)
+			flat[2*i], flat[2*i+1] = one.Answers, one.Bad
+		}
+	}
+	return json.Marshal(flat)
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote; a negative count can't be.
+func (c *Counts) UnmarshalJSON(data []byte) error {
+	var flat []int
+	if err := json.Unmarshal(data, &flat); err != nil {
+		return errors.Wrap(err, "counts")
+	}
+	if len(flat) > 2*Cohorts || len(flat)%2 != 0 {
+		return errors.Newf("counts: %d numbers", len(flat))
+	}
+	*c = Counts{}
+	for i := 0; i < len(flat); i += 2 {
+		if flat[i] < 0 || flat[i+1] < 0 || flat[i+1] > flat[i] {
+			return errors.Newf("counts: %d bad of %d", flat[i+1], flat[i])
+		}
+		c[i/2] = Count{Answers: flat[i], Bad: flat[i+1]}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/relay/store/again_test.go
@@ -0,0 +1,58 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// quietStore lists at once, and its watches bring nothing before they end.
+type quietStore struct {
+	store.Store
+	lists int
+}
+
+func (s *quietStore) List(context.Context, string) ([]store.Object, int64, error) {
+	s.lists++
+	return nil, int64(s.lists), nil
+}
+
+func (s *quietStore) Watch(ctx context.Context, _ string, since int64, wait time.Duration) ([]store.Event, int64, error) {
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(wait):
+		return nil, since, nil
+	}
+}
+
+// Who asks for it has the kind listed at once; else a watch ends by itself, and nothing
+// is listed again.
+func TestAKindIsListedAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &quietStore{}
+		var again store.Again
+		again.Ask() // nobody follows yet
+		var seen []string
+		go store.Follow(ctx, s, store.Watching{Kind: "k", Rest: store.Always(0), Again: &again}, func(c store.Change) { seen = append(seen, describe(c)) })
+		time.Sleep(30 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, []string{"snapshot 1", "update 1"}, seen)
+		again.Ask()
+		again.Ask()
+		synctest.Wait()
+		assert.Equal(t, []string{"snapshot 1", "update 1", "snapshot 2"}, seen)
+		time.Sleep(time.Second)
+		again.Ask()
+		synctest.Wait()
+		assert.Equal(t, []string{"snapshot 1", "update 1", "snapshot 2", "snapshot 3"}, seen)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -30,6 +30,7 @@
 	Health  *Health              // shared by a node's followers; nil is none
 	Leads   bool                 // asks for all of them while the store is lost
 	Longest func() time.Duration // that one watch may wait, so that a silent store is felt; nil is no bound of its own
+	Again   *Again               // has the kind listed anew at once; nil: nobody asks for that
 }
 
 // Always is a rest that does not change.
@@ -135,12 +136,12 @@
 
 func (f *follower) watch(parent context.Context) error {
 	wait := f.wait()
-	renew := f.Health.renewed()
+	renew, again := f.Health.renewed(), f.Again.asked()
 	ctx, cancel := context.WithTimeout(parent, wait+watchSlack)
 	defer cancel()
-	go cancelOn(ctx, cancel, renew)
+	go cancelOn(ctx, cancel, renew, again)
 	events, at, err := f.store.Watch(ctx, f.Kind, f.at, wait)
-	if err != nil && isClosed(renew) && parent.Err() == nil {
+	if err != nil && (isClosed(renew) || isClosed(again)) && parent.Err() == nil {
 		f.listed = false
 		return nil
 	}
@@ -159,10 +160,12 @@
 }
 
 // cancelOn ends a watch early where it is to be sent anew.
-func cancelOn(ctx context.Context, cancel context.CancelFunc, renew <-chan struct{}) {
+func cancelOn(ctx context.Context, cancel context.CancelFunc, renew, again <-chan struct{}) {
 	select {
 	case <-renew:
 		cancel()
+	case <-again:
+		cancel()
 	case <-ctx.Done():
 	}
 }
