Follow, judge and write rollouts at the delegates; obey them at every node

Nodes knew nothing of the versions of endpoints: a version that operators wanted a service to move to got calls as soon as its entries were seen. Where the settings have bounds for it, nodes now follow the orders through their zone's delegates, as they follow evacuations, and neither are ready nor send anything before they know them. A version that no order allows yet gets nothing: an entry of one that was never seen and is newer than the orders known has these listed again at once.

While an order is open each node tells its zone's delegates at every beat what it saw of both versions since the order, delegates tell each other their zone's, and the first of them that reaches the store writes the status under the object's revision; conflicts and lost answers are read again, refused writes wait longer each time. A version found bad is told to all nodes at once, dropped by each that hears so, and told again with every digest until the order has ended. Without an order nothing is told.

--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -29,10 +29,11 @@
 	byName   map[string]engine.Engine
 	lapsed   map[string]time.Time // entries that went while the store was in doubt, and when they are dropped
 	revision int64
+	used     map[string]map[string]bool // versions that may get work, by service, while any endpoint has them
 }
 
 func newEngineTable(n *Node) *engineTable {
-	return &engineTable{Node: n, byName: map[string]engine.Engine{}, lapsed: map[string]time.Time{}}
+	return &engineTable{Node: n, byName: map[string]engine.Engine{}, lapsed: map[string]time.Time{}, used: map[string]map[string]bool{}}
 }
 
 func (t *engineTable) apply(c store.Change) {
@@ -153,9 +154,9 @@
 }
 
 // publish hands the directory on. Nothing is sent anywhere before it is known which
-// zones are to get no new work.
+// zones, and which versions, are to get no new work.
 func (t *engineTable) publish() {
-	if t.evacuations.Load() == nil {
+	if t.evacuations.Load() == nil || t.rollouts.Load() == nil {
 		return
 	}
 	zones := t.evacuated()
@@ -171,7 +172,7 @@
 		e.ReturnedAt = zones.ReturnedAt(e.Zone)
 		all = append(all, e)
 	}
-	d := engine.NewDirectory(t.revision, all)
+	d := t.byVersion(engine.NewDirectory(t.revision, all))
 	t.engines.Store(d)
 	t.picker.Forget(func(id string) bool {
 		_, ok := d.Get(id)
--- a/fleet/relay/following.go
+++ b/fleet/relay/following.go
@@ -22,7 +22,7 @@
 // follow keeps up with what the store holds, and with the other nodes.
 func (n *Node) follow(ctx context.Context) {
 	kind, name := n.adapter.PolicyAt()
-	n.caches = map[string]*store.Cache{kind: store.NewCache(), n.adapter.EngineKind(): store.NewCache(), peer.Kind: store.NewCache(), n.adapter.EvacuationKind(): store.NewCache(), account.Kind: n.gossip.Ledgers()}
+	n.caches = map[string]*store.Cache{kind: store.NewCache(), n.adapter.EngineKind(): store.NewCache(), peer.Kind: store.NewCache(), n.adapter.EvacuationKind(): store.NewCache(), n.adapter.RolloutKind(): store.NewCache(), account.Kind: n.gossip.Ledgers()}
 	policies := store.Watching{Kind: kind, Rest: store.Always(part(policyRestPart, n.settings.Apply())), History: n.settings.History(), Health: n.health, Leads: true, Longest: n.longestWatch}
 	go func() {
 		n.awaitPeers(ctx)
@@ -34,6 +34,7 @@
 		store.Follow(ctx, n.store, engines, n.cached(n.adapter.EngineKind(), n.engineTable.apply))
 	}()
 	n.followEvacuations(ctx)
+	n.followRollouts(ctx)
 	go n.registry.Run(ctx, n.cached(peer.Kind, func(store.Change) {}))
 	go n.gossip.Run(ctx)
 	go n.syncer.Run(ctx)
--- a/fleet/relay/forward/trial.go
+++ b/fleet/relay/forward/trial.go
@@ -88,16 +88,24 @@
 	return placement, ok
 }
 
-// among fills in the endpoints of a side. New ones take parts of prompts from old ones,
-// too, so that a move does not read them all again; a version on trial is no source.
-func (j *job) among(t *Trial, side rollout.Side, r choice.Request) choice.Request {
+// Among lists the endpoints of a side.
+func (t *Trial) Among(side rollout.Side) []engine.Engine {
 	switch side {
 	case rollout.Old:
-		r.Engines = j.atHome(t.old)
+		return t.old
 	case rollout.New:
-		r.Engines, r.Sources, r.Trial = j.atHome(t.target), j.atHome(t.all), true
+		return t.target
 	case rollout.Any:
-		r.Engines = j.atHome(t.all)
+	}
+	return t.all
+}
+
+// among fills in the endpoints of a side. New ones take parts of prompts from old ones,
+// too, so that a move does not read them all again; a version on trial is no source.
+func (j *job) among(t *Trial, side rollout.Side, r choice.Request) choice.Request {
+	r.Engines = j.atHome(t.Among(side))
+	if side == rollout.New {
+		r.Sources, r.Trial = j.atHome(t.all), true
 	}
 	return r
 }
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -17,6 +17,9 @@
 	first    metric.Float64Histogram
 
 	evacuated metric.Int64Gauge
+
+	stage, answers, badAnswers metric.Int64Gauge // of rollouts
+	share                      metric.Float64Gauge
 }
 
 // latencyBuckets are seconds, from a local call to a long stream.
@@ -37,8 +40,21 @@
 		*c.to, err = m.Int64Counter(c.name, metric.WithDescription(c.what))
 		failed = errors.CombineErrors(failed, errors.Wrapf(err, "metric %s", c.name))
 	}
-	metrics.evacuated, err = m.Int64Gauge("lynxshed.relay.evacuated_zones", metric.WithDescription("availability zones whose endpoints are to get no new work"))
-	failed = errors.CombineErrors(failed, errors.Wrap(err, "metric lynxshed.relay.evacuated_zones"))
+	gauges := []struct {
+		to         *metric.Int64Gauge
+		name, what string
+	}{
+		{&metrics.evacuated, "lynxshed.relay.evacuated_zones", "availability zones whose endpoints are to get no new work"},
+		{&metrics.stage, "lynxshed.relay.rollout_stage", "of a service's rollout: 0 ordered, 1 sampling, 2 moving, 3 completed, 4 reverted"},
+		{&metrics.answers, "lynxshed.relay.rollout_answers", "answers that this node had since the open order, by version"},
+		{&metrics.badAnswers, "lynxshed.relay.rollout_bad_answers", "those of them that failed, or took several times what is usual"},
+	}
+	for _, g := range gauges {
+		*g.to, err = m.Int64Gauge(g.name, metric.WithDescription(g.what))
+		failed = errors.CombineErrors(failed, errors.Wrapf(err, "metric %s", g.name))
+	}
+	metrics.share, err = m.Float64Gauge("lynxshed.relay.rollout_share", metric.WithDescription("of a service's calls that try the target while it is sampled"))
+	failed = errors.CombineErrors(failed, errors.Wrap(err, "metric lynxshed.relay.rollout_share"))
 	histograms := []struct {
 		to         *metric.Float64Histogram
 		name, what string
@@ -74,3 +90,18 @@
 func (m *Metrics) Evacuated(zones int) {
 	m.evacuated.Record(context.Background(), int64(zones))
 }
+
+// Rollout records where a service's order stands, as this node knows.
+func (m *Metrics) Rollout(service string, stage int64, share float64) {
+	of := metric.WithAttributes(attribute.String("service", service))
+	m.stage.Record(context.Background(), stage, of)
+	m.share.Record(context.Background(), share, of)
+}
+
+// RolloutAnswers records how many answers this node had of one version on a route since
+// the open order, and how many of them were bad.
+func (m *Metrics) RolloutAnswers(service, route, version string, answers, bad int) {
+	of := metric.WithAttributes(attribute.String("service", service), attribute.String("route", route), attribute.String("version", version))
+	m.answers.Record(context.Background(), int64(answers), of)
+	m.badAnswers.Record(context.Background(), int64(bad), of)
+}
--- a/fleet/relay/peer/delegates.go
+++ b/fleet/relay/peer/delegates.go
@@ -33,6 +33,7 @@
 	at        time.Time
 	out       bool // it does not reach the store
 	elsewhere bool // a writer of another zone does, as it was told
+	noWrites  bool // it failed to write the status of a rollout of late
 }
 
 // choose names the writers among the members. One that does not reach the store goes
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -41,6 +41,7 @@
 	elsewhere   atomic.Bool // a writer of another zone reaches the store, as this one heard
 	sources     atomic.Pointer[[]store.Source]
 	client      *http.Client
+	rollouts    RolloutTalk // nil: none is ever ordered here
 
 	choosing  sync.Mutex // who writes, and what follows from it
 	delegates *delegates
@@ -58,6 +59,7 @@
 	out        bool
 	elsewhere  bool
 	reconnects uint64
+	noWrites   bool // it failed to write the status of a rollout of late
 }
 
 // Listen opens the socket for datagrams.
@@ -99,6 +101,7 @@
 		t.choose()
 	}
 	writers, reports := t.choice()
+	t.tellRollouts(writers)
 	to, budgets := t.listeners(writers)
 	if len(to) == 0 {
 		return
@@ -106,7 +109,7 @@
 	now := time.Now()
 	m := t.signed(message{
 		Number: t.number, Digests: t.picker.Digests(), Reads: t.picker.Reads(now), Out: t.out(),
-		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now),
+		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now), Rollouts: t.badWord(),
 	})
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, reports
@@ -178,6 +181,8 @@
 		for _, g := range m.Grants {
 			t.transfers.arrived(g)
 		}
+	case m.Rollouts != nil && m.Number == 0:
+		t.heardRollouts(m)
 	case m.Ledger > 0:
 		t.ledgers.told(m.Ledger, from)
 	default:
@@ -191,7 +196,7 @@
 	before := t.heard[m.Node]
 	old := before.life == m.Life && m.Number <= before.number
 	if !old {
-		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, elsewhere: m.Elsewhere, reconnects: m.Reconnects}
+		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, elsewhere: m.Elsewhere, reconnects: m.Reconnects, noWrites: before.noWrites}
 	}
 	t.mu.Unlock()
 	if old {
@@ -203,6 +208,9 @@
 	if m.Outage != nil {
 		t.transfers.allowance.Expect(*m.Outage, now)
 	}
+	if m.Rollouts != nil {
+		t.heardRollouts(m)
+	}
 	t.picker.Heard(m.Node, m.Digests, now)
 	t.picker.HeardReads(m.Reads)
 	if m.HasBudgets {
--- a/fleet/relay/peer/message.go
+++ b/fleet/relay/peer/message.go
@@ -25,7 +25,8 @@
 	Outage        *account.Outage                 `json:"outage,omitempty"`     // of the store, that is expected again
 	Requests      []transferRequest               `json:"requests,omitempty"`
 	Grants        []grant                         `json:"grants,omitempty"`
-	Ledger        int64                           `json:"ledger,omitempty"` // revision of one that the node has written
+	Rollouts      *RolloutWord                    `json:"rollouts,omitempty"` // orders that are open
+	Ledger        int64                           `json:"ledger,omitempty"`   // revision of one that the node has written
 }
 
 // signed fills in who sends a message.
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -29,6 +30,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
+	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 	"github.com/lynxshed/lynxshed/fleet/telemetry"
 )
@@ -46,6 +48,11 @@
 	// EvacuationKind names the kind in which operators ask for zones to be emptied.
 	EvacuationKind() string
 	Evacuation(store.Object) (zone string)
+	// RolloutKind names the kind in which operators ask for services to move to another
+	// version, and in whose statuses the fleet keeps how far it has come.
+	RolloutKind() string
+	Rollout(o store.Object, now time.Time) (rollout.Rollout, error)
+	RolloutStatus(rollout.Status) (json.RawMessage, error)
 }
 
 // Node is one relaying node.
@@ -60,7 +67,11 @@
 	policy      atomic.Pointer[policy.Policy]
 	engines     atomic.Pointer[engine.Directory]
 	evacuations atomic.Pointer[evacuation.Zones] // nil: not known yet
+	rollouts    atomic.Pointer[rollout.Set]      // nil: not known yet
+	moves       atomic.Pointer[forward.Trials]   // of the services whose order is open
 	engineTable *engineTable
+	trials      *trials
+	ordersAgain store.Again
 	cold        *cold.Gate
 	allowance   *account.Allowance
 	syncer      *account.Syncer
@@ -96,20 +107,21 @@
 	n.allowance = account.NewAllowance(s.Node, life, s.Budget.Tuning())
 	n.cold = cold.NewGate(s.Node, cold.Rule{Overrun: s.Cold.Overrun, Tolerance: s.Cold.Tolerance})
 	n.picker = choice.NewPicker(s.Zone, s.Choice()).WithColdGate(n.cold)
-	n.engineTable = newEngineTable(n)
+	n.engineTable, n.trials = newEngineTable(n), newTrials(n, life)
 	n.registry = peer.NewRegistry(n.store, self, n.health, s.History(), l)
 	gossip, err := peer.Listen(s.Peer, n.registry, n.picker, n.allowance, func() bool { return n.syncer.Out() })
 	if err != nil {
 		return nil, err
 	}
-	n.gossip = gossip
+	n.gossip = gossip.WithRollouts(n.trials)
+	n.trials.fleet = gossip
 	n.registry.OnChange(func(members []peer.Member) {
 		n.cold.Nodes(lo.Map(members, func(m peer.Member, _ int) string { return m.Name }), time.Now())
 	})
 	n.syncer = account.NewSyncer(n.store, n.allowance, gossip.WriterCount, gossip.Writes, n.health, l).WithWriters(gossip)
 	n.gate = overload.NewGate(overload.DefaultRule())
 	n.handler = forward.New(forward.Options{
-		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Allowance: n.allowance, Picker: n.picker,
+		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Trials: &n.moves, Samples: n.trials, Allowance: n.allowance, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
 		Gate:    n.gate, Nodes: n.registry.Count, Regions: s.Regions, Transport: forward.NewTransport(), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
@@ -192,7 +204,7 @@
 
 // Ready is whether new callers are welcome.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.policy.Load() != nil && n.engines.Load() != nil && n.evacuations.Load() != nil
+	return !n.leaving.Load() && n.policy.Load() != nil && n.engines.Load() != nil && n.evacuations.Load() != nil && n.rollouts.Load() != nil
 }
 
 // Bounds of a planned stop.
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -23,6 +24,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/evacuation"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
+	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 	"github.com/lynxshed/lynxshed/fleet/telemetry"
 )
@@ -43,6 +45,13 @@
 
 func (numbers) EvacuationKind() string           { return "evacuation" }
 func (numbers) Evacuation(o store.Object) string { return o.Name }
+func (numbers) RolloutKind() string              { return "rollout" }
+func (numbers) Rollout(o store.Object, _ time.Time) (rollout.Rollout, error) {
+	return rollout.Rollout{}, errors.New("not understood")
+}
+func (numbers) RolloutStatus(rollout.Status) (json.RawMessage, error) {
+	return nil, errors.New("not written")
+}
 
 func (a numbers) Engine(o store.Object, _ time.Time) (engine.Engine, error) {
 	if o.Revision == 0 {
@@ -58,8 +67,9 @@
 		picker: choice.NewPicker("z", choice.DefaultTuning()),
 	}
 	n.metrics, _ = NewMetrics(noop.Meter{})
-	n.engineTable = newEngineTable(n)
+	n.engineTable, n.trials = newEngineTable(n), newTrials(n, "n/1")
 	n.evacuations.Store(&evacuation.Zones{})
+	n.rollouts.Store(&rollout.Set{})
 	return n
 }
 
@@ -213,6 +223,8 @@
 		{"nothing", "{}", "line 1, column 1, field node: expected the field to be there"},
 		{"no store", `{"node":"n","zone":"z","listen":"a:1","ready":{"address":"a:2"},"peer":"a:3"}`, "line 1, column 1, field store: expected the field to be there"},
 		{"a word for a number", `{"memoryMB":"x"}`, "line 1, column 13, field memoryMB: expected a number from 0 to 1048576"},
+		{"more calls of a bad version than there are", `{"rollout":{"share":1.1}}`, "line 1, column 21, field rollout.share: expected a number from 0 to 1"},
+		{"a rollback at once", `{"rollout":{"share":0.1,"rollbackMs":0}}`, "line 1, column 38, field rollout.rollbackMs: expected a number from 100 to 3600000"},
 		{"a part beyond the whole", `{"budget":{"exposure":1.5}}`, "line 1, column 23, field budget.exposure: expected a number from 0 to 1"},
 	}
 	for _, c := range cases {
@@ -264,12 +276,14 @@
 	m.FirstEvent("route", 20*time.Millisecond)
 	m.StoreCall("kind", "put", "conflict")
 	m.Evacuated(1)
+	m.Rollout("service", 1, 0.1)
+	m.RolloutAnswers("service", "route", "old", 2, 1)
 	answer := httptest.NewRecorder()
 	told.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	listed := regexp.MustCompile(`\| (lynxshed_relay_\w+) \|`).FindAllStringSubmatch(string(page), -1)
-	require.Len(t, listed, 5)
+	require.Len(t, listed, 9)
 	for _, name := range listed {
 		assert.Contains(t, answer.Body.String(), "# TYPE "+name[1]+" ")
 	}
--- /dev/null
+++ b/fleet/relay/rollouts.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// followRollouts keeps up with the services that operators want on another version,
+// where the deployment has bounds for that. There is no rest between changes: each is
+// in force at once.
+func (n *Node) followRollouts(ctx context.Context) {
+	if !n.settings.RollsOut() {
+		n.rollouts.Store(&rollout.Set{})
+		return
+	}
+	kind := n.adapter.RolloutKind()
+	w := store.Watching{Kind: kind, Rest: store.Always(0), History: n.settings.History(), Health: n.health, Again: &n.ordersAgain}
+	go func() {
+		n.awaitPeers(ctx)
+		store.Follow(ctx, n.store, w, n.cached(kind, n.applyRollouts))
+	}()
+	go n.trials.run(ctx)
+}
+
+// applyRollouts takes orders and what the fleet agreed on for them in force; the
+// follower never hands on an older revision than one before.
+func (n *Node) applyRollouts(c store.Change) {
+	now := time.Now()
+	before := rollout.Set{}
+	if known := n.rollouts.Load(); known != nil {
+		before = *known
+	}
+	next := before
+	switch c := c.(type) {
+	case store.Snapshot:
+		listed := map[string]bool{}
+		for _, o := range c.Objects {
+			listed[o.Name] = true
+			next = next.With(o.Name, n.learned(before, o, now, true))
+		}
+		for _, name := range before.Names() {
+			if !listed[name] {
+				next = next.Without(name)
+			}
+		}
+		next = next.At(c.Revision)
+	case store.Update:
+		for _, e := range c.Events {
+			if e.Gone {
+				next = next.Without(e.Object.Name)
+				continue
+			}
+			next = next.With(e.Object.Name, n.learned(next, e.Object, now, false))
+		}
+		next = next.At(c.Revision)
+	case store.Lost:
+		n.log.WithField("dependency", "store").WithField("of", "rollouts").WithError(c.Err).Warn("lost")
+		return
+	}
+	n.rollouts.Store(&next)
+	n.logRollouts(before, next)
+	n.trials.learn(next, now)
+	n.engineTable.refresh()
+}
+
+// learned translates an object. What it says that was known already was learned then,
+// and not now; a status that is listed, and not seen to be written, may be old.
+func (n *Node) learned(before rollout.Set, o store.Object, now time.Time, listed bool) rollout.Rollout {
+	r, err := n.adapter.Rollout(o, now)
+	if err != nil {
+		n.log.WithField("object", o.Name).WithField("revision", o.Revision).WithError(err).Warn("rollout not understood")
+	}
+	known, ok := before.Name(o.Name)
+	if ok && known.Made == r.Made && known.Status.Equal(r.Status) {
+		r.Learned, r.Found = known.Learned, known.Found
+		return r
+	}
+	r.Found = r.Status.State != rollout.Ordered && (listed || !ok || known.Made != r.Made)
+	return r
+}
+
+// logRollouts tells what this node believes of rollouts from now on, a line for each
+// that changed.
+func (n *Node) logRollouts(before, next rollout.Set) {
+	for _, name := range next.Names() {
+		r, _ := next.Name(name)
+		known, ok := before.Name(name)
+		if ok && known.Order == r.Order && known.Status.Equal(r.Status) {
+			continue
+		}
+		entry := n.log.WithFields(rolloutFields(r)).WithField("object", name)
+		if fault := r.Fault(); fault != "" {
+			entry.WithField("fault", fault).Warn("rollout that makes no sense: it changes nothing")
+			continue
+		}
+		entry.Info("rollout in force")
+		n.metrics.Rollout(r.Service, stageNumber(r), r.Status.Share)
+	}
+	for _, name := range before.Names() {
+		if _, ok := next.Name(name); !ok {
+			gone, _ := before.Name(name)
+			n.log.WithFields(rolloutFields(gone)).WithField("object", name).Info("rollout taken away")
+		}
+	}
+}
+
+// rolloutFields are what a log line says of a rollout.
+func rolloutFields(r rollout.Rollout) log.Fields {
+	return log.Fields{
+		"service": r.Service, "target": r.Target, "made": r.Made, "revision": r.Revision, "durationMs": r.Duration.Milliseconds(),
+		"state": r.State().String(), "stage": r.Status.Stage.String(), "share": r.Status.Share,
+		"usedMs": r.Status.Used.Milliseconds(), "leftMs": r.Status.Left.Milliseconds(), "found": r.Found,
+	}
+}
+
+// stageNumber is how far a rollout has come, for the metrics.
+func stageNumber(r rollout.Rollout) int64 {
+	switch r.State() {
+	case rollout.InProgress:
+		return 1 + int64(r.Status.Stage)
+	case rollout.Completed:
+		return 3
+	case rollout.Reverted:
+		return 4
+	case rollout.Ordered:
+	}
+	return 0
+}
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 	"github.com/lynxshed/lynxshed/fleet/settings/schema"
 )
 
@@ -32,6 +33,7 @@
 	Retry      RetrySettings     `json:"retry"`      // the fleet's bound on what is sent again
 	Budget     BudgetSettings    `json:"budget"`     // how much of the budgets a node holds
 	Cold       ColdSettings      `json:"cold"`       // bounds on what endpoints get that have just started
+	Rollout    RolloutSettings   `json:"rollout"`    // bounds on what a bad version gets; without a share services are never moved to another version
 	Regions    map[string]string `json:"regions"`    // of the availability zones, by name
 	Disable    []string          `json:"disable"`    // mechanisms that are switched off, to measure what each is worth
 	LogLevel   string            `json:"logLevel"`   // debug, info, warn or error
@@ -65,6 +67,19 @@
 	Tolerance float64 `json:"tolerance"` // calls beyond that
 }
 
+// RolloutSettings bound what a bad version that a service is moved to gets from all
+// nodes together.
+type RolloutSettings struct {
+	Share      float64 `json:"share"`      // of the service's calls from the order to its end; 0: services are never moved
+	Tolerance  float64 `json:"tolerance"`  // calls beyond that
+	RollbackMs float64 `json:"rollbackMs"` // after so many bad answers that it shows, how soon it must get nothing
+}
+
+// Rule is the bounds as the decision takes them.
+func (r RolloutSettings) Rule() rollout.Rule {
+	return rollout.Rule{Share: r.Share, Tolerance: int(r.Tolerance), Rollback: seconds(r.RollbackMs / 1000)}
+}
+
 // BudgetSettings say how much of the budgets the nodes hold; 0 is the default.
 type BudgetSettings struct {
 	HorizonS float64 `json:"horizonS"` // seconds that holdings last at the present demand
@@ -91,9 +106,10 @@
 func DefaultSettings() Settings {
 	return Settings{
 		DrainS: 8, ContactMs: 3000, ApplyMs: 2000, LeavingMs: 2000, LogLevel: "info",
-		Ready: ReadySettings{Path: "/readyz", NoticeS: 2.8}, // two probes, one a second, and what the second one takes
-		Retry: RetrySettings{Ratio: 0.2, Slack: 20, WindowS: 10},
-		Cold:  ColdSettings{Overrun: 1},
+		Ready:   ReadySettings{Path: "/readyz", NoticeS: 2.8}, // two probes, one a second, and what the second one takes
+		Retry:   RetrySettings{Ratio: 0.2, Slack: 20, WindowS: 10},
+		Cold:    ColdSettings{Overrun: 1},
+		Rollout: RolloutSettings{RollbackMs: 5000},
 	}
 }
 
@@ -131,6 +147,11 @@
 		{Name: "overrun", Number: schema.Number(0, 100)},
 		{Name: "tolerance", Number: schema.Number(0, 1<<20)},
 	}},
+	{Name: "rollout", Fields: []schema.Field{
+		{Name: "share", Number: schema.Number(0, 1)},
+		{Name: "tolerance", Number: schema.Number(0, 1<<20)},
+		{Name: "rollbackMs", Number: schema.Number(100, 1000*mostSeconds)},
+	}},
 	{Name: "regions", Each: schema.Some},
 	{Name: "linkMbps", Number: schema.Number(0, 1<<20)},
 	{Name: "memoryMB", Number: schema.Number(0, 1<<20)},
@@ -182,6 +203,9 @@
 // Evacuates is whether operators may want zones emptied here.
 func (s Settings) Evacuates() bool { return s.EvacuateMs > 0 }
 
+// RollsOut is whether operators may want services moved to another version here.
+func (s Settings) RollsOut() bool { return s.Rollout.Share > 0 }
+
 // Notice is how long a node that is about to stop still gets callers' connections.
 func (s Settings) Notice() time.Duration { return seconds(s.Ready.NoticeS) }
 
--- /dev/null
+++ b/fleet/relay/trials.go
@@ -0,0 +1,266 @@
+package relay
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/forward"
+	"github.com/lynxshed/lynxshed/fleet/relay/peer"
+	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
+)
+
+// trials is what this node sees, hears and, as a delegate, judges of the orders that are
+// open. It is safe for concurrent use; its lock is never held while the table of
+// endpoints is asked for anything.
+type trials struct {
+	*Node
+	life  string
+	fleet delegation
+
+	mu   sync.Mutex
+	open map[string]*trial // by service
+	bad  []rollout.Warn    // that were heard, also of orders that this node does not know yet
+	fail time.Time         // until then this node counts as one that does not reach the store
+}
+
+// delegation is this node's part among the delegates, and how it tells all nodes.
+type delegation interface {
+	Writes() bool        // it is a delegate
+	FirstDelegate() bool // and the one that writes statuses
+	TellBad(rollout.Warn)
+}
+
+// trial is one open order.
+type trial struct {
+	name     string // of its object
+	rollout  rollout.Rollout
+	bad      bool // somebody found the target bad
+	ids      []string
+	counts   endpoints
+	recorder *rollout.Recorder
+	near     *rollout.Gathered // of the nodes of this zone, by their lives
+	all      *rollout.Gathered // by zone
+	words    map[string]word   // by node of this zone, and by other zone
+	lasts    lasts
+	decider  rollout.Decider
+	judged   int64 // revision of the order that the decider was told; 0: this node does not judge
+	writing  bool
+	backoff  time.Duration
+	logged   time.Time
+}
+
+// endpoints is how many endpoints of each version take new work.
+type endpoints struct{ old, target int }
+
+// word is what another node, or a zone, last said of calls at old endpoints.
+type word struct {
+	old   int
+	lasts time.Duration
+	at    time.Time
+}
+
+// Bounds of what is kept of others' words.
+const (
+	wordAge = 3 * time.Second // that a word on calls in flight counts: who says nothing for longer has ended, or is cut off and bound by the same status
+	mostBad = 32              // warnings
+)
+
+func newTrials(n *Node, life string) *trials {
+	return &trials{Node: n, life: life, open: map[string]*trial{}}
+}
+
+// learn takes in the orders and what the store holds of them.
+func (t *trials) learn(s rollout.Set, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	open := map[string]*trial{}
+	for _, name := range s.Names() {
+		r, _ := s.Name(name)
+		newest, ok := s.Of(r.Service)
+		state := r.State()
+		if !ok || newest.Made != r.Made || newest.Revision != r.Revision || state != rollout.Ordered && state != rollout.InProgress {
+			continue
+		}
+		open[r.Service] = t.opened(name, r)
+	}
+	t.open = open
+}
+
+// opened is the trial of an order: the one that is open already, or a new one.
+func (t *trials) opened(name string, r rollout.Rollout) *trial {
+	if known, ok := t.open[r.Service]; ok && known.rollout.Made == r.Made && known.rollout.Target == r.Target {
+		known.name, known.rollout = name, r
+		return known
+	}
+	opened := &trial{
+		name: name, rollout: r, recorder: rollout.NewRecorder(r.Order), words: map[string]word{},
+		near: rollout.NewGathered(r.Service, r.Made), all: rollout.NewGathered(r.Service, r.Made),
+	}
+	opened.bad = slices.ContainsFunc(t.bad, opened.isAbout)
+	return opened
+}
+
+func (o *trial) isAbout(w rollout.Warn) bool {
+	return w.Service == o.rollout.Service && w.Target == o.rollout.Target && w.Made == o.rollout.Made
+}
+
+// endpointsSeen notes which endpoints of an open order there are, whatever they may get,
+// and returns whether the target was found bad.
+func (t *trials) endpointsSeen(service string, engines []engine.Engine) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o, ok := t.open[service]
+	if !ok {
+		return false
+	}
+	old, target := lo.FilterReject(engines, func(e engine.Engine, _ int) bool { return e.Version != o.rollout.Target })
+	barred := o.rollout.Unproven()
+	ready := func(e engine.Engine) bool { return e.State == engine.Ready && !slices.Contains(barred, e.Version) }
+	o.counts = endpoints{old: lo.CountBy(old, ready), target: lo.CountBy(target, ready)}
+	o.ids = lo.Map(old, func(e engine.Engine, _ int) string { return e.ID })
+	return o.bad
+}
+
+var _ forward.Samples = (*trials)(nil)
+
+// Sample implements forward.Samples.
+func (t *trials) Sample(s rollout.Sample) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o, ok := t.open[s.Service]; ok {
+		o.recorder.Add(s)
+	}
+}
+
+// Lasts implements forward.Samples.
+func (t *trials) Lasts(service string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o, ok := t.open[service]; ok {
+		o.lasts.add(d, time.Now())
+	}
+}
+
+var _ peer.RolloutTalk = (*trials)(nil)
+
+// Own implements peer.RolloutTalk.
+func (t *trials) Own(now time.Time) []peer.RolloutSeen {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return lo.Map(t.services(), func(service string, _ int) peer.RolloutSeen {
+		o := t.open[service]
+		own := t.own(o, now)
+		return peer.RolloutSeen{Target: o.rollout.Target, Evidence: o.recorder.Evidence(), Old: own.old, LastsMs: own.lasts.Milliseconds()}
+	})
+}
+
+// own is this node's own word on calls at old endpoints.
+func (t *trials) own(o *trial, now time.Time) word {
+	return word{old: t.picker.InFlight(slices.Values(o.ids)), lasts: o.lasts.most(now), at: now}
+}
+
+// Zone implements peer.RolloutTalk.
+func (t *trials) Zone(now time.Time) []peer.RolloutSeen {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return lo.Map(t.services(), func(service string, _ int) peer.RolloutSeen {
+		o := t.open[service]
+		o.near.Take(t.life, o.recorder.Evidence())
+		sum := o.sum(t.own(o, now), now, func(from string) bool { return from[0] == ofNode })
+		return peer.RolloutSeen{Zone: t.settings.Zone, Target: o.rollout.Target, Evidence: o.near.Sum(), Old: sum.old, LastsMs: sum.lasts.Milliseconds()}
+	})
+}
+
+// services names those with an open order.
+func (t *trials) services() []string { return slices.Sorted(maps.Keys(t.open)) }
+
+// Words are kept by who said them: a node of this zone, or another zone.
+const (
+	ofNode = 'n'
+	ofZone = 'z'
+)
+
+// sum adds words up, this node's own among them.
+func (o *trial) sum(own word, now time.Time, of func(from string) bool) word {
+	for from, w := range o.words {
+		if now.Sub(w.at) < wordAge && of(from) {
+			own.old += w.old
+			own.lasts = max(own.lasts, w.lasts)
+		}
+	}
+	return own
+}
+
+// Bad implements peer.RolloutTalk.
+func (t *trials) Bad() []rollout.Warn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return lo.Filter(t.bad, func(w rollout.Warn, _ int) bool {
+		o, ok := t.open[w.Service]
+		return ok && o.isAbout(w)
+	})
+}
+
+// Out implements peer.RolloutTalk.
+func (t *trials) Out(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.fail)
+}
+
+// Heard implements peer.RolloutTalk.
+func (t *trials) Heard(from peer.Teller, w peer.RolloutWord, now time.Time) {
+	t.mu.Lock()
+	for _, seen := range w.Seen {
+		t.heardSeen(from, seen, now)
+	}
+	t.mu.Unlock()
+	for _, bad := range w.Bad {
+		t.warned(bad, from.Name)
+	}
+}
+
+func (t *trials) heardSeen(from peer.Teller, seen peer.RolloutSeen, now time.Time) {
+	o, ok := t.open[seen.Evidence.Service]
+	if !ok || o.rollout.Made != seen.Evidence.Made || o.rollout.Target != seen.Target {
+		return
+	}
+	said := word{old: max(seen.Old, 0), lasts: time.Duration(max(seen.LastsMs, 0)) * time.Millisecond, at: now}
+	switch seen.Zone {
+	case "":
+		o.near.Take(from.Life, seen.Evidence)
+		o.words[string(ofNode)+from.Name] = said
+	case t.settings.Zone:
+		o.all.Take(seen.Zone, seen.Evidence)
+	default:
+		o.all.Take(seen.Zone, seen.Evidence)
+		o.words[string(ofZone)+seen.Zone] = said
+	}
+}
+
+// warned takes in that the target of an order is bad: it gets nothing from now on.
+func (t *trials) warned(w rollout.Warn, by string) {
+	t.mu.Lock()
+	if slices.Contains(t.bad, w) || slices.ContainsFunc(t.bad, func(known rollout.Warn) bool {
+		return known.Service == w.Service && known.Target == w.Target && known.Made == w.Made
+	}) {
+		t.mu.Unlock()
+		return
+	}
+	t.bad = append(t.bad, w)
+	t.bad = t.bad[max(len(t.bad)-mostBad, 0):]
+	o, ok := t.open[w.Service]
+	about := ok && o.isAbout(w)
+	if about {
+		o.bad = true
+	}
+	t.mu.Unlock()
+	t.log.WithField("service", w.Service).WithField("target", w.Target).WithField("made", w.Made).WithField("by", by).
+		WithField("why", w.Why).WithField("known", about).Warn("version found bad: it gets nothing")
+	t.engineTable.refresh()
+}
