--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -29,11 +30,13 @@
 	byName   map[string]engine.Engine
 	lapsed   map[string]time.Time // entries that went while the store was in doubt, and when they are dropped
 	revision int64
+	listed   chan struct{} // closed once the endpoints were listed
+	once     sync.Once
 	used     map[string]map[string]bool // versions that may get work, by service, while any endpoint has them
 }
 
 func newEngineTable(n *Node) *engineTable {
-	return &engineTable{Node: n, byName: map[string]engine.Engine{}, lapsed: map[string]time.Time{}, used: map[string]map[string]bool{}}
+	return &engineTable{Node: n, byName: map[string]engine.Engine{}, lapsed: map[string]time.Time{}, listed: make(chan struct{}), used: map[string]map[string]bool{}}
 }
 
 func (t *engineTable) apply(c store.Change) {
@@ -43,6 +46,7 @@
 	case store.Snapshot:
 		t.revision = c.Revision
 		t.replace(c.Objects)
+		t.once.Do(func() { close(t.listed) })
 	case store.Update:
 		t.revision = c.Revision
 		for _, e := range c.Events {
@@ -55,6 +59,20 @@
 	t.publish()
 }
 
+// listedWait bounds how long the orders of rollouts wait for the first list of endpoints.
+const listedWait = time.Second
+
+// awaitListed returns once the endpoints were listed, or soon.
+func (t *engineTable) awaitListed(ctx context.Context) {
+	timer := time.NewTimer(listedWait)
+	defer timer.Stop()
+	select {
+	case <-t.listed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // replace takes a whole list in force; what it does not name is gone.
 func (t *engineTable) replace(objects []store.Object) {
 	listed := map[string]bool{}
--- a/fleet/relay/rollouts.go
+++ b/fleet/relay/rollouts.go
@@ -12,7 +12,8 @@
 
 // followRollouts keeps up with the services that operators want on another version,
 // where the deployment has bounds for that. There is no rest between changes: each is
-// in force at once.
+// in force at once. The orders are listed after the endpoints first, so that they are
+// known up to every entry, and need not be listed again.
 func (n *Node) followRollouts(ctx context.Context) {
 	if !n.settings.RollsOut() {
 		n.rollouts.Store(&rollout.Set{})
@@ -22,6 +23,7 @@
 	w := store.Watching{Kind: kind, Rest: store.Always(0), History: n.settings.History(), Health: n.health, Again: &n.ordersAgain}
 	go func() {
 		n.awaitPeers(ctx)
+		n.engineTable.awaitListed(ctx)
 		store.Follow(ctx, n.store, w, n.cached(kind, n.applyRollouts))
 	}()
 	go n.trials.run(ctx)
