Tell calls of compared versions when they are sent, by their first event and by their end

The judge counts calls sent, since failures come sooner than answers and late answers later: each attempt is counted as its connection takes it, told of by its first event where it is a stream, and by its end unless it counted as bad before.

--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -59,7 +59,7 @@
 	engine   string
 	note     string // what decided, for the log
 	placed   *choice.Placement
-	heard    bool // the endpoint of the last attempt answered, if not well
+	told     told // of the last attempt
 	pace     pace // of the last stream
 }
 
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -100,6 +100,7 @@
 	nodes     int // in the fleet; 0 is one
 	trials    atomic.Pointer[forward.Trials]
 	samples   samples
+	servers   []*httptest.Server // of the endpoints, in their order
 
 	mu   sync.Mutex
 	runs []run
@@ -157,6 +158,7 @@
 	}))
 	t.Cleanup(server.Close)
 	t.Cleanup(server.CloseClientConnections)
+	f.servers = append(f.servers, server)
 	return engine.Engine{ID: id, Service: "s", Address: server.Listener.Addr().String(), Slots: 8}
 }
 
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -76,7 +76,7 @@
 		Call: j.call, Exclude: tried, Profile: profile(j.service),
 		Objective: j.route.Objective - now.Sub(j.start), Gap: j.route.Gap, Cap: j.cap(), Now: now,
 	}
-	j.heard = false
+	j.told = told{}
 	if t := j.trial(); t != nil {
 		return j.pickBySide(t, r)
 	}
@@ -122,7 +122,7 @@
 		}
 		return &refuseFull, false
 	case failed:
-		j.heard = o.heard
+		j.told.heard = o.heard
 		j.close(t, resultOf(ctx, choice.Bad), took{})
 		j.note = o.err.Error()
 		if j.mayRunAgain(ctx) {
@@ -183,7 +183,7 @@
 
 // answer passes an endpoint's answer on.
 func (j *job) answer(ctx context.Context, t *choice.Placement, o answered) (*refusal, bool) {
-	j.heard = true
+	j.told.heard = true
 	if o.resp.StatusCode >= http.StatusInternalServerError && j.mayRunAgain(ctx) {
 		drop(o.resp)
 		j.close(t, choice.Bad, took{})
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -47,6 +47,7 @@
 				cancel(errTwice)
 			}
 			sent = true
+			j.tellSent(t)
 			used = info.Conn
 			use(used, true)
 			heard = whileSilent(j.patience(t), cancel)
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -68,7 +68,7 @@
 		j.close(t, resultOf(ctx, choice.Bad), took{})
 		return nil, answered{}, false
 	}
-	j.heard = true
+	j.told.heard = true
 	if out.resp.StatusCode != http.StatusOK || !isStream(out.resp) {
 		drop(out.resp)
 		j.close(t, choice.Neutral, took{})
@@ -123,9 +123,12 @@
 	if s.events == 0 {
 		s.Metrics.FirstEvent(s.route.Name, time.Since(s.start))
 	}
-	before := s.events
+	before, first := s.events, s.pace.last.IsZero()
 	s.count(whole)
 	s.pace.passed(int(s.events-before), time.Now())
+	if first && s.pace.first > 0 {
+		s.tellFirst(s.pace.placement, s.pace.first)
+	}
 	if _, err := s.w.Write(whole); err != nil {
 		return err
 	}
--- a/fleet/relay/forward/trial.go
+++ b/fleet/relay/forward/trial.go
@@ -21,12 +21,9 @@
 // the order of their ids.
 type Trial struct {
 	plan    rollout.Plan
-	version string // the target's
-	sampled bool   // the target gets a share only, and the old version may get all
-	moving  bool   // the target may get all
-	old     []engine.Engine
-	target  []engine.Engine
-	all     []engine.Engine
+	lists   rollout.Lists
+	sampled bool // the target gets a share only, and the old version may get all
+	moving  bool // the target may get all
 }
 
 // NewTrial returns how calls choose among the endpoints that an order leaves; bad is
@@ -37,13 +34,13 @@
 		plan = plan.WithBad()
 	}
 	begun, stage := l.Rollout.State() == rollout.InProgress, l.Rollout.Status.Stage
-	return &Trial{
-		plan: plan, version: l.Rollout.Target,
-		sampled: begun && stage == rollout.Sampling, moving: begun && stage == rollout.Moving && !bad,
-		old: byID(l.Among(rollout.Old)), target: byID(l.Among(rollout.New)), all: byID(l.All),
-	}
+	l.Old, l.Target, l.All = byID(l.Old), byID(l.Target), byID(l.All)
+	return &Trial{plan: plan, lists: l, sampled: begun && stage == rollout.Sampling, moving: begun && stage == rollout.Moving && !bad}
 }
 
+// Lists are the endpoints by version.
+func (t *Trial) Lists() rollout.Lists { return t.lists }
+
 func byID(engines []engine.Engine) []engine.Engine {
 	sorted := slices.Clone(engines)
 	slices.SortFunc(sorted, func(a, b engine.Engine) int { return strings.Compare(a.ID, b.ID) })
@@ -52,7 +49,11 @@
 
 // Samples takes in what answers show of a version. It is safe for concurrent use.
 type Samples interface {
-	Sample(s rollout.Sample)
+	// Sent counts a call that is sent; its answer is told later.
+	Sent(s rollout.Sample)
+	// Sample takes an answer in, and says whether it counts as bad: then it is told once.
+	// A stream may be told of by its first event, and again by its end.
+	Sample(s rollout.Sample) (bad bool)
 	// Lasts notes how long a call of a service is expected to take.
 	Lasts(service string, d time.Duration)
 }
@@ -77,37 +78,29 @@
 	}
 	j.Samples.Lasts(j.service.Name, c.Lasts)
 	side := t.plan.Side(c)
-	placement, ok := j.Picker.Pick(j.among(t, side, r))
+	r.Trial = side == rollout.New
+	placement, ok := j.pickAmong(t, t.lists.For(&t.plan, c), r)
 	switch {
 	case ok:
 	case side == rollout.New && t.sampled: // none of the few that are tried may take it
-		return j.Picker.Pick(j.among(t, rollout.Old, r))
+		r.Trial = false
+		return j.pickAmong(t, t.lists.Old, r)
 	case side == rollout.Old && t.moving: // none of the old ones is left, or fit
-		return j.Picker.Pick(j.among(t, rollout.New, r))
+		r.Trial = true
+		return j.pickAmong(t, t.lists.Target, r)
 	}
 	return placement, ok
 }
 
-// Among lists the endpoints of a side.
-func (t *Trial) Among(side rollout.Side) []engine.Engine {
-	switch side {
-	case rollout.Old:
-		return t.old
-	case rollout.New:
-		return t.target
-	case rollout.Any:
-	}
-	return t.all
-}
-
-// among fills in the endpoints of a side. New ones take parts of prompts from old ones,
-// too, so that a move does not read them all again; a version on trial is no source.
-func (j *job) among(t *Trial, side rollout.Side, r choice.Request) choice.Request {
-	r.Engines = j.atHome(t.Among(side))
-	if side == rollout.New {
-		r.Sources, r.Trial = j.atHome(t.all), true
+// pickAmong chooses among the endpoints of a side. New ones take parts of prompts from
+// old ones, too, so that a move does not read them all again; a version on trial is no
+// source.
+func (j *job) pickAmong(t *Trial, engines []engine.Engine, r choice.Request) (*choice.Placement, bool) {
+	r.Engines = j.atHome(engines)
+	if r.Trial {
+		r.Sources = j.atHome(t.lists.All)
 	}
-	return r
+	return j.Picker.Pick(r)
 }
 
 // lastsMargin is how many times longer than expected a call may take, so that one in
@@ -130,10 +123,17 @@
 	gap   time.Duration // between two events, on average
 }
 
+// told is what was told of the attempt under way, where two versions are compared.
+type told struct {
+	sent  bool // that it was sent
+	bad   bool // that its answer is bad: it is not told again
+	heard bool // the endpoint answered, if not well
+}
+
 // close ends an attempt, and tells how its answer went where two versions are compared.
 func (j *job) close(t *choice.Placement, r choice.Result, k took) {
 	now := time.Now()
-	if trial := j.trial(); trial != nil {
+	if trial := j.trial(); trial != nil && !j.told.bad {
 		j.sample(trial, t, r, k, now)
 	}
 	t.Close(r, now)
@@ -142,19 +142,38 @@
 // sample tells of an answer. An endpoint that was full or has moved, and a caller that
 // left, say nothing of a version.
 func (j *job) sample(trial *Trial, t *choice.Placement, r choice.Result, k took, now time.Time) {
-	s := rollout.Sample{
-		Service: j.service.Name, Route: j.route.Name, Once: j.route.Kind == policy.Once,
-		Target: t.Engine.Version == trial.version, Endpoint: t.Engine.Hash, Cold: t.Cold(),
-	}
+	s := j.sampleOf(trial, t, now)
 	switch r {
 	case choice.Good:
 		s.Slowness = t.Slowness(k.whole, k.gap, now)
 	case choice.Bad:
-		s.Failed, s.Unreached = true, !j.heard
+		s.Failed, s.Unreached = true, !j.told.heard
 	case choice.Unreached:
 		s.Failed, s.Unreached = true, true
 	case choice.Rejected, choice.Gone, choice.Neutral:
 		return
 	}
-	j.Samples.Sample(s)
+	j.told.bad = j.Samples.Sample(s)
+}
+
+func (j *job) sampleOf(trial *Trial, t *choice.Placement, now time.Time) rollout.Sample {
+	return rollout.Sample{
+		Service: j.service.Name, Route: j.route.Name, Once: j.route.Kind == policy.Once, Sent: j.told.sent, Now: now,
+		Target: t.Engine.Version == trial.lists.Rollout.Target, Endpoint: t.Engine.Hash, Cold: t.Cold(),
+	}
+}
+
+// tellSent tells that the call is on its way to an endpoint.
+func (j *job) tellSent(t *choice.Placement) {
+	if trial := j.trial(); trial != nil && !j.told.sent {
+		j.Samples.Sent(j.sampleOf(trial, t, time.Now()))
+		j.told.sent = true
+	}
+}
+
+// tellFirst tells of a stream by its first event, long before its end.
+func (j *job) tellFirst(t *choice.Placement, first time.Duration) {
+	if trial := j.trial(); trial != nil {
+		j.sample(trial, t, choice.Good, took{whole: first}, time.Now())
+	}
 }
--- a/fleet/relay/forward/trial_test.go
+++ b/fleet/relay/forward/trial_test.go
@@ -22,13 +22,22 @@
 type samples struct {
 	mu    sync.Mutex
 	seen  []rollout.Sample
+	sent  int
 	lasts []time.Duration
+	slow  float64 // from which slowness on an answer is bad; 0 is none
 }
 
-func (s *samples) Sample(one rollout.Sample) {
+func (s *samples) Sent(rollout.Sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent++
+}
+
+func (s *samples) Sample(one rollout.Sample) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seen = append(s.seen, one)
+	return one.Failed || s.slow > 0 && one.Slowness > s.slow
 }
 
 func (s *samples) Lasts(_ string, d time.Duration) {
@@ -132,10 +141,10 @@
 
 func TestAnswersAreTold(t *testing.T) {
 	target := func(s rollout.Sample) rollout.Sample {
-		s.Service, s.Target = "s", true
+		s.Service, s.Target, s.Sent = "s", true, true
 		return s
 	}
-	old := func(s rollout.Sample) rollout.Sample { s.Service = "s"; return s }
+	old := func(s rollout.Sample) rollout.Sample { s.Service, s.Sent = "s", true; return s }
 	all := inProgress(rollout.Status{Share: 1, Parts: []rollout.Part{{Route: "once", Share: 1}}})
 	cases := []struct {
 		name   string
@@ -143,17 +152,18 @@
 		target script
 		want   []rollout.Sample
 		timed  bool // the last one tells how slow it was
+		sent   int
 	}{
-		{"a good one", "/repeat/", good("new"), []rollout.Sample{target(rollout.Sample{Route: "repeat"})}, true},
-		{"a good one of a call that may run once", "/once/", good("new"), []rollout.Sample{target(rollout.Sample{Route: "once", Once: true})}, true},
-		{"one that failed, and went well again", "/repeat/", status(500, false), []rollout.Sample{target(rollout.Sample{Route: "repeat", Failed: true}), old(rollout.Sample{Route: "repeat"})}, true},
-		{"one that failed and may not run again", "/once/", status(500, false), []rollout.Sample{target(rollout.Sample{Route: "once", Once: true, Failed: true})}, false},
-		{"a reset", "/once/", reset, []rollout.Sample{target(rollout.Sample{Route: "once", Once: true, Failed: true, Unreached: true})}, false},
-		{"another's answer", "/once/", foreign, []rollout.Sample{target(rollout.Sample{Route: "once", Once: true, Failed: true})}, false},
-		{"half of one", "/once/", truncated, []rollout.Sample{target(rollout.Sample{Route: "once", Once: true, Failed: true})}, false},
-		{"a stream", "/stream/", events(0, 4, true), []rollout.Sample{target(rollout.Sample{Route: "stream"})}, true},
-		{"a broken stream", "/stream/", events(0, 4, false), []rollout.Sample{target(rollout.Sample{Route: "stream", Failed: true})}, false},
-		{"full", "/repeat/", status(503, true), []rollout.Sample{old(rollout.Sample{Route: "repeat"})}, true},
+		{"a good one", "/repeat/", good("new"), []rollout.Sample{target(rollout.Sample{Route: "repeat"})}, true, 1},
+		{"a good one of a call that may run once", "/once/", good("new"), []rollout.Sample{target(rollout.Sample{Route: "once", Once: true})}, true, 1},
+		{"one that failed, and went well again", "/repeat/", status(500, false), []rollout.Sample{target(rollout.Sample{Route: "repeat", Failed: true}), old(rollout.Sample{Route: "repeat"})}, true, 2},
+		{"one that failed and may not run again", "/once/", status(500, false), []rollout.Sample{target(rollout.Sample{Route: "once", Once: true, Failed: true})}, false, 1},
+		{"a reset", "/once/", reset, []rollout.Sample{target(rollout.Sample{Route: "once", Once: true, Failed: true, Unreached: true})}, false, 1},
+		{"another's answer", "/once/", foreign, []rollout.Sample{target(rollout.Sample{Route: "once", Once: true, Failed: true})}, false, 1},
+		{"half of one", "/once/", truncated, []rollout.Sample{target(rollout.Sample{Route: "once", Once: true, Failed: true})}, false, 1},
+		{"a stream", "/stream/", events(0, 4, true), []rollout.Sample{target(rollout.Sample{Route: "stream"}), target(rollout.Sample{Route: "stream"})}, true, 1},
+		{"a broken stream", "/stream/", events(0, 4, false), []rollout.Sample{target(rollout.Sample{Route: "stream"}), target(rollout.Sample{Route: "stream", Failed: true})}, false, 1},
+		{"full", "/repeat/", status(503, true), []rollout.Sample{old(rollout.Sample{Route: "repeat"})}, true, 2},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -165,13 +175,36 @@
 			assert.Equal(t, c.timed, last.Slowness > 0)
 			for i := range got {
 				assert.NotZero(t, got[i].Endpoint)
-				got[i].Endpoint, got[i].Slowness = 0, 0
+				assert.NotZero(t, got[i].Now)
+				got[i].Endpoint, got[i].Slowness, got[i].Now = 0, 0, time.Time{}
 			}
 			assert.Equal(t, c.want, got)
+			assert.Equal(t, c.sent, f.samples.sent)
 		})
 	}
 }
 
+// A stream whose first event counts as bad already is not told of again.
+func TestABadStreamIsToldOnce(t *testing.T) {
+	f := movingFleet(t, inProgress(rollout.Status{Share: 1}), false, good("old"), events(0, 4, false))
+	f.samples.slow = 1e-9
+	f.do(t, f.request(t, http.MethodGet, "/stream/", ""))
+	require.Eventually(t, func() bool { return f.handler.Open() == 0 }, 2*time.Second, time.Millisecond)
+	assert.Len(t, f.samples.list(t, 1), 1)
+}
+
+// A call that never left says nothing of having been sent.
+func TestACallThatNeverLeftWasNotSent(t *testing.T) {
+	f := movingFleet(t, inProgress(rollout.Status{Share: 1}), false, good("old"), good("new"))
+	f.servers[1].Close()
+	a := f.do(t, f.request(t, http.MethodGet, "/repeat/", ""))
+	assert.Equal(t, 200, a.status)
+	got := f.samples.list(t, 2)
+	assert.True(t, got[0].Unreached)
+	assert.False(t, got[0].Sent)
+	assert.Equal(t, 1, f.samples.sent)
+}
+
 func TestACallerWhoLeftSaysNothingOfAVersion(t *testing.T) {
 	f := movingFleet(t, inProgress(rollout.Status{Share: 1, Parts: []rollout.Part{{Route: "once", Share: 1}}}), false, good("old"), hang)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/fleet/relay/rollouts_test.go
+++ b/fleet/relay/rollouts_test.go
@@ -81,7 +81,7 @@
 	}
 	all = ids(n.engines.Load().Of(service))
 	if t := (*n.moves.Load())[service]; t != nil {
-		beside = ids(t.Among(rollout.New))
+		beside = ids(t.Lists().Target)
 	}
 	return all, beside
 }
--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -55,7 +55,10 @@
 }
 
 // endpoints is how many endpoints of each version take new work.
-type endpoints struct{ old, target int }
+type endpoints struct {
+	old, target int
+	coldUntil   []time.Time // of the target's that said that they are slow from their start
+}
 
 // word is what another node, or a zone, last said of calls at old endpoints.
 type word struct {
@@ -121,22 +124,31 @@
 	old, target := lo.FilterReject(engines, func(e engine.Engine, _ int) bool { return e.Version != o.rollout.Target })
 	barred := o.rollout.Unproven()
 	ready := func(e engine.Engine) bool { return e.State == engine.Ready && !slices.Contains(barred, e.Version) }
-	o.counts = endpoints{old: lo.CountBy(old, ready), target: lo.CountBy(target, ready)}
+	cold := lo.FilterMap(target, func(e engine.Engine, _ int) (time.Time, bool) { return e.ColdUntil, ready(e) && !e.ColdUntil.IsZero() })
+	o.counts = endpoints{old: lo.CountBy(old, ready), target: lo.CountBy(target, ready), coldUntil: cold}
 	o.ids = lo.Map(old, func(e engine.Engine, _ int) string { return e.ID })
 	return o.bad
 }
 
 var _ forward.Samples = (*trials)(nil)
 
-// Sample implements forward.Samples.
-func (t *trials) Sample(s rollout.Sample) {
+// Sent implements forward.Samples.
+func (t *trials) Sent(s rollout.Sample) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if o, ok := t.open[s.Service]; ok {
-		o.recorder.Add(s)
+		o.recorder.Sent(s)
 	}
 }
 
+// Sample implements forward.Samples.
+func (t *trials) Sample(s rollout.Sample) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o, ok := t.open[s.Service]
+	return ok && o.recorder.Add(s)
+}
+
 // Lasts implements forward.Samples.
 func (t *trials) Lasts(service string, d time.Duration) {
 	t.mu.Lock()
--- a/fleet/relay/trials_judge.go
+++ b/fleet/relay/trials_judge.go
@@ -92,7 +92,7 @@
 	o.all.Take(t.settings.Zone, o.near.Sum())
 	evidence := o.all.Sum()
 	sum := o.sum(t.own(o, now), now, func(string) bool { return true })
-	hand(rollout.Tick{Now: now, Old: o.counts.old, Target: o.counts.target, OldInFlight: sum.old, Lasts: sum.lasts, Decides: decides})
+	hand(rollout.Tick{Now: now, Old: o.counts.old, Target: o.counts.target, Cold: o.counts.cold(now), OldInFlight: sum.old, Lasts: sum.lasts, Decides: decides})
 	hand(rollout.Told{Evidence: evidence, Now: now})
 	if o.bad {
 		hand(rollout.Heard{Target: o.rollout.Target, Made: o.rollout.Made, Why: t.whyBad(o), Now: now})
@@ -123,6 +123,11 @@
 	return true
 }
 
+// cold is how many endpoints of the target are slow from their start now.
+func (e endpoints) cold(now time.Time) int {
+	return lo.CountBy(e.coldUntil, func(until time.Time) bool { return now.Before(until) })
+}
+
 func (t *trials) whyBad(o *trial) string {
 	w, _ := lo.Find(t.bad, o.isAbout)
 	return w.Why
