--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 )
@@ -17,6 +18,8 @@
 	first    metric.Float64Histogram
 
 	evacuated metric.Int64Gauge
+	link      metric.Float64Gauge
+	intake    metric.Int64Gauge
 
 	stage, answers, badAnswers metric.Int64Gauge // of rollouts
 	share                      metric.Float64Gauge
@@ -46,6 +49,7 @@
 	}{
 		{&metrics.evacuated, "lynxshed.relay.evacuated_zones", "availability zones whose endpoints are to get no new work"},
 		{&metrics.stage, "lynxshed.relay.rollout_stage", "of a service's rollout: 0 ordered, 1 sampling, 2 moving, 3 completed, 4 reverted"},
+		{&metrics.intake, "lynxshed.relay.intake_open", "1 while new connections are welcome as far as the link goes, 0 while one customer's callers fill it"},
 		{&metrics.answers, "lynxshed.relay.rollout_answers", "answers that this node had since the open order, by version"},
 		{&metrics.badAnswers, "lynxshed.relay.rollout_bad_answers", "those of them that failed, or took several times what is usual"},
 	}
@@ -53,8 +57,17 @@
 		*g.to, err = m.Int64Gauge(g.name, metric.WithDescription(g.what))
 		failed = errors.CombineErrors(failed, errors.Wrapf(err, "metric %s", g.name))
 	}
-	metrics.share, err = m.Float64Gauge("lynxshed.relay.rollout_share", metric.WithDescription("of a service's calls that try the target while it is sampled"))
-	failed = errors.CombineErrors(failed, errors.Wrap(err, "metric lynxshed.relay.rollout_share"))
+	floats := []struct {
+		to         *metric.Float64Gauge
+		name, what string
+	}{
+		{&metrics.link, "lynxshed.relay.link_used", "share of the VM's link that is used, the fuller way, smoothed"},
+		{&metrics.share, "lynxshed.relay.rollout_share", "of a service's calls that try the target while it is sampled"},
+	}
+	for _, g := range floats {
+		*g.to, err = m.Float64Gauge(g.name, metric.WithDescription(g.what))
+		failed = errors.CombineErrors(failed, errors.Wrapf(err, "metric %s", g.name))
+	}
 	histograms := []struct {
 		to         *metric.Float64Histogram
 		name, what string
@@ -105,3 +118,9 @@
 	m.answers.Record(context.Background(), int64(answers), of)
 	m.badAnswers.Record(context.Background(), int64(bad), of)
 }
+
+// Link records how full the link is, and whether new connections are welcome.
+func (m *Metrics) Link(used float64, open bool) {
+	m.link.Record(context.Background(), used)
+	m.intake.Record(context.Background(), lo.Ternary[int64](open, 1, 0))
+}
