Let a delegate that found a status come after those that saw it written

In a trial with four processes the decider was killed and started again at 5 s of an order of 12 s: it was the first again at once, did not know how old the status was, took the worst for it and completed the order at 8 s; all killed at 2 s, the next life began the move without having heard any node. Delegates now say that they found a status, and come after those that saw it written; one that found it hears others for a second before it decides anything.

--- a/fleet/relay/peer/delegates.go
+++ b/fleet/relay/peer/delegates.go
@@ -34,6 +34,7 @@
 	out       bool // it does not reach the store
 	elsewhere bool // a writer of another zone does, as it was told
 	noWrites  bool // it failed to write the status of a rollout of late
+	blind     bool // it found the status of a rollout, and did not see it written
 }
 
 // choose names the writers among the members. One that does not reach the store goes
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -60,6 +60,7 @@
 	elsewhere  bool
 	reconnects uint64
 	noWrites   bool // it failed to write the status of a rollout of late
+	blind      bool // it found the status of a rollout, and did not see it written
 }
 
 // Listen opens the socket for datagrams.
@@ -196,7 +197,7 @@
 	before := t.heard[m.Node]
 	old := before.life == m.Life && m.Number <= before.number
 	if !old {
-		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, elsewhere: m.Elsewhere, reconnects: m.Reconnects, noWrites: before.noWrites}
+		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, elsewhere: m.Elsewhere, reconnects: m.Reconnects, noWrites: before.noWrites, blind: before.blind}
 	}
 	t.mu.Unlock()
 	if old {
--- a/fleet/relay/peer/roles.go
+++ b/fleet/relay/peer/roles.go
@@ -139,5 +139,5 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.heard[name]
-	return word{at: h.at, out: h.out, elsewhere: h.elsewhere, noWrites: h.noWrites}
+	return word{at: h.at, out: h.out, elsewhere: h.elsewhere, noWrites: h.noWrites, blind: h.blind}
 }
--- a/fleet/relay/peer/rollouts.go
+++ b/fleet/relay/peer/rollouts.go
@@ -18,8 +18,9 @@
 // RolloutWord is what one node tells of the orders that are open.
 type RolloutWord struct {
 	Seen []RolloutSeen  `json:"seen,omitempty"`
-	Bad  []rollout.Warn `json:"bad,omitempty"` // targets that somebody found bad
-	Out  bool           `json:"out,omitempty"` // the teller failed to write a status of late
+	Bad  []rollout.Warn `json:"bad,omitempty"`  // targets that somebody found bad
+	Out  bool           `json:"out,omitempty"`  // the teller failed to write a status of late
+	Late bool           `json:"late,omitempty"` // the teller found a status, and does not know how old it is
 }
 
 // RolloutSeen is what was seen of one order.
@@ -38,6 +39,7 @@
 	Zone(now time.Time) []RolloutSeen // for the delegates of other zones
 	Bad() []rollout.Warn
 	Out(now time.Time) bool // whether the node failed to write of late
+	Blind() bool            // whether it does not know how old the status of an open order is
 	Heard(from Teller, w RolloutWord, now time.Time)
 }
 
@@ -61,7 +63,7 @@
 		return
 	}
 	near, far := t.delegateAddresses(delegates)
-	w := RolloutWord{Seen: own, Bad: t.rollouts.Bad(), Out: t.rollouts.Out(now)}
+	w := RolloutWord{Seen: own, Bad: t.rollouts.Bad(), Out: t.rollouts.Out(now), Late: t.rollouts.Blind()}
 	t.send(t.signed(message{Rollouts: &w}), near...)
 	if delegates[self.Name] && len(far) > 0 {
 		w.Seen = t.rollouts.Zone(now)
@@ -122,8 +124,8 @@
 func (t *Gossip) heardRollouts(m message) {
 	if t.rollouts != nil {
 		t.mu.Lock()
-		if h, ok := t.heard[m.Node]; ok {
-			h.noWrites = m.Rollouts.Out
+		if h, ok := t.heard[m.Node]; ok && m.Number == 0 {
+			h.noWrites, h.blind = m.Rollouts.Out, m.Rollouts.Late
 			t.heard[m.Node] = h
 		}
 		t.mu.Unlock()
@@ -132,23 +134,34 @@
 }
 
 // FirstDelegate is whether this node comes first, in the order that all nodes share,
-// among the delegates that are heard and reach the store.
+// among the delegates that are heard and reach the store. One that found a status, and
+// did not see it written, comes after those that did: they know how old it is.
 func (t *Gossip) FirstDelegate() bool {
 	t.choosing.Lock()
 	chosen, order := t.chosen, t.delegates.order
 	t.choosing.Unlock()
-	for _, m := range order {
-		switch {
-		case !chosen[m.Name]:
-		case m.Name == t.registry.self.Name:
-			return !t.out() && !t.rollouts.Out(time.Now())
-		default:
-			if w := t.word(m.Name); !w.out && !w.noWrites && !w.at.IsZero() && time.Since(w.at) < firstSilent {
-				return false
-			}
-		}
+	fit := lo.Filter(order, func(m Member, _ int) bool { return chosen[m.Name] && t.mayWrite(m) })
+	first, ok := lo.Find(fit, func(m Member) bool { return !t.isBlind(m) })
+	if !ok && len(fit) > 0 {
+		first, ok = fit[0], true
+	}
+	return ok && first.Name == t.registry.self.Name
+}
+
+// mayWrite is whether a delegate is heard, and reaches the store as far as it says.
+func (t *Gossip) mayWrite(m Member) bool {
+	if m.Name == t.registry.self.Name {
+		return !t.out() && !t.rollouts.Out(time.Now())
+	}
+	w := t.word(m.Name)
+	return !w.out && !w.noWrites && !w.at.IsZero() && time.Since(w.at) < firstSilent
+}
+
+func (t *Gossip) isBlind(m Member) bool {
+	if m.Name == t.registry.self.Name {
+		return t.rollouts.Blind()
 	}
-	return false
+	return t.word(m.Name).blind
 }
 
 // firstSilent is after how long a delegate that is not heard does not count as the first
--- a/fleet/relay/peer/rollouts_test.go
+++ b/fleet/relay/peer/rollouts_test.go
@@ -20,6 +20,7 @@
 	seen []RolloutSeen
 	bad  []rollout.Warn
 	out  bool
+	late bool
 
 	mu    sync.Mutex
 	heard []RolloutWord
@@ -33,6 +34,7 @@
 
 func (k *talk) Bad() []rollout.Warn { return k.bad }
 func (k *talk) Out(time.Time) bool  { return k.out }
+func (k *talk) Blind() bool         { return k.late }
 
 func (k *talk) Heard(_ Teller, w RolloutWord, _ time.Time) {
 	k.mu.Lock()
@@ -80,24 +82,29 @@
 		heard  map[string]heard
 		out    bool // this node, c
 		failed bool // it failed to write
+		late   bool // it found the status
 		want   bool
 	}{
-		{"another comes first", []string{"a", "c"}, map[string]heard{"a": {at: now}}, false, false, false},
-		{"the ones before are no delegates", []string{"c", "d"}, map[string]heard{"a": {at: now}}, false, false, true},
-		{"the one before does not reach the store", []string{"a", "c"}, map[string]heard{"a": {at: now, out: true}}, false, false, true},
-		{"the one before failed to write", []string{"a", "c"}, map[string]heard{"a": {at: now, noWrites: true}}, false, false, true},
-		{"the one before is silent", []string{"a", "c"}, map[string]heard{"a": {at: now.Add(-2 * firstSilent)}}, false, false, true},
-		{"the one before was never heard", []string{"a", "c"}, nil, false, false, true},
-		{"one of those before is fit", []string{"a", "b", "c"}, map[string]heard{"a": {at: now, out: true}, "b": {at: now}}, false, false, false},
-		{"no delegate", []string{"a"}, nil, false, false, false},
-		{"it does not reach the store itself", []string{"c"}, nil, true, false, false},
-		{"it failed to write itself", []string{"c", "d"}, nil, false, true, false},
+		{"another comes first", []string{"a", "c"}, map[string]heard{"a": {at: now}}, false, false, false, false},
+		{"the ones before are no delegates", []string{"c", "d"}, map[string]heard{"a": {at: now}}, false, false, false, true},
+		{"the one before does not reach the store", []string{"a", "c"}, map[string]heard{"a": {at: now, out: true}}, false, false, false, true},
+		{"the one before failed to write", []string{"a", "c"}, map[string]heard{"a": {at: now, noWrites: true}}, false, false, false, true},
+		{"the one before is silent", []string{"a", "c"}, map[string]heard{"a": {at: now.Add(-2 * firstSilent)}}, false, false, false, true},
+		{"the one before was never heard", []string{"a", "c"}, nil, false, false, false, true},
+		{"one of those before is fit", []string{"a", "b", "c"}, map[string]heard{"a": {at: now, out: true}, "b": {at: now}}, false, false, false, false},
+		{"no delegate", []string{"a"}, nil, false, false, false, false},
+		{"it does not reach the store itself", []string{"c"}, nil, true, false, false, false},
+		{"it failed to write itself", []string{"c", "d"}, nil, false, true, false, false},
+		{"the one before found the status", []string{"a", "c"}, map[string]heard{"a": {at: now, blind: true}}, false, false, false, true},
+		{"all found it, and another comes first", []string{"a", "c"}, map[string]heard{"a": {at: now, blind: true}}, false, false, true, false},
+		{"it found the status, and one that comes later saw it written", []string{"c", "d"}, map[string]heard{"d": {at: now}}, false, false, true, false},
+		{"it found the status, and is alone", []string{"c", "d"}, nil, false, false, true, true},
 	}
 	for _, c := range cases {
 		g := gossipOf("c", order)
 		g.delegates = &delegates{order: order}
 		g.chosen = lo.SliceToMap(c.chosen, func(name string) (string, bool) { return name, true })
-		g.heard, g.out, g.rollouts = c.heard, func() bool { return c.out }, &talk{out: c.failed}
+		g.heard, g.out, g.rollouts = c.heard, func() bool { return c.out }, &talk{out: c.failed, late: c.late}
 		assert.Equal(t, c.want, g.FirstDelegate(), c.name)
 	}
 }
--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -52,6 +52,7 @@
 	writing  bool
 	backoff  time.Duration
 	logged   time.Time
+	opened   time.Time // when this node learned of the order
 }
 
 // endpoints is how many endpoints of each version take new work.
@@ -89,19 +90,19 @@
 		if !ok || newest.Made != r.Made || newest.Revision != r.Revision || state != rollout.Ordered && state != rollout.InProgress {
 			continue
 		}
-		open[r.Service] = t.opened(name, r)
+		open[r.Service] = t.opened(name, r, now)
 	}
 	t.open = open
 }
 
 // opened is the trial of an order: the one that is open already, or a new one.
-func (t *trials) opened(name string, r rollout.Rollout) *trial {
+func (t *trials) opened(name string, r rollout.Rollout, now time.Time) *trial {
 	if known, ok := t.open[r.Service]; ok && known.rollout.Made == r.Made && known.rollout.Target == r.Target {
 		known.name, known.rollout = name, r
 		return known
 	}
 	opened := &trial{
-		name: name, rollout: r, recorder: rollout.NewRecorder(r.Order), words: map[string]word{},
+		name: name, rollout: r, opened: now, recorder: rollout.NewRecorder(r.Order), words: map[string]word{},
 		near: rollout.NewGathered(r.Service, r.Made), all: rollout.NewGathered(r.Service, r.Made),
 	}
 	opened.bad = slices.ContainsFunc(t.bad, opened.isAbout)
@@ -232,6 +233,13 @@
 	return now.Before(t.fail)
 }
 
+// Blind implements peer.RolloutTalk.
+func (t *trials) Blind() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return lo.SomeBy(lo.Values(t.open), func(o *trial) bool { return o.rollout.Found })
+}
+
 // Heard implements peer.RolloutTalk.
 func (t *trials) Heard(from peer.Teller, w peer.RolloutWord, now time.Time) {
 	t.mu.Lock()
--- a/fleet/relay/trials_judge.go
+++ b/fleet/relay/trials_judge.go
@@ -19,6 +19,7 @@
 	statusBackoff = 300 * time.Millisecond // after a write that failed; twice as long after each more
 	statusSlowest = 1200 * time.Millisecond
 	failsFor      = 2 * time.Second // that a node counts as one that does not reach the store after a write that failed, so that another one tries
+	learnsFor     = time.Second     // that a node which found a status under way hears what others saw before it decides anything
 	watchedEvery  = time.Second     // between two log lines on an open order, at the delegate that decides
 )
 
@@ -76,6 +77,7 @@
 }
 
 func (t *trials) judgeOne(o *trial, decides bool, now time.Time) []asked {
+	decides = decides && o.mayDecide(now)
 	if o.judged == 0 {
 		o.decider = rollout.NewDecider(t.settings.Rollout.Rule())
 	}
@@ -108,6 +110,12 @@
 	return lo.FilterMap(effects, func(e rollout.Effect, _ int) (asked, bool) { return asked{o, e, inputs}, o.takes(e, now) })
 }
 
+// mayDecide is whether this node has heard what others saw, of an order that was under
+// way when it came.
+func (o *trial) mayDecide(now time.Time) bool {
+	return !o.rollout.Found || now.Sub(o.opened) >= learnsFor
+}
+
 // takes is whether an effect is carried out now: one write of an order is under way at
 // most, and the decider asks for another one again; that a target is bad waits for none.
 func (o *trial) takes(e rollout.Effect, now time.Time) bool {
--- a/fleet/relay/trials_test.go
+++ b/fleet/relay/trials_test.go
@@ -371,3 +371,25 @@
 		assert.Equal(t, c.same, all.Answers == 1, c.name)
 	}
 }
+
+// A node that finds a status under way hears first what others saw, and says that it does
+// not know how old the status is until it sees one written.
+func TestWhoFindsAStatusHearsOthersFirst(t *testing.T) {
+	inJudging(t, func(ctx context.Context, j *judging) {
+		n := versionedNode()
+		n.store, n.trials.fleet = j.Node.store, j.fleet
+		n.engineTable.apply(entries(2, "s/v1/a", "s/v2/e"))
+		begun := rollout.Status{State: rollout.InProgress, Target: "v2", Made: 5, Share: 0.1, Used: 11 * time.Second, Writes: 1}
+		j.store.object = order("s", "v2", 5, 6, begun)
+		n.applyRollouts(listed(6, j.store.object))
+		j.Node = n
+		assert.True(t, n.trials.Blind())
+		j.play(ctx, learnsFor-judgeEvery)
+		assert.Zero(t, j.store.calls)
+		j.play(ctx, 3*time.Second)
+		assert.NotZero(t, j.store.calls)
+		begun.Writes = 2
+		n.applyRollouts(changed(9, order("s", "v2", 5, 9, begun)))
+		assert.False(t, n.trials.Blind())
+	})
+}
