Begin a decider anew once a status is seen to be written

What was assumed of the time used by an order that was found held on for the life of the decider: a delegate that had been restarted completed an order of 12 s at 8.6 s in a trial with four processes, though it had seen a newer status written.

--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -49,6 +49,7 @@
 	lasts    lasts
 	decider  rollout.Decider
 	judged   int64 // revision of the order that the decider was told; 0: this node does not judge
+	guessed  bool  // the decider does not know how much of the order's duration is over
 	writing  bool
 	backoff  time.Duration
 	logged   time.Time
--- a/fleet/relay/trials_judge.go
+++ b/fleet/relay/trials_judge.go
@@ -78,8 +78,8 @@
 
 func (t *trials) judgeOne(o *trial, decides bool, now time.Time) []asked {
 	decides = decides && o.mayDecide(now)
-	if o.judged == 0 {
-		o.decider = rollout.NewDecider(t.settings.Rollout.Rule())
+	if o.judged == 0 || o.guessed && !o.rollout.Found {
+		o.decider, o.judged, o.guessed = rollout.NewDecider(t.settings.Rollout.Rule()), 0, o.rollout.Found
 	}
 	var effects []rollout.Effect
 	hand := func(m rollout.Message) {
--- a/fleet/relay/trials_test.go
+++ b/fleet/relay/trials_test.go
@@ -393,3 +393,29 @@
 		assert.False(t, n.trials.Blind())
 	})
 }
+
+// Once a status is seen to be written, how much of the duration is over is known again,
+// whatever had to be assumed of the one that was found.
+func TestAStatusThatIsSeenWrittenTellsTheTime(t *testing.T) {
+	inJudging(t, func(ctx context.Context, j *judging) {
+		n := versionedNode()
+		n.store, n.trials.fleet = j.Node.store, j.fleet
+		j.fleet.first = false
+		n.engineTable.apply(entries(2, "s/v1/a", "s/v1/b", "s/v1/c", "s/v1/d", "s/v2/e", "s/v2/f", "s/v2/g", "s/v2/h"))
+		begun := rollout.Status{State: rollout.InProgress, Target: "v2", Made: 5, Share: 0.1, Used: time.Second, Writes: 1}
+		j.store.object = order("s", "v2", 5, 6, begun)
+		n.applyRollouts(listed(6, j.store.object))
+		j.Node = n
+		j.store.tell = n.applyRollouts
+		j.play(ctx, time.Second)
+		begun.Used, begun.Writes = 2*time.Second, 2
+		j.store.object = order("s", "v2", 5, 7, begun)
+		n.applyRollouts(changed(7, j.store.object))
+		j.fleet.first = true
+		began := time.Now()
+		for j.state() != rollout.Completed && time.Since(began) < 12*time.Second {
+			j.play(ctx, judgeEvery)
+		}
+		assert.InDelta(t, 9, time.Since(began).Seconds(), 1.5)
+	})
+}
