--- /dev/null
+++ b/ctl/command/rollouts.go
@@ -0,0 +1,68 @@
+package command
+
+import (
+	"cmp"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/lynxshed/lynxshed/ctl/story"
+)
+
+func (a *app) rolloutsCommand() *flaggy.Subcommand {
+	c := flaggy.NewSubcommand("rollouts")
+	c.Description = "what became of each order to move a service to another version, from the logs of relaying nodes"
+	a.logFiles(c)
+	return c
+}
+
+func (a *app) rollouts() error {
+	lines, err := a.readLogs()
+	if err != nil {
+		return err
+	}
+	rollouts := story.Rollouts(lines)
+	if a.flags.output == formatJSON {
+		return a.print(rollouts, nil, nil)
+	}
+	for _, r := range rollouts {
+		fmt.Fprintf(a.out, "%s to %s, ordered for %v, first seen %s: %s (%s)\n", r.Service, r.Target,
+			time.Duration(r.DurationMs)*time.Millisecond, r.Seen.Format(time.RFC3339Nano), r.State, cmp.Or(r.Why, "no status"))
+		if err := a.rollout(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// rollout writes the tables of one order.
+func (a *app) rollout(r story.Rollout) error {
+	steps := make([][]string, 0, len(r.Steps))
+	for _, s := range r.Steps {
+		steps = append(steps, []string{
+			s.At.Format(time.RFC3339Nano), s.State, s.Stage, strconv.FormatFloat(s.Share, 'f', 3, 64), strconv.FormatInt(s.UsedMs, 10),
+			strconv.FormatInt(s.LeftMs, 10), s.Writer, strconv.Itoa(s.Nodes), s.Last, strconv.FormatInt(s.LastMs, 10), s.Why,
+		})
+	}
+	if err := a.print(nil, []string{"AT", "STATE", "STAGE", "SHARE", "USED-MS", "LEFT-MS", "WRITER", "NODES", "LAST", "LAST-MS", "WHY"}, steps); err != nil {
+		return err
+	}
+	answers := make([][]string, 0, len(r.Answers))
+	for _, n := range r.Answers {
+		row := []string{n.Route}
+		for _, count := range []int64{n.Old, n.OldBad, n.Target, n.TargetBad} {
+			row = append(row, strconv.FormatInt(count, 10))
+		}
+		answers = append(answers, row)
+	}
+	if err := a.print(nil, []string{"ROUTE", "OLD", "OLD-BAD", "TARGET", "TARGET-BAD"}, answers); err != nil {
+		return err
+	}
+	for _, n := range r.Bad {
+		fmt.Fprintf(a.out, "%s %s heard from %s that it is bad: %s\n", n.At.Format(time.RFC3339Nano), n.Node, n.By, n.Why)
+	}
+	fmt.Fprintf(a.out, "writes of the status that did not take effect: %d\n\n", r.Refused)
+	return nil
+}
