Learn what is slow from the old version's first answer; time an order from when it is seen

The first answer now tells what is usual, and steps shrink with their number. - An order written in the place of one that had ended counted from when the old status was learned, and was reverted before it began. - A status that was written was not known again, since the store keeps milliseconds: each write was logged as another node's.

--- a/fleet/relay/rollout/decider.go
+++ b/fleet/relay/rollout/decider.go
@@ -396,6 +396,9 @@
 func (d Decider) write(s Status, why string, now time.Time) (Decider, []Effect) {
 	s.Target, s.Made = d.rollout.Target, d.rollout.Made
 	s.Used = d.used(now)
+	for _, told := range []*time.Duration{&s.Used, &s.Left, &s.Full} {
+		*told -= *told % time.Millisecond // as statuses tell times, so that what is read is what was written
+	}
 	s.Barred = d.rollout.Unproven()
 	s.Writes = 1
 	if d.rollout.State() != Ordered {
--- a/fleet/relay/rollout/recorder.go
+++ b/fleet/relay/rollout/recorder.go
@@ -1,9 +1,6 @@
 package rollout
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// slowTimes is from how many times the old version's usual slowness on an answer is
@@ -28,7 +25,7 @@
 // changes in place, once an answer, and isn't safe for concurrent use.
 type Recorder struct {
 	evidence Evidence
-	usual    []float64 // by route: median of the logarithm of the old version's slowness
+	usual    []slowness // by route
 	pending  map[uint64][]Sample
 }
 
@@ -119,19 +116,12 @@
 		return -1
 	}
 	r.evidence.Routes = append(r.evidence.Routes, RouteEvidence{Route: s.Route, Once: s.Once})
-	r.usual = append(r.usual, 0)
+	r.usual = append(r.usual, slowness{})
 	return len(r.usual) - 1
 }
 
 // slow is whether an answer took several times what the old version usually takes on
-// the route, and learns what that is.
+// the route; of an endpoint that is cold, and where nothing was expected, it is not known.
 func (r *Recorder) slow(route int, s Sample) bool {
-	if s.Slowness <= 0 || s.Cold {
-		return false
-	}
-	lies := math.Log(s.Slowness) - r.usual[route]
-	if !s.Target {
-		r.usual[route] += math.Copysign(usualStep, lies)
-	}
-	return lies > math.Log(slowTimes)
+	return s.Slowness > 0 && !s.Cold && r.usual[route].slow(s.Slowness, s.Target)
 }
--- /dev/null
+++ b/fleet/relay/rollout/slowness_test.go
@@ -0,0 +1,29 @@
+package rollout_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
+)
+
+// What is slow is told by the old version's own answers, from the first one on, however
+// far from expectations they lie.
+func TestSlowIsAgainstTheOldVersionFromItsFirstAnswerOn(t *testing.T) {
+	for _, usual := range []float64{0.1, 1, 11} {
+		r := rollout.NewRecorder(rollout.Order{Service: "s", Made: 1})
+		add := func(target bool, slowness float64) {
+			r.Add(rollout.Sample{Service: "s", Route: "r", Target: target, Slowness: slowness})
+		}
+		add(true, 4*usual) // nothing is known to compare it with
+		for range 20 {
+			add(false, usual)
+			add(true, 1.2*usual)
+			add(true, 4*usual)
+		}
+		seen := r.Evidence().Route("r")
+		assert.Equal(t, rollout.Count{Answers: 20}, seen.Old.Sum(), usual)
+		assert.Equal(t, rollout.Count{Answers: 41, Bad: 20}, seen.Target.Sum(), usual)
+	}
+}
--- a/fleet/relay/rollouts.go
+++ b/fleet/relay/rollouts.go
@@ -83,19 +83,20 @@
 	n.engineTable.refresh()
 }
 
-// learned translates an object. What it says that was known already was learned then,
-// and not now; a status that is listed, and not seen to be written, may be old.
+// learned translates an object. What it says that was known already of the same order was
+// learned then, and not now; a status that is listed, and not seen to be written, may be old.
 func (n *Node) learned(before rollout.Set, o store.Object, now time.Time, listed bool) rollout.Rollout {
 	r, err := n.adapter.Rollout(o, now)
 	if err != nil {
 		n.log.WithField("object", o.Name).WithField("revision", o.Revision).WithError(err).Warn("rollout not understood")
 	}
 	known, ok := before.Name(o.Name)
-	if ok && known.Made == r.Made && known.Status.Equal(r.Status) {
+	same := ok && known.Made == r.Made && known.Target == r.Target
+	if same && known.Status.Equal(r.Status) {
 		r.Learned, r.Found = known.Learned, known.Found
 		return r
 	}
-	r.Found = r.Status.State != rollout.Ordered && (listed || !ok || known.Made != r.Made)
+	r.Found = r.Status.State != rollout.Ordered && (listed || !same)
 	return r
 }
 
--- a/fleet/relay/rollouts_test.go
+++ b/fleet/relay/rollouts_test.go
@@ -224,6 +224,20 @@
 	assert.Equal(t, []string{"v1/a", "v2/c"}, all)
 }
 
+// An order that is written over one that has ended has its whole time, though the status
+// beside it is the old one still.
+func TestAnOrderInAnothersPlaceBeginsWhenItIsSeen(t *testing.T) {
+	reverted := rollout.Status{State: rollout.Reverted, Target: "v2", Made: 5, Used: 2 * time.Second}
+	n := versionedNode()
+	n.applyRollouts(listed(9, order("s", "v2", 5, 6, reverted)))
+	before := time.Now()
+	n.applyRollouts(changed(12, order("s", "v3", 5, 12, reverted)))
+	r, ok := n.rollouts.Load().Of("s")
+	require.True(t, ok)
+	assert.Equal(t, rollout.Ordered, r.State())
+	assert.False(t, r.Learned.Before(before))
+}
+
 // How old a status is that was not seen to be written is not known, and one that is told
 // again was learned before.
 func TestWhenAStatusWasLearned(t *testing.T) {
