A decider that starts anew watches first, and hears how old an order is

A decider now moves nothing before it has watched for its time, and nodes that saw an order made, or its status written, tell the delegates how much of its time is used.

--- a/fleet/relay/peer/rollouts.go
+++ b/fleet/relay/peer/rollouts.go
@@ -29,6 +29,8 @@
 	Evidence rollout.Evidence `json:"e"`
 	Old      int              `json:"old,omitempty"`     // calls in flight at old endpoints
 	LastsMs  int64            `json:"lastsMs,omitempty"` // that the longest of the calls of late were expected to take
+	At       int64            `json:"at,omitempty"`      // revision of the order's object that the teller knows
+	UsedMs   int64            `json:"usedMs,omitempty"`  // of the order's duration, by the teller's clock; 0 where it does not know
 }
 
 // RolloutTalk is what a node has to say of rollouts, and who takes in what others say.
--- a/fleet/relay/rollout/decider.go
+++ b/fleet/relay/rollout/decider.go
@@ -336,22 +336,25 @@
 	return d.write(status, fmt.Sprintf("%d answers of the target, %s left", target.Answers, rest), t.Now)
 }
 
-// watched is whether the target was watched before calls move to it, where there are calls.
+// watched is whether the target was watched before calls move to it, where there are
+// calls. A decider that has just begun has seen nothing yet, however late it may be.
 func (d Decider) watched() bool {
 	all, target := d.latest.Answers()
 	watchedFor := min(watchedPart*d.rollout.Duration.Seconds(), watchedMost.Seconds())
 	switch {
-	case float64(all.Answers)*d.rollout.Status.Share < leastWatched, target.Answers >= manyWatched:
+	case target.Answers >= manyWatched:
 		return true
+	case d.firstAt.IsZero() || d.at.Sub(d.firstAt).Seconds() < watchedFor:
+		return false
 	}
-	return target.Answers >= leastWatched && d.at.Sub(d.firstAt).Seconds() >= watchedFor
+	return target.Answers >= leastWatched || float64(all.Answers)*d.rollout.Status.Share < leastWatched
 }
 
 // thin is whether a route has shown little of the target since all nodes were lost.
 func (d Decider) thin() bool {
-	return d.rollout.unknown() > 0 && lo.SomeBy(d.latest.Routes, func(r RouteEvidence) bool {
+	return d.rollout.unknown() > 0 && (d.firstAt.IsZero() || lo.SomeBy(d.latest.Routes, func(r RouteEvidence) bool {
 		return r.Target.Sum().Answers < eachWatched
-	})
+	}))
 }
 
 // moving completes the move once nothing runs at old endpoints, or when its time is over:
--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -97,7 +97,10 @@
 // opened is the trial of an order: the one that is open already, or a new one.
 func (t *trials) opened(name string, r rollout.Rollout) *trial {
 	if known, ok := t.open[r.Service]; ok && known.rollout.Made == r.Made && known.rollout.Target == r.Target {
-		known.name, known.rollout = name, r
+		if known.rollout.Revision != r.Revision {
+			known.rollout = r // or others have told meanwhile how old it is
+		}
+		known.name = name
 		return known
 	}
 	opened := &trial{
@@ -167,7 +170,10 @@
 	return lo.Map(t.services(), func(service string, _ int) peer.RolloutSeen {
 		o := t.open[service]
 		own := t.own(o, now)
-		return peer.RolloutSeen{Target: o.rollout.Target, Evidence: o.recorder.Evidence(), Old: own.old, LastsMs: own.lasts.Milliseconds()}
+		return peer.RolloutSeen{
+			Target: o.rollout.Target, Evidence: o.recorder.Evidence(), Old: own.old, LastsMs: own.lasts.Milliseconds(),
+			At: o.rollout.Revision, UsedMs: used(o.rollout, now).Milliseconds(),
+		}
 	})
 }
 
@@ -184,7 +190,10 @@
 		o := t.open[service]
 		o.near.Take(t.life, o.recorder.Evidence())
 		sum := o.sum(t.own(o, now), now, func(from string) bool { return from[0] == ofNode })
-		return peer.RolloutSeen{Zone: t.settings.Zone, Target: o.rollout.Target, Evidence: o.near.Sum(), Old: sum.old, LastsMs: sum.lasts.Milliseconds()}
+		return peer.RolloutSeen{
+			Zone: t.settings.Zone, Target: o.rollout.Target, Evidence: o.near.Sum(), Old: sum.old, LastsMs: sum.lasts.Milliseconds(),
+			At: o.rollout.Revision, UsedMs: used(o.rollout, now).Milliseconds(),
+		}
 	})
 }
 
@@ -249,6 +258,7 @@
 	if !ok || o.rollout.Made != seen.Evidence.Made || o.rollout.Target != seen.Target {
 		return
 	}
+	o.aged(seen, now)
 	said := word{old: max(seen.Old, 0), lasts: time.Duration(max(seen.LastsMs, 0)) * time.Millisecond, at: now}
 	switch seen.Zone {
 	case "":
@@ -262,6 +272,29 @@
 	}
 }
 
+// used is how much of an order's duration is over; 0 where this node did not see it made,
+// nor its status written.
+func used(r rollout.Rollout, now time.Time) time.Duration {
+	switch {
+	case r.Found:
+		return 0
+	case r.State() == rollout.Ordered:
+		return now.Sub(r.Learned)
+	}
+	return r.Status.Used + now.Sub(r.Learned)
+}
+
+// aged takes in how old an order is that this node found as it is: one that starts anew
+// takes all of the time for lost that may be, where another node knows it.
+func (o *trial) aged(seen peer.RolloutSeen, now time.Time) {
+	told := time.Duration(seen.UsedMs) * time.Millisecond
+	if !o.rollout.Found || told <= 0 || seen.At != o.rollout.Revision {
+		return
+	}
+	o.rollout.Learned, o.rollout.Found = now.Add(o.rollout.Status.Used-told), false
+	o.judged = 0 // its decider begins anew
+}
+
 // warned takes in that the target of an order is bad: it gets nothing from now on.
 func (t *trials) warned(w rollout.Warn, by string) {
 	t.mu.Lock()
--- a/fleet/relay/trials_test.go
+++ b/fleet/relay/trials_test.go
@@ -371,3 +371,27 @@
 		assert.Equal(t, c.same, all.Answers == 1, c.name)
 	}
 }
+
+// A node that starts anew in the midst of an order hears from others how much time is
+// used, and doesn't take for lost what may be.
+func TestHowOldAnOrderIsIsHeard(t *testing.T) {
+	cases := []struct {
+		name string
+		at   int64 // revision that the other node knows
+		want rollout.Stage
+	}{{"of this status", 6, rollout.Sampling}, {"of another one", 4, rollout.Moving}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inJudging(t, func(ctx context.Context, j *judging) {
+				j.store.object = order("s", "v2", 5, 6, rollout.Status{State: rollout.InProgress, Target: "v2", Made: 5, Share: 0.1, Used: time.Second, Writes: 1})
+				j.applyRollouts(listed(6, j.store.object))
+				told := peer.RolloutSeen{Target: "v2", Evidence: rollout.Evidence{Service: "s", Made: 5}, At: c.at, UsedMs: 1000}
+				j.trials.Heard(peer.Teller{Name: "b", Life: "1"}, peer.RolloutWord{Seen: []peer.RolloutSeen{told}}, time.Now())
+				j.applyRollouts(listed(7, j.store.object))
+				j.play(ctx, 5*time.Second)
+				r, _ := j.rollouts.Load().Of("s")
+				assert.Equal(t, c.want, r.Status.Stage)
+			})
+		})
+	}
+}
