--- a/ctl/story/story.go
+++ b/ctl/story/story.go
@@ -62,25 +62,38 @@
 	sorted := slices.Clone(lines)
 	slices.SortStableFunc(sorted, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	var told []Line
-	beliefs := map[string]map[string]Line{} // by node and message
+	tried := endpointsOf(sorted, request)
+	beliefs := map[string]map[string]Line{} // by node and what it is about
 	for _, l := range sorted {
 		if l.Request() == request {
 			told = append(told, takeBeliefs(beliefs, l)...)
 			told = append(told, l)
 			continue
 		}
-		if l.Request() == "" {
+		if l.Request() == "" && (l.text("endpoint") == "" || tried[l.text("endpoint")]) {
 			believe(beliefs, l)
 		}
 	}
 	return told
 }
 
+// endpointsOf is which endpoints the lines of a call name: what is known of others says
+// nothing of it.
+func endpointsOf(lines []Line, request string) map[string]bool {
+	named := map[string]bool{}
+	for _, l := range lines {
+		if l.Request() == request {
+			named[l.text("endpoint")] = true
+		}
+	}
+	return named
+}
+
 func believe(beliefs map[string]map[string]Line, l Line) {
 	if beliefs[l.Node()] == nil {
 		beliefs[l.Node()] = map[string]Line{}
 	}
-	beliefs[l.Node()][l.Message+l.text("of")] = l
+	beliefs[l.Node()][l.Message+l.text("of")+l.text("service")+l.text("endpoint")] = l
 }
 
 // takeBeliefs lists what a node believed, in order, and forgets it, so that it
--- a/ctl/story/story_test.go
+++ b/ctl/story/story_test.go
@@ -17,6 +17,10 @@
 {"fields":{"node":"b","policy":3},"level":"info","timestamp":"2026-01-01T00:00:02Z","message":"policy in force"}
 {"fields":{"node":"a","policy":3},"level":"info","timestamp":"2026-01-01T00:00:03Z","message":"policy in force"}
 {"fields":{"node":"a","dependency":"store"},"level":"warn","timestamp":"2026-01-01T00:00:03.5Z","message":"accounts: store lost"}
+{"fields":{"node":"a","service":"s","endpoint":"e1","version":"v2"},"level":"info","timestamp":"2026-01-01T00:00:03.6Z","message":"endpoint seen"}
+{"fields":{"node":"a","service":"s","endpoint":"e2","version":"v1"},"level":"info","timestamp":"2026-01-01T00:00:03.7Z","message":"endpoint seen"}
+{"fields":{"node":"a","service":"s","target":"v2"},"level":"info","timestamp":"2026-01-01T00:00:03.8Z","message":"rollout in force"}
+{"fields":{"node":"a","service":"p","target":"v7"},"level":"info","timestamp":"2026-01-01T00:00:03.9Z","message":"rollout in force"}
 {"fields":{"node":"a","request":"c","endpoint":"e1"},"level":"info","timestamp":"2026-01-01T00:00:05Z","message":"attempt failed"}
 {"fields":{"node":"a","request":"c","reason":"budget-short-here"},"level":"info","timestamp":"2026-01-01T00:00:05.1Z","message":"call ended"}
 {"fields":{"node":"c","request":"d"},"level":"info","timestamp":"2026-01-01T00:00:06Z","message":"call ended"}
@@ -30,7 +34,7 @@
 		request string
 		want    []string
 	}{
-		{"c", []string{"a policy in force", "a accounts: store lost", "a attempt failed", "a call ended"}},
+		{"c", []string{"a policy in force", "a accounts: store lost", "a endpoint seen", "a rollout in force", "a rollout in force", "a attempt failed", "a call ended"}},
 		{"d", []string{"c call ended"}},
 		{"unheard", nil},
 	}
@@ -41,5 +45,6 @@
 		}
 		assert.Equal(t, c.want, got)
 	}
+	assert.Equal(t, "v2", story.Tell(lines, "c")[2].Fields["version"], "of the endpoint that was tried")
 	assert.EqualValues(t, 3, story.Tell(lines, "c")[0].Fields["policy"], "the policy of that moment")
 }
