--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -30,6 +30,7 @@
 	byName   map[string]engine.Engine
 	lapsed   map[string]time.Time // entries that went while the store was in doubt, and when they are dropped
 	revision int64
+	asking   bool          // the orders are asked for again
 	listed   chan struct{} // closed once the endpoints were listed
 	once     sync.Once
 	used     map[string]map[string]bool // versions that may get work, by service, while any endpoint has them
--- a/fleet/relay/rollouts_test.go
+++ b/fleet/relay/rollouts_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -264,3 +265,23 @@
 	n.applyRollouts(changed(6, order("s", "v2", 5, 6, moving)))
 	assert.False(t, of().Found)
 }
+
+// While entries are newer than the orders known these are asked for now and then, however
+// often entries change, and no more once they are known.
+func TestOrdersAreAskedForAgainNowAndThen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := versionedNode()
+		n.applyRollouts(listed(10))
+		n.engineTable.apply(entries(2, "s/v1/a"))
+		for i := range int64(50) {
+			n.engineTable.apply(changed(25+i, store.Object{Name: "s/v2/b", Revision: 25 + i}))
+			assert.True(t, n.engineTable.asking)
+		}
+		n.applyRollouts(listed(90))
+		time.Sleep(ordersPause)
+		synctest.Wait()
+		assert.False(t, n.engineTable.asking)
+		all, _ := n.may("s")
+		assert.Equal(t, []string{"v1/a", "v2/b"}, all)
+	})
+}
--- a/fleet/relay/trials_judge.go
+++ b/fleet/relay/trials_judge.go
@@ -45,6 +45,9 @@
 }
 
 func (t *trials) tick(ctx context.Context, now time.Time) {
+	if !t.anyOpen() {
+		return
+	}
 	judges := t.fleet.Writes()
 	decides := judges && t.fleet.FirstDelegate()
 	for _, a := range t.judge(judges, decides, now) {
--- a/fleet/relay/versions.go
+++ b/fleet/relay/versions.go
@@ -41,14 +41,23 @@
 		return inOrder(l.Old)
 	})
 	t.moves.Store(&moves)
-	if len(late) > 0 {
+	if len(late) > 0 && !t.asking {
 		t.log.WithField("services", late).WithField("revision", d.Revision).WithField("orders", set.Revision()).Info("endpoints of versions not seen before, newer than the orders known: they get nothing, orders asked for again")
+		t.asking = true
 		t.ordersAgain.Ask()
-		time.AfterFunc(ordersPause, t.refresh)
+		time.AfterFunc(ordersPause, t.lookAgain)
 	}
 	return limited
 }
 
+// lookAgain publishes once more after the orders were asked for.
+func (t *engineTable) lookAgain() {
+	t.mu.Lock()
+	t.asking = false
+	t.mu.Unlock()
+	t.refresh()
+}
+
 // withUsed adds the versions that were let get work here before, as long as any endpoint
 // has them.
 func (t *engineTable) withUsed(set rollout.Set, d *engine.Directory) rollout.Set {
