--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -59,6 +59,7 @@
 	engine   string
 	note     string // what decided, for the log
 	placed   *choice.Placement
+	told     told // of the last attempt
 	pace     pace // of the last stream
 }
 
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -47,6 +47,7 @@
 				cancel(errTwice)
 			}
 			sent = true
+			j.tellSent(t)
 			used = info.Conn
 			use(used, true)
 			heard = whileSilent(j.patience(t), cancel)
@@ -108,7 +109,7 @@
 	}
 	if v.CallID != j.call.ID {
 		drop(resp)
-		return failed{err: at("answer", t, errors.Newf("the answer is to call %q, status %d", v.CallID, resp.StatusCode))}
+		return failed{heard: true, err: at("answer", t, errors.Newf("the answer is to call %q, status %d", v.CallID, resp.StatusCode))}
 	}
 	if v.NotExecuted || v.Moved {
 		finishSmall(resp)
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -23,12 +23,12 @@
 		drop(o.resp)
 		if err == nil {
 			t.Paused(s.pace.longest)
-			t.Close(choice.Good, time.Now())
+			j.close(t, choice.Good, s.pace.took())
 			j.used = j.charge(s.events)
 			j.finish("streamed", o.resp.StatusCode)
 			return
 		}
-		t.Close(resultOf(ctx, choice.Bad), time.Now())
+		j.close(t, resultOf(ctx, choice.Bad), took{})
 		j.note = at("stream", t, err).Error()
 		next, out, ok := j.resume(ctx, t, s)
 		if !ok {
@@ -65,12 +65,13 @@
 	j.engine, j.placed = t.Engine.ID, t
 	out, ok := j.send(ctx, t, s.lastID).(answered)
 	if !ok {
-		t.Close(resultOf(ctx, choice.Bad), time.Now())
+		j.close(t, resultOf(ctx, choice.Bad), took{})
 		return nil, answered{}, false
 	}
+	j.told.heard = true
 	if out.resp.StatusCode != http.StatusOK || !isStream(out.resp) {
 		drop(out.resp)
-		t.Close(choice.Neutral, time.Now())
+		j.close(t, choice.Neutral, took{})
 		return nil, answered{}, false
 	}
 	return t, out, true
@@ -122,9 +123,12 @@
 	if s.events == 0 {
 		s.Metrics.FirstEvent(s.route.Name, time.Since(s.start))
 	}
-	before := s.events
+	before, first := s.events, s.pace.last.IsZero()
 	s.count(whole)
 	s.pace.passed(int(s.events-before), time.Now())
+	if first && s.pace.first > 0 {
+		s.tellFirst(s.pace.placement, s.pace.first)
+	}
 	if _, err := s.w.Write(whole); err != nil {
 		return err
 	}
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -41,6 +41,7 @@
 	elsewhere   atomic.Bool // a writer of another zone reaches the store, as this one heard
 	sources     atomic.Pointer[[]store.Source]
 	client      *http.Client
+	rollouts    RolloutTalk // nil: none is ever ordered here
 
 	choosing  sync.Mutex // who writes, and what follows from it
 	delegates *delegates
@@ -58,6 +59,8 @@
 	out        bool
 	elsewhere  bool
 	reconnects uint64
+	noWrites   bool // it failed to write the status of a rollout of late
+	blind      bool // it found the status of a rollout, and did not see it written
 }
 
 // Listen opens the socket for datagrams.
@@ -99,6 +102,7 @@
 		t.choose()
 	}
 	writers, reports := t.choice()
+	t.tellRollouts(writers)
 	to, budgets := t.listeners(writers)
 	if len(to) == 0 {
 		return
@@ -106,7 +110,7 @@
 	now := time.Now()
 	m := t.signed(message{
 		Number: t.number, Digests: t.picker.Digests(), Reads: t.picker.Reads(now), Out: t.out(),
-		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now),
+		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now), Rollouts: t.badWord(),
 	})
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, reports
@@ -191,6 +195,8 @@
 		for _, g := range m.Grants {
 			t.transfers.arrived(g)
 		}
+	case m.Rollouts != nil && m.Number == 0:
+		t.heardRollouts(m)
 	case m.Ledger > 0:
 		t.ledgers.told(m.Ledger, from)
 	default:
@@ -204,7 +210,7 @@
 	before := t.heard[m.Node]
 	old := before.life == m.Life && m.Number <= before.number
 	if !old {
-		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, elsewhere: m.Elsewhere, reconnects: m.Reconnects}
+		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, elsewhere: m.Elsewhere, reconnects: m.Reconnects, noWrites: before.noWrites, blind: before.blind}
 	}
 	t.mu.Unlock()
 	if old {
@@ -216,6 +222,9 @@
 	if m.Outage != nil {
 		t.transfers.allowance.Expect(*m.Outage, now)
 	}
+	if m.Rollouts != nil {
+		t.heardRollouts(m)
+	}
 	t.picker.Heard(m.Node, m.Digests, now)
 	t.picker.HeardReads(m.Reads, t.tellsOn(), now)
 	if m.HasBudgets {
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -30,6 +30,7 @@
 	Health  *Health              // shared by a node's followers; nil is none
 	Leads   bool                 // asks for all of them while the store is lost
 	Longest func() time.Duration // that one watch may wait, so that a silent store is felt; nil is no bound of its own
+	Again   *Again               // has the kind listed anew at once; nil: nobody asks for that
 }
 
 // Always is a rest that does not change.
@@ -137,7 +138,7 @@
 		if time.Since(began) > swallowedAfter {
 			cancel()
 		}
-	}, renew)
+	}, renew, nil)
 	objects, at, err := f.store.List(bounded, f.Kind)
 	if errors.Is(bounded.Err(), context.Canceled) && ctx.Err() == nil {
 		return errRenewed
@@ -155,12 +156,12 @@
 
 func (f *follower) watch(parent context.Context) error {
 	wait := f.wait()
-	renew := f.Health.renewed()
+	renew, again := f.Health.renewed(), f.Again.asked()
 	ctx, cancel := context.WithTimeout(parent, wait+watchSlack)
 	defer cancel()
-	go cancelOn(ctx, cancel, renew)
+	go cancelOn(ctx, cancel, renew, again)
 	events, at, err := f.store.Watch(ctx, f.Kind, f.at, wait)
-	if err != nil && isClosed(renew) && parent.Err() == nil {
+	if err != nil && (isClosed(renew) || isClosed(again)) && parent.Err() == nil {
 		f.listed = false
 		return nil
 	}
@@ -179,10 +180,12 @@
 }
 
 // cancelOn ends a watch early where it is to be sent anew.
-func cancelOn(ctx context.Context, cancel context.CancelFunc, renew <-chan struct{}) {
+func cancelOn(ctx context.Context, cancel context.CancelFunc, renew, again <-chan struct{}) {
 	select {
 	case <-renew:
 		cancel()
+	case <-again:
+		cancel()
 	case <-ctx.Done():
 	}
 }
@@ -223,7 +226,7 @@
 func (f *follower) rest(ctx context.Context, d time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
-	cancelOn(ctx, cancel, f.Health.renewed())
+	cancelOn(ctx, cancel, f.Health.renewed(), nil)
 }
 
 // tellLost notes that the follower got no answer. A node that is alone, since its link is
