--- a/fleet/relay/rollout/decider.go
+++ b/fleet/relay/rollout/decider.go
@@ -194,6 +194,7 @@
 
 func (d Decider) ticked(t Tick) (Decider, []Effect) {
 	d.tick = t
+	d.judge = d.judge.Lone(t.Cohorts == 1)
 	if !d.known || d.rollout.Fault() != "" || !d.open() {
 		return d, nil
 	}
--- a/fleet/relay/rollout/judge.go
+++ b/fleet/relay/rollout/judge.go
@@ -57,6 +57,17 @@
 	return Judge{rule: rule, duration: duration, service: newScores()}
 }
 
+// Lone says whether all endpoints of the target count in one cohort: then it makes a
+// verdict alone, since no other one will clear it or be cleared.
+func (j Judge) Lone(lone bool) Judge {
+	j.service.lone = lone
+	j.routes = slices.Clone(j.routes)
+	for i := range j.routes {
+		j.routes[i].scores.lone = lone
+	}
+	return j
+}
+
 // With takes in what was seen until a moment.
 func (j Judge) With(e Evidence, now time.Time) Judge {
 	weight := j.weight(now)
@@ -94,7 +105,9 @@
 func (j Judge) of(route string) judged {
 	i := slices.IndexFunc(j.routes, func(r judged) bool { return r.route == route })
 	if i < 0 {
-		return judged{route: route, scores: newScores()}
+		fresh := judged{route: route, scores: newScores()}
+		fresh.scores.lone = j.service.lone
+		return fresh
 	}
 	return j.routes[i]
 }
--- a/fleet/relay/rollout/message.go
+++ b/fleet/relay/rollout/message.go
@@ -32,6 +32,7 @@
 type Tick struct {
 	Now         time.Time
 	Old, Target int           // endpoints that take new work, by version
+	Cohorts     int           // in which the target's count; 0 is not known
 	Cold        int           // of the target's: slow from their start
 	OldInFlight int           // calls at old endpoints, by the nodes' digests and the endpoints' own word
 	Lasts       time.Duration // how long the longest calls may still take at old endpoints
--- a/fleet/relay/rollout/scores.go
+++ b/fleet/relay/rollout/scores.go
@@ -11,6 +11,7 @@
 	all     float64
 	without [Cohorts]float64
 	met     [Cohorts]bool // cohorts that answered
+	lone    bool          // the target has no endpoint in another one
 
 	// One cohort is suspect while all together make a verdict and the others do not. It is
 	// an ill endpoint's once the others have answered well since then.
@@ -80,6 +81,9 @@
 // cohort alone makes no verdict.
 func (s scores) score() float64 {
 	worst, cohorts := s.worst()
+	if cohorts < 2 && s.lone {
+		return s.all
+	}
 	if cohorts < 2 {
 		return min(s.all, 0)
 	}
--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -58,6 +58,7 @@
 
 // endpoints is how many endpoints of each version take new work.
 type endpoints struct {
+	cohorts     int // in which the target's count
 	old, target int
 	coldUntil   []time.Time // of the target's that said that they are slow from their start
 }
@@ -130,7 +131,8 @@
 	barred := o.rollout.Unproven()
 	ready := func(e engine.Engine) bool { return e.State == engine.Ready && !slices.Contains(barred, e.Version) }
 	cold := lo.FilterMap(target, func(e engine.Engine, _ int) (time.Time, bool) { return e.ColdUntil, ready(e) && !e.ColdUntil.IsZero() })
-	o.counts = endpoints{old: lo.CountBy(old, ready), target: lo.CountBy(target, ready), coldUntil: cold}
+	cohorts := lo.CountValuesBy(lo.Filter(target, func(e engine.Engine, _ int) bool { return ready(e) }), func(e engine.Engine) int { return rollout.CohortOf(e.Hash) })
+	o.counts = endpoints{old: lo.CountBy(old, ready), target: lo.CountBy(target, ready), cohorts: len(cohorts), coldUntil: cold}
 	o.ids = lo.Map(old, func(e engine.Engine, _ int) string { return e.ID })
 	return o.bad
 }
