--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -186,7 +186,7 @@
 		own := t.own(o, now)
 		return peer.RolloutSeen{
 			Target: o.rollout.Target, Evidence: o.recorder.Evidence(), Old: own.old, LastsMs: own.lasts.Milliseconds(),
-			At: o.rollout.Revision, UsedMs: used(o.rollout, now).Milliseconds(),
+			At: o.rollout.Revision, UsedMs: used(o.rollout, now).Milliseconds(), AtLeast: o.rollout.Found,
 		}
 	})
 }
@@ -206,7 +206,7 @@
 		sum := o.sum(t.own(o, now), now, func(from string) bool { return from[0] == ofNode })
 		return peer.RolloutSeen{
 			Zone: t.settings.Zone, Target: o.rollout.Target, Evidence: o.near.Sum(), Old: sum.old, LastsMs: sum.lasts.Milliseconds(),
-			At: o.rollout.Revision, UsedMs: used(o.rollout, now).Milliseconds(),
+			At: o.rollout.Revision, UsedMs: used(o.rollout, now).Milliseconds(), AtLeast: o.rollout.Found,
 		}
 	})
 }
@@ -293,29 +293,34 @@
 	}
 }
 
-// used is how much of an order's duration is over; 0 where this node did not see it made,
-// nor its status written.
+// used is how much of an order's duration is over, or more where this node did not see it
+// made, nor its status written.
 func used(r rollout.Rollout, now time.Time) time.Duration {
-	switch {
-	case r.Found:
-		return 0
-	case r.State() == rollout.Ordered:
+	if r.State() == rollout.Ordered {
 		return now.Sub(r.Learned)
 	}
 	return r.Status.Used + now.Sub(r.Learned)
 }
 
 // aged takes in how old an order is that this node found as it is: one that starts anew
-// takes all of the time for lost that may be, where another node knows it.
+// takes all of the time for lost that may be, where another node knows it. One that found
+// it earlier knows how much is over at least: or nodes that end by turns, sooner than time
+// is written down, would let an order stand still.
 func (o *trial) aged(seen peer.RolloutSeen, now time.Time) {
-	told := time.Duration(seen.UsedMs) * time.Millisecond
-	if !o.rollout.Found || told <= 0 || seen.At != o.rollout.Revision {
+	if !o.rollout.Found || seen.UsedMs <= 0 || seen.At != o.rollout.Revision {
 		return
 	}
-	o.rollout.Learned, o.rollout.Found = now.Add(o.rollout.Status.Used-told), false
+	learned := now.Add(o.rollout.Status.Used - time.Duration(seen.UsedMs)*time.Millisecond)
+	if seen.AtLeast && !learned.Before(o.rollout.Learned.Add(-agedBy)) {
+		return
+	}
+	o.rollout.Learned, o.rollout.Found = learned, seen.AtLeast
 	o.judged = 0 // its decider begins anew
 }
 
+// agedBy is by how much an order must be older than this node believes to be told anew.
+const agedBy = 500 * time.Millisecond
+
 // warned takes in that the target of an order is bad: it gets nothing from now on.
 func (t *trials) warned(w rollout.Warn, by string) {
 	t.mu.Lock()
--- a/fleet/relay/trials_test.go
+++ b/fleet/relay/trials_test.go
@@ -426,14 +426,19 @@
 	cases := []struct {
 		name string
 		at   int64 // revision that the other node knows
+		used time.Duration
+		most bool // no more than that
 		want rollout.Stage
-	}{{"of this status", 6, rollout.Sampling}, {"of another one", 4, rollout.Moving}}
+	}{
+		{"of this status", 6, time.Second, true, rollout.Sampling}, {"of another one", 4, time.Second, true, rollout.Moving},
+		{"at least", 6, time.Second, false, rollout.Moving},
+	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			inJudging(t, func(ctx context.Context, j *judging) {
 				j.store.object = order("s", "v2", 5, 6, rollout.Status{State: rollout.InProgress, Target: "v2", Made: 5, Share: 0.1, Used: time.Second, Writes: 1})
 				j.applyRollouts(listed(6, j.store.object))
-				told := peer.RolloutSeen{Target: "v2", Evidence: rollout.Evidence{Service: "s", Made: 5}, At: c.at, UsedMs: 1000}
+				told := peer.RolloutSeen{Target: "v2", Evidence: rollout.Evidence{Service: "s", Made: 5}, At: c.at, UsedMs: c.used.Milliseconds(), AtLeast: !c.most}
 				j.trials.Heard(peer.Teller{Name: "b", Life: "1"}, peer.RolloutWord{Seen: []peer.RolloutSeen{told}}, time.Now())
 				j.applyRollouts(listed(7, j.store.object))
 				j.play(ctx, 5*time.Second)
@@ -443,3 +448,20 @@
 		})
 	}
 }
+
+// Where all nodes found the status, the one that found it first knows how much time is
+// over at least: it isn't forgotten when the others end one after the other.
+func TestTimeGoesOnThroughLivesThatAllFoundTheStatus(t *testing.T) {
+	inJudging(t, func(ctx context.Context, j *judging) {
+		j.store.object = order("s", "v2", 5, 6, rollout.Status{State: rollout.InProgress, Target: "v2", Made: 5, Share: 0.1, Used: time.Second, Writes: 1})
+		j.applyRollouts(listed(6, j.store.object))
+		told := peer.RolloutSeen{Target: "v2", Evidence: rollout.Evidence{Service: "s", Made: 5}, At: 6, UsedMs: 20_000, AtLeast: true}
+		j.trials.Heard(peer.Teller{Name: "b", Life: "1"}, peer.RolloutWord{Seen: []peer.RolloutSeen{told}}, time.Now())
+		own := j.trials.Own(time.Now())
+		require.Len(t, own, 1)
+		assert.Equal(t, int64(20_000), own[0].UsedMs, "and is told on")
+		assert.True(t, own[0].AtLeast)
+		j.play(ctx, 3*time.Second)
+		assert.Equal(t, rollout.Reverted, j.state(), "its time was over long ago")
+	})
+}
