--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -58,6 +58,7 @@
 
 // endpoints is how many endpoints of each version take new work.
 type endpoints struct {
+	cohorts     int // in which the target's count
 	old, target int
 	coldUntil   []time.Time // of the target's that said that they are slow from their start
 }
@@ -130,7 +131,8 @@
 	barred := o.rollout.Unproven()
 	ready := func(e engine.Engine) bool { return e.State == engine.Ready && !slices.Contains(barred, e.Version) }
 	cold := lo.FilterMap(target, func(e engine.Engine, _ int) (time.Time, bool) { return e.ColdUntil, ready(e) && !e.ColdUntil.IsZero() })
-	o.counts = endpoints{old: lo.CountBy(old, ready), target: lo.CountBy(target, ready), coldUntil: cold}
+	cohorts := lo.CountValuesBy(lo.Filter(target, func(e engine.Engine, _ int) bool { return ready(e) }), func(e engine.Engine) int { return rollout.CohortOf(e.Hash) })
+	o.counts = endpoints{old: lo.CountBy(old, ready), target: lo.CountBy(target, ready), cohorts: len(cohorts), coldUntil: cold}
 	o.ids = lo.Map(old, func(e engine.Engine, _ int) string { return e.ID })
 	return o.bad
 }
@@ -154,6 +156,16 @@
 	return ok && o.recorder.Add(s)
 }
 
+// SlowFrom implements forward.Samples.
+func (t *trials) SlowFrom(service, route string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o, ok := t.open[service]; ok {
+		return o.recorder.SlowFrom(route)
+	}
+	return 0
+}
+
 // Lasts implements forward.Samples.
 func (t *trials) Lasts(service string, d time.Duration) {
 	t.mu.Lock()
@@ -174,7 +186,7 @@
 		own := t.own(o, now)
 		return peer.RolloutSeen{
 			Target: o.rollout.Target, Evidence: o.recorder.Evidence(), Old: own.old, LastsMs: own.lasts.Milliseconds(),
-			At: o.rollout.Revision, UsedMs: used(o.rollout, now).Milliseconds(),
+			At: o.rollout.Revision, UsedMs: used(o.rollout, now).Milliseconds(), AtLeast: o.rollout.Found,
 		}
 	})
 }
@@ -194,7 +206,7 @@
 		sum := o.sum(t.own(o, now), now, func(from string) bool { return from[0] == ofNode })
 		return peer.RolloutSeen{
 			Zone: t.settings.Zone, Target: o.rollout.Target, Evidence: o.near.Sum(), Old: sum.old, LastsMs: sum.lasts.Milliseconds(),
-			At: o.rollout.Revision, UsedMs: used(o.rollout, now).Milliseconds(),
+			At: o.rollout.Revision, UsedMs: used(o.rollout, now).Milliseconds(), AtLeast: o.rollout.Found,
 		}
 	})
 }
@@ -281,29 +293,34 @@
 	}
 }
 
-// used is how much of an order's duration is over; 0 where this node did not see it made,
-// nor its status written.
+// used is how much of an order's duration is over, or more where this node did not see it
+// made, nor its status written.
 func used(r rollout.Rollout, now time.Time) time.Duration {
-	switch {
-	case r.Found:
-		return 0
-	case r.State() == rollout.Ordered:
+	if r.State() == rollout.Ordered {
 		return now.Sub(r.Learned)
 	}
 	return r.Status.Used + now.Sub(r.Learned)
 }
 
 // aged takes in how old an order is that this node found as it is: one that starts anew
-// takes all of the time for lost that may be, where another node knows it.
+// takes all of the time for lost that may be, where another node knows it. One that found
+// it earlier knows how much is over at least: or nodes that end by turns, sooner than time
+// is written down, would let an order stand still.
 func (o *trial) aged(seen peer.RolloutSeen, now time.Time) {
-	told := time.Duration(seen.UsedMs) * time.Millisecond
-	if !o.rollout.Found || told <= 0 || seen.At != o.rollout.Revision {
+	if !o.rollout.Found || seen.UsedMs <= 0 || seen.At != o.rollout.Revision {
+		return
+	}
+	learned := now.Add(o.rollout.Status.Used - time.Duration(seen.UsedMs)*time.Millisecond)
+	if seen.AtLeast && !learned.Before(o.rollout.Learned.Add(-agedBy)) {
 		return
 	}
-	o.rollout.Learned, o.rollout.Found = now.Add(o.rollout.Status.Used-told), false
+	o.rollout.Learned, o.rollout.Found = learned, seen.AtLeast
 	o.judged = 0 // its decider begins anew
 }
 
+// agedBy is by how much an order must be older than this node believes to be told anew.
+const agedBy = 500 * time.Millisecond
+
 // warned takes in that the target of an order is bad: it gets nothing from now on.
 func (t *trials) warned(w rollout.Warn, by string) {
 	t.mu.Lock()
