--- a/fleet/relay/peer/fuzz_test.go
+++ b/fleet/relay/peer/fuzz_test.go
@@ -21,6 +21,8 @@
 	f.Add([]byte(`{"node":"p","requests":[{"id":"a","tenant":"t","need":5,"want":50}]}`))
 	f.Add([]byte(`{"node":"p","grants":[{"id":"a","tenant":"t","tokens":5}]}`))
 	f.Add([]byte(`{"node":"p","requests":[{"id":"a","tenant":"t","need":-9223372036854775808,"want":-1}]}`))
+	f.Add([]byte(`{"node":"p","rollouts":{"seen":[{"zone":"z","t":"v","e":{"s":"s","m":1,"e":[{"r":"r","o":[3,1],"t":[1,0]}]},"old":-1,"lastsMs":-5}],"bad":[{"Service":"s","Target":"v","Made":1}],"out":true}}`))
+	f.Add([]byte(`{"node":"p","number":1,"rollouts":{"seen":[{"e":{"s":"s","e":[{"o":[1,2]}]}}]}}`))
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var m message
@@ -32,7 +34,7 @@
 		gossip, err := Listen("127.0.0.1:0", registry, choice.NewPicker("z", choice.DefaultTuning()), allowance, func() bool { return false })
 		require.NoError(t, err)
 		defer func() { assert.NoError(t, gossip.Close()) }()
-		gossip.receive(m, "127.0.0.1:9")
+		gossip.WithRollouts(&talk{}).receive(m, "127.0.0.1:9")
 		free := allowance.State(tenant).Free
 		assert.GreaterOrEqual(t, free, int64(0))
 		assert.LessOrEqual(t, free, int64(100))
--- a/fleet/relay/trials_judge.go
+++ b/fleet/relay/trials_judge.go
@@ -158,6 +158,10 @@
 func (t *trials) write(ctx context.Context, o *trial, w rollout.Write, inputs log.Fields, began time.Time) {
 	entry := t.log.WithFields(inputs).WithField("toState", w.Status.State.String()).WithField("toStage", w.Status.Stage.String()).
 		WithField("toShare", w.Status.Share).WithField("toLeftMs", w.Status.Left.Milliseconds()).WithField("atMs", w.Status.Used.Milliseconds()).WithField("why", w.Why)
+	if t.overtaken(o, w) {
+		entry.Info("status of a rollout not written: the version was found bad meanwhile")
+		return
+	}
 	after, err := t.put(ctx, o.name, w)
 	now := time.Now()
 	if err != nil {
@@ -179,6 +183,19 @@
 	t.wrote(o, r, now)
 }
 
+// overtaken is whether another node found the target bad since a write was asked for
+// that lets it get calls; the decider is told so at its next tick.
+func (t *trials) overtaken(o *trial, w rollout.Write) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !o.bad || w.Status.State == rollout.Reverted {
+		return false
+	}
+	o.writing = false
+	o.decider, _ = o.decider.Handle(rollout.Refused{Now: time.Now()})
+	return true
+}
+
 // put makes the write, and reads the object where it is not known what came of it.
 func (t *trials) put(ctx context.Context, name string, w rollout.Write) (store.Object, error) {
 	data, err := t.adapter.RolloutStatus(w.Status)
--- a/fleet/relay/trials_test.go
+++ b/fleet/relay/trials_test.go
@@ -465,3 +465,19 @@
 		assert.Equal(t, rollout.Reverted, j.state(), "its time was over long ago")
 	})
 }
+
+// A target that another node found bad between the decision and its write is not let go
+// on, and the next write takes it back.
+func TestAWriteThatIsOvertakenByAWarning(t *testing.T) {
+	inJudging(t, func(ctx context.Context, j *judging) {
+		j.play(ctx, time.Second)
+		before := j.store.calls
+		o := j.trials.open["s"]
+		o.bad, o.writing = true, true
+		w := rollout.Write{Status: rollout.Status{State: rollout.Completed, Target: "v2", Made: 5}, Revision: j.store.object.Revision}
+		j.trials.write(ctx, o, w, nil, time.Now())
+		assert.Equal(t, before, j.store.calls)
+		j.play(ctx, 2*time.Second)
+		assert.Equal(t, rollout.Reverted, j.state())
+	})
+}
