Let answers leave before prompts, and neither faster than the link

Change: what callers' and endpoints' connections write is paced to 0.85 of the link, answers and plain calls first, prompts when nothing else waits; calls to the store and to nodes are not paced.

--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -113,7 +113,9 @@
 		if err != nil {
 			return nil, err
 		}
-		c.(*pooled).Conn = m.Conn(c.(*pooled).Conn)
+		one := c.(*pooled)
+		one.metered = m.Conn(one.Conn)
+		one.Conn = one.metered
 		return c, nil
 	}
 	return t
--- a/fleet/relay/forward/pool.go
+++ b/fleet/relay/forward/pool.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/link"
 )
 
 // pool is the connections to endpoints that are open, by address, so that one which
@@ -19,6 +21,7 @@
 	pool    *pool
 	address string
 	busy    bool
+	metered *link.Conn // nil: nothing is counted
 }
 
 func newPool() *pool { return &pool{open: map[string]map[*pooled]bool{}} }
@@ -55,6 +58,13 @@
 	}
 }
 
+// classify says what a call is about to send.
+func classify(c net.Conn, class link.Class) {
+	if one, ok := c.(*pooled); ok && one.metered != nil {
+		one.metered.Classify(class)
+	}
+}
+
 // dropIdle closes the connections to a place that no call uses, and tells how many.
 func (p *pool) dropIdle(address string) int {
 	p.mu.Lock()
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -15,6 +15,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/link"
 )
 
 // errTwice ends an attempt that the transport was about to send a second time.
@@ -49,6 +50,7 @@
 			sent = true
 			used = info.Conn
 			use(used, true)
+			classify(used, j.class())
 			heard = whileSilent(j.patience(t), cancel)
 		},
 		PutIdleConn: func(err error) {
@@ -74,6 +76,14 @@
 	return j.judgeHead(t, resp, started)
 }
 
+// class is what the call sends to an endpoint.
+func (j *job) class() link.Class {
+	if j.call.Cost() > 0 {
+		return link.Prompts
+	}
+	return link.Answers
+}
+
 // dropSilent drops the connections that rest beside one that fell silent, and says so
 // in the error.
 func (j *job) dropSilent(ctx context.Context, t *choice.Placement, err error) error {
--- a/fleet/relay/link/meter.go
+++ b/fleet/relay/link/meter.go
@@ -12,12 +12,14 @@
 type Meter struct {
 	perSecond float64 // bytes that the link carries either way; 0 is not known
 	in, out   atomic.Int64
+	pacer     *Pacer
 }
 
 // NewMeter returns a meter of a link of so many Mbit/s; 0 is not known.
 func NewMeter(mbps float64) *Meter {
 	const bytesPerMbit = 1e6 / 8
-	return &Meter{perSecond: mbps * bytesPerMbit}
+	perSecond := mbps * bytesPerMbit
+	return &Meter{perSecond: perSecond, pacer: NewPacer(perSecond)}
 }
 
 // Known is whether the width of the link is known.
@@ -53,24 +55,33 @@
 	return u
 }
 
-// Conn counts what a connection carries.
-func (m *Meter) Conn(c net.Conn) net.Conn { return &metered{Conn: c, meter: m} }
+// Waited is how many writes have had to wait for the way out.
+func (m *Meter) Waited() int64 { return m.pacer.Waited() }
 
-// metered is a connection whose bytes are counted.
-type metered struct {
+// Conn counts what a connection carries, and lets what is written to it wait its turn
+// where the way out is full: as answers, unless Classify says otherwise.
+func (m *Meter) Conn(c net.Conn) *Conn { return &Conn{Conn: c, meter: m} }
+
+// Conn is a connection whose bytes are counted and paced.
+type Conn struct {
 	net.Conn
 	meter *Meter
+	class atomic.Int32
 }
 
+// Classify says what is written from now on.
+func (c *Conn) Classify(to Class) { c.class.Store(int32(to)) }
+
 // Read implements net.Conn.
-func (c *metered) Read(b []byte) (int, error) {
+func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.meter.in.Add(int64(n))
 	return n, err
 }
 
 // Write implements net.Conn.
-func (c *metered) Write(b []byte) (int, error) {
+func (c *Conn) Write(b []byte) (int, error) {
+	c.meter.pacer.Wait(len(b), Class(c.class.Load()))
 	n, err := c.Conn.Write(b)
 	c.meter.out.Add(int64(n))
 	return n, err
@@ -78,7 +89,7 @@
 
 // CloseWrite ends one way, where the connection can: a server that refuses a call before
 // it has read its body does so, so that the caller reads the answer and no reset.
-func (c *metered) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/fleet/relay/link/meter_test.go
+++ b/fleet/relay/link/meter_test.go
@@ -52,7 +52,7 @@
 	go func() {
 		c, err := listener.Accept()
 		if err == nil {
-			_ = link.NewMeter(1).Conn(c).(interface{ CloseWrite() error }).CloseWrite()
+			_ = link.NewMeter(1).Conn(c).CloseWrite()
 		}
 	}()
 	c, err := net.Dial("tcp4", listener.Addr().String())
