Ask the other sources at once where one was silent

Cause: sources that fall silent together, with a zone or behind a cut, cost the time of a watch each: 1.4 s, so that a node whose two of its own zone are silent knew of a change after 2.8 s (TestSourcesThatFallSilentTogetherCostOneWait; 2 s are allowed where endpoints must be left that soon).

Change: after a silence the rest are asked at once, for what there is now, and the first answer counts.

--- /dev/null
+++ b/fleet/relay/store/ask_test.go
@@ -0,0 +1,84 @@
+package store_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// dumb is a source that may fall silent; who asks it gives up where no answer begins in
+// time, as a reader does.
+type dumb struct {
+	*silence
+}
+
+func (d dumb) Watch(ctx context.Context, _ string, since int64, wait time.Duration) ([]store.Event, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+store.AnswerBegins)
+	defer cancel()
+	for began := time.Now(); ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+		silent, revision, _ := d.now()
+		if !silent && (revision > since || time.Since(began) >= wait) {
+			return nil, revision, nil
+		}
+	}
+	return nil, 0, ctx.Err()
+}
+
+func (d dumb) List(ctx context.Context, kind string) ([]store.Object, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, store.AnswerBegins)
+	defer cancel()
+	return d.silence.List(ctx, kind)
+}
+
+// However many of its sources fall silent at the same moment, a node hears of what
+// changes then from another one or from the store within the time in which an endpoint
+// that leaves must get no new work.
+func TestSourcesThatFallSilentTogetherCostOneWait(t *testing.T) {
+	const sources, leaving = 4, 2 * time.Second
+	for silent := range sources + 1 {
+		for begins := 3 * time.Second; begins < 4*time.Second; begins += 170 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer time.Sleep(50 * time.Millisecond) // the last calls end
+				defer cancel()
+				platform := &silence{revision: 1, changed: make(chan struct{})}
+				var all []store.Source
+				for i := range sources {
+					all = append(all, store.Source{Name: string(rune('a' + i)), Reader: dumb{&silence{revision: 1, changed: make(chan struct{})}}})
+				}
+				s := store.NewSourced(platform, func() []store.Source { return all })
+				var mu sync.Mutex
+				var known time.Time
+				go store.Follow(ctx, s, store.Watching{Kind: "endpoints", Rest: store.Always(time.Millisecond), History: 20 * time.Second}, func(c store.Change) {
+					mu.Lock()
+					defer mu.Unlock()
+					l, listed := c.(store.Snapshot)
+					u, updated := c.(store.Update)
+					if known.IsZero() && (listed && l.Revision == 2 || updated && u.Revision == 2) {
+						known = time.Now()
+					}
+				})
+				time.Sleep(begins)
+				for i, one := range all {
+					r := one.Reader.(dumb).silence
+					r.mu.Lock()
+					r.silent, r.revision = i < silent, 2
+					r.mu.Unlock()
+				}
+				platform.set(false, 2)
+				changed := time.Now()
+				time.Sleep(8 * time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				assert.False(t, known.IsZero())
+				assert.Less(t, known.Sub(changed), leaving, "%d silent", silent)
+			})
+		}
+	}
+}
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -138,25 +138,6 @@
 	s.unfit[kind][source] = time.Now().Add(unfitRest)
 }
 
-// ask asks the sources one after another until one answers; false where none did.
-func (s *Sourced) ask(ctx context.Context, kind string, call func(Source) error) (bool, error) {
-	for _, from := range s.awake(kind) {
-		err := call(from)
-		if err == nil || errors.Is(err, ErrCompacted) {
-			s.answeredBy(from.Name, kind)
-			return true, err
-		}
-		if errors.Is(ctx.Err(), context.Canceled) {
-			return true, err // the caller gave up: that says nothing of the source
-		}
-		s.failed(from.Name, kind, err)
-		if ctx.Err() != nil {
-			return true, err
-		}
-	}
-	return false, nil
-}
-
 // answeredBy notes that a source answered for a kind. What was found out about the store
 // is forgotten only once no kind needs it: each answer for one kind would begin the wait
 // for a ping anew that another kind's follower waits for.
@@ -257,15 +238,15 @@
 
 // List implements Store.
 func (s *Sourced) List(ctx context.Context, kind string) (objects []Object, at int64, err error) {
-	done, err := s.ask(ctx, kind, func(from Source) (err error) {
-		objects, at, err = listFrom(ctx, from, kind)
-		if err != nil {
-			return err
+	a, done := s.ask(ctx, kind, func(ctx context.Context, from Source, _ bool) answer {
+		objects, at, err := listFrom(ctx, from, kind)
+		if err == nil {
+			err = s.checked(kind, at)
 		}
-		return s.checked(kind, at)
+		return answer{objects: objects, at: at, err: err}
 	})
 	if done {
-		return objects, at, s.marked(kind, err)
+		return a.objects, a.at, s.marked(kind, a.err)
 	}
 	if !s.reachesStore(ctx, kind) {
 		return nil, 0, s.sourcesOut()
@@ -304,12 +285,16 @@
 // Watch implements Store. A watch that a source answers waits for less than was
 // asked: a source that falls silent is to be felt.
 func (s *Sourced) Watch(ctx context.Context, kind string, since int64, wait time.Duration) (events []Event, at int64, err error) {
-	done, err := s.ask(ctx, kind, func(from Source) (err error) {
-		events, at, err = watchFrom(ctx, from, kind, since, min(wait, sourceWait))
-		return err
+	a, done := s.ask(ctx, kind, func(ctx context.Context, from Source, hurry bool) answer {
+		most := sourceWait
+		if hurry {
+			most = 0
+		}
+		events, at, err := watchFrom(ctx, from, kind, since, min(wait, most))
+		return answer{events: events, at: at, err: err}
 	})
 	if done {
-		return events, at, s.marked(kind, err)
+		return a.events, a.at, s.marked(kind, a.err)
 	}
 	if !s.reachesStore(ctx, kind) {
 		return nil, 0, s.sourcesOut()
