Close the intake at any moment, and weigh the last reading half

Cause: a node that was ready again was filled at once and could not say so for three seconds; a step in the load showed after a second.

Change: three seconds bind the closed state alone; the smoothed share takes half of each reading. A step within one reading closes it now from a share of 0.2 on; a reading of a burst from less does not.

--- a/fleet/relay/overload/intake.go
+++ b/fleet/relay/overload/intake.go
@@ -10,13 +10,13 @@
 	Full  float64 // share of the link, smoothed, from which no new connection is welcome
 	Room  float64 // share below which they are again
 	Heavy float64 // share of the calls that one customer sends at least: where many customers fill a node, the others are as full
-	Stay  int     // readings that a change holds at least, so that the balancer notices it
+	Stay  int     // readings for which no connection is welcome at least, so that the balancer notices it
 	Part  float64 // of a new reading in the smoothed share
 }
 
 // DefaultIntakeRule is what measurements led to; docs/design/14-hot-customers.md.
 func DefaultIntakeRule() IntakeRule {
-	return IntakeRule{Full: 0.6, Room: 0.4, Heavy: 0.4, Stay: 15, Part: 0.3}
+	return IntakeRule{Full: 0.6, Room: 0.4, Heavy: 0.4, Stay: 15, Part: 0.5}
 }
 
 // Intake decides whether new connections are welcome. Read is for one goroutine.
@@ -43,7 +43,7 @@
 	i.share += i.rule.Part * (used - i.share)
 	i.held++
 	was := i.closed.Load()
-	if i.held < i.rule.Stay {
+	if was && i.held < i.rule.Stay {
 		return false
 	}
 	now := was
