Bound the memory of calls in progress, and refuse what does not fit

Cause: bodies and buffers of calls were bounded by nothing on a node of 112 MB, and a process over its bound ends with all its calls.

Change: 48 kB and the body of each call come out of a budget of 0.35 of the process's bound; a call that does not fit is refused before its body is read, as not run, with word when to come back, and counted. The link is watched whether it may steer or not.

--- a/fleet/relay/following.go
+++ b/fleet/relay/following.go
@@ -47,9 +47,7 @@
 	if n.settings.Enabled(handOnMechanism) {
 		go overload.Watch(ctx, n.gate, n.log)
 	}
-	if n.settings.Enabled(steerMechanism) && n.meter.Known() {
-		go n.watchIntake(ctx)
-	}
+	go n.watchLink(ctx)
 }
 
 // followEvacuations keeps up with the zones that operators want emptied, where the
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -50,6 +50,7 @@
 	service policy.Service
 	tenant  policy.Tenant
 	body    []byte
+	memory  int64 // set aside for the call, bytes
 	start   time.Time
 	end     time.Time // the caller's deadline or the route's timeout, the earlier
 
@@ -75,6 +76,7 @@
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer j.giveMemory()
 	if refused, ok := j.admit(); !ok {
 		j.refuse(refused)
 		return
@@ -146,6 +148,9 @@
 	if j.r.ContentLength > limit {
 		return refuseTooLarge, false
 	}
+	if !j.takeMemory(limit) {
+		return refuseMemory, false
+	}
 	if j.r.ContentLength == 0 {
 		return refusal{}, true
 	}
@@ -163,6 +168,35 @@
 	return refusal{}, true
 }
 
+const (
+	// callBytes is what a call holds beside its body: buffers of the caller's and the
+	// endpoint's connections (4 kB each way, 16 kB of writes to the endpoint) and the
+	// stacks of their goroutines.
+	callBytes = 48 << 10
+	// chunkedBytes is set aside for a body of no stated length.
+	chunkedBytes = 64 << 10
+)
+
+// takeMemory sets aside what the call will hold, before its body is read.
+func (j *job) takeMemory(limit int64) bool {
+	bytes := callBytes + j.r.ContentLength
+	if j.r.ContentLength < 0 {
+		bytes = callBytes + min(chunkedBytes, limit)
+	}
+	if !j.Memory.Take(bytes) {
+		return false
+	}
+	j.memory = bytes
+	return true
+}
+
+func (j *job) giveMemory() {
+	if j.memory > 0 {
+		j.Memory.Give(j.memory)
+		j.memory = 0
+	}
+}
+
 func readAll(r io.Reader, length int64) ([]byte, error) {
 	if length < 0 {
 		return io.ReadAll(r)
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
 )
@@ -97,7 +98,9 @@
 	allowance *account.Allowance
 	policy    policy.Policy
 	gate      gate
-	nodes     int // in the fleet; 0 is one
+	nodes     int            // in the fleet; 0 is one
+	memory    *memory.Budget // nil: no bound
+	engines   []engine.Engine
 
 	mu   sync.Mutex
 	runs []run
@@ -137,11 +140,10 @@
 	f := &fleet{policy: testPolicy(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning())}
 	f.allowance.Budget(map[string]int64{"t": 1000})
 	f.allowance.Saw(account.Ledger{Accounts: []account.Account{{Tenant: "t", Rows: []account.Row{{Node: "n", Life: "n/1", Drawn: held}}}}}, 1)
-	var engines []engine.Engine
 	for i, s := range scripts {
-		engines = append(engines, f.startEngine(t, "e"+strconv.Itoa(i), s))
+		f.engines = append(f.engines, f.startEngine(t, "e"+strconv.Itoa(i), s))
 	}
-	f.start(t, engines)
+	f.start(t, f.engines)
 	return f
 }
 
@@ -159,6 +161,9 @@
 }
 
 func (f *fleet) start(t *testing.T, engines []engine.Engine) {
+	if f.memory == nil {
+		f.memory = memory.NewBudget(0)
+	}
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	one := func() int { return 1 }
 	var p atomic.Pointer[policy.Policy]
@@ -169,7 +174,7 @@
 		Wire: plainWire{}, Policy: &p, Engines: &d, Allowance: f.allowance, TokenSource: noSource{},
 		Picker:  choice.NewPicker("z", choice.DefaultTuning()),
 		Retries: retry.NewBudget(retry.Rule{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one),
-		Gate:    &f.gate, Nodes: func() int { return max(f.nodes, 1) }, Regions: testRegions, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
+		Gate:    &f.gate, Memory: f.memory, Nodes: func() int { return max(f.nodes, 1) }, Regions: testRegions, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
 	})
 	f.Server = httptest.NewServer(f.handler)
 	t.Cleanup(f.Server.Close)
--- /dev/null
+++ b/fleet/relay/forward/memory_test.go
@@ -0,0 +1,38 @@
+package forward_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
+)
+
+// A call that the node has no memory for is refused as not run, with word when to come
+// back; what ended calls held is free again, however they ended.
+func TestACallThatDoesNotFitIsRefused(t *testing.T) {
+	const bound = 200 << 10
+	f := newFleet(t, 1000, good("ok"))
+	f.policy.Limits.BodyBytes = 1 << 20
+	f.memory = memory.NewBudget(bound)
+	f.start(t, f.engines)
+	large := strings.Repeat("x", 160<<10)
+	for range 3 {
+		got := f.do(t, f.request(t, "POST", "/single/x", large))
+		require.NoError(t, got.err)
+		assert.Equal(t, http.StatusServiceUnavailable, got.status)
+		assert.Contains(t, got.body, "no-memory")
+		assert.NotEmpty(t, got.header.Get("Retry-After"))
+		got = f.do(t, f.request(t, "POST", "/single/x", "small"))
+		assert.Equal(t, http.StatusOK, got.status)
+		got = f.do(t, f.request(t, "POST", "/nowhere/x", "small"))
+		assert.Equal(t, http.StatusNotFound, got.status)
+	}
+	assert.Eventually(t, func() bool { return f.memory.State().Held == 0 }, time.Second, time.Millisecond)
+	assert.Equal(t, int64(3), f.memory.State().Short)
+	assert.Len(t, f.seen(), 3, "what was refused reached no endpoint")
+}
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -19,6 +19,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
 )
@@ -33,6 +34,7 @@
 	Picker      *choice.Picker
 	Retries     *retry.Budget
 	Gate        Gate
+	Memory      *memory.Budget    // of calls in progress
 	Nodes       func() int        // how many nodes share the endpoints' connections
 	Regions     map[string]string // of the availability zones
 	Transport   *Transport
--- a/fleet/relay/intake.go
+++ b/fleet/relay/intake.go
@@ -15,9 +15,9 @@
 	leastOfZones = 3                      // nodes of a zone of which one may ask for no new connections: with fewer, the rest carry too much more
 )
 
-// watchIntake reads how full the link is until ctx ends, and has the balancer send new
+// watchLink reads how full the link is until ctx ends, and has the balancer send new
 // connections elsewhere while one customer's callers fill it.
-func (n *Node) watchIntake(ctx context.Context) {
+func (n *Node) watchLink(ctx context.Context) {
 	reader := n.meter.Reader()
 	ticker := time.NewTicker(linkEvery)
 	defer ticker.Stop()
@@ -29,8 +29,9 @@
 		}
 		use := reader.Read()
 		customer, share := n.gate.Heaviest()
-		changed := n.intake.Read(use.Fuller(), share, n.zoneSize() >= leastOfZones)
+		changed := n.intake.Read(use.Fuller(), share, n.mayMove())
 		n.metrics.Link(n.intake.Share(), n.intake.Open())
+		n.metrics.Memory(n.memory.State())
 		if !changed {
 			continue
 		}
@@ -43,7 +44,8 @@
 	}
 }
 
-// zoneSize is how many nodes this zone has, this one included.
-func (n *Node) zoneSize() int {
-	return lo.CountBy(n.registry.Members(), func(m peer.Member) bool { return m.Zone == n.settings.Zone })
+// mayMove is whether callers may be sent to other nodes of the zone.
+func (n *Node) mayMove() bool {
+	inZone := lo.CountBy(n.registry.Members(), func(m peer.Member) bool { return m.Zone == n.settings.Zone })
+	return n.settings.Enabled(steerMechanism) && inZone >= leastOfZones
 }
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -8,6 +8,8 @@
 	"github.com/samber/lo"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 )
 
 // Metrics of a relaying node.
@@ -20,6 +22,9 @@
 	evacuated metric.Int64Gauge
 	link      metric.Float64Gauge
 	intake    metric.Int64Gauge
+	held      metric.Int64Gauge
+	peak      metric.Int64Gauge
+	short     metric.Int64Gauge
 }
 
 // latencyBuckets are seconds, from a local call to a long stream.
@@ -40,12 +45,22 @@
 		*c.to, err = m.Int64Counter(c.name, metric.WithDescription(c.what))
 		failed = errors.CombineErrors(failed, errors.Wrapf(err, "metric %s", c.name))
 	}
-	metrics.evacuated, err = m.Int64Gauge("lynxshed.relay.evacuated_zones", metric.WithDescription("availability zones whose endpoints are to get no new work"))
-	failed = errors.CombineErrors(failed, errors.Wrap(err, "metric lynxshed.relay.evacuated_zones"))
+	gauges := []struct {
+		to         *metric.Int64Gauge
+		name, what string
+	}{
+		{&metrics.evacuated, "lynxshed.relay.evacuated_zones", "availability zones whose endpoints are to get no new work"},
+		{&metrics.intake, "lynxshed.relay.intake_open", "1 while new connections are welcome as far as the link goes, 0 while one customer's callers fill it"},
+		{&metrics.held, "lynxshed.relay.calls_held", "bytes that calls in progress hold"},
+		{&metrics.peak, "lynxshed.relay.calls_held_peak", "the most bytes that calls in progress have held"},
+		{&metrics.short, "lynxshed.relay.calls_no_memory", "calls that were refused since they did not fit into the memory for calls"},
+	}
+	for _, g := range gauges {
+		*g.to, err = m.Int64Gauge(g.name, metric.WithDescription(g.what))
+		failed = errors.CombineErrors(failed, errors.Wrapf(err, "metric %s", g.name))
+	}
 	metrics.link, err = m.Float64Gauge("lynxshed.relay.link_used", metric.WithDescription("share of the VM's link that is used, the fuller way, smoothed"))
 	failed = errors.CombineErrors(failed, errors.Wrap(err, "metric lynxshed.relay.link_used"))
-	metrics.intake, err = m.Int64Gauge("lynxshed.relay.intake_open", metric.WithDescription("1 while new connections are welcome as far as the link goes, 0 while one customer's callers fill it"))
-	failed = errors.CombineErrors(failed, errors.Wrap(err, "metric lynxshed.relay.intake_open"))
 	histograms := []struct {
 		to         *metric.Float64Histogram
 		name, what string
@@ -87,3 +102,10 @@
 	m.link.Record(context.Background(), used)
 	m.intake.Record(context.Background(), lo.Ternary[int64](open, 1, 0))
 }
+
+// Memory records what calls in progress hold, in bytes, and how often one did not fit.
+func (m *Metrics) Memory(s memory.State) {
+	m.held.Record(context.Background(), s.Held)
+	m.peak.Record(context.Background(), s.Peak)
+	m.short.Record(context.Background(), s.Short)
+}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -26,6 +26,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
 	"github.com/lynxshed/lynxshed/fleet/relay/ingress"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/overload"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
@@ -71,6 +72,7 @@
 	gate        *overload.Gate
 	intake      *overload.Intake
 	meter       *link.Meter
+	memory      *memory.Budget // of calls in progress
 	handler     *forward.Handler
 	ingress     *ingress.Listener
 	telemetry   *telemetry.Telemetry
@@ -81,7 +83,8 @@
 // Bounds of the process and of the server towards the balancer.
 const (
 	headerTimeout = 5 * time.Second
-	memoryShare   = 0.8 // of the bound, for the collector's aim
+	memoryShare   = 0.8  // of the bound, for the collector's aim
+	callsShare    = 0.35 // of the bound, for what calls in progress hold; docs/design/14-hot-customers.md
 )
 
 func part(of float64, whole time.Duration) time.Duration { return time.Duration(of * float64(whole)) }
@@ -113,10 +116,11 @@
 	n.gate = overload.NewGate(overload.DefaultRule())
 	n.intake = overload.NewIntake(overload.DefaultIntakeRule())
 	n.meter = link.NewMeter(s.LinkMbps)
+	n.memory = memory.NewBudget(int64(callsShare * s.MemoryMB * (1 << 20)))
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Allowance: n.allowance, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
-		Gate:    n.gate, Nodes: n.registry.Count, Regions: s.Regions, Transport: forward.NewTransport().WithMeter(n.meter), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Gate:    n.gate, Memory: n.memory, Nodes: n.registry.Count, Regions: s.Regions, Transport: forward.NewTransport().WithMeter(n.meter), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
