Collect garbage at half of what is in use

Change: the collector starts at half of what is in use in place of all, where the process's memory is bounded.

--- a/fleet/relay/intake.go
+++ b/fleet/relay/intake.go
@@ -18,6 +18,7 @@
 // watchLink reads how full the link is until ctx ends, and has the balancer send new
 // connections elsewhere while one customer's callers fill it.
 func (n *Node) watchLink(ctx context.Context) {
+	steers := n.settings.Enabled(steerMechanism)
 	reader := n.meter.Reader()
 	ticker := time.NewTicker(linkEvery)
 	defer ticker.Stop()
@@ -29,7 +30,7 @@
 		}
 		use := reader.Read()
 		customer, share := n.gate.Heaviest()
-		changed := n.intake.Read(use.Fuller(), share, n.mayMove())
+		changed := n.intake.Read(use.Fuller(), share, steers && mayMove(n.registry.Members(), n.settings.Zone))
 		n.metrics.Link(n.intake.Share(), n.intake.Open())
 		n.metrics.Memory(n.memory.State())
 		if !changed {
@@ -44,8 +45,7 @@
 	}
 }
 
-// mayMove is whether callers may be sent to other nodes of the zone.
-func (n *Node) mayMove() bool {
-	inZone := lo.CountBy(n.registry.Members(), func(m peer.Member) bool { return m.Zone == n.settings.Zone })
-	return n.settings.Enabled(steerMechanism) && inZone >= leastOfZones
+// mayMove is whether callers may be sent to other nodes of a zone.
+func mayMove(members []peer.Member, zone string) bool {
+	return lo.CountBy(members, func(m peer.Member) bool { return m.Zone == zone }) >= leastOfZones
 }
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -82,9 +82,10 @@
 
 // Bounds of the process and of the server towards the balancer.
 const (
-	headerTimeout = 5 * time.Second
-	memoryShare   = 0.8  // of the bound, for the collector's aim
-	callsShare    = 0.35 // of the bound, for what calls in progress hold; docs/design/14-hot-customers.md
+	headerTimeout  = 5 * time.Second
+	memoryShare    = 0.8  // of the bound, for the collector's aim
+	garbagePercent = 50   // of what is in use, that may wait for the collector: half of the usual, for processes that are bounded
+	callsShare     = 0.35 // of the bound, for what calls in progress hold; docs/design/14-hot-customers.md
 )
 
 func part(of float64, whole time.Duration) time.Duration { return time.Duration(of * float64(whole)) }
@@ -152,6 +153,7 @@
 func limitMemory(mb float64) {
 	if mb > 0 {
 		debug.SetMemoryLimit(int64(mb * memoryShare * (1 << 20)))
+		debug.SetGCPercent(garbagePercent)
 	}
 }
 
