--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
 )
@@ -101,6 +102,8 @@
 	trials    atomic.Pointer[forward.Trials]
 	samples   samples
 	servers   []*httptest.Server // of the endpoints, in their order
+	memory    *memory.Budget     // nil: no bound
+	engines   []engine.Engine
 
 	mu   sync.Mutex
 	runs []run
@@ -140,11 +143,10 @@
 	f := &fleet{policy: testPolicy(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning())}
 	f.allowance.Budget(map[string]int64{"t": 1000})
 	f.allowance.Saw(account.Ledger{Accounts: []account.Account{{Tenant: "t", Rows: []account.Row{{Node: "n", Life: "n/1", Drawn: held}}}}}, 1)
-	var engines []engine.Engine
 	for i, s := range scripts {
-		engines = append(engines, f.startEngine(t, "e"+strconv.Itoa(i), s))
+		f.engines = append(f.engines, f.startEngine(t, "e"+strconv.Itoa(i), s))
 	}
-	f.start(t, engines)
+	f.start(t, f.engines)
 	return f
 }
 
@@ -163,6 +165,9 @@
 }
 
 func (f *fleet) start(t *testing.T, engines []engine.Engine) {
+	if f.memory == nil {
+		f.memory = memory.NewBudget(0)
+	}
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	one := func() int { return 1 }
 	var p atomic.Pointer[policy.Policy]
@@ -173,7 +178,7 @@
 		Wire: plainWire{}, Policy: &p, Engines: &d, Trials: &f.trials, Samples: &f.samples, Allowance: f.allowance, TokenSource: noSource{},
 		Picker:  choice.NewPicker("z", choice.DefaultTuning()),
 		Retries: retry.NewBudget(retry.Rule{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one),
-		Gate:    &f.gate, Nodes: func() int { return max(f.nodes, 1) }, Regions: testRegions, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
+		Gate:    &f.gate, Memory: f.memory, Nodes: func() int { return max(f.nodes, 1) }, Regions: testRegions, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
 	})
 	f.Server = httptest.NewServer(f.handler)
 	t.Cleanup(f.Server.Close)
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -8,6 +8,8 @@
 	"github.com/samber/lo"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 )
 
 // Metrics of a relaying node.
@@ -23,6 +25,9 @@
 
 	stage, answers, badAnswers metric.Int64Gauge // of rollouts
 	share                      metric.Float64Gauge
+	held                       metric.Int64Gauge
+	peak                       metric.Int64Gauge
+	short                      metric.Int64Gauge
 }
 
 // latencyBuckets are seconds, from a local call to a long stream.
@@ -52,6 +57,9 @@
 		{&metrics.intake, "lynxshed.relay.intake_open", "1 while new connections are welcome as far as the link goes, 0 while one customer's callers fill it"},
 		{&metrics.answers, "lynxshed.relay.rollout_answers", "answers that this node had since the open order, by version"},
 		{&metrics.badAnswers, "lynxshed.relay.rollout_bad_answers", "those of them that failed, or took several times what is usual"},
+		{&metrics.held, "lynxshed.relay.calls_held", "bytes that calls in progress hold"},
+		{&metrics.peak, "lynxshed.relay.calls_held_peak", "the most bytes that calls in progress have held"},
+		{&metrics.short, "lynxshed.relay.calls_no_memory", "calls that were refused since they did not fit into the memory for calls"},
 	}
 	for _, g := range gauges {
 		*g.to, err = m.Int64Gauge(g.name, metric.WithDescription(g.what))
@@ -124,3 +132,10 @@
 	m.link.Record(context.Background(), used)
 	m.intake.Record(context.Background(), lo.Ternary[int64](open, 1, 0))
 }
+
+// Memory records what calls in progress hold, in bytes, and how often one did not fit.
+func (m *Metrics) Memory(s memory.State) {
+	m.held.Record(context.Background(), s.Held)
+	m.peak.Record(context.Background(), s.Peak)
+	m.short.Record(context.Background(), s.Short)
+}
