Say in one place how far a zone lies and what leaving costs

Cause: each other zone was treated alike: a constant of the choice, another for calls without prompts, and regions known to homes only. Change: fleet/relay/distance holds one value (same zone, same region, other region), the median of measured connects with its age, and what a byte costs there (setting bytes, 0 by default). The choice takes today's 0.03 and 0.35 from it; homes take the region of a zone from it.

--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -15,6 +15,7 @@
 	"github.com/lynxshed/lynxshed/fleet/ident"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/cold"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
 
@@ -22,7 +23,7 @@
 // concurrent use.
 type Picker struct {
 	tuning Tuning
-	zone   string
+	places distance.Places
 	cold   *cold.Gate
 
 	mu        sync.Mutex
@@ -36,7 +37,21 @@
 
 // NewPicker returns a picker for a node of a zone, which sends nothing to cold endpoints.
 func NewPicker(zone string, t Tuning) *Picker {
-	return &Picker{tuning: t, zone: zone, cold: cold.NewGate("", cold.Rule{}), endpoints: map[string]*endpoint{}, models: map[string]*model{}, holders: holders{}, zones: zones{}, told: map[string][]string{}}
+	return &Picker{tuning: t, places: distance.From(zone, nil, costs(t)), cold: cold.NewGate("", cold.Rule{}), endpoints: map[string]*endpoint{}, models: map[string]*model{}, holders: holders{}, zones: zones{}, told: map[string][]string{}}
+}
+
+// WithPlaces has the picker tell regions apart.
+func (p *Picker) WithPlaces(d distance.Places) *Picker {
+	p.places = d
+	return p
+}
+
+// costs are what leaving costs where no more is known.
+func costs(t Tuning) distance.Costs {
+	if !t.Distance {
+		return distance.None()
+	}
+	return distance.DefaultCosts()
 }
 
 // WithColdGate has the picker send to cold endpoints what a gate allows.
@@ -70,6 +85,7 @@
 	Profile   Profile
 	Objective time.Duration // until the first event, from now; 0 is none
 	Gap       time.Duration // longest pause between two events in time; 0 is none
+	Bytes     int64         // that go to the endpoint and back, as expected
 	Cap       int           // calls that this node may have in flight at one endpoint
 	Now       time.Time
 }
--- a/fleet/relay/choice/cost.go
+++ b/fleet/relay/choice/cost.go
@@ -27,6 +27,7 @@
 		return t
 	}
 	slower := s.speed.slower(r.Now)
+	away := p.places.To(e.Zone, r.Now)
 	kept := p.keptTokens(r, e, s, affinity)
 	fetchMs := 0.0
 	if p.tuning.Fetch && from.id != e.ID && from.tokens > kept {
@@ -39,7 +40,7 @@
 	}
 	t.Uncached = max(r.Call.PromptMax-kept, 0)
 	t.ahead = waiting + t.Uncached
-	t.FirstMs = slower*m.firstMs(t.ahead) + fetchMs + p.slotMs(m, e, inFlight)
+	t.FirstMs = slower*m.firstMs(t.ahead) + fetchMs + p.slotMs(m, e, inFlight) + away.DelayMs()
 	value := valueOf(r.Call)
 	t.Cost = value * (chanceOfMore(t.FirstMs, objectiveMs(r)) + p.tuning.Waiting*t.FirstMs/objectiveMs(r))
 	if p.tuning.Pauses {
@@ -49,9 +50,7 @@
 		t.PauseMs = slower * (m.eventMs(inFlight) + m.readMs(t.ahead))
 		t.Cost += m.value.mean() * float64(inFlight) * chanceOfMore(t.PauseMs, gapMs(r))
 	}
-	if e.Zone != p.zone {
-		t.Cost += p.tuning.CrossZone * value
-	}
+	t.Cost += away.Call(value, r.Bytes)
 	return t
 }
 
@@ -63,15 +62,9 @@
 		full = max(full, float64(s.load.Running+s.load.Waiting))
 	}
 	cost := max(s.speed.slower(r.Now), 1) * (full + 1) / slots
-	if e.Zone != p.zone {
-		cost += plainCrossZone
-	}
-	return cost
+	return cost + p.places.To(e.Zone, r.Now).Plain()
 }
 
-// plainCrossZone is what leaving the zone costs a plain call, in filled endpoints.
-const plainCrossZone = 0.35
-
 // keptTokens is how much of the prompt the endpoint is thought to keep.
 func (p *Picker) keptTokens(r Request, e engine.Engine, s *endpoint, affinity string) int64 {
 	kept, believed := int64(0), 0.0
--- a/fleet/relay/choice/zones.go
+++ b/fleet/relay/choice/zones.go
@@ -38,5 +38,5 @@
 // unreachable is whether an availability zone is avoided now; the node's own never is.
 func (p *Picker) unreachable(name string, now time.Time) bool {
 	of, ok := p.zones[name]
-	return ok && name != p.zone && now.Before(of.avoided)
+	return ok && name != p.places.Zone() && now.Before(of.avoided)
 }
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
@@ -98,6 +99,7 @@
 	policy    policy.Policy
 	gate      gate
 	nodes     int // in the fleet; 0 is one
+	places    distance.Places
 
 	mu   sync.Mutex
 	runs []run
@@ -165,11 +167,12 @@
 	var d atomic.Pointer[engine.Directory]
 	p.Store(f.policy.Indexed())
 	d.Store(engine.NewDirectory(1, engines))
+	f.places = distance.From("z", testRegions, distance.DefaultCosts())
 	f.handler = forward.New(forward.Options{
 		Wire: plainWire{}, Policy: &p, Engines: &d, Allowance: f.allowance, TokenSource: noSource{},
 		Picker:  choice.NewPicker("z", choice.DefaultTuning()),
 		Retries: retry.NewBudget(retry.Rule{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one),
-		Gate:    &f.gate, Nodes: func() int { return max(f.nodes, 1) }, Regions: testRegions, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
+		Gate:    &f.gate, Nodes: func() int { return max(f.nodes, 1) }, Places: f.places, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
 	})
 	f.Server = httptest.NewServer(f.handler)
 	t.Cleanup(f.Server.Close)
--- a/fleet/relay/forward/homes.go
+++ b/fleet/relay/forward/homes.go
@@ -14,7 +14,7 @@
 		return engines
 	}
 	return lo.Filter(engines, func(e engine.Engine, _ int) bool {
-		region := j.Regions[e.Zone]
+		region := j.Places.Region(e.Zone)
 		return j.route.Homes.Allow(region) && j.tenant.Homes.Allow(region)
 	})
 }
--- a/fleet/relay/forward/homes_test.go
+++ b/fleet/relay/forward/homes_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -50,3 +51,18 @@
 		})
 	}
 }
+
+// What connecting takes is the round trip to the endpoint's zone; a call on a kept
+// connection measures nothing.
+func TestConnectsMeasureTheRoundTrip(t *testing.T) {
+	f := &fleet{policy: testPolicy(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning())}
+	e := f.startEngine(t, "e0", good("done"))
+	e.Zone = "z1"
+	f.start(t, []engine.Engine{e})
+	assert.False(t, f.places.To("z1", time.Now()).Measured)
+	assert.Equal(t, http.StatusOK, f.do(t, f.request(t, http.MethodPost, "/once/x", "")).status)
+	trip := f.places.To("z1", time.Now())
+	assert.True(t, trip.Measured)
+	assert.Positive(t, trip.RoundTrip)
+	assert.False(t, f.places.To("z2", time.Now()).Measured)
+}
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -17,6 +17,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
@@ -33,8 +34,8 @@
 	Picker      *choice.Picker
 	Retries     *retry.Budget
 	Gate        Gate
-	Nodes       func() int        // how many nodes share the endpoints' connections
-	Regions     map[string]string // of the availability zones
+	Nodes       func() int      // how many nodes share the endpoints' connections
+	Places      distance.Places // where the availability zones lie
 	Transport   *Transport
 	Log         log.Interface
 	Metrics     Metrics
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -74,10 +74,17 @@
 	now := time.Now()
 	return j.Picker.Pick(choice.Request{
 		Call: j.call, Engines: j.atHome(engines.Of(j.service.Name)), Exclude: tried, Profile: profile(j.service),
-		Objective: j.route.Objective - now.Sub(j.start), Gap: j.route.Gap, Cap: j.cap(), Now: now,
+		Objective: j.route.Objective - now.Sub(j.start), Gap: j.route.Gap, Bytes: j.bytes(), Cap: j.cap(), Now: now,
 	})
 }
 
+// answerToken is how many bytes of an answer a generated token takes, at the least: text
+// alone.
+const answerToken = 4
+
+// bytes are what goes to an endpoint and back, as far as it is known before.
+func (j *job) bytes() int64 { return int64(len(j.body)) + answerToken*j.call.OutputMax }
+
 func profile(s policy.Service) choice.Profile {
 	return choice.Profile{
 		Service: s.Name, Tokens: s.KVCapacity > 0, Capacity: s.KVCapacity,
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -57,6 +57,7 @@
 			}
 		},
 	})
+	ctx = j.measured(ctx, t.Engine.Zone)
 	started := time.Now()
 	resp, err := j.Transport.RoundTrip(j.request(ctx, t, lastEventID))
 	heard()
@@ -74,6 +75,19 @@
 	return j.judgeHead(t, resp, started)
 }
 
+// measured takes how long connecting to a zone takes as the round trip there.
+func (j *job) measured(ctx context.Context, zone string) context.Context {
+	var began time.Time // of the goroutine that connects only
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		ConnectStart: func(string, string) { began = time.Now() },
+		ConnectDone: func(_, _ string, err error) {
+			if now := time.Now(); err == nil {
+				j.Places.Measured(zone, now.Sub(began), now)
+			}
+		},
+	})
+}
+
 // dropSilent drops the connections that rest beside one that fell silent, and says so
 // in the error.
 func (j *job) dropSilent(ctx context.Context, t *choice.Placement, err error) error {
--- a/fleet/relay/mechanisms.go
+++ b/fleet/relay/mechanisms.go
@@ -16,13 +16,13 @@
 }
 
 var mechanisms = []mechanism{
-	{"fetch", func(t *choice.Tuning) { t.Fetch = false }},           // parts of prompts taken from another endpoint
-	{"homes", func(t *choice.Tuning) { t.Homes = false }},           // prompts go where all nodes expect their parts
-	{"harm", func(t *choice.Tuning) { t.Harm = false }},             // what a prompt does to the streams that run there
-	{"pauses", func(t *choice.Tuning) { t.Pauses = false }},         // how often streams paused there
-	{"reads-gossip", func(t *choice.Tuning) { t.Gossip = false }},   // peers' word on where prompts were read
-	{"zone-preference", func(t *choice.Tuning) { t.CrossZone = 0 }}, // staying in the zone
-	{"affinity", func(t *choice.Tuning) { t.AffinityTrust = 0 }},    // belief in the affinity target
+	{"fetch", func(t *choice.Tuning) { t.Fetch = false }},              // parts of prompts taken from another endpoint
+	{"homes", func(t *choice.Tuning) { t.Homes = false }},              // prompts go where all nodes expect their parts
+	{"harm", func(t *choice.Tuning) { t.Harm = false }},                // what a prompt does to the streams that run there
+	{"pauses", func(t *choice.Tuning) { t.Pauses = false }},            // how often streams paused there
+	{"reads-gossip", func(t *choice.Tuning) { t.Gossip = false }},      // peers' word on where prompts were read
+	{"zone-preference", func(t *choice.Tuning) { t.Distance = false }}, // staying in the zone and the region
+	{"affinity", func(t *choice.Tuning) { t.AffinityTrust = 0 }},       // belief in the affinity target
 }
 
 // Mechanisms that are no part of the choice.
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/cold"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/evacuation"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
@@ -66,6 +67,7 @@
 	allowance   *account.Allowance
 	syncer      *account.Syncer
 	picker      *choice.Picker
+	places      distance.Places
 	registry    *peer.Registry
 	gossip      *peer.Gossip
 	gate        *overload.Gate
@@ -89,7 +91,7 @@
 // New builds a node.
 func New(s Settings, a Adapter, l log.Interface) (*Node, error) {
 	limitMemory(s.MemoryMB)
-	n := &Node{settings: s, adapter: a, health: store.NewHealth(), log: l}
+	n := &Node{settings: s, adapter: a, places: s.Places(), health: store.NewHealth(), log: l}
 	if err := n.measure(); err != nil {
 		return nil, err
 	}
@@ -98,7 +100,7 @@
 	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps}
 	n.allowance = account.NewAllowance(s.Node, life, s.Budget.Tuning())
 	n.cold = cold.NewGate(s.Node, cold.Rule{Overrun: s.Cold.Overrun, Tolerance: s.Cold.Tolerance})
-	n.picker = choice.NewPicker(s.Zone, s.Choice()).WithColdGate(n.cold)
+	n.picker = choice.NewPicker(s.Zone, s.Choice()).WithColdGate(n.cold).WithPlaces(n.places)
 	n.engineTable = newEngineTable(n)
 	n.registry = peer.NewRegistry(n.store, self, n.health, s.History(), l)
 	gossip, err := peer.Listen(s.Peer, n.registry, n.picker, n.allowance, func() bool { return n.syncer.Out() })
@@ -116,7 +118,7 @@
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Allowance: n.allowance, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
-		Gate:    n.gate, Nodes: n.registry.Count, Regions: s.Regions, Transport: forward.NewTransport().WithMeter(n.meter), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Gate:    n.gate, Nodes: n.registry.Count, Places: n.places, Transport: forward.NewTransport().WithMeter(n.meter), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/settings/schema"
 )
 
@@ -33,6 +34,7 @@
 	Budget     BudgetSettings    `json:"budget"`     // how much of the budgets a node holds
 	Cold       ColdSettings      `json:"cold"`       // bounds on what endpoints get that have just started
 	Regions    map[string]string `json:"regions"`    // of the availability zones, by name
+	Bytes      BytesSettings     `json:"bytes"`      // what a megabyte costs that leaves the zone
 	Disable    []string          `json:"disable"`    // mechanisms that are switched off, to measure what each is worth
 	LogLevel   string            `json:"logLevel"`   // debug, info, warn or error
 	Trace      TraceSettings     `json:"trace"`
@@ -65,6 +67,13 @@
 	Tolerance float64 `json:"tolerance"` // calls beyond that
 }
 
+// BytesSettings say what a megabyte costs, in tokens of prompts: what a prompt of so many
+// tokens is worth to the deployment. 0 is the default.
+type BytesSettings struct {
+	ZoneTokens   float64 `json:"zoneTokens"`   // to another zone of the region
+	RegionTokens float64 `json:"regionTokens"` // to another region
+}
+
 // BudgetSettings say how much of the budgets the nodes hold; 0 is the default.
 type BudgetSettings struct {
 	HorizonS float64 `json:"horizonS"` // seconds that holdings last at the present demand
@@ -132,6 +141,10 @@
 		{Name: "tolerance", Number: schema.Number(0, 1<<20)},
 	}},
 	{Name: "regions", Each: schema.Some},
+	{Name: "bytes", Fields: []schema.Field{
+		{Name: "zoneTokens", Number: schema.Number(0, 1<<30)},
+		{Name: "regionTokens", Number: schema.Number(0, 1<<30)},
+	}},
 	{Name: "linkMbps", Number: schema.Number(0, 1<<20)},
 	{Name: "memoryMB", Number: schema.Number(0, 1<<20)},
 	{Name: "drainS", Number: schema.Number(0, mostSeconds)},
@@ -164,6 +177,18 @@
 	return s, errors.Wrap(json.Unmarshal(standard, &s), "settings")
 }
 
+// Places are the availability zones as seen from the node's own.
+func (s Settings) Places() distance.Places {
+	costs := distance.DefaultCosts()
+	if !s.Choice().Distance {
+		costs = distance.None()
+	}
+	if s.Bytes.ZoneTokens > 0 || s.Bytes.RegionTokens > 0 {
+		costs = costs.WithBytes(s.Bytes.ZoneTokens, s.Bytes.RegionTokens)
+	}
+	return distance.From(s.Zone, s.Regions, costs)
+}
+
 // History is how long the store keeps its history; 0 is not known.
 func (s Settings) History() time.Duration {
 	return seconds(s.HistoryS)
