Take parts of prompts, tokens and the store's news from the region first

Cause: holders of parts, richer peers and sources in other zones were all alike. Change: parts come from the nearest of those that keep them, and moving them takes the exchanges' round trips, where these count; a call that is short of tokens asks its region's peers first and waits as long as the way is; a node asks its zone's delegates, then its region's, then others.

--- a/fleet/relay/choice/cost.go
+++ b/fleet/relay/choice/cost.go
@@ -31,7 +31,7 @@
 	kept := p.keptTokens(r, e, s, affinity)
 	fetchMs := 0.0
 	if p.tuning.Fetch && from.id != e.ID && from.tokens > kept {
-		if ms := from.moveMs(from.tokens - kept); ms < m.readMs(from.tokens-kept) {
+		if ms := from.moveMs(from.tokens-kept, p.places.Between(from.zone, e.Zone, r.Now)); ms < m.readMs(from.tokens-kept) {
 			t.Source, t.Fetched, fetchMs = from.address, from.tokens-kept, ms
 			if from.known || !p.tuning.Homes {
 				kept = from.tokens
@@ -62,7 +62,8 @@
 		full = max(full, float64(s.load.Running+s.load.Waiting))
 	}
 	cost := max(s.speed.slower(r.Now), 1) * (full + 1) / slots
-	return cost + p.places.To(e.Zone, r.Now).Plain()
+	away := p.places.To(e.Zone, r.Now)
+	return cost + away.Plain() + away.DelayMs()/objectiveMs(r)
 }
 
 // keptTokens is how much of the prompt the endpoint is thought to keep.
--- a/fleet/relay/choice/model_test.go
+++ b/fleet/relay/choice/model_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
 
@@ -338,3 +339,81 @@
 		})
 	}
 }
+
+// Parts are taken from the nearest of those that keep them; which of several as near ones
+// differs from call to call.
+func TestPartsAreTakenFromTheNearest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	all := testEngines(6)
+	regions := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+	for i, zone := range []string{"b1", "b1", "a2", "a2", "a1", "a1"} {
+		all[i].Zone = zone
+	}
+	profile := Profile{Service: service, Tokens: true, Capacity: 100_000, TokenBytes: 131_072, LinkMbps: 500_000}
+	shared := []call.Part{{ID: "system", Tokens: 6000}, {ID: "own", Tokens: 500}}
+	cases := []struct {
+		name    string
+		keeping []int
+		want    []int
+	}{
+		{"in other regions only", []int{0, 1}, []int{0, 1}},
+		{"in the region, too", []int{0, 1, 2, 3}, []int{2, 3}},
+		{"in the zone, too", []int{0, 1, 2, 4}, []int{4}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewPicker("a1", DefaultTuning()).WithPlaces(distance.From("a1", regions, distance.DefaultCosts()))
+			for _, i := range c.keeping {
+				p.endpoint(all[i].ID, profile.Capacity).cache.read(shared[0], true)
+			}
+			used := map[string]bool{}
+			for i := range 64 {
+				one := call.Call{ID: fmt.Sprint(i), PromptMax: 6500, Parts: shared}
+				from := p.source(Request{Call: one, Engines: all, Profile: profile, Now: now}, "")
+				used[from.id] = true
+			}
+			want := map[string]bool{}
+			for _, i := range c.want {
+				want[all[i].ID] = true
+			}
+			assert.Equal(t, want, used)
+		})
+	}
+}
+
+// Among endpoints that are as good a call stays in the zone, then in the region; where
+// these are worse by more than leaving costs it leaves.
+func TestCallsStayNear(t *testing.T) {
+	now := time.Unix(1000, 0)
+	regions := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+	cases := []struct {
+		name   string
+		full   []string // zones whose endpoints are full
+		tokens bool
+		chosen string
+	}{
+		{"a prompt", nil, true, "a1"},
+		{"a prompt, the zone is full", []string{"a1"}, true, "a2"},
+		{"a prompt, the region is full", []string{"a1", "a2"}, true, "b1"},
+		{"a plain call", nil, false, "a1"},
+		{"a plain call, the zone is full", []string{"a1"}, false, "a2"},
+		{"a plain call, the region is full", []string{"a1", "a2"}, false, "b1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewPicker("a1", DefaultTuning()).WithPlaces(distance.From("a1", regions, distance.DefaultCosts()))
+			all := testEngines(3)
+			for i, zone := range []string{"b1", "a2", "a1"} {
+				all[i].Zone = zone
+				if slices.Contains(c.full, zone) {
+					p.endpoint(all[i].ID, 0).inFlight = 3 * all[i].Slots
+					p.endpoint(all[i].ID, 0).waiting = 200_000
+				}
+			}
+			one := call.Call{ID: "x", PromptMax: 2000, OutputMax: 20}
+			got, ok := p.Pick(Request{Call: one, Engines: all, Profile: Profile{Service: service, Tokens: c.tokens, Capacity: 100_000}, Objective: 500 * time.Millisecond, Bytes: 8000, Cap: 100, Now: now})
+			require.True(t, ok)
+			assert.Equal(t, c.chosen, got.Engine.Zone)
+		})
+	}
+}
--- a/fleet/relay/choice/source.go
+++ b/fleet/relay/choice/source.go
@@ -6,6 +6,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/ident"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
 
@@ -14,18 +15,22 @@
 type source struct {
 	id      string
 	address string
+	zone    string
 	tokens  int64
 	known   bool    // it was seen or heard to have read them; else it is only thought to, as the affinity target
 	bytesMs float64 // of the link, in a ms
 	bytes   int64   // of a token
 }
 
-// moveSetupMs is what a move takes beside its bytes: two exchanges between endpoints.
-const moveSetupMs = 5
+// What a move takes beside its bytes: exchanges between endpoints, and their work.
+const (
+	moveExchanges = 2
+	moveSetupMs   = 5
+)
 
-// moveMs is how long so many tokens take to be moved.
-func (s source) moveMs(tokens int64) float64 {
-	return moveSetupMs + float64(tokens*s.bytes)/s.bytesMs
+// moveMs is how long so many tokens take to be moved over a distance.
+func (s source) moveMs(tokens int64, way distance.Distance) float64 {
+	return moveSetupMs + moveExchanges*way.DelayMs() + float64(tokens*s.bytes)/s.bytesMs
 }
 
 // source finds where most of the shared parts lie; none where nothing can be moved.
@@ -41,7 +46,7 @@
 	}
 	for depth := len(shared); depth > 0; depth-- {
 		if e, ok := p.holderOf(r, shared[:depth], affinity); ok {
-			best.id, best.address, best.tokens, best.known = e.ID, e.Address, tokensOf(shared[:depth]), true
+			best.id, best.address, best.zone, best.tokens, best.known = e.ID, e.Address, e.Zone, tokensOf(shared[:depth]), true
 			break
 		}
 	}
@@ -53,13 +58,18 @@
 const holdersSeen = 16
 
 // holderOf finds a sound endpoint that keeps all of some parts: the affinity target
-// where it does, else one drawn by the call's id, so that the calls of one moment
-// do not all load one link.
+// where it does, else one of the nearest, drawn by the call's id, so that the calls of
+// one moment do not all load one link.
 func (p *Picker) holderOf(r Request, parts []call.Part, affinity string) (engine.Engine, bool) {
 	var best engine.Engine
 	found, seen := false, 0
 	key := xxhash.Sum64String(r.Call.ID)
-	rank := func(e engine.Engine) uint64 { return ident.Mix(key ^ e.Hash) }
+	before := func(a, b engine.Engine) bool {
+		if x, y := p.places.Class(a.Zone), p.places.Class(b.Zone); x != y {
+			return x < y
+		}
+		return ident.Mix(key^a.Hash) > ident.Mix(key^b.Hash)
+	}
 	holders := p.holders[parts[len(parts)-1].ID]
 	if holders[affinity] && p.keepsAll(affinity, parts) {
 		if e, sound := p.soundSource(r, affinity); sound {
@@ -73,7 +83,7 @@
 		if !p.keepsAll(id, parts) {
 			continue
 		}
-		if e, sound := p.soundSource(r, id); sound && (!found || rank(e) > rank(best)) {
+		if e, sound := p.soundSource(r, id); sound && (!found || before(e, best)) {
 			best, found = e, true
 		}
 	}
@@ -120,6 +130,6 @@
 	if !sound || tokens <= known.tokens {
 		return known
 	}
-	known.id, known.address, known.tokens, known.known = affinity, e.Address, tokens, false
+	known.id, known.address, known.zone, known.tokens, known.known = affinity, e.Address, e.Zone, tokens, false
 	return known
 }
--- a/fleet/relay/distance/places.go
+++ b/fleet/relay/distance/places.go
@@ -24,11 +24,13 @@
 func (p Places) Region(zone string) string { return p.regions[zone] }
 
 // Class is how far a zone lies.
-func (p Places) Class(zone string) Class {
+func (p Places) Class(zone string) Class { return p.class(p.zone, zone) }
+
+func (p Places) class(one, other string) Class {
 	switch {
-	case zone == p.zone:
+	case one == other:
 		return SameZone
-	case p.regions[zone] == p.regions[p.zone]:
+	case p.regions[one] == p.regions[other]:
 		return SameRegion
 	}
 	return OtherRegion
@@ -47,6 +49,27 @@
 	return d
 }
 
+// Between is how far two zones lie from each other. A way that does not begin here is
+// taken to be as long as the last that was measured of its class.
+func (p Places) Between(from, to string, now time.Time) Distance {
+	if from == p.zone {
+		return p.To(to, now)
+	}
+	if to == p.zone {
+		return p.To(from, now)
+	}
+	return p.OfClass(p.class(from, to), now)
+}
+
+// OfClass is how far zones of a class lie, by the last that was measured.
+func (p Places) OfClass(c Class, now time.Time) Distance {
+	d := Distance{Class: c, costs: p.costs, RoundTrip: assumed[c]}
+	if t, ok := p.trips.of(c, p.Class); ok {
+		d.RoundTrip, d.Age, d.Measured = t.median, now.Sub(t.at), true
+	}
+	return d
+}
+
 // Measured notes how long a round trip to a zone took.
 func (p Places) Measured(zone string, took time.Duration, now time.Time) {
 	p.trips.add(zone, took, now)
--- a/fleet/relay/distance/trips.go
+++ b/fleet/relay/distance/trips.go
@@ -37,6 +37,17 @@
 	return one, ok
 }
 
+// of is the newest trip to a zone of a class.
+func (t *Trips) of(c Class, class func(zone string) Class) (trip, bool) {
+	var newest trip
+	for zone, one := range *t.medians.Load() {
+		if class(zone) == c && one.at.After(newest.at) {
+			newest = one
+		}
+	}
+	return newest, !newest.at.IsZero()
+}
+
 // add notes a round trip; one that is not positive was not measured.
 func (t *Trips) add(zone string, took time.Duration, now time.Time) {
 	if took <= 0 {
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -1,11 +1,13 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +17,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
@@ -34,7 +37,8 @@
 	number      uint64
 	transfers   *transfers
 	ledgers     *ledgers
-	address     string      // of this node's socket
+	address     string // of this node's socket
+	places      distance.Places
 	out         func() bool // whether this node does not reach the store
 	writes      atomic.Bool
 	writerCount atomic.Int64
@@ -66,11 +70,17 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), ledgers: &ledgers{own: store.NewCache()}, address: address, out: out, client: sourceClient(), delegates: newDelegates(r.self)}
+	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), ledgers: &ledgers{own: store.NewCache()}, address: address, out: out, client: sourceClient(), delegates: newDelegates(r.self), places: distance.From(r.self.Zone, nil, distance.DefaultCosts())}
 	r.OnChange(func([]Member) { g.choose() })
 	return g, nil
 }
 
+// WithPlaces has the gossip tell regions apart, before Run.
+func (t *Gossip) WithPlaces(p distance.Places) *Gossip {
+	t.places = p
+	return t
+}
+
 // Close gives the socket up, where Run is not called.
 func (t *Gossip) Close() error { return t.socket.Close() }
 
@@ -206,6 +216,16 @@
 	t.picker.Heard(m.Node, m.Digests, now)
 	t.picker.HeardReads(m.Reads)
 	if m.HasBudgets {
-		t.transfers.record(from, m.BudgetReports, now)
+		t.transfers.recordFrom(from, t.classOf(m.Node), m.BudgetReports, now)
+	}
+}
+
+// classOf is how far a node lies; one that is not listed yet is taken for a near one.
+func (t *Gossip) classOf(node string) distance.Class {
+	members := t.registry.Members()
+	at, ok := slices.BinarySearchFunc(members, node, func(m Member, name string) int { return cmp.Compare(m.Name, name) })
+	if !ok {
+		return distance.SameRegion
 	}
+	return t.places.Class(members[at].Zone)
 }
--- a/fleet/relay/peer/roles.go
+++ b/fleet/relay/peer/roles.go
@@ -71,20 +71,22 @@
 	})
 }
 
-// farSources is how many nodes of other zones are asked where none of the zone's answers.
+// farSources is how many nodes of other zones of the region are asked where none of the
+// zone's answers, and how many of other regions then.
 const farSources = 2
 
 // sourcesOf lists the nodes that watch the store for this one, in the order in which
-// it asks them, which spreads askers: those of the zone, then some of others; none
-// where it watches itself.
+// it asks them, which spreads askers: those of the zone, then some of other zones of the
+// region and of other regions; none where it watches itself.
 func (t *Gossip) sourcesOf(writers map[string]bool, near, all []Member) *[]store.Source {
 	sources := []store.Source{}
 	if writers[t.registry.self.Name] {
 		return &sources
 	}
 	far := lo.Filter(all, func(m Member, _ int) bool { return m.Zone != t.registry.self.Zone && !t.word(m.Name).out })
-	far = t.spread(far)
-	for _, m := range append(t.spread(near), far[:min(len(far), farSources)]...) {
+	region, others := lo.FilterReject(t.spread(far), func(m Member, _ int) bool { return t.places.Near(m.Zone) })
+	far = append(region[:min(len(region), farSources)], others[:min(len(others), farSources)]...)
+	for _, m := range append(t.spread(near), far...) {
 		sources = append(sources, store.Source{Name: m.Name, Reader: Remote{client: t.client, address: m.Address}})
 	}
 	return &sources
--- a/fleet/relay/peer/transfer.go
+++ b/fleet/relay/peer/transfer.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 )
 
 // Allowance is what transfers need of a node's budgets.
@@ -46,7 +47,7 @@
 
 // How transfers are asked for.
 const (
-	grantTimeout = 30 * time.Millisecond // for one try at a peer
+	grantTimeout = 30 * time.Millisecond // for one try at a peer, beyond the round trip
 	grantTries   = 2                     // at a peer, with the same id, while a request waits
 	grantRepeats = 6                     // and afterwards, so that what was counted out already is not lost with its datagram
 	grantPause   = 150 * time.Millisecond
@@ -89,6 +90,7 @@
 type peerReport struct {
 	budgets map[string]account.BudgetReport
 	at      time.Time
+	class   distance.Class // how far it lies
 }
 
 type pending struct {
@@ -109,11 +111,16 @@
 	return &transfers{allowance: p, reported: map[string]peerReport{}, pending: map[string]*pending{}, answers: map[string]answer{}, ranking: map[string]ranking{}, vain: map[string]vain{}}
 }
 
-// record notes what a peer could give.
+// record notes what a peer of the node's region could give.
 func (l *transfers) record(peer string, budgets map[string]account.BudgetReport, now time.Time) {
+	l.recordFrom(peer, distance.SameRegion, budgets, now)
+}
+
+// recordFrom notes what a peer could give, and how far it lies.
+func (l *transfers) recordFrom(peer string, c distance.Class, budgets map[string]account.BudgetReport, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reported[peer] = peerReport{budgets: budgets, at: now}
+	l.reported[peer] = peerReport{budgets: budgets, at: now, class: c}
 }
 
 // fleets sums up what the peers told, by tenant. Clients are the nodes, by
@@ -194,7 +201,8 @@
 	}
 }
 
-// sources lists the peers that could give something, the richest first.
+// sources lists the peers that could give something: those of the region before others,
+// the richest first.
 func (l *transfers) sources(tenant string, now time.Time) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -221,11 +229,13 @@
 	l.vain[tenant] = vain{tokens: tokens, at: now}
 }
 
-// richest lists the peers that could give something, the richest first; the lock is held.
+// richest lists the peers that could give something, the richest first, and those of other
+// regions, which a call that is short would wait for, last; the lock is held.
 func (l *transfers) richest(tenant string, now time.Time) []string {
 	type rich struct {
 		peer   string
 		tokens int64
+		far    int // 1 in another region
 	}
 	all := make([]rich, 0, 2*grantPeers)
 	for peer, o := range l.reported {
@@ -233,10 +243,12 @@
 			continue
 		}
 		if tokens := o.budgets[tenant].Free; tokens > 0 {
-			all = append(all, rich{peer: peer, tokens: tokens})
+			all = append(all, rich{peer: peer, tokens: tokens, far: far(o.class)})
 		}
 	}
-	slices.SortFunc(all, func(a, b rich) int { return cmp.Or(cmp.Compare(b.tokens, a.tokens), cmp.Compare(a.peer, b.peer)) })
+	slices.SortFunc(all, func(a, b rich) int {
+		return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(b.tokens, a.tokens), cmp.Compare(a.peer, b.peer))
+	})
 	peers := make([]string, 0, grantPeers)
 	for _, r := range all[:min(len(all), grantPeers)] {
 		peers = append(peers, r.peer)
@@ -244,6 +256,29 @@
 	return peers
 }
 
+// far is 1 for another region, so that its peers come last.
+func far(c distance.Class) int {
+	if c == distance.OtherRegion {
+		return 1
+	}
+	return 0
+}
+
+// nearFirst moves the peers of other regions, as far as they were heard of, to the end.
+func (l *transfers) nearFirst(peers []string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slices.SortStableFunc(peers, func(a, b string) int { return cmp.Compare(far(l.reported[a].class), far(l.reported[b].class)) })
+	return peers
+}
+
+// classOf is how far a peer lies that was heard of.
+func (l *transfers) classOf(peer string) distance.Class {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reported[peer].class
+}
+
 // open notes a request that is sent to a peer.
 func (l *transfers) open(a transferRequest, peer string, now time.Time) chan grant {
 	l.mu.Lock()
@@ -308,7 +343,8 @@
 			want = max(want, need+wantFactor*tokens)
 		}
 		richer := t.requestFrom(ctx, peers[i], transferRequest{ID: uuid.NewString(), Tenant: tenant, Need: need, Want: want})
-		peers = append(peers[:i+1:i+1], lo.Uniq(append(lo.Without(richer, append(peers[:i+1:i+1], t.address)...), peers[i+1:]...))...)
+		rest := lo.Uniq(append(lo.Without(richer, append(peers[:i+1:i+1], t.address)...), peers[i+1:]...))
+		peers = append(peers[:i+1:i+1], t.transfers.nearFirst(rest)...)
 	}
 	missing := t.transfers.allowance.Missing(tenant, tokens)
 	if missing > 0 {
@@ -334,7 +370,7 @@
 	done := t.transfers.open(a, peer, time.Now())
 	for range grantTries {
 		t.send(t.signed(message{Requests: []transferRequest{a}}), peer)
-		timer := time.NewTimer(grantTimeout)
+		timer := time.NewTimer(grantTimeout + t.places.OfClass(t.transfers.classOf(peer), time.Now()).RoundTrip)
 		select {
 		case g := <-done:
 			timer.Stop()
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.gossip = gossip
+	n.gossip = gossip.WithPlaces(n.places)
 	n.registry.OnChange(func(members []peer.Member) {
 		n.cold.Nodes(lo.Map(members, func(m peer.Member, _ int) string { return m.Name }), time.Now())
 	})
