Let two delegates of a region watch the store, and the others ask them

Change: in each region two delegates, of two zones where there are such, watch the store; the others ask them for what they have from it, and pass that on to their zones. News goes through two hands at most (store.Origin), so that none goes in circles.

--- a/fleet/relay/following.go
+++ b/fleet/relay/following.go
@@ -11,12 +11,13 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
-// How long a watch rests after events, so that a burst of changes costs few
+// How long a watch of the store rests after events, so that a burst of changes costs few
 // calls: a part of what they may take to be in force, since a change that comes
-// during the rest waits for its end and for an answer of the store.
+// during the rest waits for its end and for an answer of the store. An entry that goes
+// while the store is in doubt is kept for lapsePart of that time from then on.
 const (
-	policyRestPart = 0.2
-	engineRestPart = 0.25
+	policyRestPart = 0.3
+	engineRestPart = 1 - lapsePart
 )
 
 // pulsePart is the part of the time in which a leaving endpoint must get no new work
@@ -25,16 +26,20 @@
 // node need up to 0.5 s more to turn to the store: a ping of their own, and a list.
 const pulsePart = 0.15
 
+// toldRest is how long a node rests that is told by others: what comes to it was put
+// together by the rest of the one that watches the store.
+const toldRest = 50 * time.Millisecond
+
 // follow keeps up with what the store holds, and with the other nodes.
 func (n *Node) follow(ctx context.Context) {
 	kind, name := n.adapter.PolicyAt()
 	n.caches = map[string]*store.Cache{kind: store.NewCache(), n.adapter.EngineKind(): store.NewCache(), peer.Kind: store.NewCache(), n.adapter.EvacuationKind(): store.NewCache(), account.Kind: n.gossip.Ledgers()}
-	policies := store.Watching{Kind: kind, Rest: store.Always(part(policyRestPart, n.settings.Apply())), History: n.settings.History(), Health: n.health, Leads: true, Longest: n.longestWatch}
+	policies := store.Watching{Kind: kind, Rest: n.rest(kind, part(policyRestPart, n.settings.Apply())), History: n.settings.History(), Health: n.health, Leads: true, Longest: n.longestWatch}
 	go func() {
 		n.awaitPeers(ctx)
 		store.Follow(ctx, n.store, policies, n.cached(kind, func(c store.Change) { n.applyPolicy(name, c) }))
 	}()
-	engines := store.Watching{Kind: n.adapter.EngineKind(), Rest: store.Always(part(engineRestPart, n.settings.EndpointDrain())), History: n.settings.History(), Health: n.health}
+	engines := store.Watching{Kind: n.adapter.EngineKind(), Rest: n.rest(n.adapter.EngineKind(), part(engineRestPart, n.settings.EndpointDrain())), History: n.settings.History(), Health: n.health}
 	go func() {
 		n.awaitPeers(ctx)
 		store.Follow(ctx, n.store, engines, n.cached(n.adapter.EngineKind(), n.engineTable.apply))
@@ -52,6 +57,18 @@
 	}
 }
 
+// rest is how long the follower of a kind rests after events.
+func (n *Node) rest(kind string, atStore time.Duration) func() time.Duration {
+	return func() time.Duration { return restAfter(n.store.Origin(kind), atStore) }
+}
+
+func restAfter(from store.Origin, atStore time.Duration) time.Duration {
+	if from == store.FromStore {
+		return atStore
+	}
+	return min(toldRest, atStore)
+}
+
 // followEvacuations keeps up with the zones that operators want emptied, where the
 // deployment has such. There is no rest between changes: each is in force at once.
 func (n *Node) followEvacuations(ctx context.Context) {
@@ -72,7 +89,7 @@
 	cache := n.caches[kind]
 	return func(c store.Change) {
 		apply(c)
-		cache.Apply(c, n.store.Direct(kind))
+		cache.Apply(c, n.store.Origin(kind))
 	}
 }
 
@@ -84,7 +101,7 @@
 		Lost: func(err error) {
 			for kind, cache := range n.caches {
 				if kind != account.Kind { // the ledger as this node wrote it, whoever is away
-					cache.Apply(store.Lost{Err: err}, false)
+					cache.Apply(store.Lost{Err: err}, store.FromOther)
 				}
 			}
 		},
@@ -118,10 +135,10 @@
 	}
 }
 
-// longestWatch bounds the watch that leads on nodes that write the ledger, so that
+// longestWatch bounds the watch that leads on nodes that watch the store for others, so that
 // these feel a silent store in time and tell the others.
 func (n *Node) longestWatch() time.Duration {
-	if !n.gossip.Writes() {
+	if !n.gossip.Watches() {
 		return time.Hour // bounded by the store's history
 	}
 	return n.settings.Contact() / 2
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -41,6 +41,7 @@
 	places      distance.Places
 	out         func() bool // whether this node does not reach the store
 	writes      atomic.Bool
+	watches     atomic.Bool
 	writerCount atomic.Int64
 	elsewhere   atomic.Bool // a writer of another zone reaches the store, as this one heard
 	sources     atomic.Pointer[[]store.Source]
@@ -222,10 +223,18 @@
 
 // classOf is how far a node lies; one that is not listed yet is taken for a near one.
 func (t *Gossip) classOf(node string) distance.Class {
-	members := t.registry.Members()
-	at, ok := slices.BinarySearchFunc(members, node, func(m Member, name string) int { return cmp.Compare(m.Name, name) })
-	if !ok {
+	m, listed := find(t.registry.Members(), node)
+	if !listed {
 		return distance.SameRegion
 	}
-	return t.places.Class(members[at].Zone)
+	return t.places.Class(m.Zone)
+}
+
+// find looks a member up by its name; members come in the order of their names.
+func find(members []Member, name string) (Member, bool) {
+	at, ok := slices.BinarySearchFunc(members, name, func(m Member, name string) int { return cmp.Compare(m.Name, name) })
+	if !ok {
+		return Member{}, false
+	}
+	return members[at], true
 }
--- a/fleet/relay/peer/gossip_test.go
+++ b/fleet/relay/peer/gossip_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
@@ -27,7 +28,10 @@
 		r.byName[m.Name] = m
 	}
 	r.publish()
-	return &Gossip{registry: r, heard: map[string]heard{}}
+	return &Gossip{
+		registry: r, heard: map[string]heard{}, delegates: newDelegates(Member{Name: self}),
+		places: distance.From("", nil, distance.DefaultCosts()), out: func() bool { return false },
+	}
 }
 
 // In a round of beats a node that draws for others tells every peer of its zone once,
--- a/fleet/relay/peer/ledger.go
+++ b/fleet/relay/peer/ledger.go
@@ -61,7 +61,7 @@
 
 // Wrote implements account.Writers.
 func (t *Gossip) Wrote(o store.Object) {
-	t.ledgers.own.Apply(store.Snapshot{Objects: []store.Object{o}, Revision: o.Revision}, true)
+	t.ledgers.own.Apply(store.Snapshot{Objects: []store.Object{o}, Revision: o.Revision}, store.FromStore)
 	writers, _ := t.choice()
 	others := lo.FilterMap(t.registry.Members(), func(m Member, _ int) (string, bool) {
 		return m.Address, writers[m.Name] && m.Name != t.registry.self.Name
--- a/fleet/relay/peer/ledger_test.go
+++ b/fleet/relay/peer/ledger_test.go
@@ -36,9 +36,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			own.Apply(store.Lost{}, false)
+			own.Apply(store.Lost{}, store.FromOther)
 			if c.holds {
-				own.Apply(store.Snapshot{Objects: []store.Object{ledger}, Revision: 7}, true)
+				own.Apply(store.Snapshot{Objects: []store.Object{ledger}, Revision: 7}, store.FromStore)
 			}
 			g := gossipOf("n", nil)
 			g.client, g.ledgers = sourceClient(), &ledgers{own: store.NewCache()}
--- a/fleet/relay/peer/regions_test.go
+++ b/fleet/relay/peer/regions_test.go
@@ -46,10 +46,12 @@
 func TestSourcesOfTheRegionComeFirst(t *testing.T) {
 	all, regions := regional(60, 3)
 	writers := Writers(all, func() []Member { return all })
+	watchers := map[string]bool{}
 	self, _ := lo.Find(all, func(m Member) bool { return !writers[m.Name] })
 	g := gossipOf(self.Name, all)
 	g.registry.self = self
 	g.places = distance.From(self.Zone, regions, distance.DefaultCosts())
+	assert.Empty(t, g.watchers(writers), "it need not know")
 	var near, others []Member
 	for _, m := range all {
 		switch {
@@ -64,7 +66,7 @@
 	byName := lo.KeyBy(all, func(m Member) string { return m.Name })
 	classes := func() []distance.Class {
 		var seen []distance.Class
-		for _, s := range *g.sourcesOf(writers, near, others) {
+		for _, s := range *g.sourcesOf(writers, watchers, near, others) {
 			seen = append(seen, g.places.Class(byName[s.Name].Zone))
 		}
 		return seen
@@ -78,3 +80,51 @@
 	}
 	assert.Equal(t, []distance.Class{z, z, o, o}, classes())
 }
+
+// Two delegates of each region watch the store, of two zones; those that are known to be
+// out only where all of the region are. In a small fleet all watch.
+func TestTwoDelegatesOfARegionWatch(t *testing.T) {
+	all, regions := regional(60, 3)
+	order := ranked(all)
+	writers := Writers(all, func() []Member { return order })
+	places := distance.From("z0", regions, distance.DefaultCosts())
+	zone := lo.SliceToMap(all, func(m Member) (string, string) { return m.Name, m.Zone })
+	of := func(watchers map[string]bool, region string) []string {
+		return lo.Filter(lo.Keys(watchers), func(name string, _ int) bool { return regions[zone[name]] == region })
+	}
+	cases := []struct {
+		name string
+		out  func(name string) bool
+		want func(t *testing.T, watchers map[string]bool)
+	}{
+		{"all reach the store", func(string) bool { return false }, func(t *testing.T, watchers map[string]bool) {
+			for _, region := range []string{"r0", "r1", "r2"} {
+				two := of(watchers, region)
+				assert.Len(t, two, regionWatchers)
+				assert.NotEqual(t, zone[two[0]], zone[two[1]])
+			}
+		}},
+		{"a zone is out", func(name string) bool { return zone[name] == "z0" }, func(t *testing.T, watchers map[string]bool) {
+			for _, name := range of(watchers, "r0") {
+				assert.Equal(t, "z1", zone[name])
+			}
+			assert.Len(t, of(watchers, "r0"), regionWatchers)
+		}},
+		{"a region is out", func(name string) bool { return regions[zone[name]] == "r0" }, func(t *testing.T, watchers map[string]bool) {
+			assert.Len(t, of(watchers, "r0"), regionWatchers, "its first ones go on")
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			watchers := watchersOf(writers, all, order, places, c.out)
+			assert.Len(t, watchers, 3*regionWatchers)
+			for name := range watchers {
+				assert.True(t, writers[name])
+			}
+			c.want(t, watchers)
+		})
+	}
+	few := all[:allWrite]
+	writers = Writers(few, func() []Member { return few })
+	assert.Equal(t, writers, watchersOf(writers, few, few, places, func(string) bool { return false }))
+}
--- a/fleet/relay/peer/roles.go
+++ b/fleet/relay/peer/roles.go
@@ -34,7 +34,9 @@
 	}
 	t.writes.Store(writers[self.Name])
 	t.writerCount.Store(int64(len(writers)))
-	t.sources.Store(t.sourcesOf(writers, near, all))
+	watchers := t.watchers(writers)
+	t.watches.Store(watchers[self.Name])
+	t.sources.Store(t.sourcesOf(writers, watchers, near, all))
 	t.elsewhere.Store(t.reachedElsewhere(writers, all))
 	if !writers[self.Name] {
 		t.transfers.allowance.Fleets(t.transfers.fleets(nil, 1, now), now)
@@ -77,17 +79,23 @@
 
 // sourcesOf lists the nodes that watch the store for this one, in the order in which
 // it asks them, which spreads askers: those of the zone, then some of other zones of the
-// region and of other regions; none where it watches itself.
-func (t *Gossip) sourcesOf(writers map[string]bool, near, all []Member) *[]store.Source {
+// region and of other regions; none where it watches itself. Delegates that do not watch
+// ask those that do.
+func (t *Gossip) sourcesOf(writers, watchers map[string]bool, near, all []Member) *[]store.Source {
 	sources := []store.Source{}
-	if writers[t.registry.self.Name] {
+	if watchers[t.registry.self.Name] {
 		return &sources
 	}
-	far := lo.Filter(all, func(m Member, _ int) bool { return m.Zone != t.registry.self.Zone && !t.word(m.Name).out })
+	passesOn := writers[t.registry.self.Name]
+	if passesOn {
+		near = nil
+		all = lo.Filter(all, func(m Member, _ int) bool { return watchers[m.Name] })
+	}
+	far := lo.Filter(all, func(m Member, _ int) bool { return (passesOn || m.Zone != t.registry.self.Zone) && !t.word(m.Name).out })
 	region, others := lo.FilterReject(t.spread(far), func(m Member, _ int) bool { return t.places.Near(m.Zone) })
 	far = append(region[:min(len(region), farSources)], others[:min(len(others), farSources)]...)
 	for _, m := range append(t.spread(near), far...) {
-		sources = append(sources, store.Source{Name: m.Name, Reader: Remote{client: t.client, address: m.Address}})
+		sources = append(sources, store.Source{Name: m.Name, Reader: Remote{client: t.client, address: m.Address, firsthand: passesOn}, Watches: passesOn})
 	}
 	return &sources
 }
@@ -111,11 +119,24 @@
 // WriterCount is how many nodes write the ledger, this one's own view.
 func (t *Gossip) WriterCount() int { return int(t.writerCount.Load()) }
 
+// watchers names the delegates that watch the store, as this one sees the fleet; others
+// need not know.
+func (t *Gossip) watchers(writers map[string]bool) map[string]bool {
+	if !writers[t.registry.self.Name] {
+		return nil
+	}
+	members := t.registry.Members()
+	return watchersOf(writers, members, t.delegates.ordered(members), t.places, func(name string) bool { return t.word(name).out })
+}
+
+// Watches is whether this node watches the store for others.
+func (t *Gossip) Watches() bool { return t.watches.Load() }
+
 // Writes is whether this node writes the ledger.
 func (t *Gossip) Writes() bool { return t.writes.Load() }
 
-// Serves is whether other nodes ask this one in the store's place.
-func (t *Gossip) Serves() bool { return t.Writes() && t.registry.Count() > allWrite }
+// Serves is whether other nodes ask this one in the store's place for what it has from it.
+func (t *Gossip) Serves() bool { return t.Watches() && t.registry.Count() > allWrite }
 
 // choose names the nodes that write the ledger, as this one sees the fleet, and does
 // what follows from it for this node.
--- a/fleet/relay/peer/source.go
+++ b/fleet/relay/peer/source.go
@@ -108,8 +108,12 @@
 func askCache(r *http.Request, cache *store.Cache) (objectsAnswer, error) {
 	var answer objectsAnswer
 	query := r.URL.Query()
+	least := store.FromWatcher
+	if query.Has(firsthand) {
+		least = store.FromStore
+	}
 	if !query.Has("since") {
-		objects, at, err := cache.List()
+		objects, at, err := cache.ListFrom(least)
 		answer.Revision = at
 		for _, o := range objects {
 			answer.Objects = append(answer.Objects, formOf(o))
@@ -125,7 +129,7 @@
 		return answer, errors.Wrap(err, "waitMs")
 	}
 	wait := min(max(time.Duration(ms)*time.Millisecond, 0), mostWait)
-	events, at, err := cache.Watch(r.Context(), since, wait)
+	events, at, err := cache.WatchFrom(r.Context(), least, since, wait)
 	answer.Revision = at
 	for _, e := range events {
 		answer.Events = append(answer.Events, changeForm{Object: formOf(e.Object), Gone: e.Gone})
@@ -133,10 +137,15 @@
 	return answer, err
 }
 
+// firsthand is the query by which a node that passes on what it is told asks for what the
+// peer has from the store itself only.
+const firsthand = "firsthand"
+
 // Remote asks one peer in the store's place.
 type Remote struct {
-	client  *http.Client
-	address string
+	client    *http.Client
+	address   string
+	firsthand bool // for what the peer has from the store itself
 }
 
 var _ store.Reader = Remote{}
@@ -154,7 +163,7 @@
 
 // List implements store.Reader.
 func (r Remote) List(ctx context.Context, kind string) ([]store.Object, int64, error) {
-	answer, err := r.get(ctx, kind, nil, 0)
+	answer, err := r.get(ctx, kind, url.Values{}, 0)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -184,6 +193,9 @@
 	defer cancel()
 	silent := time.AfterFunc(wait+store.AnswerBegins, cancel)
 	defer silent.Stop()
+	if r.firsthand {
+		query.Set(firsthand, "")
+	}
 	target := url.URL{Scheme: "http", Host: r.address, Path: objectsPath + kind, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
--- a/fleet/relay/peer/source_test.go
+++ b/fleet/relay/peer/source_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -34,13 +35,13 @@
 	assert.ErrorContains(t, err, "status 404")
 
 	o := store.Object{Kind: "k", Name: "n", Revision: 4, Data: json.RawMessage(`{"a":1}`)}
-	cache.Apply(store.Snapshot{Objects: []store.Object{o}, Revision: 4}, true)
+	cache.Apply(store.Snapshot{Objects: []store.Object{o}, Revision: 4}, store.FromStore)
 	objects, at, err := r.List(ctx, "k")
 	require.NoError(t, err)
 	assert.Equal(t, []store.Object{o}, objects)
 	assert.Equal(t, int64(4), at)
 
-	cache.Apply(store.Update{Events: []store.Event{{Object: store.Object{Name: "n"}, Gone: true}}, Revision: 6}, true)
+	cache.Apply(store.Update{Events: []store.Event{{Object: store.Object{Name: "n"}, Gone: true}}, Revision: 6}, store.FromStore)
 	events, at, err := r.Watch(ctx, "k", 4, time.Second)
 	require.NoError(t, err)
 	assert.Equal(t, []store.Event{{Object: store.Object{Kind: "k", Name: "n"}, Gone: true}}, events)
@@ -50,7 +51,7 @@
 	assert.Equal(t, int64(6), at)
 	_, _, err = r.Watch(ctx, "k", 3, time.Second)
 	assert.ErrorIs(t, err, store.ErrCompacted)
-	cache.Apply(store.Lost{Err: errors.New("lost")}, true)
+	cache.Apply(store.Lost{Err: errors.New("lost")}, store.FromStore)
 	_, _, err = r.Watch(ctx, "k", 6, time.Second)
 	assert.ErrorIs(t, err, store.ErrUnfit)
 }
@@ -90,7 +91,7 @@
 		})
 	}
 	cache := store.NewCache()
-	cache.Apply(store.Snapshot{Objects: []store.Object{{Name: "n", Revision: 1, Data: json.RawMessage("[" + strings.TrimSuffix(big, ",") + "]")}}, Revision: 1}, true)
+	cache.Apply(store.Snapshot{Objects: []store.Object{{Name: "n", Revision: 1, Data: json.RawMessage("[" + strings.TrimSuffix(big, ",") + "]")}}, Revision: 1}, store.FromStore)
 	asked := httptest.NewRequest(http.MethodGet, objectsPath+"k", nil)
 	asked.Header.Set("Accept-Encoding", "gzip")
 	answer := httptest.NewRecorder()
@@ -105,7 +106,7 @@
 
 func TestAPeersOddQuestionsAreRefused(t *testing.T) {
 	cache := store.NewCache()
-	cache.Apply(store.Snapshot{Revision: 1}, true)
+	cache.Apply(store.Snapshot{Revision: 1}, store.FromStore)
 	handler := CacheHandler(map[string]*store.Cache{"k": cache})
 	for _, target := range []string{"/objects/k?since=x&waitMs=1", "/objects/k?since=1&waitMs=soon", "/objects/k?since="} {
 		answer := httptest.NewRecorder()
@@ -114,11 +115,16 @@
 	}
 }
 
-// In a large fleet a node that does not watch asks the nodes of its zone that do, then
-// some of other zones, and these ask nobody.
-func TestNodesAskTheWatchersOfTheirZone(t *testing.T) {
+// In a large fleet a node asks its zone's delegates, then some of other zones; delegates
+// ask those among them that watch the store, for what these have from it; these ask nobody.
+func TestNodesAskTheDelegatesOfTheirZone(t *testing.T) {
 	all := members(73)
 	writers := Writers(all, func() []Member { return all })
+	delegate, _ := lo.Find(all, func(m Member) bool { return writers[m.Name] })
+	first := gossipOf(delegate.Name, all)
+	first.registry.self = delegate
+	watchers := first.watchers(writers)
+	assert.Len(t, watchers, regionWatchers)
 	zoneOf := map[string]string{}
 	for _, self := range all {
 		zoneOf[self.Name] = self.Zone
@@ -136,14 +142,23 @@
 		}
 		g := gossipOf(self.Name, all)
 		g.registry.self = self
-		sources := *g.sourcesOf(writers, near, any)
-		if writers[self.Name] {
+		sources := *g.sourcesOf(writers, watchers, near, any)
+		switch {
+		case watchers[self.Name]:
 			assert.Empty(t, sources)
 			continue
+		case writers[self.Name]:
+			assert.Len(t, sources, regionWatchers)
+			for _, s := range sources {
+				assert.True(t, watchers[s.Name])
+				assert.True(t, s.Watches)
+			}
+			continue
 		}
 		assert.Len(t, sources, zoneWriters+farSources)
 		for i, s := range sources {
 			assert.True(t, writers[s.Name])
+			assert.False(t, s.Watches)
 			assert.Equal(t, i < zoneWriters, zoneOf[s.Name] == self.Zone)
 		}
 	}
--- a/fleet/relay/store/cache.go
+++ b/fleet/relay/store/cache.go
@@ -17,12 +17,24 @@
 // older revision.
 const cacheEvents = 512
 
+// Origin is how near to the store an answer is: a node tells others only what it has from
+// the store itself or from a node that watches it, so that no news goes in circles, and
+// none is told at a third hand.
+type Origin int
+
+// The origins, the farthest first.
+const (
+	FromOther   Origin = iota // at third hand, or from nobody
+	FromWatcher               // from a node that watches the store
+	FromStore                 // from the store itself
+)
+
 // Cache holds what a follower handed on of one kind, and answers lists and
 // watches from it, so that nodes which do not watch the store learn of changes
 // from one that does. It is safe for concurrent use.
 type Cache struct {
 	mu       sync.Mutex
-	fit      bool // it follows the store, and has it
+	origin   Origin // of what it holds; lost with the store
 	objects  map[string]Object
 	revision int64
 	floor    int64 // events up to here are not kept
@@ -40,27 +52,26 @@
 	return &Cache{objects: map[string]Object{}, changed: make(chan struct{})}
 }
 
-// Apply takes in a follower's change; direct is whether it came from the store
-// itself.
-func (c *Cache) Apply(change Change, direct bool) {
+// Apply takes in a follower's change, and where that came from.
+func (c *Cache) Apply(change Change, from Origin) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch change := change.(type) {
 	case Snapshot:
-		c.fit = direct
+		c.origin = from
 		c.objects = map[string]Object{}
 		for _, o := range change.Objects {
 			c.objects[o.Name] = o
 		}
 		c.revision, c.floor, c.events = change.Revision, change.Revision, nil
 	case Update:
-		c.fit = direct
+		c.origin = from
 		c.revision = change.Revision
 		for _, e := range change.Events {
 			c.apply(e)
 		}
 	case Lost:
-		c.fit = false
+		c.origin = FromOther
 	}
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -79,11 +90,15 @@
 	}
 }
 
-// List returns all objects and their revision.
-func (c *Cache) List() ([]Object, int64, error) {
+// List returns all objects and their revision, where they come from a watcher or the
+// store.
+func (c *Cache) List() ([]Object, int64, error) { return c.ListFrom(FromWatcher) }
+
+// ListFrom is List where what the cache holds comes from so near to the store at least.
+func (c *Cache) ListFrom(least Origin) ([]Object, int64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.fit {
+	if c.origin < least {
 		return nil, 0, ErrUnfit
 	}
 	objects := make([]Object, 0, len(c.objects))
@@ -95,10 +110,16 @@
 
 // Watch waits at most wait for changes after a revision, as a store does.
 func (c *Cache) Watch(ctx context.Context, since int64, wait time.Duration) ([]Event, int64, error) {
+	return c.WatchFrom(ctx, FromWatcher, since, wait)
+}
+
+// WatchFrom is Watch where what the cache holds comes from so near to the store at least,
+// also once it has waited.
+func (c *Cache) WatchFrom(ctx context.Context, least Origin, since int64, wait time.Duration) ([]Event, int64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		events, at, changed, err := c.after(since)
+		events, at, changed, err := c.after(least, since)
 		if err != nil || len(events) > 0 {
 			return events, at, err
 		}
@@ -113,11 +134,11 @@
 }
 
 // after returns the events after a revision, and what closes at the next change.
-func (c *Cache) after(since int64) ([]Event, int64, <-chan struct{}, error) {
+func (c *Cache) after(least Origin, since int64) ([]Event, int64, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case !c.fit:
+	case c.origin < least:
 		return nil, 0, nil, ErrUnfit
 	case since < c.floor:
 		return nil, 0, nil, ErrCompacted
--- a/fleet/relay/store/pulse_test.go
+++ b/fleet/relay/store/pulse_test.go
@@ -102,14 +102,14 @@
 	health := store.NewHealth()
 	direct := store.NewSourced(s, func() []store.Source { return nil })
 	followAll(ctx, direct, health, func() time.Duration { return 2 * time.Second }, func(kind string, c store.Change) {
-		caches[kind].Apply(c, direct.Direct(kind))
+		caches[kind].Apply(c, direct.Origin(kind))
 	})
 	pulse := store.Pulse{
 		Store: s, Every: leaving * 15 / 100, Health: health, Log: &log.Logger{Handler: discard.New()},
 		Serves: func() bool { return true },
 		Lost: func(err error) {
 			for _, cache := range caches {
-				cache.Apply(store.Lost{Err: err}, false)
+				cache.Apply(store.Lost{Err: err}, store.FromOther)
 			}
 		},
 	}
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -19,8 +19,9 @@
 
 // Source is a node that may be asked in the store's place.
 type Source struct {
-	Name   string
-	Reader Reader
+	Name    string
+	Reader  Reader
+	Watches bool // it answers with what it has from the store itself only
 }
 
 // How a source is asked.
@@ -30,6 +31,7 @@
 	sourceBody  = 2 * time.Second        // for an answer that has begun, on a narrow link that callers fill, too
 	sourceRest  = 5 * time.Second        // that a source which failed is left alone
 	unfitRest   = time.Second            // and one that says that it lost the store: another one serves meanwhile
+	watcherRest = 300 * time.Millisecond // and one that watches it for nodes which others wait for
 	sourceTries = 6                      // sources that one call asks at most; those that lost the store say so at once
 
 	// While sources are named and fail, the store is asked in short watches: one that
@@ -69,7 +71,7 @@
 	mu      sync.Mutex
 	silent  map[string]time.Time            // by the source's name: it is not asked until then
 	unfit   map[string]map[string]time.Time // by kind and the source's name: it answers, and has lost the store; asked again then
-	direct  map[string]bool                 // by kind: the last answer came from the store
+	origins map[string]Origin               // by kind: of the last answer
 	newest  map[string]int64                // by kind: revision of the newest list
 	lost    map[string]bool                 // kinds for which no source had the store when last asked
 	ping    time.Time                       // when the next one is due; zero: the sources have the store for every kind
@@ -83,14 +85,17 @@
 
 // NewSourced returns a store that asks the sources first.
 func NewSourced(s Store, sources func() []Source) *Sourced {
-	return &Sourced{Store: s, sources: sources, silent: map[string]time.Time{}, unfit: map[string]map[string]time.Time{}, lost: map[string]bool{}, direct: map[string]bool{}, newest: map[string]int64{}}
+	return &Sourced{Store: s, sources: sources, silent: map[string]time.Time{}, unfit: map[string]map[string]time.Time{}, lost: map[string]bool{}, origins: map[string]Origin{}, newest: map[string]int64{}}
 }
 
 // Direct is whether the last answer for a kind came from the store itself.
-func (s *Sourced) Direct(kind string) bool {
+func (s *Sourced) Direct(kind string) bool { return s.Origin(kind) == FromStore }
+
+// Origin is where the last answer for a kind came from.
+func (s *Sourced) Origin(kind string) Origin {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.direct[kind]
+	return s.origins[kind]
 }
 
 // awake lists the sources to ask for a kind: those that did not fail lately, in their
@@ -124,18 +129,22 @@
 
 // failed lets a source rest: for every kind where it is silent, and for the one that was
 // asked for where it lost the store, since it may still watch other kinds, or believe so.
-func (s *Sourced) failed(source, kind string, err error) {
+func (s *Sourced) failed(source Source, kind string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !errors.Is(err, ErrUnfit) {
-		s.silent[source] = time.Now().Add(sourceRest)
+		s.silent[source.Name] = time.Now().Add(sourceRest)
 		return
 	}
-	delete(s.silent, source)
+	delete(s.silent, source.Name)
 	if s.unfit[kind] == nil {
 		s.unfit[kind] = map[string]time.Time{}
 	}
-	s.unfit[kind][source] = time.Now().Add(unfitRest)
+	length := unfitRest
+	if source.Watches {
+		length = watcherRest
+	}
+	s.unfit[kind][source.Name] = time.Now().Add(length)
 }
 
 // ask asks the sources one after another until one answers; false where none did.
@@ -143,13 +152,13 @@
 	for _, from := range s.awake(kind) {
 		err := call(from)
 		if err == nil || errors.Is(err, ErrCompacted) {
-			s.answeredBy(from.Name, kind)
+			s.answeredBy(from, kind)
 			return true, err
 		}
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return true, err // the caller gave up: that says nothing of the source
 		}
-		s.failed(from.Name, kind, err)
+		s.failed(from, kind, err)
 		if ctx.Err() != nil {
 			return true, err
 		}
@@ -160,12 +169,15 @@
 // answeredBy notes that a source answered for a kind. What was found out about the store
 // is forgotten only once no kind needs it: each answer for one kind would begin the wait
 // for a ping anew that another kind's follower waits for.
-func (s *Sourced) answeredBy(source, kind string) {
+func (s *Sourced) answeredBy(source Source, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.direct[kind] = false
-	delete(s.silent, source)
-	delete(s.unfit[kind], source)
+	s.origins[kind] = FromOther
+	if source.Watches {
+		s.origins[kind] = FromWatcher
+	}
+	delete(s.silent, source.Name)
+	delete(s.unfit[kind], source.Name)
 	delete(s.lost, kind)
 	if len(s.lost) == 0 {
 		s.ping, s.away, s.reached = time.Time{}, false, time.Time{}
@@ -252,7 +264,7 @@
 		s.reached = time.Time{}
 		return
 	}
-	s.direct[kind] = true
+	s.origins[kind] = FromStore
 }
 
 // List implements Store.
@@ -302,10 +314,17 @@
 }
 
 // Watch implements Store. A watch that a source answers waits for less than was
-// asked: a source that falls silent is to be felt.
+// asked: a source that falls silent is to be felt. Where one was, the next ones are to
+// tell at once what they know: several that are lost together are felt in little more
+// than the time of one.
 func (s *Sourced) Watch(ctx context.Context, kind string, since int64, wait time.Duration) (events []Event, at int64, err error) {
+	fromOne := min(wait, sourceWait)
 	done, err := s.ask(ctx, kind, func(from Source) (err error) {
-		events, at, err = watchFrom(ctx, from, kind, since, min(wait, sourceWait))
+		began := time.Now()
+		events, at, err = watchFrom(ctx, from, kind, since, fromOne)
+		if time.Since(began) >= fromOne {
+			fromOne = 0
+		}
 		return err
 	})
 	if done {
--- a/fleet/relay/store/sourced_test.go
+++ b/fleet/relay/store/sourced_test.go
@@ -33,29 +33,30 @@
 	cases := []struct {
 		name    string
 		changes []store.Change
-		direct  bool
+		from    store.Origin
 		since   int64
 		listed  []string // nil: refused
 		events  []string
 		at      int64
 		err     error
 	}{
-		{"nothing yet", nil, true, 5, nil, nil, 0, store.ErrUnfit},
-		{"listed", []store.Change{snapshot}, true, 5, []string{"a", "b"}, nil, 5, nil},
-		{"changed", []store.Change{snapshot, changed}, true, 5, []string{"b", "c"}, []string{"c", "a gone"}, 7, nil},
-		{"nothing newer", []store.Change{snapshot, changed}, true, 7, []string{"b", "c"}, nil, 7, nil},
-		{"asked by one that is further", []store.Change{snapshot}, true, 9, []string{"a", "b"}, nil, 9, nil},
-		{"older than the list", []store.Change{snapshot}, true, 4, []string{"a", "b"}, nil, 0, store.ErrCompacted},
-		{"a peer's word", []store.Change{snapshot}, false, 5, nil, nil, 0, store.ErrUnfit},
-		{"the store is lost", []store.Change{snapshot, store.Lost{Err: errors.New("lost")}}, true, 5, nil, nil, 0, store.ErrUnfit},
-		{"and back", []store.Change{snapshot, store.Lost{Err: errors.New("lost")}, changed}, true, 5, []string{"b", "c"}, []string{"c", "a gone"}, 7, nil},
+		{"nothing yet", nil, store.FromStore, 5, nil, nil, 0, store.ErrUnfit},
+		{"listed", []store.Change{snapshot}, store.FromStore, 5, []string{"a", "b"}, nil, 5, nil},
+		{"changed", []store.Change{snapshot, changed}, store.FromStore, 5, []string{"b", "c"}, []string{"c", "a gone"}, 7, nil},
+		{"nothing newer", []store.Change{snapshot, changed}, store.FromStore, 7, []string{"b", "c"}, nil, 7, nil},
+		{"asked by one that is further", []store.Change{snapshot}, store.FromStore, 9, []string{"a", "b"}, nil, 9, nil},
+		{"older than the list", []store.Change{snapshot}, store.FromStore, 4, []string{"a", "b"}, nil, 0, store.ErrCompacted},
+		{"a watcher's word", []store.Change{snapshot, changed}, store.FromWatcher, 5, []string{"b", "c"}, []string{"c", "a gone"}, 7, nil},
+		{"a peer's word", []store.Change{snapshot}, store.FromOther, 5, nil, nil, 0, store.ErrUnfit},
+		{"the store is lost", []store.Change{snapshot, store.Lost{Err: errors.New("lost")}}, store.FromStore, 5, nil, nil, 0, store.ErrUnfit},
+		{"and back", []store.Change{snapshot, store.Lost{Err: errors.New("lost")}, changed}, store.FromStore, 5, []string{"b", "c"}, []string{"c", "a gone"}, 7, nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				cache := store.NewCache()
 				for _, change := range c.changes {
-					cache.Apply(change, c.direct)
+					cache.Apply(change, c.from)
 				}
 				objects, _, err := cache.List()
 				assert.Equal(t, c.listed == nil, errors.Is(err, store.ErrUnfit))
@@ -104,10 +105,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				cache := store.NewCache()
-				cache.Apply(store.Snapshot{Revision: 5}, true)
+				cache.Apply(store.Snapshot{Revision: 5}, store.FromStore)
 				go func() {
 					time.Sleep(300 * time.Millisecond)
-					cache.Apply(c.change, true)
+					cache.Apply(c.change, store.FromStore)
 				}()
 				began := time.Now()
 				_, _, err := cache.Watch(t.Context(), 5, 10*time.Second)
@@ -120,9 +121,9 @@
 
 func TestACacheForgetsOldEvents(t *testing.T) {
 	cache := store.NewCache()
-	cache.Apply(store.Snapshot{Revision: 1}, true)
+	cache.Apply(store.Snapshot{Revision: 1}, store.FromStore)
 	for i := range int64(2000) {
-		cache.Apply(store.Update{Events: []store.Event{{Object: store.Object{Name: fmt.Sprint(i % 3), Revision: i + 2}}}, Revision: i + 2}, true)
+		cache.Apply(store.Update{Events: []store.Event{{Object: store.Object{Name: fmt.Sprint(i % 3), Revision: i + 2}}}, Revision: i + 2}, store.FromStore)
 	}
 	_, _, err := cache.Watch(t.Context(), 1, time.Millisecond)
 	assert.ErrorIs(t, err, store.ErrCompacted)
@@ -454,3 +455,37 @@
 		})
 	}
 }
+
+// What a node has from a watcher it passes on to its zone, and not to those that pass on
+// what they are told; with the store's loss it has nothing, also for a watch that waits.
+func TestNewsGoesThroughTwoHandsAtMost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cases := []struct {
+			from  store.Origin
+			least store.Origin
+			err   error
+		}{
+			{store.FromStore, store.FromStore, nil},
+			{store.FromStore, store.FromWatcher, nil},
+			{store.FromWatcher, store.FromWatcher, nil},
+			{store.FromWatcher, store.FromStore, store.ErrUnfit},
+			{store.FromOther, store.FromWatcher, store.ErrUnfit},
+			{store.FromOther, store.FromStore, store.ErrUnfit},
+		}
+		for _, c := range cases {
+			cache := store.NewCache()
+			cache.Apply(store.Snapshot{Revision: 5}, c.from)
+			_, _, err := cache.ListFrom(c.least)
+			assert.ErrorIs(t, err, c.err)
+			_, _, err = cache.WatchFrom(t.Context(), c.least, 5, time.Second)
+			assert.ErrorIs(t, err, c.err)
+		}
+		cache := store.NewCache()
+		cache.Apply(store.Snapshot{Revision: 5}, store.FromStore)
+		time.AfterFunc(time.Second, func() { cache.Apply(store.Update{Revision: 6}, store.FromWatcher) })
+		began := time.Now()
+		_, _, err := cache.WatchFrom(t.Context(), store.FromStore, 5, time.Minute)
+		assert.ErrorIs(t, err, store.ErrUnfit)
+		assert.Equal(t, time.Second, time.Since(began))
+	})
+}
