Ping a store that refuses before the next call

A ping costs a tenth. Change: store.Probed pings first once a call was refused, and makes the call unless the ping is refused, too: silence says nothing of a call that may wait longer.

--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -95,7 +95,7 @@
 	if err := n.measure(); err != nil {
 		return nil, err
 	}
-	n.store = store.NewSourced(store.Counted(a.Store(), n.metrics), n.sources)
+	n.store = store.NewSourced(store.Probed(store.Counted(a.Store(), n.metrics)), n.sources)
 	life := uuid.NewString()
 	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps}
 	n.allowance = account.NewAllowance(s.Node, life, s.Budget.Tuning())
