Tell delegates of other regions of budgets every third time only

Change: other regions' delegates are told every 1.8 s; a word from there counts three times as long, and silence from there is felt three times as late.

--- a/fleet/relay/peer/delegates.go
+++ b/fleet/relay/peer/delegates.go
@@ -6,7 +6,7 @@
 	"github.com/samber/lo"
 )
 
-// Bounds of who writes the ledger and watches the store for others.
+// Bounds, within a region, of who writes the ledger and watches the store for others.
 const (
 	silentAfter = 4 * time.Second  // a node that should be heard and is not is replaced
 	silentFor   = 15 * time.Second // after which it may be chosen again, in case it is back
@@ -18,6 +18,7 @@
 // tell this node nothing.
 type delegates struct {
 	self    Member
+	near    func(zone string) bool // whether a zone is of the node's region
 	since   map[string]time.Time
 	writes  bool     // this node was chosen last
 	members []Member // as of the order
@@ -25,7 +26,7 @@
 }
 
 func newDelegates(self Member) *delegates {
-	return &delegates{self: self, since: map[string]time.Time{}}
+	return &delegates{self: self, near: func(string) bool { return true }, since: map[string]time.Time{}}
 }
 
 // word is when a node was last heard, and what it said of itself.
@@ -75,12 +76,26 @@
 	if at := heard(m.Name).at; at.After(since) {
 		since = at
 	}
-	quiet := now.Sub(since)
-	if quiet > silentAfter+silentFor {
+	quiet, most := now.Sub(since), d.mostQuiet(m)
+	if quiet > most+silentFor {
 		delete(d.since, m.Name)
 		return false
 	}
-	return quiet > silentAfter
+	return quiet > most
+}
+
+// member finds a member by its name; one that left is as one of the region.
+func (d *delegates) member(name string) Member {
+	m, _ := find(d.members, name)
+	return m
+}
+
+// mostQuiet is how long a writer may say nothing: those of other regions say less.
+func (d *delegates) mostQuiet(m Member) time.Duration {
+	if d.near(m.Zone) {
+		return silentAfter
+	}
+	return farEvery * silentAfter
 }
 
 // expect notes who is to be heard from now on. One that fell silent is remembered
@@ -92,7 +107,7 @@
 		}
 	}
 	for name, since := range d.since {
-		if !writers[name] && now.Sub(since) > silentAfter+silentFor {
+		if !writers[name] && now.Sub(since) > d.mostQuiet(d.member(name))+silentFor {
 			delete(d.since, name)
 		}
 	}
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -25,6 +25,7 @@
 const (
 	beat        = 200 * time.Millisecond
 	budgetEvery = 3 // beats between words on what the node could give
+	farEvery    = 3 // words on budgets between two that go to other regions, too
 	maxMessage  = 16 << 10
 	mostDigests = 64 // endpoints in a message that would exceed a datagram
 )
@@ -79,6 +80,7 @@
 // WithPlaces has the gossip tell regions apart, before Run.
 func (t *Gossip) WithPlaces(p distance.Places) *Gossip {
 	t.places = p
+	t.delegates.near = p.Near
 	return t
 }
 
@@ -128,9 +130,9 @@
 // listeners picks the peers of one beat, and whether they are told the budgets: all
 // of them in a small fleet. In a large one a node that draws for others tells a
 // part of its zone at a time, since a burst to all would fill its link and lose
-// grants, and now and then those that do so in other zones; others tell those of
-// their zone, and a few at random, now and then. So what a node hears grows with its
-// zone, and only what these few hear grows with the fleet.
+// grants, and now and then those that do so in other zones, more seldom in other regions;
+// others tell those of their zone, and a few at random, now and then. So what a node
+// hears grows with its zone, and only what these few hear grows with the fleet.
 func (t *Gossip) listeners(writers map[string]bool) ([]Member, bool) {
 	self := t.registry.self
 	peers := lo.Filter(t.registry.Members(), func(m Member, _ int) bool { return m.Name != self.Name })
@@ -145,7 +147,9 @@
 	if writers[self.Name] {
 		to := part(near, int(t.number%roundBeats))
 		if due {
-			far := lo.Filter(peers, func(m Member, _ int) bool { return m.Zone != self.Zone && writers[m.Name] })
+			far := lo.Filter(peers, func(m Member, _ int) bool {
+				return m.Zone != self.Zone && writers[m.Name] && (t.number%(budgetEvery*farEvery) == 1 || t.places.Near(m.Zone))
+			})
 			to = append(to, far...)
 		}
 		return to, true
--- a/fleet/relay/peer/slope_test.go
+++ b/fleet/relay/peer/slope_test.go
@@ -7,10 +7,13 @@
 	"time"
 
 	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
 
@@ -41,9 +44,14 @@
 		all[i].Zone = fmt.Sprint("z", i%slopeZones)
 		all[i].Address = fmt.Sprint("10.0.0.1:", 1000+i)
 	}
-	order := ranked(all)
-	writers := Writers(all, func() []Member { return order })
+	writers := Writers(all, func() []Member { return ranked(all) })
 	self, _ := lo.Find(all, func(m Member) bool { return writers[m.Name] == writes })
+	return slopeGossipOf(all, nil, self)
+}
+
+// slopeGossipOf is one node of a fleet whose zones lie in some regions.
+func slopeGossipOf(all []Member, regions map[string]string, self Member) (*Gossip, *counted) {
+	size := len(all)
 	now := time.Now()
 	allowance := account.NewAllowance(self.Name, self.Name+"/1", account.DefaultTuning())
 	picker := choice.NewPicker(self.Zone, choice.DefaultTuning())
@@ -70,10 +78,48 @@
 	socket := &counted{}
 	g.registry.self, g.picker, g.transfers, g.socket = self, picker, newTransfers(allowance), socket
 	g.delegates, g.out = newDelegates(self), func() bool { return false }
+	g.WithPlaces(distance.From(self.Zone, regions, distance.DefaultCosts()))
 	g.registry.publish()
 	return g, socket
 }
 
+// No node of a fleet of several regions sends more datagrams than where all zones are told
+// alike, nor with the questions that delegates ask those that watch the store for them;
+// with ten regions and 3,000 nodes no more than with six zones and 1,000.
+func TestNoNodeSendsMoreForRegions(t *testing.T) {
+	const seconds = 9 // a whole number of rounds of all kinds
+	sent := func(all []Member, regions map[string]string, self Member) float64 {
+		g, socket := slopeGossipOf(all, regions, self)
+		for range seconds * beatsASecond {
+			g.broadcast()
+		}
+		return float64(socket.datagrams) / seconds
+	}
+	const kinds = 5 // that are followed, each by a watch a second
+	roles := []struct {
+		name            string
+		writes, watches bool
+		asks            float64
+	}{{"watches", true, true, 0}, {"delegate", true, false, kinds}, {"other", false, false, 0}}
+	large, _ := regional(1000, 3)
+	first := ranked(large)[0]
+	most := sent(large, nil, first)
+	for _, c := range []struct{ size, regions int }{{64, 3}, {300, 3}, {1000, 5}, {3000, 10}} {
+		all, regions := regional(c.size, c.regions)
+		order := ranked(all)
+		writers := Writers(all, func() []Member { return order })
+		watchers := watchersOf(writers, all, order, distance.From("z0", regions, distance.DefaultCosts()), func(string) bool { return false })
+		for _, role := range roles {
+			self, found := lo.Find(all, func(m Member) bool { return writers[m.Name] == role.writes && watchers[m.Name] == role.watches })
+			require.True(t, found)
+			before, now := sent(all, nil, self), sent(all, regions, self)+role.asks
+			t.Logf("%d nodes, %d regions, %s: %.1f messages a second, alike %.1f", c.size, c.regions, role.name, now, before)
+			assert.LessOrEqual(t, now, before)
+			assert.LessOrEqual(t, now, most)
+		}
+	}
+}
+
 // BenchmarkASecondOfGossip is what one node sends in a second, and what composing it
 // takes, in fleets of growing size with as many endpoints. What it hears follows: a
 // node hears its zone's writers and two more, a writer its zone and the other writers.
--- a/fleet/relay/peer/transfer.go
+++ b/fleet/relay/peer/transfer.go
@@ -54,7 +54,7 @@
 	grantPeers   = 6 // asked one after another
 	rankingAge   = 100 * time.Millisecond
 	vainAge      = 40 * time.Millisecond
-	freeAge      = 2 * time.Second  // a peer's word on what it could give counts so long
+	freeAge      = 2 * time.Second  // a peer's word on what it could give counts so long, farEvery times that from another region
 	rateAge      = 10 * time.Second // and its word on what it is asked for
 	grantKept    = 10 * time.Second // answers are repeated, and late grants taken, so long
 	wantFactor   = 2                // asked for beyond the need by a node that draws from the ledger, as a multiple of the request's tokens
@@ -239,7 +239,7 @@
 	}
 	all := make([]rich, 0, 2*grantPeers)
 	for peer, o := range l.reported {
-		if now.Sub(o.at) >= freeAge {
+		if now.Sub(o.at) >= freeAge*time.Duration(1+(farEvery-1)*far(o.class)) {
 			continue
 		}
 		if tokens := o.budgets[tenant].Free; tokens > 0 {
