Keep what belongs to a call at its homes, and refuse at once where there are none

Cause: homes bound where a call runs and where its parts are fetched; a call whose route and customer allow no common region, or one that no zone lies in, was read, reserved for and refused as if endpoints were missing; a repeat after the homes had changed went by the old ones; what was read where was told to nodes everywhere. Change: such a call is refused before its body is read, with a reason of its own (no-allowed-region); each attempt goes by the homes in force; parts of prompts of calls with homes are apart from all others in what a node believes, and told to nodes of these regions only.

--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -85,6 +85,7 @@
 	Profile   Profile
 	Objective time.Duration // until the first event, from now; 0 is none
 	Gap       time.Duration // longest pause between two events in time; 0 is none
+	Homes     []string      // regions to whose nodes alone may be told what the call read; none is all
 	Bytes     int64         // that go to the endpoint and back, as expected
 	Cap       int           // calls that this node may have in flight at one endpoint
 	Now       time.Time
--- a/fleet/relay/choice/digest.go
+++ b/fleet/relay/choice/digest.go
@@ -61,7 +61,8 @@
 
 type timedRead struct {
 	Read
-	at time.Time
+	homes []string // regions whose nodes may be told; none is all
+	at    time.Time
 }
 
 // Bounds of what is told of prompts that were read.
@@ -70,11 +71,11 @@
 	readsMost = 64
 )
 
-func (l *recent) add(endpoint string, parts []call.Part, now time.Time) {
+func (l *recent) add(endpoint string, parts []call.Part, homes []string, now time.Time) {
 	if len(parts) == 0 {
 		return
 	}
-	r := timedRead{Read: Read{Endpoint: endpoint}, at: now}
+	r := timedRead{Read: Read{Endpoint: endpoint}, homes: homes, at: now}
 	for _, p := range parts {
 		r.Parts = append(r.Parts, p.ID)
 		r.Tokens = append(r.Tokens, p.Tokens)
@@ -82,7 +83,8 @@
 	l.reads = append(l.reads, r)
 }
 
-func (l *recent) list(now time.Time) []Read {
+// list is what the nodes of a region may be told.
+func (l *recent) list(region string, now time.Time) []Read {
 	from := 0
 	for from < len(l.reads) && now.Sub(l.reads[from].at) > readsFor {
 		from++
@@ -90,7 +92,9 @@
 	l.reads = l.reads[max(from, len(l.reads)-readsMost):]
 	all := make([]Read, 0, len(l.reads))
 	for _, r := range l.reads {
-		all = append(all, r.Read)
+		if len(r.homes) == 0 || slices.Contains(r.homes, region) {
+			all = append(all, r.Read)
+		}
 	}
 	return all
 }
@@ -113,14 +117,15 @@
 	return all
 }
 
-// Reads lists the prompts that this node had read lately.
-func (p *Picker) Reads(now time.Time) []Read {
+// Reads lists the prompts that this node had read lately, as far as nodes of a region may
+// know of them.
+func (p *Picker) Reads(region string, now time.Time) []Read {
 	if !p.tuning.Gossip {
 		return nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.recent.list(now)
+	return p.recent.list(region, now)
 }
 
 // Heard takes in a peer's digests; what it does not name is nothing.
--- a/fleet/relay/choice/model_test.go
+++ b/fleet/relay/choice/model_test.go
@@ -205,7 +205,7 @@
 			if c.told {
 				p = NewPicker("z", DefaultTuning())
 				p.endpoint(all[0].ID, 100_000)
-				p.HeardReads(sender.Reads(now))
+				p.HeardReads(sender.Reads("", now))
 			}
 			if c.suspect {
 				p.endpoints[all[0].ID].suspected = now.Add(time.Second)
@@ -244,12 +244,12 @@
 	var l recent
 	now := time.Unix(1000, 0)
 	for i := range 500 {
-		l.add("e", []call.Part{{ID: fmt.Sprint(i), Tokens: 5}}, now)
+		l.add("e", []call.Part{{ID: fmt.Sprint(i), Tokens: 5}}, nil, now)
 	}
-	assert.Len(t, l.list(now), readsMost)
-	assert.Empty(t, l.list(now.Add(2*readsFor)))
-	l.add("e", nil, now)
-	assert.Empty(t, l.list(now.Add(2*readsFor)), "a prompt that shares nothing is not told")
+	assert.Len(t, l.list("", now), readsMost)
+	assert.Empty(t, l.list("", now.Add(2*readsFor)))
+	l.add("e", nil, nil, now)
+	assert.Empty(t, l.list("", now.Add(2*readsFor)), "a prompt that shares nothing is not told")
 }
 
 // Where nobody is known to keep a large prompt's parts, the call goes to their affinity
@@ -417,3 +417,60 @@
 		})
 	}
 }
+
+// Parts are taken from endpoints at which the call itself may run only, whoever else keeps
+// them, and the affinity target is one of these, too.
+func TestPartsAreTakenAtHomeOnly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	all := testEngines(6)
+	profile := Profile{Service: service, Tokens: true, Capacity: 100_000, TokenBytes: 131_072, LinkMbps: 500_000}
+	shared := []call.Part{{ID: "system", Tokens: 6000}, {ID: "own", Tokens: 500}}
+	cases := []struct {
+		name    string
+		keeping []int
+		want    []int // sources
+	}{
+		{"only others keep them", []int{3, 4, 5}, nil},
+		{"one at home, too", []int{1, 3, 4, 5}, []int{1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewPicker("z", DefaultTuning())
+			for _, i := range c.keeping {
+				p.endpoint(all[i].ID, profile.Capacity).cache.read(shared[0], true)
+			}
+			r := Request{Call: call.Call{PromptMax: 6500, Parts: shared}, Engines: all[:3], Profile: profile, Now: now}
+			for i := range 32 {
+				r.Call.ID = fmt.Sprint(i)
+				affinity := p.affinity(r)
+				_, home := find(r.Engines, affinity)
+				assert.True(t, home)
+				from := p.source(r, affinity)
+				if len(c.want) == 0 {
+					assert.Empty(t, from.id)
+					continue
+				}
+				assert.Equal(t, all[c.want[0]].ID, from.id)
+			}
+		})
+	}
+}
+
+// What a call with homes read is told to nodes of these regions only.
+func TestReadsAreToldAtHomeOnly(t *testing.T) {
+	var l recent
+	now := time.Unix(1000, 0)
+	l.add("anywhere", []call.Part{{ID: "a"}}, nil, now)
+	l.add("home", []call.Part{{ID: "b"}}, []string{"r1", "r2"}, now)
+	cases := []struct {
+		region string
+		want   []string
+	}{{"r1", []string{"anywhere", "home"}}, {"r2", []string{"anywhere", "home"}}, {"r3", []string{"anywhere"}}, {"", []string{"anywhere"}}}
+	for _, c := range cases {
+		var told []string
+		for _, r := range l.list(c.region, now) {
+			told = append(told, r.Endpoint)
+		}
+		assert.Equal(t, c.want, told, c.region)
+	}
+}
--- a/fleet/relay/choice/placement.go
+++ b/fleet/relay/choice/placement.go
@@ -65,7 +65,7 @@
 	for i, part := range t.request.Call.Parts {
 		e.cache.read(part, i < len(shared))
 	}
-	t.picker.recent.add(t.Engine.ID, shared, now)
+	t.picker.recent.add(t.Engine.ID, shared, t.request.Homes, now)
 }
 
 func (t *Placement) endWaiting() {
--- a/fleet/relay/distance/places.go
+++ b/fleet/relay/distance/places.go
@@ -23,6 +23,16 @@
 // Region names the region of a zone; "" is not known.
 func (p Places) Region(zone string) string { return p.regions[zone] }
 
+// Has is whether a zone of a region is known.
+func (p Places) Has(region string) bool {
+	for _, known := range p.regions {
+		if known == region {
+			return region != ""
+		}
+	}
+	return false
+}
+
 // Class is how far a zone lies.
 func (p Places) Class(zone string) Class { return p.class(p.zone, zone) }
 
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -49,6 +49,7 @@
 	route   policy.Route
 	service policy.Service
 	tenant  policy.Tenant
+	homes   homes
 	body    []byte
 	start   time.Time
 	end     time.Time // the caller's deadline or the route's timeout, the earlier
@@ -105,6 +106,10 @@
 	if refused, ok := j.authenticate(); !ok {
 		return refused, false
 	}
+	j.homes = homesOf(route, j.tenant)
+	if j.nowhere() {
+		return refuseNoHome, false
+	}
 	if !j.Gate.Keep(j.tenant.Name, xxhash.Sum64String(j.call.ID)) && j.Nodes() > 1 {
 		return refuseOverloaded, false
 	}
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -100,6 +100,7 @@
 	gate      gate
 	nodes     int // in the fleet; 0 is one
 	places    distance.Places
+	inForce   atomic.Pointer[policy.Policy]
 
 	mu   sync.Mutex
 	runs []run
@@ -163,13 +164,12 @@
 func (f *fleet) start(t *testing.T, engines []engine.Engine) {
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	one := func() int { return 1 }
-	var p atomic.Pointer[policy.Policy]
 	var d atomic.Pointer[engine.Directory]
-	p.Store(f.policy.Indexed())
+	f.inForce.Store(f.policy.Indexed())
 	d.Store(engine.NewDirectory(1, engines))
 	f.places = distance.From("z", testRegions, distance.DefaultCosts())
 	f.handler = forward.New(forward.Options{
-		Wire: plainWire{}, Policy: &p, Engines: &d, Allowance: f.allowance, TokenSource: noSource{},
+		Wire: plainWire{}, Policy: &f.inForce, Engines: &d, Allowance: f.allowance, TokenSource: noSource{},
 		Picker:  choice.NewPicker("z", choice.DefaultTuning()),
 		Retries: retry.NewBudget(retry.Rule{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one),
 		Gate:    &f.gate, Nodes: func() int { return max(f.nodes, 1) }, Places: f.places, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
--- a/fleet/relay/forward/homes_test.go
+++ b/fleet/relay/forward/homes_test.go
@@ -27,6 +27,8 @@
 		{"both bind", policy.Homes{"r1", "r2"}, policy.Homes{"r2"}, []string{"z1", "z2"}, "e1"},
 		{"nowhere", policy.Homes{"r1"}, policy.Homes{"r2"}, []string{"z1", "z2"}, ""},
 		{"a zone of an unknown region", policy.Homes{"r1"}, nil, []string{"elsewhere"}, ""},
+		{"a region without a zone", policy.Homes{"r9"}, nil, []string{"z1", "elsewhere"}, ""},
+		{"a region without a name", policy.Homes{""}, nil, []string{"elsewhere"}, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -66,3 +68,106 @@
 	assert.Positive(t, trip.RoundTrip)
 	assert.False(t, f.places.To("z2", time.Now()).Measured)
 }
+
+// A call that may run nowhere is refused at once, before its body is read and anything is
+// reserved for it, as not run and with a reason of its own.
+func TestACallWithoutACommonHomeIsRefusedAtOnce(t *testing.T) {
+	cases := []struct {
+		name            string
+		route, customer policy.Homes
+		reason          string
+	}{
+		{"nothing in common", policy.Homes{"r1"}, policy.Homes{"r2"}, "no-allowed-region"},
+		{"a region that is not known", policy.Homes{"r9"}, nil, "no-allowed-region"},
+		{"a home without endpoints", policy.Homes{"r1"}, nil, "no-endpoint"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fleet{policy: testPolicy(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning())}
+			f.policy.Routes[0].Homes, f.policy.Tenants[0].Homes = c.route, c.customer
+			e := f.startEngine(t, "e0", good("done"))
+			e.Zone = "z2"
+			f.start(t, []engine.Engine{e})
+			a := f.do(t, f.request(t, http.MethodPost, "/once/x", "body"))
+			assert.Equal(t, http.StatusServiceUnavailable, a.status)
+			assert.Contains(t, a.body, c.reason)
+			assert.Empty(t, f.seen())
+			assert.Equal(t, c.reason == "no-allowed-region", f.gate.bodies.Load() == 0, "the body was not waited for")
+		})
+	}
+}
+
+// A home that is emptied, that can't be reached or that refuses is still the only place.
+func TestACallStaysAtAHomeThatFails(t *testing.T) {
+	cases := []struct {
+		name string
+		fail func(f *fleet, e *engine.Engine)
+	}{
+		{"emptied", func(_ *fleet, e *engine.Engine) { e.State = engine.Evacuated }},
+		{"leaving", func(_ *fleet, e *engine.Engine) { e.State = engine.Draining }},
+		{"not to be reached", func(_ *fleet, e *engine.Engine) { e.Address = "127.0.0.1:1" }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fleet{policy: testPolicy(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning())}
+			f.policy.Tenants[0].Homes = policy.Homes{"r1"}
+			home, abroad := f.startEngine(t, "home", good("done")), f.startEngine(t, "abroad", good("done"))
+			home.Zone, abroad.Zone = "z1", "z2"
+			c.fail(f, &home)
+			f.start(t, []engine.Engine{home, abroad})
+			a := f.do(t, f.request(t, http.MethodPost, "/repeat/x", ""))
+			assert.Equal(t, http.StatusServiceUnavailable, a.status)
+			assert.Empty(t, f.seen())
+		})
+	}
+}
+
+// A call that is to be sent again after its homes have changed is bound by the new ones,
+// whichever side they are on.
+func TestHomesThatChangeBindTheNextAttempt(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(p *policy.Policy)
+		zones  []string // of the endpoints beside the first
+		want   string   // where the call runs in the end; "" is refused
+	}{
+		{"the route moves", func(p *policy.Policy) { p.Routes[1].Homes = policy.Homes{"r2"} }, []string{"z1", "z2"}, "e2"},
+		{"the customer moves", func(p *policy.Policy) { p.Routes[1].Homes, p.Tenants[0].Homes = nil, policy.Homes{"r2"} }, []string{"z1", "z2"}, "e2"},
+		{"nothing is left", func(p *policy.Policy) { p.Routes[1].Homes = policy.Homes{"r2"} }, []string{"z1", "z1"}, ""},
+		{"another route changes", func(p *policy.Policy) { p.Routes[0].Homes = policy.Homes{"r2"} }, []string{"z1", "z2"}, "e1"},
+		{"the route is gone", func(p *policy.Policy) { p.Routes = p.Routes[:1] }, []string{"z1", "z2"}, "e1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fleet{policy: testPolicy(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning())}
+			f.policy.Routes[1].Homes = policy.Homes{"r1"}
+			changes := func(f *fleet, w http.ResponseWriter, r *http.Request) {
+				next := testPolicy()
+				next.Routes[1].Homes = policy.Homes{"r1"}
+				next.Version++
+				c.change(&next)
+				f.inForce.Store(next.Indexed())
+				status(http.StatusServiceUnavailable, true)(f, w, r)
+			}
+			first := f.startEngine(t, "e0", changes)
+			first.Zone, first.Slots = "z1", 1000 // the least full
+			all := []engine.Engine{first}
+			for i, zone := range c.zones {
+				e := f.startEngine(t, []string{"e1", "e2"}[i], good("done"))
+				e.Zone = zone
+				all = append(all, e)
+			}
+			f.start(t, all)
+			a := f.do(t, f.request(t, http.MethodPost, "/repeat/x", ""))
+			runs := f.seen()
+			assert.Equal(t, "e0", runs[0].engine)
+			if c.want == "" {
+				assert.Equal(t, http.StatusServiceUnavailable, a.status)
+				assert.Len(t, runs, 1)
+				return
+			}
+			assert.Equal(t, http.StatusOK, a.status)
+			assert.Equal(t, c.want, runs[1].engine)
+		})
+	}
+}
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -50,6 +50,7 @@
 	refuseBudget       = refusal{http.StatusPaymentRequired, "budget-exhausted", 0}
 	refuseInsufficient = refusal{http.StatusServiceUnavailable, "budget-insufficient-here", 2 * time.Second}
 	refuseNoEngine     = refusal{http.StatusServiceUnavailable, "no-endpoint", 300 * time.Millisecond}
+	refuseNoHome       = refusal{http.StatusServiceUnavailable, "no-allowed-region", 5 * time.Second} // until a policy changes it
 	refuseFull         = refusal{http.StatusServiceUnavailable, "endpoints-full", 200 * time.Millisecond}
 	refuseUnknown      = refusal{http.StatusBadGateway, "endpoint-failed", 0}
 	refuseLeft         = refusal{http.StatusBadGateway, "caller-left", 0} // nobody reads it
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -72,8 +72,9 @@
 		return nil, false
 	}
 	now := time.Now()
+	j.renewHomes()
 	return j.Picker.Pick(choice.Request{
-		Call: j.call, Engines: j.atHome(engines.Of(j.service.Name)), Exclude: tried, Profile: profile(j.service),
+		Call: j.placedCall(), Homes: j.homes.regions, Engines: j.atHome(engines.Of(j.service.Name)), Exclude: tried, Profile: profile(j.service),
 		Objective: j.route.Objective - now.Sub(j.start), Gap: j.route.Gap, Bytes: j.bytes(), Cap: j.cap(), Now: now,
 	})
 }
@@ -102,7 +103,10 @@
 }
 
 func (j *job) whenNone(tried map[string]bool) refusal {
-	if len(tried) > 0 {
+	switch {
+	case j.nowhere():
+		return refuseNoHome
+	case len(tried) > 0:
 		return refuseFull
 	}
 	return refuseNoEngine
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -118,13 +118,16 @@
 	}
 	now := time.Now()
 	m := t.signed(message{
-		Number: t.number, Digests: t.picker.Digests(), Reads: t.picker.Reads(now), Out: t.out(),
+		Number: t.number, Digests: t.picker.Digests(), Out: t.out(),
 		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now),
 	})
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, reports
 	}
-	t.send(m, lo.Map(to, func(m Member, _ int) string { return m.Address })...)
+	for region, members := range lo.GroupBy(to, func(m Member) string { return t.places.Region(m.Zone) }) {
+		m.Reads = t.picker.Reads(region, now)
+		t.send(m, lo.Map(members, func(m Member, _ int) string { return m.Address })...)
+	}
 }
 
 // listeners picks the peers of one beat, and whether they are told the budgets: all
--- a/fleet/relay/peer/regions_test.go
+++ b/fleet/relay/peer/regions_test.go
@@ -1,7 +1,10 @@
 package peer
 
 import (
+	"encoding/json"
 	"fmt"
+	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,7 +12,10 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
 
 // Peers of the region are asked for tokens before richer ones of other regions, also where
@@ -128,3 +134,49 @@
 	writers = Writers(few, func() []Member { return few })
 	assert.Equal(t, writers, watchersOf(writers, few, few, places, func(string) bool { return false }))
 }
+
+// heardSocket is a socket that keeps what is sent to each address.
+type heardSocket struct {
+	net.PacketConn
+	sent map[string][]message
+}
+
+func (h *heardSocket) WriteTo(data []byte, to net.Addr) (int, error) {
+	var m message
+	if err := json.Unmarshal(data, &m); err != nil {
+		return 0, err
+	}
+	h.sent[to.String()] = append(h.sent[to.String()], m)
+	return len(data), nil
+}
+
+// A node tells of what calls with homes read only those peers that lie there.
+func TestReadsOfCallsWithHomesStayThere(t *testing.T) {
+	all, regions := regional(12, 3) // all are told by all
+	self := all[0]
+	g, _ := slopeGossipOf(all, regions, self)
+	socket := &heardSocket{sent: map[string][]message{}}
+	g.socket = socket
+	now := time.Now()
+	engines := engine.NewDirectory(1, []engine.Engine{{ID: "e0", Service: "homes", Zone: "z0"}}).Of("homes")
+	c := call.Call{ID: "bound", PromptMax: 9000, Parts: []call.Part{{ID: "secret", Tokens: 2520}, {ID: "own", Tokens: 6000}}}
+	placed, ok := g.picker.Pick(choice.Request{Call: c, Homes: []string{"r0", "r1"}, Engines: engines, Profile: choice.Profile{Service: "homes", Tokens: true, Capacity: 347_000}, Cap: 9, Now: now})
+	assert.True(t, ok)
+	placed.First(100*time.Millisecond, now)
+	for range budgetEvery * roundBeats * farEvery {
+		g.broadcast()
+	}
+	for _, m := range all[1:] {
+		messages := socket.sent[m.Address]
+		assert.NotEmpty(t, messages)
+		told, other := 0, 0
+		for _, one := range messages {
+			for _, r := range one.Reads {
+				told += lo.Ternary(slices.Contains(r.Parts, "secret"), 1, 0)
+				other += lo.Ternary(slices.Contains(r.Parts, "0123456789abcdef"), 1, 0)
+			}
+		}
+		assert.Equal(t, regions[m.Zone] != "r2", told > 0, m)
+		assert.Positive(t, other, m)
+	}
+}
--- a/fleet/relay/policy/policy.go
+++ b/fleet/relay/policy/policy.go
@@ -86,7 +86,8 @@
 	Homes       Homes
 }
 
-// Homes are the regions in which a call may run; none is any.
+// Homes are the regions in which a call may run and in which what belongs to it may be
+// kept; none is any.
 type Homes []string
 
 // Allow is whether a call may run in a region.
@@ -94,6 +95,20 @@
 	return len(h) == 0 || slices.Contains(h, region)
 }
 
+// With returns the regions that both allow: nil is any, and one that is empty but not nil
+// is none.
+func (h Homes) With(other Homes) Homes {
+	switch {
+	case len(h) == 0:
+		return slices.Clone(other)
+	case len(other) == 0:
+		return slices.Clone(h)
+	}
+	both := slices.DeleteFunc(slices.Clone(h), func(region string) bool { return !slices.Contains(other, region) })
+	slices.Sort(both)
+	return slices.Compact(both)
+}
+
 // Limits bound what callers send.
 type Limits struct {
 	HeaderBytes   int
