Find the delegates among those that are left after a loss of many

Cause: silent delegates were replaced two at a time, each pair after 4 s, and the first were named again after 19 s: of a zone of ten or more nodes that lost all but the last in order none that lived was ever named, and the one left drew no tokens. Change: once those that took the place of silent ones fell silent, too, as many more are named as are silent, until two are heard; one that fell silent is named again beside others, not in their place; delegates that are not heard watch for nobody.

--- a/fleet/relay/peer/delegates.go
+++ b/fleet/relay/peer/delegates.go
@@ -11,6 +11,7 @@
 	silentAfter = 4 * time.Second  // a node that should be heard and is not is replaced
 	silentFor   = 15 * time.Second // after which it may be chosen again, in case it is back
 	zoneMost    = 4                // delegates of a zone with those that stand in for ones that do not reach the store
+	zoneTried   = 16               // of a zone of which many fell silent: until two are heard, so many are named at most
 )
 
 // delegates chooses the nodes that write the ledger, and remembers since when each is
@@ -20,13 +21,14 @@
 	self    Member
 	near    func(zone string) bool // whether a zone is of the node's region
 	since   map[string]time.Time
-	writes  bool     // this node was chosen last
-	members []Member // as of the order
-	order   []Member // of the members, in which they are chosen
+	doubted map[string]bool // fell silent, and was not heard since: named beside others, not in their place
+	writes  bool            // this node was chosen last
+	members []Member        // as of the order
+	order   []Member        // of the members, in which they are chosen
 }
 
 func newDelegates(self Member) *delegates {
-	return &delegates{self: self, near: func(string) bool { return true }, since: map[string]time.Time{}}
+	return &delegates{self: self, near: func(string) bool { return true }, since: map[string]time.Time{}, doubted: map[string]bool{}}
 }
 
 // word is when a node was last heard, and what it said of itself.
@@ -41,24 +43,59 @@
 // Where some other writer does, a zone without one gets others beside its own.
 func (d *delegates) choose(members []Member, heard func(name string) word, now time.Time) map[string]bool {
 	order := d.ordered(members)
-	sound := lo.Reject(order, func(m Member, _ int) bool { return d.silent(m, heard, now) })
+	if len(members) <= allWrite {
+		writers := Writers(members, nil)
+		d.writes = writers[d.self.Name]
+		d.expect(writers, now)
+		return writers
+	}
+	sound, silent := lo.FilterReject(order, func(m Member, _ int) bool { return !d.silent(m, heard, now) })
 	if len(sound) == 0 {
 		sound = order
 	}
-	writers := Writers(members, func() []Member { return sound })
-	if len(members) > allWrite {
-		addSpares(writers, sound, heard)
-	}
+	writers := d.named(sound, silent, heard, now)
+	addSpares(writers, sound, heard)
 	d.writes = writers[d.self.Name]
 	d.expect(writers, now)
 	return writers
 }
 
+// named picks the first two of each zone in their order. Where those that took the place
+// of silent ones fell silent, too, many were lost: then as many more are named as are
+// silent, until two of them are heard. So a zone of which one node is left finds it in
+// some three rounds, not in as many as it had pairs of nodes.
+func (d *delegates) named(sound, silent []Member, heard func(name string) word, now time.Time) map[string]bool {
+	quiet := lo.CountValuesBy(silent, func(m Member) string { return m.Zone })
+	doubted := lo.CountValuesBy(lo.Filter(sound, func(m Member, _ int) bool { return d.doubted[m.Name] }), func(m Member) string { return m.Zone })
+	writers := map[string]bool{}
+	count, sure := map[string]int{}, map[string]int{}
+	for _, m := range sound {
+		many := quiet[m.Zone]+doubted[m.Zone] > zoneWriters
+		most := zoneMost
+		if many {
+			most = min(max(zoneMost, quiet[m.Zone]+doubted[m.Zone]), zoneTried)
+		}
+		if sure[m.Zone] >= zoneWriters || count[m.Zone] >= most {
+			continue
+		}
+		writers[m.Name] = true
+		count[m.Zone]++
+		if d.alive(m, heard, now) || !many && !d.doubted[m.Name] {
+			sure[m.Zone]++
+		}
+	}
+	return writers
+}
+
 // ordered lists the members in the order in which they are chosen. Lists of members
 // are never changed in place, so that one order serves until there is another list.
 func (d *delegates) ordered(members []Member) []Member {
 	if len(members) != len(d.members) || len(members) > 0 && &members[0] != &d.members[0] {
 		d.members, d.order = members, ranked(members)
+		d.doubted = lo.PickBy(d.doubted, func(name string, _ bool) bool {
+			_, listed := find(members, name)
+			return listed
+		})
 	}
 	return d.order
 }
@@ -73,15 +110,27 @@
 	if m.Name == d.self.Name || !expected || !d.audible(m) {
 		return false
 	}
-	if at := heard(m.Name).at; at.After(since) {
+	at, most := heard(m.Name).at, d.mostQuiet(m)
+	if at.After(since) {
 		since = at
 	}
-	quiet, most := now.Sub(since), d.mostQuiet(m)
-	if quiet > most+silentFor {
+	switch quiet := now.Sub(since); {
+	case quiet <= most && since.Equal(at):
+		delete(d.doubted, m.Name)
+		return false
+	case quiet <= most:
+		return false
+	case quiet > most+silentFor:
 		delete(d.since, m.Name)
 		return false
 	}
-	return quiet > most
+	d.doubted[m.Name] = true
+	return true
+}
+
+// alive is whether a writer was heard of late; of itself a node knows.
+func (d *delegates) alive(m Member, heard func(name string) word, now time.Time) bool {
+	return m.Name == d.self.Name || now.Sub(heard(m.Name).at) <= d.mostQuiet(m)
 }
 
 // member finds a member by its name; one that left is as one of the region.
--- a/fleet/relay/peer/regions_test.go
+++ b/fleet/relay/peer/regions_test.go
@@ -100,23 +100,23 @@
 	}
 	cases := []struct {
 		name string
-		out  func(name string) bool
+		out  func(Member) bool
 		want func(t *testing.T, watchers map[string]bool)
 	}{
-		{"all reach the store", func(string) bool { return false }, func(t *testing.T, watchers map[string]bool) {
+		{"all reach the store", func(Member) bool { return false }, func(t *testing.T, watchers map[string]bool) {
 			for _, region := range []string{"r0", "r1", "r2"} {
 				two := of(watchers, region)
 				assert.Len(t, two, regionWatchers)
 				assert.NotEqual(t, zone[two[0]], zone[two[1]])
 			}
 		}},
-		{"a zone is out", func(name string) bool { return zone[name] == "z0" }, func(t *testing.T, watchers map[string]bool) {
+		{"a zone is out", func(m Member) bool { return m.Zone == "z0" }, func(t *testing.T, watchers map[string]bool) {
 			for _, name := range of(watchers, "r0") {
 				assert.Equal(t, "z1", zone[name])
 			}
 			assert.Len(t, of(watchers, "r0"), regionWatchers)
 		}},
-		{"a region is out", func(name string) bool { return regions[zone[name]] == "r0" }, func(t *testing.T, watchers map[string]bool) {
+		{"a region is out", func(m Member) bool { return regions[m.Zone] == "r0" }, func(t *testing.T, watchers map[string]bool) {
 			assert.Len(t, of(watchers, "r0"), regionWatchers, "its first ones go on")
 		}},
 	}
@@ -132,7 +132,7 @@
 	}
 	few := all[:allWrite]
 	writers = Writers(few, func() []Member { return few })
-	assert.Equal(t, writers, watchersOf(writers, few, few, places, func(string) bool { return false }))
+	assert.Equal(t, writers, watchersOf(writers, few, few, places, func(Member) bool { return false }))
 }
 
 // heardSocket is a socket that keeps what is sent to each address.
--- a/fleet/relay/peer/roles.go
+++ b/fleet/relay/peer/roles.go
@@ -126,7 +126,10 @@
 		return nil
 	}
 	members := t.registry.Members()
-	return watchersOf(writers, members, t.delegates.ordered(members), t.places, func(name string) bool { return t.word(name).out })
+	now := time.Now()
+	return watchersOf(writers, members, t.delegates.ordered(members), t.places, func(m Member) bool {
+		return t.word(m.Name).out || !t.delegates.alive(m, t.word, now)
+	})
 }
 
 // Watches is whether this node watches the store for others.
--- a/fleet/relay/peer/slope_test.go
+++ b/fleet/relay/peer/slope_test.go
@@ -108,7 +108,7 @@
 		all, regions := regional(c.size, c.regions)
 		order := ranked(all)
 		writers := Writers(all, func() []Member { return order })
-		watchers := watchersOf(writers, all, order, distance.From("z0", regions, distance.DefaultCosts()), func(string) bool { return false })
+		watchers := watchersOf(writers, all, order, distance.From("z0", regions, distance.DefaultCosts()), func(Member) bool { return false })
 		for _, role := range roles {
 			self, found := lo.Find(all, func(m Member) bool { return writers[m.Name] == role.writes && watchers[m.Name] == role.watches })
 			require.True(t, found)
--- a/fleet/relay/peer/watchers.go
+++ b/fleet/relay/peer/watchers.go
@@ -8,10 +8,10 @@
 const regionWatchers = 2
 
 // watchersOf names the delegates that watch the store, among the writers in the order in
-// which they are chosen: in each region the first two that are not known to be out, of
-// two zones where the region has such. Where all of a region are out the first ones go
-// on. In a fleet where all write, and so hold what they need, all watch.
-func watchersOf(writers map[string]bool, members []Member, order []Member, places distance.Places, out func(name string) bool) map[string]bool {
+// which they are chosen: in each region the first two that are not out, since they do not
+// reach the store or are not heard, of two zones where the region has such. Where all of
+// a region are out the first ones go on. In a fleet where all write, and so hold what they need, all watch.
+func watchersOf(writers map[string]bool, members []Member, order []Member, places distance.Places, out func(Member) bool) map[string]bool {
 	if len(writers) >= len(members) {
 		return writers
 	}
@@ -26,8 +26,8 @@
 			}
 		}
 	}
-	take(func(m Member, chosen []Member) bool { return !out(m.Name) && !ofZone(chosen, m.Zone) })
-	take(func(m Member, _ []Member) bool { return !out(m.Name) })
+	take(func(m Member, chosen []Member) bool { return !out(m) && !ofZone(chosen, m.Zone) })
+	take(func(m Member, _ []Member) bool { return !out(m) })
 	take(func(m Member, chosen []Member) bool { return !ofZone(chosen, m.Zone) })
 	take(func(Member, []Member) bool { return true })
 	return watchers
