Write the ledger in turn

Change: writers hear who wrote last, and follow in their order; a write that is overtaken waits for the next turn; one that a request waits for is made at once, and again only where that can end while the request waits. The turn follows the last word heard, not a clock. Asking a far writer for its ledger may take the round trips more.

--- a/fleet/relay/account/syncer.go
+++ b/fleet/relay/account/syncer.go
@@ -33,7 +33,7 @@
 	askedPace     = 100 * time.Millisecond // where one waits
 	askedPerNode  = 10 * time.Millisecond
 	conflictPause = 5 * time.Millisecond // for each node that writes, at most
-	conflicts     = 3                    // tries in a row before the syncer pauses
+	conflicts     = 3                    // tries in a row before the syncer pauses, out of turn
 )
 
 // Bounds of the syncer's waits.
@@ -41,6 +41,7 @@
 	callTimeout = 700 * time.Millisecond
 	drawWait    = 60 * time.Millisecond // that a request waits for a draw
 	waitingAsks = 64
+	always      = time.Minute // longer than a round
 	backoffMax  = 2 * time.Second
 )
 
@@ -60,6 +61,9 @@
 	nodes     func() int
 	writes    func() bool // whether this node draws every budget, or acquires from those that do
 	writers   Writers
+	turn      func() Turn
+	heard     <-chan struct{} // another writer wrote: turns begin anew
+	again     atomic.Int64    // ns from its begin in which a round that was overtaken is to end
 	health    *store.Health
 	log       log.Interface
 
@@ -81,10 +85,12 @@
 // writes whether this one draws from the ledger.
 func NewSyncer(s store.Store, p *Allowance, nodes func() int, writes func() bool, health *store.Health, l log.Interface) *Syncer {
 	stop, stopped := context.WithCancel(context.Background())
-	return &Syncer{
-		store: s, allowance: p, nodes: nodes, writes: writes, writers: noWriters{}, health: health, log: l,
+	k := &Syncer{
+		store: s, allowance: p, nodes: nodes, writes: writes, writers: noWriters{}, turn: func() Turn { return Turn{} }, health: health, log: l,
 		asks: make(chan chan struct{}, waitingAsks), stop: stop, stopped: stopped, answered: time.Now(),
 	}
+	k.again.Store(int64(always))
+	return k
 }
 
 // WithWriters has the syncer tell the other writers of the ledger, and hear of theirs.
@@ -93,6 +99,13 @@
 	return k
 }
 
+// WithTurns has the syncer write when it is this node's turn, unless a request waits;
+// heard tells that turns have changed.
+func (k *Syncer) WithTurns(turn func() Turn, heard <-chan struct{}) *Syncer {
+	k.turn, k.heard = turn, heard
+	return k
+}
+
 // noWriters is no other writer.
 type noWriters struct{}
 
@@ -111,12 +124,17 @@
 			return
 		case done := <-k.asks:
 			asks = k.waiting(done)
+		case <-k.heard:
 		case <-timer.C:
 			timer.Reset(store.Jittered(tick))
 		}
-		if now := time.Now(); now.Sub(k.last) >= max(k.pace(len(asks) > 0), backoff) {
+		switch now, asked := time.Now(), len(asks) > 0; {
+		case now.Sub(k.last) < max(k.pace(asked), backoff):
+		case !asked && k.turn().wait(now) > 0:
+			timer.Reset(k.turn().wait(now))
+		default:
 			k.last = now
-			backoff = k.round(ctx, now, backoff)
+			backoff = k.inTurn(ctx, now, backoff, asked)
 		}
 		for _, done := range asks {
 			close(done)
@@ -175,6 +193,21 @@
 	}
 }
 
+// inTurn makes one round. A write that was overtaken in its turn waits for the next one:
+// tried again at once it would overtake that of whoever has its turn now. One that a
+// request waits for is tried again where that may end while the request waits.
+func (k *Syncer) inTurn(ctx context.Context, now time.Time, backoff time.Duration, asked bool) time.Duration {
+	again := time.Duration(0)
+	switch {
+	case k.turn().cycle() == 0:
+		again = always
+	case asked:
+		again = drawWait
+	}
+	k.again.Store(int64(again))
+	return k.round(ctx, now, backoff)
+}
+
 func (k *Syncer) round(ctx context.Context, now time.Time, backoff time.Duration) time.Duration {
 	if k.stop.Err() != nil {
 		return 0 // the node is leaving, which may take its time
@@ -231,6 +264,7 @@
 func (k *Syncer) settle(ctx context.Context, now time.Time, leaving bool) error {
 	var err error
 	k.catchUp(ctx)
+	began := time.Now()
 	for range conflicts {
 		if !k.fresh {
 			if err = k.read(ctx); err != nil {
@@ -242,6 +276,7 @@
 			k.allowance.Answered()
 			return nil
 		}
+		tried := time.Now()
 		if err = k.write(ctx, next); err == nil {
 			k.allowance.Answered()
 			return nil
@@ -249,6 +284,9 @@
 		if !errors.Is(err, store.ErrConflict) {
 			return err
 		}
+		if !leaving && time.Since(began)+time.Since(tried) > time.Duration(k.again.Load()) {
+			return err
+		}
 		k.pauseAfterConflict()
 	}
 	return err
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -44,6 +44,7 @@
 	writes      atomic.Bool
 	watches     atomic.Bool
 	writerCount atomic.Int64
+	turns       atomic.Pointer[turns]
 	elsewhere   atomic.Bool // a writer of another zone reaches the store, as this one heard
 	sources     atomic.Pointer[[]store.Source]
 	client      *http.Client
@@ -72,7 +73,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), ledgers: &ledgers{own: store.NewCache()}, address: address, out: out, client: sourceClient(), delegates: newDelegates(r.self), places: distance.From(r.self.Zone, nil, distance.DefaultCosts())}
+	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), ledgers: newLedgers(), address: address, out: out, client: sourceClient(), delegates: newDelegates(r.self), places: distance.From(r.self.Zone, nil, distance.DefaultCosts())}
 	r.OnChange(func([]Member) { g.choose() })
 	return g, nil
 }
@@ -198,6 +199,7 @@
 		}
 	case m.Ledger > 0:
 		t.ledgers.told(m.Ledger, from)
+		t.ledgers.wrote(m.Ledger, m.Node, t.classOf(m.Node), time.Now())
 	default:
 		t.receiveDigest(m, from)
 	}
--- a/fleet/relay/peer/ledger.go
+++ b/fleet/relay/peer/ledger.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
@@ -15,7 +16,8 @@
 // revision, and whoever is about to write asks for a newer one where it lies. Without
 // that each write first conflicts, to learn of the others'.
 
-// ledgerWait bounds asking a peer for the ledger: the store tells it as well.
+// ledgerWait bounds asking a peer for the ledger, beyond the round trips of connecting and
+// asking: the store tells it as well.
 const ledgerWait = 60 * time.Millisecond
 
 // ledgers is the newest ledger that this node wrote, for its peers, and the newest
@@ -26,6 +28,20 @@
 	mu     sync.Mutex
 	newest int64  // revision that a peer told of
 	from   string // the peer's address; "" is none
+	last   lastWrite
+	heard  chan struct{} // holds one where there is news for whoever waits for its turn
+}
+
+func newLedgers() *ledgers {
+	return &ledgers{own: store.NewCache(), heard: make(chan struct{}, 1)}
+}
+
+// lastWrite is the newest write that this node knows of.
+type lastWrite struct {
+	revision int64
+	writer   string // the node's name
+	class    distance.Class
+	at       time.Time
 }
 
 // told notes that a peer wrote the ledger.
@@ -37,6 +53,26 @@
 	}
 }
 
+// wrote notes who wrote the ledger last, for the turns of writers.
+func (l *ledgers) wrote(revision int64, writer string, c distance.Class, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision > l.last.revision {
+		l.last = lastWrite{revision: revision, writer: writer, class: c, at: now}
+		select {
+		case l.heard <- struct{}{}:
+		default: // it has not looked since
+		}
+	}
+}
+
+// lastWritten is the newest write that this node knows of.
+func (l *ledgers) lastWritten() lastWrite {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last
+}
+
 // newer is where a newer ledger lies than that of a revision; "" is nowhere.
 func (l *ledgers) newer(revision int64) string {
 	l.mu.Lock()
@@ -47,6 +83,13 @@
 	return l.from
 }
 
+// class is how far the peer lies that wrote last.
+func (l *ledgers) class() distance.Class {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last.class
+}
+
 // forget drops a peer's word that it could not stand by.
 func (l *ledgers) forget(from string) {
 	l.mu.Lock()
@@ -62,6 +105,7 @@
 // Wrote implements account.Writers.
 func (t *Gossip) Wrote(o store.Object) {
 	t.ledgers.own.Apply(store.Snapshot{Objects: []store.Object{o}, Revision: o.Revision}, store.FromStore)
+	t.ledgers.wrote(o.Revision, t.registry.self.Name, distance.SameZone, time.Now())
 	writers, _ := t.choice()
 	others := lo.FilterMap(t.registry.Members(), func(m Member, _ int) (string, bool) {
 		return m.Address, writers[m.Name] && m.Name != t.registry.self.Name
@@ -75,7 +119,7 @@
 	if from == "" {
 		return store.Object{}, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, ledgerWait)
+	ctx, cancel := context.WithTimeout(ctx, ledgerWait+2*t.places.OfClass(t.ledgers.class(), time.Now()).RoundTrip)
 	defer cancel()
 	objects, _, err := Remote{client: t.client, address: from}.List(ctx, account.Kind)
 	if err != nil || len(objects) != 1 {
--- a/fleet/relay/peer/roles.go
+++ b/fleet/relay/peer/roles.go
@@ -35,7 +35,8 @@
 	t.writes.Store(writers[self.Name])
 	t.writerCount.Store(int64(len(writers)))
 	watchers := t.watchers(writers)
-	t.watches.Store(watchers[self.Name])
+	t.tellWatching(watchers)
+	t.turns.Store(t.turnsOf(writers))
 	t.sources.Store(t.sourcesOf(writers, watchers, near, all))
 	t.elsewhere.Store(t.reachedElsewhere(writers, all))
 	if !writers[self.Name] {
@@ -119,6 +120,15 @@
 // WriterCount is how many nodes write the ledger, this one's own view.
 func (t *Gossip) WriterCount() int { return int(t.writerCount.Load()) }
 
+// tellWatching takes in whether this node watches the store for its region, and logs a
+// change of that.
+func (t *Gossip) tellWatching(watchers map[string]bool) {
+	self := t.registry.self
+	if now := watchers[self.Name]; t.watches.Swap(now) != now {
+		t.registry.log.WithField("watches", now).WithField("region", t.places.Region(self.Zone)).WithField("watchers", len(watchers)).WithField("nodes", t.registry.Count()).Info("watching the store for others")
+	}
+}
+
 // watchers names the delegates that watch the store, as this one sees the fleet; others
 // need not know.
 func (t *Gossip) watchers(writers map[string]bool) map[string]bool {
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -111,7 +111,7 @@
 	n.registry.OnChange(func(members []peer.Member) {
 		n.cold.Nodes(lo.Map(members, func(m peer.Member, _ int) string { return m.Name }), time.Now())
 	})
-	n.syncer = account.NewSyncer(n.store, n.allowance, gossip.WriterCount, gossip.Writes, n.health, l).WithWriters(gossip)
+	n.syncer = account.NewSyncer(n.store, n.allowance, gossip.WriterCount, gossip.Writes, n.health, l).WithWriters(gossip).WithTurns(gossip.Turn, gossip.Heard())
 	n.gate = overload.NewGate(overload.DefaultRule())
 	n.intake = overload.NewIntake(overload.DefaultIntakeRule())
 	n.meter = link.NewMeter(s.LinkMbps)
