Ask the store less at the start and after outages

Cause: in a fleet that starts as a whole each node listed some of the others, watched the store for the rest, and read the ledger as if it wrote it; after an outage those who watch were back after up to 1.2 s, and others asked the store themselves. Change: such a fleet registers first and lists after 1.5 s; a node looks at the ledger once it knows the others; those who watch a store that refuses ping it each 0.5 s at most, and whoever is told by others waits 1.1 s in place of 0.6 s for them.

--- a/fleet/relay/chain_test.go
+++ b/fleet/relay/chain_test.go
@@ -58,27 +58,45 @@
 type platformStore struct {
 	store.Store
 	cacheReader
-	mu    sync.Mutex
-	calls int
+	mu           sync.Mutex
+	away         bool
+	calls, pings int
+}
+
+func (p *platformStore) count(to *int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	*to++
+	if p.away {
+		return store.ErrRefused
+	}
+	return nil
 }
 
-func (p *platformStore) count() {
+// turn has the store go away or come back, and returns the calls and pings since it last did.
+func (p *platformStore) turn(away bool) (calls, pings int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.calls++
+	calls, pings = p.calls, p.pings
+	p.away, p.calls, p.pings = away, 0, 0
+	return calls, pings
 }
 
 func (p *platformStore) List(ctx context.Context, kind string) ([]store.Object, int64, error) {
-	p.count()
+	if err := p.count(&p.calls); err != nil {
+		return nil, 0, err
+	}
 	return p.cacheReader.List(ctx, kind)
 }
 
 func (p *platformStore) Watch(ctx context.Context, kind string, since int64, wait time.Duration) ([]store.Event, int64, error) {
-	p.count()
+	if err := p.count(&p.calls); err != nil {
+		return nil, 0, err
+	}
 	return p.cacheReader.Watch(ctx, kind, since, wait)
 }
 
-func (p *platformStore) Ping(context.Context) error { return nil }
+func (p *platformStore) Ping(context.Context) error { return p.count(&p.pings) }
 
 // hand is one node of the chain from the store to those that act on its news.
 type hand struct {
@@ -210,3 +228,58 @@
 		})
 	}
 }
+
+// A region that is cut off from the store as a whole, and finds it back, asks it by the two
+// that watch it, and hardly by those that are told by others: the return is no herd, and
+// each node has what changed meanwhile in time.
+func TestARegionThatComesBackIsNoHerd(t *testing.T) {
+	const (
+		nodes   = 40
+		contact = 3 * time.Second // the shortest in which all has to be in force again
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		held := store.NewCache()
+		held.Apply(store.Snapshot{Revision: 1}, store.FromStore)
+		platform := &platformStore{cacheReader: cacheReader{held, store.FromStore}}
+		s := func() store.Store { return store.Probed(platform) }
+		rest := part(engineRestPart, 2*time.Second)
+		watchers := []*hand{follow(ctx, s(), rest, false), follow(ctx, s(), rest, false)}
+		time.Sleep(time.Second)
+		var delegates, others []*hand
+		for i := range 4 {
+			delegates = append(delegates, follow(ctx, s(), rest, true, watchers[i%2], watchers[1-i%2]))
+		}
+		time.Sleep(time.Second)
+		for i := range nodes {
+			zone := i % 2 * 2
+			others = append(others, follow(ctx, s(), rest, false, delegates[zone+i/2%2], delegates[zone+1-i/2%2], watchers[0], watchers[1]))
+		}
+		time.Sleep(20 * time.Second)
+		calls, _ := platform.turn(true)
+		assert.Less(t, calls, 20, "two watch, and nobody else asks")
+		for _, w := range watchers { // as a pulse does that finds the store lost
+			w.cache.Apply(store.Lost{Err: store.ErrRefused}, store.FromOther)
+		}
+		held.Apply(store.Update{Events: []store.Event{{Object: store.Object{Name: "a", Revision: 2}}}, Revision: 2}, store.FromStore) // ends the watches
+		time.Sleep(10 * time.Second)
+		calls, pings := platform.turn(false)
+		assert.LessOrEqual(t, calls, 2+len(watchers)+len(delegates)+nodes/4)
+		assert.LessOrEqual(t, pings, 10*(nodes+len(delegates))+100)
+		held.Apply(store.Update{Events: []store.Event{{Object: store.Object{Name: "a", Revision: 3}}}, Revision: 3}, store.FromStore)
+		back := time.Now()
+		time.Sleep(10 * time.Second)
+		calls, _ = platform.turn(false)
+		assert.LessOrEqual(t, calls, 2*len(watchers)+nodes/4, "lists and watches of the two, and few others'")
+		for i, h := range append(append(watchers, delegates...), others...) {
+			h.mu.Lock()
+			in, arrived := h.seen[3]
+			h.mu.Unlock()
+			assert.True(t, arrived, i)
+			assert.Less(t, in.Sub(back), contact, i)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/fleet/relay/following.go
+++ b/fleet/relay/following.go
@@ -48,7 +48,10 @@
 	go n.registry.Run(ctx, n.cached(peer.Kind, func(store.Change) {}))
 	go n.gossip.Run(ctx)
 	go n.pulse().Run(ctx)
-	go n.syncer.Run(ctx)
+	go func() {
+		n.awaitPeers(ctx) // one that knows no other node writes for itself
+		n.syncer.Run(ctx)
+	}()
 	if n.settings.Enabled(handOnMechanism) {
 		go overload.Watch(ctx, n.gate, n.log)
 	}
@@ -126,13 +129,13 @@
 	if !n.settings.Enabled(delegatesMechanism) {
 		return
 	}
-	n.registry.AwaitListed(ctx)
 	if n.settings.Bootstrap {
 		select {
 		case <-ctx.Done():
 		case <-time.After(firstRegistrations):
 		}
 	}
+	n.registry.AwaitListed(ctx)
 }
 
 // longestWatch bounds the watch that leads on nodes that watch the store for others, so that
--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -36,6 +36,7 @@
 	log     log.Interface
 	health  *store.Health
 	history time.Duration
+	starts  time.Duration // that the fleet takes to register as a whole; 0: it is there already
 	members atomic.Pointer[[]Member]
 	changed []func([]Member) // told of each change of the members
 	own     atomic.Int64     // revision of this node's entry, as listed last; 0 is none
@@ -52,6 +53,14 @@
 	return r
 }
 
+// Starting has the registry of a fleet that starts as a whole register first and list the
+// nodes after some time, when the others have: else each node lists some of them and
+// watches for the rest, two calls a node.
+func (r *Registry) Starting(takes time.Duration) *Registry {
+	r.starts = takes
+	return r
+}
+
 // OnChange has a function told of each change of the members, before Run.
 func (r *Registry) OnChange(tell func([]Member)) { r.changed = append(r.changed, tell) }
 
@@ -65,6 +74,7 @@
 // change too.
 func (r *Registry) Run(ctx context.Context, seen func(store.Change)) {
 	go r.register(ctx)
+	sleep(ctx, r.starts)
 	store.Follow(ctx, r.store, store.Watching{Kind: Kind, Rest: r.rest, History: r.history, Health: r.health}, func(c store.Change) {
 		seen(c)
 		r.apply(c)
@@ -86,20 +96,27 @@
 }
 
 // registerPause is the time between tries to register. The first one waits for the
-// list of the nodes, which tells what an earlier life of this one left there.
+// list of the nodes, which tells what an earlier life of this one left there, unless
+// the whole fleet starts.
 const registerPause = 500 * time.Millisecond
 
 func (r *Registry) register(ctx context.Context) {
-	r.AwaitListed(ctx)
+	if r.starts == 0 {
+		r.AwaitListed(ctx)
+	}
 	for ctx.Err() == nil {
 		if err := r.write(ctx); err == nil {
 			r.log.WithField("life", r.self.Life).Info("registered")
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerPause):
-		}
+		sleep(ctx, registerPause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
--- a/fleet/relay/peer/registry_test.go
+++ b/fleet/relay/peer/registry_test.go
@@ -110,3 +110,41 @@
 	assert.Equal(t, smallRest, gossipOf("n1", members(allWrite)).registry.rest())
 	assert.Equal(t, largeRest, gossipOf("n1", members(allWrite+1)).registry.rest())
 }
+
+// In a fleet that starts as a whole a node registers at once, lists the others when these
+// have registered, and finds them all in one call.
+func TestAFleetThatStartsRegistersFirst(t *testing.T) {
+	const takes = 1500 * time.Millisecond
+	cases := []struct {
+		name    string
+		earlier bool // a life of it is registered already
+		want    []string
+	}{
+		{"the first life", false, []string{"put", "list"}},
+		{"an earlier one is listed", true, []string{"put", "get", "put", "list"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &listing{}
+				if c.earlier {
+					s.objects = []store.Object{{Kind: Kind, Name: "a", Revision: 5, Data: []byte(`{"name":"a","life":"before"}`)}}
+				}
+				quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+				r := NewRegistry(s, Member{Name: "a", Life: "now"}, store.NewHealth(), 0, quiet).Starting(takes)
+				ctx, cancel := context.WithCancel(t.Context())
+				go r.Run(ctx, func(store.Change) {})
+				time.Sleep(takes - time.Millisecond)
+				s.mu.Lock()
+				assert.Equal(t, c.want[:len(c.want)-1], s.calls)
+				s.mu.Unlock()
+				time.Sleep(2 * time.Millisecond)
+				s.mu.Lock()
+				assert.Equal(t, c.want, s.calls)
+				s.mu.Unlock()
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -103,6 +103,9 @@
 	n.picker = choice.NewPicker(s.Zone, s.Choice()).WithColdGate(n.cold).WithPlaces(n.places)
 	n.engineTable = newEngineTable(n)
 	n.registry = peer.NewRegistry(n.store, self, n.health, s.History(), l)
+	if s.Bootstrap && s.Enabled(delegatesMechanism) {
+		n.registry.Starting(firstRegistrations)
+	}
 	gossip, err := peer.Listen(s.Peer, n.registry, n.picker, n.allowance, func() bool { return n.syncer.Out() })
 	if err != nil {
 		return nil, err
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -16,7 +16,7 @@
 	watchSlack  = 700 * time.Millisecond
 	callTimeout = 2 * time.Second
 	backoffMin  = 150 * time.Millisecond
-	backoffMax  = 1200 * time.Millisecond
+	backoffMax  = 500 * time.Millisecond // a store that refuses is only pinged: who watches it is to be back before those who wait for it ask themselves
 	aloneTries  = 2                      // failures in a row after which a follower leaves asking to the leader
 	leaderWait  = 3 * time.Second        // for the leader, before a follower asks again by itself
 	peersPause  = 200 * time.Millisecond // before peers are asked again: it costs the store nothing
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -43,10 +43,10 @@
 	// Sources that lost the store ask it themselves, and are fit again when it answers.
 	// A node that may reach it nevertheless finds out by a ping, soon, since what changes
 	// meanwhile binds it, and asks the store only while that is so.
-	patience    = 300 * time.Millisecond // after the sources lost the store, half of it at least
-	pingEvery   = 2 * time.Second        // and then, half of it at least
-	pingAgain   = 600 * time.Millisecond // after the first that succeeds again, half of it at least: after most outages the sources have the store back by then, and a list of theirs serves many nodes
-	wakeAfter   = 200 * time.Millisecond // and the sources are asked in between, half of it later at least
+	patience    = 300 * time.Millisecond  // after the sources lost the store, half of it at least
+	pingEvery   = 2 * time.Second         // and then, half of it at least
+	pingAgain   = 1100 * time.Millisecond // after the first that succeeds again, half of it at least: after most outages the sources have the store back by then, and a list of theirs serves many nodes
+	wakeAfter   = 200 * time.Millisecond  // and the sources are asked in between, half of it later at least
 	pingTimeout = 500 * time.Millisecond
 	proved      = 5 * time.Second // that the store counts as reached, unless a call fails
 )
