--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -30,6 +30,7 @@
 	endpoints map[string]*endpoint
 	models    map[string]*model // by service
 	holders   holders
+	capacity  int64 // tokens that an endpoint keeps, the most that a service said
 	recent    recent
 	zones     zones
 	told      map[string][]string // ids of the endpoints that a peer's last digests named, by peer
@@ -80,7 +81,9 @@
 // Request is what a choice depends on.
 type Request struct {
 	Call      call.Call
-	Engines   []engine.Engine
+	Engines   []engine.Engine // in the order of their ids
+	Sources   []engine.Engine // that parts of prompts may be taken from, in that order, too; nil: Engines
+	Trial     bool            // the endpoints are on trial: what they show is no word on the others of the service
 	Exclude   map[string]bool // ids already tried
 	Profile   Profile
 	Objective time.Duration // until the first event, from now; 0 is none
@@ -107,6 +110,7 @@
 func (p *Picker) place(t *Placement, r Request) {
 	e := p.endpoint(t.Engine.ID, r.Profile.Capacity)
 	t.picker, t.model, t.request = p, p.model(r.Profile.Service), r
+	p.capacity = max(p.capacity, r.Profile.Capacity)
 	if r.isCold(t.Engine) {
 		p.cold.Sent(t.Engine.ID, r.Now)
 	}
--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -29,10 +30,14 @@
 	byName   map[string]engine.Engine
 	lapsed   map[string]time.Time // entries that went while the store was in doubt, and when they are dropped
 	revision int64
+	asking   bool          // the orders are asked for again
+	listed   chan struct{} // closed once the endpoints were listed
+	once     sync.Once
+	used     map[string]map[string]bool // versions that may get work, by service, while any endpoint has them
 }
 
 func newEngineTable(n *Node) *engineTable {
-	return &engineTable{Node: n, byName: map[string]engine.Engine{}, lapsed: map[string]time.Time{}}
+	return &engineTable{Node: n, byName: map[string]engine.Engine{}, lapsed: map[string]time.Time{}, listed: make(chan struct{}), used: map[string]map[string]bool{}}
 }
 
 func (t *engineTable) apply(c store.Change) {
@@ -42,6 +47,7 @@
 	case store.Snapshot:
 		t.revision = c.Revision
 		t.replace(c.Objects)
+		t.once.Do(func() { close(t.listed) })
 	case store.Update:
 		t.revision = c.Revision
 		for _, e := range c.Events {
@@ -54,6 +60,20 @@
 	t.publish()
 }
 
+// listedWait bounds how long the orders of rollouts wait for the first list of endpoints.
+const listedWait = time.Second
+
+// awaitListed returns once the endpoints were listed, or soon.
+func (t *engineTable) awaitListed(ctx context.Context) {
+	timer := time.NewTimer(listedWait)
+	defer timer.Stop()
+	select {
+	case <-t.listed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // replace takes a whole list in force; what it does not name is gone.
 func (t *engineTable) replace(objects []store.Object) {
 	listed := map[string]bool{}
@@ -153,9 +173,9 @@
 }
 
 // publish hands the directory on. Nothing is sent anywhere before it is known which
-// zones are to get no new work.
+// zones, and which versions, are to get no new work.
 func (t *engineTable) publish() {
-	if t.evacuations.Load() == nil {
+	if t.evacuations.Load() == nil || t.rollouts.Load() == nil {
 		return
 	}
 	zones := t.evacuated()
@@ -171,7 +191,7 @@
 		e.ReturnedAt = zones.ReturnedAt(e.Zone)
 		all = append(all, e)
 	}
-	d := engine.NewDirectory(t.revision, all)
+	d := t.byVersion(engine.NewDirectory(t.revision, all))
 	t.engines.Store(d)
 	t.picker.Forget(func(id string) bool {
 		_, ok := d.Get(id)
--- a/fleet/relay/following.go
+++ b/fleet/relay/following.go
@@ -33,7 +33,7 @@
 // follow keeps up with what the store holds, and with the other nodes.
 func (n *Node) follow(ctx context.Context) {
 	kind, name := n.adapter.PolicyAt()
-	n.caches = map[string]*store.Cache{kind: store.NewCache(), n.adapter.EngineKind(): store.NewCache(), peer.Kind: store.NewCache(), n.adapter.EvacuationKind(): store.NewCache(), account.Kind: n.gossip.Ledgers()}
+	n.caches = map[string]*store.Cache{kind: store.NewCache(), n.adapter.EngineKind(): store.NewCache(), peer.Kind: store.NewCache(), n.adapter.EvacuationKind(): store.NewCache(), n.adapter.RolloutKind(): store.NewCache(), account.Kind: n.gossip.Ledgers()}
 	policies := store.Watching{Kind: kind, Rest: n.rest(kind, part(policyRestPart, n.settings.Apply())), History: n.settings.History(), Health: n.health, Leads: true, Longest: n.longestWatch}
 	go func() {
 		n.awaitPeers(ctx)
@@ -45,6 +45,7 @@
 		store.Follow(ctx, n.store, engines, n.cached(n.adapter.EngineKind(), n.engineTable.apply))
 	}()
 	n.followEvacuations(ctx)
+	n.followRollouts(ctx)
 	go n.registry.Run(ctx, n.cached(peer.Kind, func(store.Change) {}))
 	go n.gossip.Run(ctx)
 	go n.pulse().Run(ctx)
@@ -55,9 +56,7 @@
 	if n.settings.Enabled(handOnMechanism) {
 		go overload.Watch(ctx, n.gate, n.log)
 	}
-	if n.settings.Enabled(steerMechanism) && n.meter.Known() {
-		go n.watchIntake(ctx)
-	}
+	go n.watchLink(ctx)
 }
 
 // rest is how long the follower of a kind rests after events.
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
 )
@@ -101,6 +102,11 @@
 	nodes     int // in the fleet; 0 is one
 	places    distance.Places
 	inForce   atomic.Pointer[policy.Policy]
+	trials    atomic.Pointer[forward.Trials]
+	samples   samples
+	servers   []*httptest.Server // of the endpoints, in their order
+	memory    *memory.Budget     // nil: no bound
+	engines   []engine.Engine
 
 	mu   sync.Mutex
 	runs []run
@@ -140,11 +146,10 @@
 	f := &fleet{policy: testPolicy(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning())}
 	f.allowance.Budget(map[string]int64{"t": 1000})
 	f.allowance.Saw(account.Ledger{Accounts: []account.Account{{Tenant: "t", Rows: []account.Row{{Node: "n", Life: "n/1", Drawn: held}}}}}, 1)
-	var engines []engine.Engine
 	for i, s := range scripts {
-		engines = append(engines, f.startEngine(t, "e"+strconv.Itoa(i), s))
+		f.engines = append(f.engines, f.startEngine(t, "e"+strconv.Itoa(i), s))
 	}
-	f.start(t, engines)
+	f.start(t, f.engines)
 	return f
 }
 
@@ -158,10 +163,14 @@
 	}))
 	t.Cleanup(server.Close)
 	t.Cleanup(server.CloseClientConnections)
+	f.servers = append(f.servers, server)
 	return engine.Engine{ID: id, Service: "s", Address: server.Listener.Addr().String(), Slots: 8}
 }
 
 func (f *fleet) start(t *testing.T, engines []engine.Engine) {
+	if f.memory == nil {
+		f.memory = memory.NewBudget(0)
+	}
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	one := func() int { return 1 }
 	var d atomic.Pointer[engine.Directory]
@@ -169,10 +178,10 @@
 	d.Store(engine.NewDirectory(1, engines))
 	f.places = distance.From("z", testRegions, distance.DefaultCosts())
 	f.handler = forward.New(forward.Options{
-		Wire: plainWire{}, Policy: &f.inForce, Engines: &d, Allowance: f.allowance, TokenSource: noSource{},
+		Wire: plainWire{}, Policy: &f.inForce, Engines: &d, Trials: &f.trials, Samples: &f.samples, Allowance: f.allowance, TokenSource: noSource{},
 		Picker:  choice.NewPicker("z", choice.DefaultTuning()),
 		Retries: retry.NewBudget(retry.Rule{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one),
-		Gate:    &f.gate, Nodes: func() int { return max(f.nodes, 1) }, Places: f.places, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
+		Gate:    &f.gate, Memory: f.memory, Nodes: func() int { return max(f.nodes, 1) }, Places: f.places, Transport: forward.NewTransport(), Log: quiet, Metrics: noMetrics{},
 	})
 	f.Server = httptest.NewServer(f.handler)
 	t.Cleanup(f.Server.Close)
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -20,6 +20,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
 )
@@ -29,11 +30,14 @@
 	Wire        call.Wire
 	Policy      *atomic.Pointer[policy.Policy]
 	Engines     *atomic.Pointer[engine.Directory]
+	Trials      *atomic.Pointer[Trials] // nil: no service ever moves to another version
+	Samples     Samples                 // of the services in Trials
 	Allowance   *account.Allowance
 	TokenSource TokenSource
 	Picker      *choice.Picker
 	Retries     *retry.Budget
 	Gate        Gate
+	Memory      *memory.Budget  // of calls in progress
 	Nodes       func() int      // how many nodes share the endpoints' connections
 	Places      distance.Places // where the availability zones lie
 	Transport   *Transport
@@ -114,7 +118,9 @@
 		if err != nil {
 			return nil, err
 		}
-		c.(*pooled).Conn = m.Conn(c.(*pooled).Conn)
+		one := c.(*pooled)
+		one.metered = m.Conn(one.Conn)
+		one.Conn = one.metered
 		return c, nil
 	}
 	return t
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -18,7 +18,10 @@
 }
 
 // failed: the call may have run, and there is no answer to pass on.
-type failed struct{ err error }
+type failed struct {
+	err   error
+	heard bool // something answered, though not to this call
+}
 
 // answered: the head of an answer to this call has come.
 type answered struct {
@@ -43,6 +46,7 @@
 	refuseNoPolicy     = refusal{http.StatusServiceUnavailable, "no-configuration", 500 * time.Millisecond}
 	refuseLeaving      = refusal{http.StatusServiceUnavailable, "leaving", 50 * time.Millisecond}
 	refuseOverloaded   = refusal{http.StatusServiceUnavailable, "node-overloaded", 50 * time.Millisecond} // another try reaches another node
+	refuseMemory       = refusal{http.StatusServiceUnavailable, "no-memory", 300 * time.Millisecond}
 	refuseNoRoute      = refusal{http.StatusNotFound, "unknown-route", 0}
 	refuseKey          = refusal{http.StatusUnauthorized, "unknown-key", 0}
 	refuseHead         = refusal{http.StatusBadRequest, "bad-head", 0}
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -15,6 +15,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/link"
 )
 
 // errTwice ends an attempt that the transport was about to send a second time.
@@ -47,8 +48,10 @@
 				cancel(errTwice)
 			}
 			sent = true
+			j.tellSent(t)
 			used = info.Conn
 			use(used, true)
+			classify(used, j.class())
 			heard = whileSilent(j.patience(t), cancel)
 		},
 		PutIdleConn: func(err error) {
@@ -88,6 +91,14 @@
 	})
 }
 
+// class is what the call sends to an endpoint.
+func (j *job) class() link.Class {
+	if j.call.Cost() > 0 {
+		return link.Prompts
+	}
+	return link.Answers
+}
+
 // dropSilent drops the connections that rest beside one that fell silent, and says so
 // in the error.
 func (j *job) dropSilent(ctx context.Context, t *choice.Placement, err error) error {
@@ -122,7 +133,7 @@
 	}
 	if v.CallID != j.call.ID {
 		drop(resp)
-		return failed{err: at("answer", t, errors.Newf("the answer is to call %q, status %d", v.CallID, resp.StatusCode))}
+		return failed{heard: true, err: at("answer", t, errors.Newf("the answer is to call %q, status %d", v.CallID, resp.StatusCode))}
 	}
 	if v.NotExecuted || v.Moved {
 		finishSmall(resp)
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -8,6 +8,8 @@
 	"github.com/samber/lo"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 )
 
 // Metrics of a relaying node.
@@ -20,6 +22,12 @@
 	evacuated metric.Int64Gauge
 	link      metric.Float64Gauge
 	intake    metric.Int64Gauge
+
+	stage, answers, badAnswers metric.Int64Gauge // of rollouts
+	share                      metric.Float64Gauge
+	held                       metric.Int64Gauge
+	peak                       metric.Int64Gauge
+	short                      metric.Int64Gauge
 }
 
 // latencyBuckets are seconds, from a local call to a long stream.
@@ -40,12 +48,34 @@
 		*c.to, err = m.Int64Counter(c.name, metric.WithDescription(c.what))
 		failed = errors.CombineErrors(failed, errors.Wrapf(err, "metric %s", c.name))
 	}
-	metrics.evacuated, err = m.Int64Gauge("lynxshed.relay.evacuated_zones", metric.WithDescription("availability zones whose endpoints are to get no new work"))
-	failed = errors.CombineErrors(failed, errors.Wrap(err, "metric lynxshed.relay.evacuated_zones"))
-	metrics.link, err = m.Float64Gauge("lynxshed.relay.link_used", metric.WithDescription("share of the VM's link that is used, the fuller way, smoothed"))
-	failed = errors.CombineErrors(failed, errors.Wrap(err, "metric lynxshed.relay.link_used"))
-	metrics.intake, err = m.Int64Gauge("lynxshed.relay.intake_open", metric.WithDescription("1 while new connections are welcome as far as the link goes, 0 while one customer's callers fill it"))
-	failed = errors.CombineErrors(failed, errors.Wrap(err, "metric lynxshed.relay.intake_open"))
+	gauges := []struct {
+		to         *metric.Int64Gauge
+		name, what string
+	}{
+		{&metrics.evacuated, "lynxshed.relay.evacuated_zones", "availability zones whose endpoints are to get no new work"},
+		{&metrics.stage, "lynxshed.relay.rollout_stage", "of a service's rollout: 0 ordered, 1 sampling, 2 moving, 3 completed, 4 reverted"},
+		{&metrics.intake, "lynxshed.relay.intake_open", "1 while new connections are welcome as far as the link goes, 0 while one customer's callers fill it"},
+		{&metrics.answers, "lynxshed.relay.rollout_answers", "answers that this node had since the open order, by version"},
+		{&metrics.badAnswers, "lynxshed.relay.rollout_bad_answers", "those of them that failed, or took several times what is usual"},
+		{&metrics.held, "lynxshed.relay.calls_held", "bytes that calls in progress hold"},
+		{&metrics.peak, "lynxshed.relay.calls_held_peak", "the most bytes that calls in progress have held"},
+		{&metrics.short, "lynxshed.relay.calls_no_memory", "calls that were refused since they did not fit into the memory for calls"},
+	}
+	for _, g := range gauges {
+		*g.to, err = m.Int64Gauge(g.name, metric.WithDescription(g.what))
+		failed = errors.CombineErrors(failed, errors.Wrapf(err, "metric %s", g.name))
+	}
+	floats := []struct {
+		to         *metric.Float64Gauge
+		name, what string
+	}{
+		{&metrics.link, "lynxshed.relay.link_used", "share of the VM's link that is used, the fuller way, smoothed"},
+		{&metrics.share, "lynxshed.relay.rollout_share", "of a service's calls that try the target while it is sampled"},
+	}
+	for _, g := range floats {
+		*g.to, err = m.Float64Gauge(g.name, metric.WithDescription(g.what))
+		failed = errors.CombineErrors(failed, errors.Wrapf(err, "metric %s", g.name))
+	}
 	histograms := []struct {
 		to         *metric.Float64Histogram
 		name, what string
@@ -82,8 +112,30 @@
 	m.evacuated.Record(context.Background(), int64(zones))
 }
 
+// Rollout records where a service's order stands, as this node knows.
+func (m *Metrics) Rollout(service string, stage int64, share float64) {
+	of := metric.WithAttributes(attribute.String("service", service))
+	m.stage.Record(context.Background(), stage, of)
+	m.share.Record(context.Background(), share, of)
+}
+
+// RolloutAnswers records how many answers this node had of one version on a route since
+// the open order, and how many of them were bad.
+func (m *Metrics) RolloutAnswers(service, route, version string, answers, bad int) {
+	of := metric.WithAttributes(attribute.String("service", service), attribute.String("route", route), attribute.String("version", version))
+	m.answers.Record(context.Background(), int64(answers), of)
+	m.badAnswers.Record(context.Background(), int64(bad), of)
+}
+
 // Link records how full the link is, and whether new connections are welcome.
 func (m *Metrics) Link(used float64, open bool) {
 	m.link.Record(context.Background(), used)
 	m.intake.Record(context.Background(), lo.Ternary[int64](open, 1, 0))
 }
+
+// Memory records what calls in progress hold, in bytes, and how often one did not fit.
+func (m *Metrics) Memory(s memory.State) {
+	m.held.Record(context.Background(), s.Held)
+	m.peak.Record(context.Background(), s.Peak)
+	m.short.Record(context.Background(), s.Short)
+}
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -48,6 +48,7 @@
 	elsewhere   atomic.Bool // a writer of another zone reaches the store, as this one heard
 	sources     atomic.Pointer[[]store.Source]
 	client      *http.Client
+	rollouts    RolloutTalk // nil: none is ever ordered here
 
 	choosing  sync.Mutex // who writes, and what follows from it
 	delegates *delegates
@@ -65,6 +66,8 @@
 	out        bool
 	elsewhere  bool
 	reconnects uint64
+	noWrites   bool // it failed to write the status of a rollout of late
+	blind      bool // it found the status of a rollout, and did not see it written
 }
 
 // Listen opens the socket for datagrams.
@@ -113,6 +116,7 @@
 		t.choose()
 	}
 	writers, reports := t.choice()
+	t.tellRollouts(writers)
 	to, budgets := t.listeners(writers)
 	if len(to) == 0 {
 		return
@@ -120,17 +124,32 @@
 	now := time.Now()
 	m := t.signed(message{
 		Number: t.number, Digests: t.picker.Digests(), Out: t.out(),
-		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now),
+		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now), Rollouts: t.badWord(),
 	})
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, reports
 	}
-	for region, members := range lo.GroupBy(to, func(m Member) string { return t.places.Region(m.Zone) }) {
-		m.Reads = t.picker.Reads(region, now)
-		t.send(m, lo.Map(members, func(m Member, _ int) string { return m.Address })...)
+	self := t.registry.self
+	for at, members := range lo.GroupBy(to, func(m Member) place { return place{m.Zone == self.Zone, t.places.Region(m.Zone)} }) {
+		m.Reads = t.picker.News(at.region, now)
+		if at.near {
+			m.Reads = t.picker.Reads(at.region, now)
+		}
+		t.send(m, addresses(members)...)
 	}
 }
 
+// place is what decides on the reads that a peer is told: whether it lies in the node's
+// zone, and its region.
+type place struct {
+	near   bool
+	region string
+}
+
+func addresses(members []Member) []string {
+	return lo.Map(members, func(m Member, _ int) string { return m.Address })
+}
+
 // listeners picks the peers of one beat, and whether they are told the budgets: all
 // of them in a small fleet. In a large one a node that draws for others tells a
 // part of its zone at a time, since a burst to all would fill its link and lose
@@ -163,6 +182,10 @@
 	return append(sure, others[:min(len(others), randomOthers)]...), true
 }
 
+// tellsOn is whether this node passes on what it hears: where some nodes draw for the
+// others, these do.
+func (t *Gossip) tellsOn() bool { return t.Writes() && t.WriterCount() < t.registry.Count() }
+
 // roundBeats is in how many beats a node that draws for others has told all.
 const roundBeats = 5
 
@@ -197,6 +220,8 @@
 		for _, g := range m.Grants {
 			t.transfers.arrived(g)
 		}
+	case m.Rollouts != nil && m.Number == 0:
+		t.heardRollouts(m)
 	case m.Ledger > 0:
 		t.ledgers.told(m.Ledger, from)
 		t.ledgers.wrote(m.Ledger, m.Node, t.classOf(m.Node), time.Now())
@@ -211,7 +236,7 @@
 	before := t.heard[m.Node]
 	old := before.life == m.Life && m.Number <= before.number
 	if !old {
-		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, elsewhere: m.Elsewhere, reconnects: m.Reconnects}
+		t.heard[m.Node] = heard{life: m.Life, number: m.Number, at: now, out: m.Out, elsewhere: m.Elsewhere, reconnects: m.Reconnects, noWrites: before.noWrites, blind: before.blind}
 	}
 	t.mu.Unlock()
 	if old {
@@ -223,8 +248,11 @@
 	if m.Outage != nil {
 		t.transfers.allowance.Expect(*m.Outage, now)
 	}
+	if m.Rollouts != nil {
+		t.heardRollouts(m)
+	}
 	t.picker.Heard(m.Node, m.Digests, now)
-	t.picker.HeardReads(m.Reads)
+	t.picker.HeardReads(m.Reads, t.tellsOn(), now)
 	if m.HasBudgets {
 		t.transfers.recordFrom(from, t.classOf(m.Node), m.BudgetReports, now)
 	}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -27,10 +28,12 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
 	"github.com/lynxshed/lynxshed/fleet/relay/ingress"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/overload"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
+	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 	"github.com/lynxshed/lynxshed/fleet/telemetry"
 )
@@ -48,6 +51,11 @@
 	// EvacuationKind names the kind in which operators ask for zones to be emptied.
 	EvacuationKind() string
 	Evacuation(store.Object) (zone string)
+	// RolloutKind names the kind in which operators ask for services to move to another
+	// version, and in whose statuses the fleet keeps how far it has come.
+	RolloutKind() string
+	Rollout(o store.Object, now time.Time) (rollout.Rollout, error)
+	RolloutStatus(rollout.Status) (json.RawMessage, error)
 }
 
 // Node is one relaying node.
@@ -62,7 +70,11 @@
 	policy      atomic.Pointer[policy.Policy]
 	engines     atomic.Pointer[engine.Directory]
 	evacuations atomic.Pointer[evacuation.Zones] // nil: not known yet
+	rollouts    atomic.Pointer[rollout.Set]      // nil: not known yet
+	moves       atomic.Pointer[forward.Trials]   // of the services whose order is open
 	engineTable *engineTable
+	trials      *trials
+	ordersAgain store.Again
 	cold        *cold.Gate
 	allowance   *account.Allowance
 	syncer      *account.Syncer
@@ -73,6 +85,7 @@
 	gate        *overload.Gate
 	intake      *overload.Intake
 	meter       *link.Meter
+	memory      *memory.Budget // of calls in progress
 	handler     *forward.Handler
 	ingress     *ingress.Listener
 	telemetry   *telemetry.Telemetry
@@ -82,8 +95,10 @@
 
 // Bounds of the process and of the server towards the balancer.
 const (
-	headerTimeout = 5 * time.Second
-	memoryShare   = 0.8 // of the bound, for the collector's aim
+	headerTimeout  = 5 * time.Second
+	memoryShare    = 0.8  // of the bound, for the collector's aim
+	garbagePercent = 50   // of what is in use, that may wait for the collector: half of the usual, for processes that are bounded
+	callsShare     = 0.35 // of the bound, for what calls in progress hold; docs/design/14-hot-customers.md
 )
 
 func part(of float64, whole time.Duration) time.Duration { return time.Duration(of * float64(whole)) }
@@ -101,7 +116,7 @@
 	n.allowance = account.NewAllowance(s.Node, life, s.Budget.Tuning())
 	n.cold = cold.NewGate(s.Node, cold.Rule{Overrun: s.Cold.Overrun, Tolerance: s.Cold.Tolerance})
 	n.picker = choice.NewPicker(s.Zone, s.Choice()).WithColdGate(n.cold).WithPlaces(n.places)
-	n.engineTable = newEngineTable(n)
+	n.engineTable, n.trials = newEngineTable(n), newTrials(n, life)
 	n.registry = peer.NewRegistry(n.store, self, n.health, s.History(), l)
 	if s.Bootstrap && s.Enabled(delegatesMechanism) {
 		n.registry.Starting(firstRegistrations)
@@ -110,7 +125,8 @@
 	if err != nil {
 		return nil, err
 	}
-	n.gossip = gossip.WithPlaces(n.places)
+	n.gossip = gossip.WithRollouts(n.trials).WithPlaces(n.places)
+	n.trials.fleet = gossip
 	n.registry.OnChange(func(members []peer.Member) {
 		n.cold.Nodes(lo.Map(members, func(m peer.Member, _ int) string { return m.Name }), time.Now())
 	})
@@ -118,10 +134,11 @@
 	n.gate = overload.NewGate(overload.DefaultRule())
 	n.intake = overload.NewIntake(overload.DefaultIntakeRule())
 	n.meter = link.NewMeter(s.LinkMbps)
+	n.memory = memory.NewBudget(int64(callsShare * s.MemoryMB * (1 << 20)))
 	n.handler = forward.New(forward.Options{
-		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Allowance: n.allowance, Picker: n.picker,
+		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Trials: &n.moves, Samples: n.trials, Allowance: n.allowance, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
-		Gate:    n.gate, Nodes: n.registry.Count, Places: n.places, Transport: forward.NewTransport().WithMeter(n.meter), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Gate:    n.gate, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: forward.NewTransport().WithMeter(n.meter), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
@@ -153,6 +170,7 @@
 func limitMemory(mb float64) {
 	if mb > 0 {
 		debug.SetMemoryLimit(int64(mb * memoryShare * (1 << 20)))
+		debug.SetGCPercent(garbagePercent)
 	}
 }
 
@@ -203,7 +221,7 @@
 
 // Ready is whether new callers are welcome.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.intake.Open() && n.policy.Load() != nil && n.engines.Load() != nil && n.evacuations.Load() != nil
+	return !n.leaving.Load() && n.intake.Open() && n.policy.Load() != nil && n.engines.Load() != nil && n.evacuations.Load() != nil && n.rollouts.Load() != nil
 }
 
 // Bounds of a planned stop.
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -77,6 +77,9 @@
 	ping    time.Time                       // when the next one is due; zero: the sources have the store for every kind
 	away    bool                            // the last ping failed
 	reached time.Time                       // until then the store, which the sources lost, counts as reached
+
+	patient  map[string]func() time.Duration // by kind: how long after a source's answer the store is not asked in place of silent ones
+	answered map[string]time.Time            // by kind: when a source, or the store, last did
 }
 
 // AnswerBegins is how long a source may take, beyond what a watch waits, until its
@@ -85,7 +88,28 @@
 
 // NewSourced returns a store that asks the sources first.
 func NewSourced(s Store, sources func() []Source) *Sourced {
-	return &Sourced{Store: s, sources: sources, silent: map[string]time.Time{}, unfit: map[string]map[string]time.Time{}, lost: map[string]bool{}, origins: map[string]Origin{}, newest: map[string]int64{}}
+	return &Sourced{Store: s, sources: sources, silent: map[string]time.Time{}, unfit: map[string]map[string]time.Time{}, lost: map[string]bool{}, origins: map[string]Origin{}, newest: map[string]int64{},
+		patient: map[string]func() time.Duration{}, answered: map[string]time.Time{}}
+}
+
+// Patient has the store itself asked for a kind only so long after the last answer of a
+// source, where sources are named and silent: what changes in the kind meanwhile can
+// wait that long. A node that is cut off for seconds then costs the store nothing.
+func (s *Sourced) Patient(kind string, wait func() time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.patient[kind] = wait
+}
+
+// waits is whether the store is not asked for a kind yet.
+func (s *Sourced) waits(kind string) bool {
+	if len(s.sources()) == 0 {
+		return false
+	}
+	s.mu.Lock()
+	wait, at := s.patient[kind], s.answered[kind]
+	s.mu.Unlock()
+	return wait != nil && !at.IsZero() && time.Since(at) < wait()
 }
 
 // Direct is whether the last answer for a kind came from the store itself.
@@ -147,25 +171,6 @@
 	s.unfit[kind][source.Name] = time.Now().Add(length)
 }
 
-// ask asks the sources one after another until one answers; false where none did.
-func (s *Sourced) ask(ctx context.Context, kind string, call func(Source) error) (bool, error) {
-	for _, from := range s.awake(kind) {
-		err := call(from)
-		if err == nil || errors.Is(err, ErrCompacted) {
-			s.answeredBy(from, kind)
-			return true, err
-		}
-		if errors.Is(ctx.Err(), context.Canceled) {
-			return true, err // the caller gave up: that says nothing of the source
-		}
-		s.failed(from, kind, err)
-		if ctx.Err() != nil {
-			return true, err
-		}
-	}
-	return false, nil
-}
-
 // answeredBy notes that a source answered for a kind. What was found out about the store
 // is forgotten only once no kind needs it: each answer for one kind would begin the wait
 // for a ping anew that another kind's follower waits for.
@@ -176,6 +181,7 @@
 	if source.Watches {
 		s.origins[kind] = FromWatcher
 	}
+	s.answered[kind] = time.Now()
 	delete(s.silent, source.Name)
 	delete(s.unfit[kind], source.Name)
 	delete(s.lost, kind)
@@ -265,19 +271,23 @@
 		return
 	}
 	s.origins[kind] = FromStore
+	s.answered[kind] = time.Now()
 }
 
 // List implements Store.
 func (s *Sourced) List(ctx context.Context, kind string) (objects []Object, at int64, err error) {
-	done, err := s.ask(ctx, kind, func(from Source) (err error) {
-		objects, at, err = listFrom(ctx, from, kind)
-		if err != nil {
-			return err
+	a, done := s.ask(ctx, kind, func(ctx context.Context, from Source, _ bool) answer {
+		objects, at, err := listFrom(ctx, from, kind)
+		if err == nil {
+			err = s.checked(kind, at)
 		}
-		return s.checked(kind, at)
+		return answer{objects: objects, at: at, err: err}
 	})
 	if done {
-		return objects, at, s.marked(kind, err)
+		return a.objects, a.at, s.marked(kind, a.err)
+	}
+	if s.waits(kind) {
+		return nil, 0, s.unasked(kind)
 	}
 	if !s.reachesStore(ctx, kind) {
 		return nil, 0, s.sourcesOut()
@@ -287,6 +297,14 @@
 	return objects, at, s.marked(kind, err)
 }
 
+// unasked is the error of a node that does not ask the store yet.
+func (s *Sourced) unasked(kind string) error {
+	if s.hasUnfit(kind) {
+		return s.sourcesOut()
+	}
+	return errors.Mark(ErrSourcesOut, ErrAlone)
+}
+
 // marked marks the error of a node that reaches nobody.
 func (s *Sourced) marked(kind string, err error) error {
 	if err == nil || errors.Is(err, ErrCompacted) || len(s.sources()) == 0 || s.hasUnfit(kind) {
@@ -318,17 +336,19 @@
 // tell at once what they know: several that are lost together are felt in little more
 // than the time of one.
 func (s *Sourced) Watch(ctx context.Context, kind string, since int64, wait time.Duration) (events []Event, at int64, err error) {
-	fromOne := min(wait, sourceWait)
-	done, err := s.ask(ctx, kind, func(from Source) (err error) {
-		began := time.Now()
-		events, at, err = watchFrom(ctx, from, kind, since, fromOne)
-		if time.Since(began) >= fromOne {
-			fromOne = 0
+	a, done := s.ask(ctx, kind, func(ctx context.Context, from Source, hurry bool) answer {
+		most := sourceWait
+		if hurry {
+			most = 0
 		}
-		return err
+		events, at, err := watchFrom(ctx, from, kind, since, min(wait, most))
+		return answer{events: events, at: at, err: err}
 	})
 	if done {
-		return events, at, s.marked(kind, err)
+		return a.events, a.at, s.marked(kind, a.err)
+	}
+	if s.waits(kind) {
+		return nil, 0, s.unasked(kind)
 	}
 	if !s.reachesStore(ctx, kind) {
 		return nil, 0, s.sourcesOut()
