--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -72,9 +72,10 @@
 		return nil, false
 	}
 	now := time.Now()
+	j.renewHomes()
 	r := choice.Request{
-		Call: j.call, Exclude: tried, Profile: profile(j.service),
-		Objective: j.route.Objective - now.Sub(j.start), Gap: j.route.Gap, Cap: j.cap(), Now: now,
+		Call: j.placedCall(), Homes: j.homes.regions, Exclude: tried, Profile: profile(j.service),
+		Objective: j.route.Objective - now.Sub(j.start), Gap: j.route.Gap, Bytes: j.bytes(), Cap: j.cap(), Now: now,
 	}
 	j.told = told{}
 	if t := j.trial(); t != nil {
@@ -84,6 +85,13 @@
 	return j.Picker.Pick(r)
 }
 
+// answerToken is how many bytes of an answer a generated token takes, at the least: text
+// alone.
+const answerToken = 4
+
+// bytes are what goes to an endpoint and back, as far as it is known before.
+func (j *job) bytes() int64 { return int64(len(j.body)) + answerToken*j.call.OutputMax }
+
 func profile(s policy.Service) choice.Profile {
 	return choice.Profile{
 		Service: s.Name, Tokens: s.KVCapacity > 0, Capacity: s.KVCapacity,
@@ -101,7 +109,10 @@
 }
 
 func (j *job) whenNone(tried map[string]bool) refusal {
-	if len(tried) > 0 {
+	switch {
+	case j.nowhere():
+		return refuseNoHome
+	case len(tried) > 0:
 		return refuseFull
 	}
 	return refuseNoEngine
--- /dev/null
+++ b/fleet/relay/peer/regions_test.go
@@ -0,0 +1,182 @@
+package peer
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+)
+
+// Peers of the region are asked for tokens before richer ones of other regions, also where
+// a peer names these.
+func TestTokensComeFromTheRegionFirst(t *testing.T) {
+	now := time.Now()
+	l := newTransfers(allowanceWith("b", 0))
+	tell := func(peer string, c distance.Class, free int64) {
+		l.recordFrom(peer, c, map[string]account.BudgetReport{tenant: {Free: free}}, now)
+	}
+	tell("far and rich", distance.OtherRegion, 500)
+	tell("zone", distance.SameZone, 5)
+	tell("region", distance.SameRegion, 50)
+	tell("far", distance.OtherRegion, 60)
+	assert.Equal(t, []string{"region", "zone", "far and rich", "far"}, l.sources(tenant, now))
+	assert.Equal(t, []string{"unknown", "zone", "far and rich"}, l.nearFirst([]string{"far and rich", "unknown", "zone"}))
+}
+
+// regional is a fleet of so many regions with two zones each.
+func regional(size, regions int) ([]Member, map[string]string) {
+	all := members(size)
+	of := map[string]string{}
+	for i := range all {
+		zone := fmt.Sprint("z", i%(2*regions))
+		all[i].Zone = zone
+		of[zone] = fmt.Sprint("r", (i%(2*regions))/2)
+		all[i].Address = fmt.Sprint("10.0.0.1:", 1000+i)
+	}
+	return all, of
+}
+
+// A node asks its zone's delegates, then those of its region's other zones, and those of
+// other regions last; ones that do not reach the store are left out there.
+func TestSourcesOfTheRegionComeFirst(t *testing.T) {
+	all, regions := regional(60, 3)
+	writers := Writers(all, func() []Member { return all })
+	watchers := map[string]bool{}
+	self, _ := lo.Find(all, func(m Member) bool { return !writers[m.Name] })
+	g := gossipOf(self.Name, all)
+	g.registry.self = self
+	g.places = distance.From(self.Zone, regions, distance.DefaultCosts())
+	assert.Empty(t, g.watchers(writers), "it need not know")
+	var near, others []Member
+	for _, m := range all {
+		switch {
+		case !writers[m.Name]:
+		case m.Zone == self.Zone:
+			near = append(near, m)
+			others = append(others, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	byName := lo.KeyBy(all, func(m Member) string { return m.Name })
+	classes := func() []distance.Class {
+		var seen []distance.Class
+		for _, s := range *g.sourcesOf(writers, watchers, near, others) {
+			seen = append(seen, g.places.Class(byName[s.Name].Zone))
+		}
+		return seen
+	}
+	z, r, o := distance.SameZone, distance.SameRegion, distance.OtherRegion
+	assert.Equal(t, []distance.Class{z, z, r, r, o, o}, classes())
+	for _, m := range others {
+		if g.places.Class(m.Zone) == r {
+			g.heard[m.Name] = heard{out: true}
+		}
+	}
+	assert.Equal(t, []distance.Class{z, z, o, o}, classes())
+}
+
+// Two delegates of each region watch the store, of two zones; those that are known to be
+// out only where all of the region are. In a small fleet all watch.
+func TestTwoDelegatesOfARegionWatch(t *testing.T) {
+	all, regions := regional(60, 3)
+	order := ranked(all)
+	writers := Writers(all, func() []Member { return order })
+	places := distance.From("z0", regions, distance.DefaultCosts())
+	zone := lo.SliceToMap(all, func(m Member) (string, string) { return m.Name, m.Zone })
+	of := func(watchers map[string]bool, region string) []string {
+		return lo.Filter(lo.Keys(watchers), func(name string, _ int) bool { return regions[zone[name]] == region })
+	}
+	cases := []struct {
+		name string
+		out  func(Member) bool
+		want func(t *testing.T, watchers map[string]bool)
+	}{
+		{"all reach the store", func(Member) bool { return false }, func(t *testing.T, watchers map[string]bool) {
+			for _, region := range []string{"r0", "r1", "r2"} {
+				two := of(watchers, region)
+				assert.Len(t, two, regionWatchers)
+				assert.NotEqual(t, zone[two[0]], zone[two[1]])
+			}
+		}},
+		{"a zone is out", func(m Member) bool { return m.Zone == "z0" }, func(t *testing.T, watchers map[string]bool) {
+			for _, name := range of(watchers, "r0") {
+				assert.Equal(t, "z1", zone[name])
+			}
+			assert.Len(t, of(watchers, "r0"), regionWatchers)
+		}},
+		{"a region is out", func(m Member) bool { return regions[m.Zone] == "r0" }, func(t *testing.T, watchers map[string]bool) {
+			assert.Len(t, of(watchers, "r0"), regionWatchers, "its first ones go on")
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			watchers := watchersOf(writers, all, order, places, c.out)
+			assert.Len(t, watchers, 3*regionWatchers)
+			for name := range watchers {
+				assert.True(t, writers[name])
+			}
+			c.want(t, watchers)
+		})
+	}
+	few := all[:allWrite]
+	writers = Writers(few, func() []Member { return few })
+	assert.Equal(t, writers, watchersOf(writers, few, few, places, func(Member) bool { return false }))
+}
+
+// heardSocket is a socket that keeps what is sent to each address.
+type heardSocket struct {
+	net.PacketConn
+	sent map[string][]message
+}
+
+func (h *heardSocket) WriteTo(data []byte, to net.Addr) (int, error) {
+	var m message
+	if err := json.Unmarshal(data, &m); err != nil {
+		return 0, err
+	}
+	h.sent[to.String()] = append(h.sent[to.String()], m)
+	return len(data), nil
+}
+
+// A node tells of what calls with homes read only those peers that lie there.
+func TestReadsOfCallsWithHomesStayThere(t *testing.T) {
+	all, regions := regional(12, 3) // all are told by all
+	self := all[0]
+	g, _ := slopeGossipOf(all, regions, self)
+	socket := &heardSocket{sent: map[string][]message{}}
+	g.socket = socket
+	now := time.Now()
+	engines := engine.NewDirectory(1, []engine.Engine{{ID: "e0", Service: "homes", Zone: "z0"}}).Of("homes")
+	c := call.Call{ID: "bound", PromptMax: 9000, Parts: []call.Part{{ID: "secret", Tokens: 2520}, {ID: "own", Tokens: 6000}}}
+	placed, ok := g.picker.Pick(choice.Request{Call: c, Homes: []string{"r0", "r1"}, Engines: engines, Profile: choice.Profile{Service: "homes", Tokens: true, Capacity: 347_000}, Cap: 9, Now: now})
+	assert.True(t, ok)
+	placed.First(100*time.Millisecond, now)
+	for range budgetEvery * roundBeats * farEvery {
+		g.broadcast()
+	}
+	for _, m := range all[1:] {
+		messages := socket.sent[m.Address]
+		assert.NotEmpty(t, messages)
+		told, other := 0, 0
+		for _, one := range messages {
+			for _, r := range one.Reads {
+				told += lo.Ternary(slices.Contains(r.Parts, "secret"), 1, 0)
+				other += lo.Ternary(slices.Contains(r.Parts, "0123456789abcdef"), 1, 0)
+			}
+		}
+		assert.Equal(t, regions[m.Zone] != "r2", told > 0, m)
+		assert.Positive(t, other, m)
+	}
+}
--- a/fleet/relay/peer/roles.go
+++ b/fleet/relay/peer/roles.go
@@ -34,7 +34,10 @@
 	}
 	t.writes.Store(writers[self.Name])
 	t.writerCount.Store(int64(len(writers)))
-	t.sources.Store(t.sourcesOf(writers, near, all))
+	watchers := t.watchers(writers)
+	t.tellWatching(watchers)
+	t.turns.Store(t.turnsOf(writers))
+	t.sources.Store(t.sourcesOf(writers, watchers, near, all))
 	t.elsewhere.Store(t.reachedElsewhere(writers, all))
 	if !writers[self.Name] {
 		t.transfers.allowance.Fleets(t.transfers.fleets(nil, 1, now), now)
@@ -71,21 +74,29 @@
 	})
 }
 
-// farSources is how many nodes of other zones are asked where none of the zone's answers.
+// farSources is how many nodes of other zones of the region are asked where none of the
+// zone's answers, and how many of other regions then.
 const farSources = 2
 
 // sourcesOf lists the nodes that watch the store for this one, in the order in which
-// it asks them, which spreads askers: those of the zone, then some of others; none
-// where it watches itself.
-func (t *Gossip) sourcesOf(writers map[string]bool, near, all []Member) *[]store.Source {
+// it asks them, which spreads askers: those of the zone, then some of other zones of the
+// region and of other regions; none where it watches itself. Delegates that do not watch
+// ask those that do.
+func (t *Gossip) sourcesOf(writers, watchers map[string]bool, near, all []Member) *[]store.Source {
 	sources := []store.Source{}
-	if writers[t.registry.self.Name] {
+	if watchers[t.registry.self.Name] {
 		return &sources
 	}
-	far := lo.Filter(all, func(m Member, _ int) bool { return m.Zone != t.registry.self.Zone && !t.word(m.Name).out })
-	far = t.spread(far)
-	for _, m := range append(t.spread(near), far[:min(len(far), farSources)]...) {
-		sources = append(sources, store.Source{Name: m.Name, Reader: Remote{client: t.client, address: m.Address}})
+	passesOn := writers[t.registry.self.Name]
+	if passesOn {
+		near = nil
+		all = lo.Filter(all, func(m Member, _ int) bool { return watchers[m.Name] })
+	}
+	far := lo.Filter(all, func(m Member, _ int) bool { return (passesOn || m.Zone != t.registry.self.Zone) && !t.word(m.Name).out })
+	region, others := lo.FilterReject(t.spread(far), func(m Member, _ int) bool { return t.places.Near(m.Zone) })
+	far = append(region[:min(len(region), farSources)], others[:min(len(others), farSources)]...)
+	for _, m := range append(t.spread(near), far...) {
+		sources = append(sources, store.Source{Name: m.Name, Reader: Remote{client: t.client, address: m.Address, firsthand: passesOn}, Watches: passesOn})
 	}
 	return &sources
 }
@@ -109,11 +120,36 @@
 // WriterCount is how many nodes write the ledger, this one's own view.
 func (t *Gossip) WriterCount() int { return int(t.writerCount.Load()) }
 
+// tellWatching takes in whether this node watches the store for its region, and logs a
+// change of that.
+func (t *Gossip) tellWatching(watchers map[string]bool) {
+	self := t.registry.self
+	if now := watchers[self.Name]; t.watches.Swap(now) != now {
+		t.registry.log.WithField("watches", now).WithField("region", t.places.Region(self.Zone)).WithField("watchers", len(watchers)).WithField("nodes", t.registry.Count()).Info("watching the store for others")
+	}
+}
+
+// watchers names the delegates that watch the store, as this one sees the fleet; others
+// need not know.
+func (t *Gossip) watchers(writers map[string]bool) map[string]bool {
+	if !writers[t.registry.self.Name] {
+		return nil
+	}
+	members := t.registry.Members()
+	now := time.Now()
+	return watchersOf(writers, members, t.delegates.ordered(members), t.places, func(m Member) bool {
+		return t.word(m.Name).out || !t.delegates.alive(m, t.word, now)
+	})
+}
+
+// Watches is whether this node watches the store for others.
+func (t *Gossip) Watches() bool { return t.watches.Load() }
+
 // Writes is whether this node writes the ledger.
 func (t *Gossip) Writes() bool { return t.writes.Load() }
 
-// Serves is whether other nodes ask this one in the store's place.
-func (t *Gossip) Serves() bool { return t.Writes() && t.registry.Count() > allWrite }
+// Serves is whether other nodes ask this one in the store's place for what it has from it.
+func (t *Gossip) Serves() bool { return t.Watches() && t.registry.Count() > allWrite }
 
 // choose names the nodes that write the ledger, as this one sees the fleet, and does
 // what follows from it for this node.
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 	"github.com/lynxshed/lynxshed/fleet/settings/schema"
 )
@@ -35,6 +36,7 @@
 	Cold       ColdSettings      `json:"cold"`       // bounds on what endpoints get that have just started
 	Rollout    RolloutSettings   `json:"rollout"`    // bounds on what a bad version gets; without a share services are never moved to another version
 	Regions    map[string]string `json:"regions"`    // of the availability zones, by name
+	Bytes      BytesSettings     `json:"bytes"`      // what a megabyte costs that leaves the zone
 	Disable    []string          `json:"disable"`    // mechanisms that are switched off, to measure what each is worth
 	LogLevel   string            `json:"logLevel"`   // debug, info, warn or error
 	Trace      TraceSettings     `json:"trace"`
@@ -67,6 +69,13 @@
 	Tolerance float64 `json:"tolerance"` // calls beyond that
 }
 
+// BytesSettings say what a megabyte costs, in tokens of prompts: what a prompt of so many
+// tokens is worth to the deployment. 0 is the default.
+type BytesSettings struct {
+	ZoneTokens   float64 `json:"zoneTokens"`   // to another zone of the region
+	RegionTokens float64 `json:"regionTokens"` // to another region
+}
+
 // RolloutSettings bound what a bad version that a service is moved to gets from all
 // nodes together.
 type RolloutSettings struct {
@@ -153,6 +162,10 @@
 		{Name: "rollbackMs", Number: schema.Number(100, 1000*mostSeconds)},
 	}},
 	{Name: "regions", Each: schema.Some},
+	{Name: "bytes", Fields: []schema.Field{
+		{Name: "zoneTokens", Number: schema.Number(0, 1<<30)},
+		{Name: "regionTokens", Number: schema.Number(0, 1<<30)},
+	}},
 	{Name: "linkMbps", Number: schema.Number(0, 1<<20)},
 	{Name: "memoryMB", Number: schema.Number(0, 1<<20)},
 	{Name: "drainS", Number: schema.Number(0, mostSeconds)},
@@ -185,6 +198,18 @@
 	return s, errors.Wrap(json.Unmarshal(standard, &s), "settings")
 }
 
+// Places are the availability zones as seen from the node's own.
+func (s Settings) Places() distance.Places {
+	costs := distance.DefaultCosts()
+	if !s.Choice().Distance {
+		costs = distance.None()
+	}
+	if s.Bytes.ZoneTokens > 0 || s.Bytes.RegionTokens > 0 {
+		costs = costs.WithBytes(s.Bytes.ZoneTokens, s.Bytes.RegionTokens)
+	}
+	return distance.From(s.Zone, s.Regions, costs)
+}
+
 // History is how long the store keeps its history; 0 is not known.
 func (s Settings) History() time.Duration {
 	return seconds(s.HistoryS)
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -19,8 +19,9 @@
 
 // Source is a node that may be asked in the store's place.
 type Source struct {
-	Name   string
-	Reader Reader
+	Name    string
+	Reader  Reader
+	Watches bool // it answers with what it has from the store itself only
 }
 
 // How a source is asked.
@@ -30,6 +31,7 @@
 	sourceBody  = 2 * time.Second        // for an answer that has begun, on a narrow link that callers fill, too
 	sourceRest  = 5 * time.Second        // that a source which failed is left alone
 	unfitRest   = time.Second            // and one that says that it lost the store: another one serves meanwhile
+	watcherRest = 300 * time.Millisecond // and one that watches it for nodes which others wait for
 	sourceTries = 6                      // sources that one call asks at most; those that lost the store say so at once
 
 	// While sources are named and fail, the store is asked in short watches: one that
@@ -41,10 +43,10 @@
 	// Sources that lost the store ask it themselves, and are fit again when it answers.
 	// A node that may reach it nevertheless finds out by a ping, soon, since what changes
 	// meanwhile binds it, and asks the store only while that is so.
-	patience    = 300 * time.Millisecond // after the sources lost the store, half of it at least
-	pingEvery   = 2 * time.Second        // and then, half of it at least
-	pingAgain   = 600 * time.Millisecond // after the first that succeeds again, half of it at least: after most outages the sources have the store back by then, and a list of theirs serves many nodes
-	wakeAfter   = 200 * time.Millisecond // and the sources are asked in between, half of it later at least
+	patience    = 300 * time.Millisecond  // after the sources lost the store, half of it at least
+	pingEvery   = 2 * time.Second         // and then, half of it at least
+	pingAgain   = 1100 * time.Millisecond // after the first that succeeds again, half of it at least: after most outages the sources have the store back by then, and a list of theirs serves many nodes
+	wakeAfter   = 200 * time.Millisecond  // and the sources are asked in between, half of it later at least
 	pingTimeout = 500 * time.Millisecond
 	proved      = 5 * time.Second // that the store counts as reached, unless a call fails
 )
@@ -69,7 +71,7 @@
 	mu      sync.Mutex
 	silent  map[string]time.Time            // by the source's name: it is not asked until then
 	unfit   map[string]map[string]time.Time // by kind and the source's name: it answers, and has lost the store; asked again then
-	direct  map[string]bool                 // by kind: the last answer came from the store
+	origins map[string]Origin               // by kind: of the last answer
 	newest  map[string]int64                // by kind: revision of the newest list
 	lost    map[string]bool                 // kinds for which no source had the store when last asked
 	ping    time.Time                       // when the next one is due; zero: the sources have the store for every kind
@@ -86,7 +88,7 @@
 
 // NewSourced returns a store that asks the sources first.
 func NewSourced(s Store, sources func() []Source) *Sourced {
-	return &Sourced{Store: s, sources: sources, silent: map[string]time.Time{}, unfit: map[string]map[string]time.Time{}, lost: map[string]bool{}, direct: map[string]bool{}, newest: map[string]int64{},
+	return &Sourced{Store: s, sources: sources, silent: map[string]time.Time{}, unfit: map[string]map[string]time.Time{}, lost: map[string]bool{}, origins: map[string]Origin{}, newest: map[string]int64{},
 		patient: map[string]func() time.Duration{}, answered: map[string]time.Time{}}
 }
 
@@ -111,10 +113,13 @@
 }
 
 // Direct is whether the last answer for a kind came from the store itself.
-func (s *Sourced) Direct(kind string) bool {
+func (s *Sourced) Direct(kind string) bool { return s.Origin(kind) == FromStore }
+
+// Origin is where the last answer for a kind came from.
+func (s *Sourced) Origin(kind string) Origin {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.direct[kind]
+	return s.origins[kind]
 }
 
 // awake lists the sources to ask for a kind: those that did not fail lately, in their
@@ -148,30 +153,37 @@
 
 // failed lets a source rest: for every kind where it is silent, and for the one that was
 // asked for where it lost the store, since it may still watch other kinds, or believe so.
-func (s *Sourced) failed(source, kind string, err error) {
+func (s *Sourced) failed(source Source, kind string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !errors.Is(err, ErrUnfit) {
-		s.silent[source] = time.Now().Add(sourceRest)
+		s.silent[source.Name] = time.Now().Add(sourceRest)
 		return
 	}
-	delete(s.silent, source)
+	delete(s.silent, source.Name)
 	if s.unfit[kind] == nil {
 		s.unfit[kind] = map[string]time.Time{}
 	}
-	s.unfit[kind][source] = time.Now().Add(unfitRest)
+	length := unfitRest
+	if source.Watches {
+		length = watcherRest
+	}
+	s.unfit[kind][source.Name] = time.Now().Add(length)
 }
 
 // answeredBy notes that a source answered for a kind. What was found out about the store
 // is forgotten only once no kind needs it: each answer for one kind would begin the wait
 // for a ping anew that another kind's follower waits for.
-func (s *Sourced) answeredBy(source, kind string) {
+func (s *Sourced) answeredBy(source Source, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.direct[kind] = false
+	s.origins[kind] = FromOther
+	if source.Watches {
+		s.origins[kind] = FromWatcher
+	}
 	s.answered[kind] = time.Now()
-	delete(s.silent, source)
-	delete(s.unfit[kind], source)
+	delete(s.silent, source.Name)
+	delete(s.unfit[kind], source.Name)
 	delete(s.lost, kind)
 	if len(s.lost) == 0 {
 		s.ping, s.away, s.reached = time.Time{}, false, time.Time{}
@@ -258,7 +270,7 @@
 		s.reached = time.Time{}
 		return
 	}
-	s.direct[kind] = true
+	s.origins[kind] = FromStore
 	s.answered[kind] = time.Now()
 }
 
@@ -320,7 +332,9 @@
 }
 
 // Watch implements Store. A watch that a source answers waits for less than was
-// asked: a source that falls silent is to be felt.
+// asked: a source that falls silent is to be felt. Where one was, the next ones are to
+// tell at once what they know: several that are lost together are felt in little more
+// than the time of one.
 func (s *Sourced) Watch(ctx context.Context, kind string, since int64, wait time.Duration) (events []Event, at int64, err error) {
 	a, done := s.ask(ctx, kind, func(ctx context.Context, from Source, hurry bool) answer {
 		most := sourceWait
