Let watches of orders that are sent anew go on from where they were

Orders are few and small: the watch goes on from where it was, and the store says so if its history is gone.

--- a/fleet/relay/store/again_test.go
+++ b/fleet/relay/store/again_test.go
@@ -14,7 +14,7 @@
 // quietStore lists at once, and its watches bring nothing before they end.
 type quietStore struct {
 	store.Store
-	lists int
+	lists, watches int
 }
 
 func (s *quietStore) List(context.Context, string) ([]store.Object, int64, error) {
@@ -23,6 +23,7 @@
 }
 
 func (s *quietStore) Watch(ctx context.Context, _ string, since int64, wait time.Duration) ([]store.Event, int64, error) {
+	s.watches++
 	select {
 	case <-ctx.Done():
 		return nil, 0, ctx.Err()
@@ -56,3 +57,28 @@
 		synctest.Wait()
 	})
 }
+
+// A watch that is sent anew since the store may have swallowed it goes on from where it
+// was where changes are small; else all is listed.
+func TestASmallKindIsNotListedWhenItsWatchIsSentAnew(t *testing.T) {
+	for _, small := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s, health := &quietStore{}, store.NewHealth()
+			go store.Follow(ctx, s, store.Watching{Kind: "k", Rest: store.Always(0), Health: health, Small: small}, func(store.Change) {})
+			for range 3 {
+				time.Sleep(3 * time.Second)
+				health.Renew()
+			}
+			synctest.Wait()
+			if small {
+				assert.Equal(t, 1, s.lists)
+				assert.Equal(t, 4, s.watches)
+			} else {
+				assert.Equal(t, 4, s.lists)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -30,6 +30,7 @@
 	Health  *Health              // shared by a node's followers; nil is none
 	Leads   bool                 // asks for all of them while the store is lost
 	Longest func() time.Duration // that one watch may wait, so that a silent store is felt; nil is no bound of its own
+	Small   bool                 // changes are few and small: a watch that is sent anew goes on from where it was, and nothing is listed
 	Again   *Again               // has the kind listed anew at once; nil: nobody asks for that
 }
 
@@ -162,7 +163,7 @@
 	go cancelOn(ctx, cancel, renew, again)
 	events, at, err := f.store.Watch(ctx, f.Kind, f.at, wait)
 	if err != nil && (isClosed(renew) || isClosed(again)) && parent.Err() == nil {
-		f.listed = false
+		f.listed = f.Small && !isClosed(again)
 		return nil
 	}
 	if err != nil {
