--- a/fleet/relay/rollout/drawn_test.go
+++ b/fleet/relay/rollout/drawn_test.go
@@ -16,6 +16,9 @@
 	"github.com/stretchr/testify/assert"
 )
 
+// modelDelegates is how many delegates watch the store: the order, and each write, wakes all.
+const modelDelegates = 6
+
 // sheetRule is the bounds of the sheet that has roll-outs.
 var sheetRule = Rule{Share: 0.1, Tolerance: 50, Rollback: 5 * time.Second}
 
@@ -104,6 +107,10 @@
 			t.Log(o)
 		}
 	}
+	for _, o := range all {
+		calls := (o.stored+1)*(modelDelegates+1) + o.writes - o.stored
+		assert.Less(t, calls, 60, "calls to the store: %s", o)
+	}
 	assert.Zero(t, a.exposed, "bad versions over the share")
 	assert.Zero(t, a.late, "bad versions that got calls too late")
 	assert.LessOrEqual(t, float64(a.bad-a.reverted), most(0.01, a.bad), "bad ones that were not reverted")
--- a/fleet/relay/rollout/model_test.go
+++ b/fleet/relay/rollout/model_test.go
@@ -36,7 +36,8 @@
 	dropped    time.Duration // from the 50th bad answer to the last call to the target
 	moved      time.Duration // when the move began
 	cutCalls   int           // that ran at old endpoints when they stopped
-	writes     int
+	writes     int           // asked for
+	stored     int
 	why        string
 }
 
@@ -519,6 +520,7 @@
 
 func (p *play) stored(w Write) {
 	p.revision++
+	p.out.stored++
 	p.status = w.Status
 	p.out.endedAt, p.out.why = p.now, w.Why
 	if w.Status.Stage == Moving && p.out.moved == 0 && w.Status.State == InProgress {
