--- a/fleet/relay/rollout/pulse.go
+++ b/fleet/relay/rollout/pulse.go
@@ -53,7 +53,16 @@
 	return i, i + 1
 }
 
-func (p *Plan) since(now time.Time) time.Duration { return max(now.Sub(p.rollout.Learned), 0) }
+// since is how long the status has been in force. Where it was found its first pulse is
+// taken for over: nodes that start anew, one after the other, would each begin one, and
+// the target would get many times its share.
+func (p *Plan) since(now time.Time) time.Duration {
+	passed := max(now.Sub(p.rollout.Learned), 0)
+	if p.rollout.Found {
+		passed += pulseLasts
+	}
+	return passed
+}
 
 // period is the time from one pulse to the next.
 func period(s Status) time.Duration {
--- /dev/null
+++ b/fleet/relay/rollout/pulse_test.go
@@ -0,0 +1,27 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Nodes that start anew one after the other get the target its share in the mean and no
+// more: a node that found the status begins no pulse by that.
+func TestANodeThatStartsAnewBeginsNoPulse(t *testing.T) {
+	status := Status{State: InProgress, Share: 0.05, Filled: 0.5}
+	seen := planOf(status)
+	r := Rollout{Order: order("v2", 10), Status: status, Revision: 20, Learned: epoch, Found: true}
+	r.Status.Target, r.Status.Made = "v2", 10
+	found := NewPlan(r)
+	inPulse := Call{Route: "r", Now: epoch.Add(pulseLasts / 2)}
+	assert.InDelta(t, 0.5, shareOf(seen, inPulse), 0.02)
+	assert.Zero(t, shareOf(found, inPulse))
+	mean := 0.0
+	const steps = 170 // of 0.1 s: one period
+	for i := range steps {
+		mean += shareOf(found, Call{Route: "r", Now: epoch.Add(time.Duration(i) * 100 * time.Millisecond)}) / steps
+	}
+	assert.InDelta(t, 0.05, mean, 0.01)
+}
