--- a/ctl/command/rollouts.go
+++ b/ctl/command/rollouts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/integrii/flaggy"
+	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/ctl/story"
 )
@@ -41,8 +42,9 @@
 func (a *app) rollout(r story.Rollout) error {
 	steps := make([][]string, 0, len(r.Steps))
 	for _, s := range r.Steps {
+		stage := lo.Ternary(s.State == "in-progress", s.Stage, "")
 		steps = append(steps, []string{
-			s.At.Format(time.RFC3339Nano), s.State, s.Stage, strconv.FormatFloat(s.Share, 'f', 3, 64), strconv.FormatInt(s.UsedMs, 10),
+			s.At.Format(time.RFC3339Nano), s.State, stage, strconv.FormatFloat(s.Share, 'f', 3, 64), strconv.FormatInt(s.UsedMs, 10),
 			strconv.FormatInt(s.LeftMs, 10), s.Writer, strconv.Itoa(s.Nodes), s.Last, strconv.FormatInt(s.LastMs, 10), s.Why,
 		})
 	}
