Give sources longer while the own link is busy

Cause: a source whose answer has not begun after 0.4 s counts as silent for 5 s; behind 0.4 s of callers' bodies on the way in all of them do, and connects after 0.3 s.

Change: 0.9 s for both while the smoothed use of the link is over 0.6. The intake is read by others now, and locked.

--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -42,7 +42,7 @@
 var (
 	refuseNoPolicy     = refusal{http.StatusServiceUnavailable, "no-configuration", 500 * time.Millisecond}
 	refuseLeaving      = refusal{http.StatusServiceUnavailable, "leaving", 50 * time.Millisecond}
-	refuseOverloaded   = refusal{http.StatusServiceUnavailable, "node-overloaded", 50 * time.Millisecond} // another try reaches another node
+	refuseOverloaded   = refusal{http.StatusServiceUnavailable, "node-overloaded", 50 * time.Millisecond} // another try reaches another node, but for customers that keep to one
 	refuseMemory       = refusal{http.StatusServiceUnavailable, "no-memory", 300 * time.Millisecond}
 	refuseNoRoute      = refusal{http.StatusNotFound, "unknown-route", 0}
 	refuseKey          = refusal{http.StatusUnauthorized, "unknown-key", 0}
--- a/fleet/relay/intake.go
+++ b/fleet/relay/intake.go
@@ -7,11 +7,13 @@
 	"github.com/apex/log"
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/relay/overload"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 )
 
 const (
 	linkEvery    = 200 * time.Millisecond // between two readings of the link
+	busyLink     = 0.6                    // share of the link, smoothed, from which what others say may be late by this link
 	leastOfZones = 3                      // nodes of a zone of which one may ask for no new connections: with fewer, the rest carry too much more
 )
 
@@ -30,7 +32,7 @@
 		}
 		use := reader.Read()
 		customer, share := n.gate.Heaviest()
-		changed := n.intake.Read(use.Fuller(), share, steers && mayMove(n.registry.Members(), n.settings.Zone))
+		changed := n.intake.Read(overload.Load{Used: use.Fuller(), OfCalls: share, Others: steers && mayMove(n.registry.Members(), n.settings.Zone)})
 		n.metrics.Link(n.intake.Share(), n.intake.Open())
 		n.metrics.Memory(n.memory.State())
 		if !changed {
--- a/fleet/relay/overload/intake.go
+++ b/fleet/relay/overload/intake.go
@@ -1,6 +1,6 @@
 package overload
 
-import "sync/atomic"
+import "sync"
 
 // IntakeRule says when a node asks the balancer for no new connections, since one
 // customer's callers fill its link: the balancer sends a customer's new connections to
@@ -19,10 +19,12 @@
 	return IntakeRule{Full: 0.6, Room: 0.4, Heavy: 0.4, Stay: 15, Part: 0.5}
 }
 
-// Intake decides whether new connections are welcome. Read is for one goroutine.
+// Intake decides whether new connections are welcome. It is safe for concurrent use.
 type Intake struct {
-	rule   IntakeRule
-	closed atomic.Bool
+	rule IntakeRule
+
+	mu     sync.Mutex
+	closed bool
 	share  float64 // of the link, smoothed
 	held   int     // readings since the last change
 }
@@ -31,34 +33,48 @@
 func NewIntake(r IntakeRule) *Intake { return &Intake{rule: r, held: r.Stay} }
 
 // Open is whether new connections are welcome.
-func (i *Intake) Open() bool { return !i.closed.Load() }
+func (i *Intake) Open() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !i.closed
+}
 
 // Share is the smoothed share of the link that is used, as of the last reading.
-func (i *Intake) Share() float64 { return i.share }
+func (i *Intake) Share() float64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.share
+}
+
+// Load is a reading of what an intake looks at.
+type Load struct {
+	Used    float64 // share of the link since the last reading
+	OfCalls float64 // share of the calls that the heaviest customer sent
+	Others  bool    // other nodes of the zone could take its callers
+}
 
-// Read takes in how full the link was since the last reading, which share of the calls
-// the heaviest customer sent and whether other nodes of the zone could take its callers;
-// true where it changed its mind.
-func (i *Intake) Read(used, heaviest float64, others bool) bool {
-	i.share += i.rule.Part * (used - i.share)
+// Read takes in a reading; true where the intake changed its mind.
+func (i *Intake) Read(l Load) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.share += i.rule.Part * (l.Used - i.share)
 	i.held++
-	was := i.closed.Load()
+	was := i.closed
 	if was && i.held < i.rule.Stay {
 		return false
 	}
 	now := was
 	switch {
-	case !others:
+	case !l.Others:
 		now = false
 	case was:
 		now = i.share > i.rule.Room
 	default:
-		now = i.share > i.rule.Full && heaviest >= i.rule.Heavy
+		now = i.share > i.rule.Full && l.OfCalls >= i.rule.Heavy
 	}
 	if now == was {
 		return false
 	}
-	i.closed.Store(now)
-	i.held = 0
+	i.closed, i.held = now, 0
 	return true
 }
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -41,6 +41,7 @@
 	elsewhere   atomic.Bool // a writer of another zone reaches the store, as this one heard
 	sources     atomic.Pointer[[]store.Source]
 	client      *http.Client
+	busy        func() bool // whether this node's link is busy
 
 	choosing  sync.Mutex // who writes, and what follows from it
 	delegates *delegates
@@ -66,11 +67,18 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), ledgers: &ledgers{own: store.NewCache()}, address: address, out: out, client: sourceClient(), delegates: newDelegates(r.self)}
+	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), ledgers: &ledgers{own: store.NewCache()}, address: address, out: out, delegates: newDelegates(r.self), busy: func() bool { return false }}
+	g.client = sourceClient(func() bool { return g.busy() })
 	r.OnChange(func([]Member) { g.choose() })
 	return g, nil
 }
 
+// WithLink lets answers of peers take longer while this node's link is busy; before Run.
+func (t *Gossip) WithLink(busy func() bool) *Gossip {
+	t.busy = busy
+	return t
+}
+
 // Close gives the socket up, where Run is not called.
 func (t *Gossip) Close() error { return t.socket.Close() }
 
--- a/fleet/relay/peer/ledger.go
+++ b/fleet/relay/peer/ledger.go
@@ -77,7 +77,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerWait)
 	defer cancel()
-	objects, _, err := Remote{client: t.client, address: from}.List(ctx, account.Kind)
+	objects, _, err := Remote{client: t.client, address: from, busy: t.busy}.List(ctx, account.Kind)
 	if err != nil || len(objects) != 1 {
 		t.ledgers.forget(from)
 		return store.Object{}, false
--- a/fleet/relay/peer/roles.go
+++ b/fleet/relay/peer/roles.go
@@ -85,7 +85,7 @@
 	far := lo.Filter(all, func(m Member, _ int) bool { return m.Zone != t.registry.self.Zone && !t.word(m.Name).out })
 	far = t.spread(far)
 	for _, m := range append(t.spread(near), far[:min(len(far), farSources)]...) {
-		sources = append(sources, store.Source{Name: m.Name, Reader: Remote{client: t.client, address: m.Address}})
+		sources = append(sources, store.Source{Name: m.Name, Reader: Remote{client: t.client, address: m.Address, busy: t.busy}})
 	}
 	return &sources
 }
--- a/fleet/relay/peer/source.go
+++ b/fleet/relay/peer/source.go
@@ -137,18 +137,39 @@
 type Remote struct {
 	client  *http.Client
 	address string
+	busy    func() bool // whether this node's link is busy
 }
 
 var _ store.Reader = Remote{}
 
 // sourceClient is the client to peers' caches; each call bounds itself.
-func sourceClient() *http.Client {
-	dialer := &net.Dialer{Timeout: sourceDial, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}}
+func sourceClient(busy func() bool) *http.Client {
+	dialer := net.Dialer{Timeout: sourceDial, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
+	patient := dialer
+	patient.Timeout = busySlack
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if busy() {
+			return patient.DialContext(ctx, network, address)
+		}
+		return dialer.DialContext(ctx, network, address)
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}}
+}
+
+// slack is how long an answer may take to begin, beyond what a watch waits.
+func (r Remote) slack() time.Duration {
+	if r.busy() {
+		return busySlack
+	}
+	return store.AnswerBegins
 }
 
 const (
 	sourceDial = 300 * time.Millisecond
+	// busySlack is for a connect, and until an answer begins, while the own link is
+	// busy: what waits there for 0.4 s is no sign of the source, and all sources would
+	// count as silent at once.
+	busySlack  = 900 * time.Millisecond
 	mostAnswer = 8 << 20 // bytes of a peer's answer
 )
 
@@ -182,7 +203,7 @@
 	var answer objectsAnswer
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silent := time.AfterFunc(wait+store.AnswerBegins, cancel)
+	silent := time.AfterFunc(wait+r.slack(), cancel)
 	defer silent.Stop()
 	target := url.URL{Scheme: "http", Host: r.address, Path: objectsPath + kind, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.gossip = gossip
+	n.gossip = gossip.WithLink(func() bool { return n.intake.Share() > busyLink })
 	n.registry.OnChange(func(members []peer.Member) {
 		n.cold.Nodes(lo.Map(members, func(m peer.Member, _ int) string { return m.Name }), time.Now())
 	})
