Close the heaviest customer's connections once they lead elsewhere

Cause: a fifth of the calls a second still come to a node that is not ready, on connections that are kept.

Calls of no customer don't count as one customer's.

--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -77,7 +77,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer j.giveMemory()
-	if refused, ok := j.admit(); !ok {
+	refused, ok := j.admit()
+	if j.Intake.Send(j.tenant.Name) {
+		w.Header().Set("Connection", "close")
+	}
+	if !ok {
 		j.refuse(refused)
 		return
 	}
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -34,6 +34,7 @@
 	Picker      *choice.Picker
 	Retries     *retry.Budget
 	Gate        Gate
+	Intake      Intake
 	Memory      *memory.Budget    // of calls in progress
 	Nodes       func() int        // how many nodes share the endpoints' connections
 	Regions     map[string]string // of the availability zones
@@ -55,6 +56,12 @@
 	Body(took time.Duration) // until the body of a call came in
 }
 
+// Intake says whether a connection that brought a call of a customer is to be closed
+// with its answer, since the customer's next one reaches another node.
+type Intake interface {
+	Send(customer string) bool
+}
+
 // Metrics counts what the handler does.
 type Metrics interface {
 	Finished(route, outcome string, took time.Duration)
--- a/fleet/relay/overload/gate.go
+++ b/fleet/relay/overload/gate.go
@@ -94,6 +94,9 @@
 		return "", 0
 	}
 	for name, calls := range g.before.byCustomer {
+		if name == "" {
+			continue // of no customer
+		}
 		if of := float64(calls) / float64(g.before.total); of > share {
 			customer, share = name, of
 		}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -121,7 +121,7 @@
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Allowance: n.allowance, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
-		Gate:    n.gate, Memory: n.memory, Nodes: n.registry.Count, Regions: s.Regions, Transport: forward.NewTransport().WithMeter(n.meter), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Gate:    n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Regions: s.Regions, Transport: forward.NewTransport().WithMeter(n.meter), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
