--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.gossip = gossip.WithRollouts(n.trials).WithPlaces(n.places)
+	n.gossip = gossip.WithRollouts(n.trials).WithPlaces(n.places).WithLink(func() bool { return n.intake.Share() > busyLink })
 	n.trials.fleet = gossip
 	n.registry.OnChange(func(members []peer.Member) {
 		n.cold.Nodes(lo.Map(members, func(m peer.Member, _ int) string { return m.Name }), time.Now())
@@ -138,7 +138,7 @@
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Trials: &n.moves, Samples: n.trials, Allowance: n.allowance, Picker: n.picker,
 		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Count),
-		Gate:    n.gate, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: forward.NewTransport().WithMeter(n.meter), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Gate:    n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: forward.NewTransport().WithMeter(n.meter), TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
