Metrics and operators' page of the link, the pacer and the memory of calls

What a node tells of its link and of the memory of its calls is on the operators' page, and the test that compares both has it. No behaviour changes.

--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -25,6 +25,7 @@
 
 	stage, answers, badAnswers metric.Int64Gauge // of rollouts
 	share                      metric.Float64Gauge
+	paced                      metric.Int64Gauge
 	held                       metric.Int64Gauge
 	peak                       metric.Int64Gauge
 	short                      metric.Int64Gauge
@@ -57,6 +58,7 @@
 		{&metrics.intake, "lynxshed.relay.intake_open", "1 while new connections are welcome as far as the link goes, 0 while one customer's callers fill it"},
 		{&metrics.answers, "lynxshed.relay.rollout_answers", "answers that this node had since the open order, by version"},
 		{&metrics.badAnswers, "lynxshed.relay.rollout_bad_answers", "those of them that failed, or took several times what is usual"},
+		{&metrics.paced, "lynxshed.relay.paced_writes", "writes that have had to wait for the way out"},
 		{&metrics.held, "lynxshed.relay.calls_held", "bytes that calls in progress hold"},
 		{&metrics.peak, "lynxshed.relay.calls_held_peak", "the most bytes that calls in progress have held"},
 		{&metrics.short, "lynxshed.relay.calls_no_memory", "calls that were refused since they did not fit into the memory for calls"},
@@ -127,8 +129,10 @@
 	m.badAnswers.Record(context.Background(), int64(bad), of)
 }
 
-// Link records how full the link is, and whether new connections are welcome.
-func (m *Metrics) Link(used float64, open bool) {
+// Link records how full the link is, whether new connections are welcome, and how many
+// writes have had to wait.
+func (m *Metrics) Link(used float64, open bool, waited int64) {
+	m.paced.Record(context.Background(), waited)
 	m.link.Record(context.Background(), used)
 	m.intake.Record(context.Background(), lo.Ternary[int64](open, 1, 0))
 }
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -23,6 +23,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/evacuation"
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/overload"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
@@ -279,12 +280,14 @@
 	m.Evacuated(1)
 	m.Rollout("service", 1, 0.1)
 	m.RolloutAnswers("service", "route", "old", 2, 1)
+	m.Link(0.7, true, 3)
+	m.Memory(memory.State{Held: 1, Peak: 2, Short: 3})
 	answer := httptest.NewRecorder()
 	told.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	listed := regexp.MustCompile(`\| (lynxshed_relay_\w+) \|`).FindAllStringSubmatch(string(page), -1)
-	require.Len(t, listed, 9)
+	require.Len(t, listed, 15)
 	for _, name := range listed {
 		assert.Contains(t, answer.Body.String(), "# TYPE "+name[1]+" ")
 	}
