--- a/fleet/relay/trials_test.go
+++ b/fleet/relay/trials_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -481,3 +482,24 @@
 		assert.Equal(t, rollout.Reverted, j.state())
 	})
 }
+
+// What is counted of endpoints are those that take new work: of the old version without
+// what is barred, and of the target with the groups that it counts in.
+func TestEndpointsAreCountedByVersion(t *testing.T) {
+	n := versionedNode()
+	barred := rollout.Status{State: rollout.InProgress, Target: "v2", Made: 5, Barred: []string{"v0"}}
+	n.applyRollouts(listed(9, order("s", "v2", 5, 6, barred)))
+	n.engineTable.apply(entries(2, "s/v0/a", "s/v1/b", "s/v1/c", "s/v2/d"))
+	o := n.trials.open["s"]
+	assert.Equal(t, 2, o.counts.old)
+	assert.Equal(t, 1, o.counts.target)
+	assert.Equal(t, 1, o.counts.cohorts)
+	assert.Zero(t, o.counts.cold(time.Now()))
+	assert.Len(t, o.ids, 3, "calls run at all of them")
+	var many []string
+	for i := range 200 {
+		many = append(many, "s/v2/"+strconv.Itoa(i))
+	}
+	n.engineTable.apply(entries(2, many...))
+	assert.Equal(t, rollout.Cohorts, o.counts.cohorts)
+}
