--- a/fleet/relay/choice/cost.go
+++ b/fleet/relay/choice/cost.go
@@ -28,10 +28,11 @@
 		return t
 	}
 	slower := s.speed.slower(r.Now)
+	away := p.places.To(e.Zone, r.Now)
 	kept := p.keptTokens(r, e, s, affinity)
 	fetchMs := 0.0
 	if p.tuning.Fetch && from.id != e.ID && from.tokens > kept {
-		if ms := from.moveMs(from.tokens - kept); ms < m.readMs(from.tokens-kept) {
+		if ms := from.moveMs(from.tokens-kept, p.places.Between(from.zone, e.Zone, r.Now)); ms < m.readMs(from.tokens-kept) {
 			t.Source, t.Fetched, fetchMs = from.address, from.tokens-kept, ms
 			if from.known || !p.tuning.Homes {
 				kept = from.tokens
@@ -40,7 +41,7 @@
 	}
 	t.Uncached = max(r.Call.PromptMax-kept, 0)
 	t.ahead = waiting + t.Uncached
-	first, beside := m.firstMs(t.ahead), fetchMs+p.slotMs(m, e, inFlight)
+	first, beside := m.firstMs(t.ahead), fetchMs+p.slotMs(m, e, inFlight)+away.DelayMs()
 	t.usualMs = first + beside
 	t.FirstMs = slower*first + beside
 	value := valueOf(r.Call)
@@ -52,9 +53,7 @@
 		t.PauseMs = slower * (m.eventMs(inFlight) + m.readMs(t.ahead))
 		t.Cost += m.value.mean() * float64(inFlight) * chanceOfMore(t.PauseMs, gapMs(r))
 	}
-	if e.Zone != p.zone {
-		t.Cost += p.tuning.CrossZone * value
-	}
+	t.Cost += away.Call(value, r.Bytes)
 	return t
 }
 
@@ -66,15 +65,10 @@
 		full = max(full, float64(s.load.Running+s.load.Waiting))
 	}
 	cost := max(s.speed.slower(r.Now), 1) * (full + 1) / slots
-	if e.Zone != p.zone {
-		cost += plainCrossZone
-	}
-	return cost
+	away := p.places.To(e.Zone, r.Now)
+	return cost + away.Plain() + away.DelayMs()/objectiveMs(r)
 }
 
-// plainCrossZone is what leaving the zone costs a plain call, in filled endpoints.
-const plainCrossZone = 0.35
-
 // keptTokens is how much of the prompt the endpoint is thought to keep.
 func (p *Picker) keptTokens(r Request, e engine.Engine, s *endpoint, affinity string) int64 {
 	kept, believed := int64(0), 0.0
--- a/fleet/relay/choice/digest.go
+++ b/fleet/relay/choice/digest.go
@@ -53,6 +53,7 @@
 	Endpoint string   `json:"e"`
 	Parts    []string `json:"p"`
 	Tokens   []int64  `json:"t"`
+	Homes    []string `json:"h,omitempty"` // regions whose nodes may be told; none is all
 }
 
 // recent is what was read lately, for peers: each is told several times, since
@@ -71,11 +72,11 @@
 	readsMost = 128
 )
 
-func (l *recent) add(endpoint string, parts []call.Part, news bool, now time.Time) {
+func (l *recent) add(endpoint string, parts []call.Part, homes []string, news bool, now time.Time) {
 	if len(parts) == 0 {
 		return
 	}
-	r := timedRead{Read: Read{Endpoint: endpoint}, at: now, news: news}
+	r := timedRead{Read: Read{Endpoint: endpoint, Homes: homes}, at: now, news: news}
 	for _, p := range parts {
 		r.Parts = append(r.Parts, p.ID)
 		r.Tokens = append(r.Tokens, p.Tokens)
@@ -83,7 +84,8 @@
 	l.reads = append(l.reads, r)
 }
 
-func (l *recent) list(now time.Time, newsOnly bool) []Read {
+// list is what the nodes of a region may be told.
+func (l *recent) list(region string, newsOnly bool, now time.Time) []Read {
 	from := 0
 	for from < len(l.reads) && now.Sub(l.reads[from].at) > readsFor {
 		from++
@@ -91,7 +93,7 @@
 	l.reads = l.reads[max(from, len(l.reads)-readsMost):]
 	all := make([]Read, 0, len(l.reads))
 	for _, r := range l.reads {
-		if r.news || !newsOnly {
+		if (r.news || !newsOnly) && (len(r.Homes) == 0 || slices.Contains(r.Homes, region)) {
 			all = append(all, r.Read)
 		}
 	}
@@ -116,20 +118,21 @@
 	return all
 }
 
-// Reads lists the prompts that this node had read lately, and what it tells on.
-func (p *Picker) Reads(now time.Time) []Read { return p.listReads(now, false) }
+// Reads lists the prompts that this node had read lately, and what it tells on, as far as
+// nodes of a region may know of them.
+func (p *Picker) Reads(region string, now time.Time) []Read { return p.listReads(region, false, now) }
 
 // News lists of them those whose parts hardly any endpoint was known to keep: what is
 // worth its bytes between zones.
-func (p *Picker) News(now time.Time) []Read { return p.listReads(now, true) }
+func (p *Picker) News(region string, now time.Time) []Read { return p.listReads(region, true, now) }
 
-func (p *Picker) listReads(now time.Time, newsOnly bool) []Read {
+func (p *Picker) listReads(region string, newsOnly bool, now time.Time) []Read {
 	if !p.tuning.Gossip {
 		return nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.recent.list(now, newsOnly)
+	return p.recent.list(region, newsOnly, now)
 }
 
 // Heard takes in a peer's digests; what it does not name is nothing.
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -49,6 +49,7 @@
 	route   policy.Route
 	service policy.Service
 	tenant  policy.Tenant
+	homes   homes
 	body    []byte
 	memory  int64 // set aside for the call, bytes
 	start   time.Time
@@ -78,7 +79,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer j.giveMemory()
-	if refused, ok := j.admit(); !ok {
+	refused, ok := j.admit()
+	if j.Intake.Send(j.tenant.Name) {
+		w.Header().Set("Connection", "close")
+	}
+	if !ok {
 		j.refuse(refused)
 		return
 	}
@@ -108,6 +113,10 @@
 	if refused, ok := j.authenticate(); !ok {
 		return refused, false
 	}
+	j.homes = homesOf(route, j.tenant)
+	if j.nowhere() {
+		return refuseNoHome, false
+	}
 	if !j.Gate.Keep(j.tenant.Name, xxhash.Sum64String(j.call.ID)) && j.Nodes() > 1 {
 		return refuseOverloaded, false
 	}
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -17,6 +17,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
 	"github.com/lynxshed/lynxshed/fleet/relay/memory"
@@ -36,9 +37,10 @@
 	Picker      *choice.Picker
 	Retries     *retry.Budget
 	Gate        Gate
-	Memory      *memory.Budget    // of calls in progress
-	Nodes       func() int        // how many nodes share the endpoints' connections
-	Regions     map[string]string // of the availability zones
+	Intake      Intake
+	Memory      *memory.Budget  // of calls in progress
+	Nodes       func() int      // how many nodes share the endpoints' connections
+	Places      distance.Places // where the availability zones lie
 	Transport   *Transport
 	Log         log.Interface
 	Metrics     Metrics
@@ -57,6 +59,12 @@
 	Body(took time.Duration) // until the body of a call came in
 }
 
+// Intake says whether a connection that brought a call of a customer is to be closed
+// with its answer, since the customer's next one reaches another node.
+type Intake interface {
+	Send(customer string) bool
+}
+
 // Metrics counts what the handler does.
 type Metrics interface {
 	Finished(route, outcome string, took time.Duration)
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -45,7 +45,7 @@
 var (
 	refuseNoPolicy     = refusal{http.StatusServiceUnavailable, "no-configuration", 500 * time.Millisecond}
 	refuseLeaving      = refusal{http.StatusServiceUnavailable, "leaving", 50 * time.Millisecond}
-	refuseOverloaded   = refusal{http.StatusServiceUnavailable, "node-overloaded", 50 * time.Millisecond} // another try reaches another node
+	refuseOverloaded   = refusal{http.StatusServiceUnavailable, "node-overloaded", 50 * time.Millisecond} // another try reaches another node, but for customers that keep to one
 	refuseMemory       = refusal{http.StatusServiceUnavailable, "no-memory", 300 * time.Millisecond}
 	refuseNoRoute      = refusal{http.StatusNotFound, "unknown-route", 0}
 	refuseKey          = refusal{http.StatusUnauthorized, "unknown-key", 0}
@@ -54,6 +54,7 @@
 	refuseBudget       = refusal{http.StatusPaymentRequired, "budget-exhausted", 0}
 	refuseInsufficient = refusal{http.StatusServiceUnavailable, "budget-insufficient-here", 2 * time.Second}
 	refuseNoEngine     = refusal{http.StatusServiceUnavailable, "no-endpoint", 300 * time.Millisecond}
+	refuseNoHome       = refusal{http.StatusServiceUnavailable, "no-allowed-region", 5 * time.Second} // until a policy changes it
 	refuseFull         = refusal{http.StatusServiceUnavailable, "endpoints-full", 200 * time.Millisecond}
 	refuseUnknown      = refusal{http.StatusBadGateway, "endpoint-failed", 0}
 	refuseLeft         = refusal{http.StatusBadGateway, "caller-left", 0} // nobody reads it
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -1,11 +1,13 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +17,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
@@ -22,6 +25,7 @@
 const (
 	beat        = 200 * time.Millisecond
 	budgetEvery = 3 // beats between words on what the node could give
+	farEvery    = 3 // words on budgets between two that go to other regions, too
 	maxMessage  = 16 << 10
 	mostDigests = 64 // endpoints in a message that would exceed a datagram
 )
@@ -34,14 +38,18 @@
 	number      uint64
 	transfers   *transfers
 	ledgers     *ledgers
-	address     string      // of this node's socket
+	address     string // of this node's socket
+	places      distance.Places
 	out         func() bool // whether this node does not reach the store
 	writes      atomic.Bool
+	watches     atomic.Bool
 	writerCount atomic.Int64
+	turns       atomic.Pointer[turns]
 	elsewhere   atomic.Bool // a writer of another zone reaches the store, as this one heard
 	sources     atomic.Pointer[[]store.Source]
 	client      *http.Client
 	rollouts    RolloutTalk // nil: none is ever ordered here
+	busy        func() bool // whether this node's link is busy
 
 	choosing  sync.Mutex // who writes, and what follows from it
 	delegates *delegates
@@ -69,11 +77,25 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), ledgers: &ledgers{own: store.NewCache()}, address: address, out: out, client: sourceClient(), delegates: newDelegates(r.self)}
+	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), ledgers: newLedgers(), address: address, out: out, delegates: newDelegates(r.self), busy: func() bool { return false }, places: distance.From(r.self.Zone, nil, distance.DefaultCosts())}
+	g.client = sourceClient(func() bool { return g.busy() })
 	r.OnChange(func([]Member) { g.choose() })
 	return g, nil
 }
 
+// WithLink lets answers of peers take longer while this node's link is busy; before Run.
+func (t *Gossip) WithLink(busy func() bool) *Gossip {
+	t.busy = busy
+	return t
+}
+
+// WithPlaces has the gossip tell regions apart, before Run.
+func (t *Gossip) WithPlaces(p distance.Places) *Gossip {
+	t.places = p
+	t.delegates.near = p.Near
+	return t
+}
+
 // Close gives the socket up, where Run is not called.
 func (t *Gossip) Close() error { return t.socket.Close() }
 
@@ -109,20 +131,29 @@
 	}
 	now := time.Now()
 	m := t.signed(message{
-		Number: t.number, Digests: t.picker.Digests(), Reads: t.picker.Reads(now), Out: t.out(),
+		Number: t.number, Digests: t.picker.Digests(), Out: t.out(),
 		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now), Rollouts: t.badWord(),
 	})
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, reports
 	}
-	near, far := lo.FilterReject(to, func(m Member, _ int) bool { return m.Zone == t.registry.self.Zone })
-	t.send(m, addresses(near)...)
-	if len(far) > 0 {
-		m.Reads = t.picker.News(now)
-		t.send(m, addresses(far)...)
+	self := t.registry.self
+	for at, members := range lo.GroupBy(to, func(m Member) place { return place{m.Zone == self.Zone, t.places.Region(m.Zone)} }) {
+		m.Reads = t.picker.News(at.region, now)
+		if at.near {
+			m.Reads = t.picker.Reads(at.region, now)
+		}
+		t.send(m, addresses(members)...)
 	}
 }
 
+// place is what decides on the reads that a peer is told: whether it lies in the node's
+// zone, and its region.
+type place struct {
+	near   bool
+	region string
+}
+
 func addresses(members []Member) []string {
 	return lo.Map(members, func(m Member, _ int) string { return m.Address })
 }
@@ -130,9 +161,9 @@
 // listeners picks the peers of one beat, and whether they are told the budgets: all
 // of them in a small fleet. In a large one a node that draws for others tells a
 // part of its zone at a time, since a burst to all would fill its link and lose
-// grants, and now and then those that do so in other zones; others tell those of
-// their zone, and a few at random, now and then. So what a node hears grows with its
-// zone, and only what these few hear grows with the fleet.
+// grants, and now and then those that do so in other zones, more seldom in other regions;
+// others tell those of their zone, and a few at random, now and then. So what a node
+// hears grows with its zone, and only what these few hear grows with the fleet.
 func (t *Gossip) listeners(writers map[string]bool) ([]Member, bool) {
 	self := t.registry.self
 	peers := lo.Filter(t.registry.Members(), func(m Member, _ int) bool { return m.Name != self.Name })
@@ -147,7 +178,9 @@
 	if writers[self.Name] {
 		to := part(near, int(t.number%roundBeats))
 		if due {
-			far := lo.Filter(peers, func(m Member, _ int) bool { return m.Zone != self.Zone && writers[m.Name] })
+			far := lo.Filter(peers, func(m Member, _ int) bool {
+				return m.Zone != self.Zone && writers[m.Name] && (t.number%(budgetEvery*farEvery) == 1 || t.places.Near(m.Zone))
+			})
 			to = append(to, far...)
 		}
 		return to, true
@@ -199,6 +232,7 @@
 		t.heardRollouts(m)
 	case m.Ledger > 0:
 		t.ledgers.told(m.Ledger, from)
+		t.ledgers.wrote(m.Ledger, m.Node, t.classOf(m.Node), time.Now())
 	default:
 		t.receiveDigest(m, from)
 	}
@@ -228,6 +262,24 @@
 	t.picker.Heard(m.Node, m.Digests, now)
 	t.picker.HeardReads(m.Reads, t.tellsOn(), now)
 	if m.HasBudgets {
-		t.transfers.record(from, m.BudgetReports, now)
+		t.transfers.recordFrom(from, t.classOf(m.Node), m.BudgetReports, now)
+	}
+}
+
+// classOf is how far a node lies; one that is not listed yet is taken for a near one.
+func (t *Gossip) classOf(node string) distance.Class {
+	m, listed := find(t.registry.Members(), node)
+	if !listed {
+		return distance.SameRegion
+	}
+	return t.places.Class(m.Zone)
+}
+
+// find looks a member up by its name; members come in the order of their names.
+func find(members []Member, name string) (Member, bool) {
+	at, ok := slices.BinarySearchFunc(members, name, func(m Member, name string) int { return cmp.Compare(m.Name, name) })
+	if !ok {
+		return Member{}, false
 	}
+	return members[at], true
 }
--- a/fleet/relay/peer/source.go
+++ b/fleet/relay/peer/source.go
@@ -110,8 +110,12 @@
 func askCache(r *http.Request, cache *store.Cache) (objectsAnswer, error) {
 	var answer objectsAnswer
 	query := r.URL.Query()
+	least := store.FromWatcher
+	if query.Has(firsthand) {
+		least = store.FromStore
+	}
 	if !query.Has("since") {
-		objects, at, err := cache.List()
+		objects, at, err := cache.ListFrom(least)
 		answer.Revision = at
 		for _, o := range objects {
 			answer.Objects = append(answer.Objects, formOf(o))
@@ -127,7 +131,7 @@
 		return answer, errors.Wrap(err, "waitMs")
 	}
 	wait := min(max(time.Duration(ms)*time.Millisecond, 0), mostWait)
-	events, at, err := cache.Watch(r.Context(), since, wait)
+	events, at, err := cache.WatchFrom(r.Context(), least, since, wait)
 	answer.Revision = at
 	for _, e := range events {
 		answer.Events = append(answer.Events, changeForm{Object: formOf(e.Object), Gone: e.Gone})
@@ -135,28 +139,54 @@
 	return answer, err
 }
 
+// firsthand is the query by which a node that passes on what it is told asks for what the
+// peer has from the store itself only.
+const firsthand = "firsthand"
+
 // Remote asks one peer in the store's place.
 type Remote struct {
-	client  *http.Client
-	address string
+	client    *http.Client
+	address   string
+	firsthand bool        // for what the peer has from the store itself
+	busy      func() bool // whether this node's link is busy
 }
 
 var _ store.Reader = Remote{}
 
 // sourceClient is the client to peers' caches; each call bounds itself.
-func sourceClient() *http.Client {
-	dialer := &net.Dialer{Timeout: sourceDial, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}}
+func sourceClient(busy func() bool) *http.Client {
+	dialer := net.Dialer{Timeout: sourceDial, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
+	patient := dialer
+	patient.Timeout = busySlack
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if busy() {
+			return patient.DialContext(ctx, network, address)
+		}
+		return dialer.DialContext(ctx, network, address)
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}}
+}
+
+// slack is how long an answer may take to begin, beyond what a watch waits.
+func (r Remote) slack() time.Duration {
+	if r.busy() {
+		return busySlack
+	}
+	return store.AnswerBegins
 }
 
 const (
 	sourceDial = 300 * time.Millisecond
+	// busySlack is for a connect, and until an answer begins, while the own link is
+	// busy: what waits there for 0.4 s is no sign of the source, and all sources would
+	// count as silent at once.
+	busySlack  = 900 * time.Millisecond
 	mostAnswer = 8 << 20 // bytes of a peer's answer
 )
 
 // List implements store.Reader.
 func (r Remote) List(ctx context.Context, kind string) ([]store.Object, int64, error) {
-	answer, err := r.get(ctx, kind, nil, 0)
+	answer, err := r.get(ctx, kind, url.Values{}, 0)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -184,8 +214,11 @@
 	var answer objectsAnswer
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silent := time.AfterFunc(wait+store.AnswerBegins, cancel)
+	silent := time.AfterFunc(wait+r.slack(), cancel)
 	defer silent.Stop()
+	if r.firsthand {
+		query.Set(firsthand, "")
+	}
 	target := url.URL{Scheme: "http", Host: r.address, Path: objectsPath + kind, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
--- a/fleet/relay/store/ask.go
+++ b/fleet/relay/store/ask.go
@@ -43,12 +43,12 @@
 func (s *Sourced) took(ctx context.Context, kind string, a answer) bool {
 	switch {
 	case a.holds():
-		s.answeredBy(a.from.Name, kind)
+		s.answeredBy(a.from, kind)
 		return true
 	case errors.Is(ctx.Err(), context.Canceled):
 		return true // the caller gave up: that says nothing of the source
 	}
-	s.failed(a.from.Name, kind, a.err)
+	s.failed(a.from, kind, a.err)
 	return ctx.Err() != nil
 }
 
