--- a/fleet/relay/rollout/drawn_test.go
+++ b/fleet/relay/rollout/drawn_test.go
@@ -117,6 +117,39 @@
 	assert.LessOrEqual(t, float64(a.good-a.completed), most(0.02, a.good), "good ones that were not completed in time")
 }
 
+// TestDrawnSeedsOnceAtFault plays roll-outs that an earlier decision got wrong.
+func TestDrawnSeedsOnceAtFault(t *testing.T) {
+	for _, c := range []struct {
+		seed uint64
+		what string
+	}{
+		{84, "pulses came back to the ill endpoint before the next one"},
+		{96, "a cut's attempts without answer, and answers lost at both, were the target's"},
+		{181, "one cohort alone made a verdict"},
+		{318, "a version that turned bad was hidden by an ill endpoint until the next pulse"},
+		{325, "failures came in before answers when the move began"},
+		{592, "a pulse that went on too soon cleared the others"},
+		{620, "other endpoints were cleared by what they had answered before"},
+		{799, "a status found at a start moved all calls at once"},
+		{948, "a move went on unwatched after all nodes were lost"},
+		{1088, "a route with few calls got too few samples"},
+		{1125, "a route without calls to old endpoints kept its usual slowness"},
+		{2041, "who began to gather anew counted what it lacked as good answers taken back"},
+		{2649, "answers lost at both hid the target's own for too long"},
+	} {
+		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
+			o := newPlay(draw(c.seed), sheetRule, nil).run()
+			if o.bad() {
+				assert.Equal(t, Reverted, o.state, "%s: %s", c.what, o)
+				assert.False(t, o.overExposed(sheetRule), "%s: %s", c.what, o)
+				assert.Zero(t, o.afterBad, "%s: %s", c.what, o)
+				return
+			}
+			assert.True(t, o.completedInTime(), "%s: %s", c.what, o)
+		})
+	}
+}
+
 // most is how many of so many may go wrong at a rate. Few plays differ from the rate by
 // chance, and get three standard errors; a thousand get none.
 func most(rate float64, of int) float64 {
