Begin pulses again once all nodes have started anew

The delegate that finds the status now writes it anew once it has heard nodes for a while and nothing of the target was seen since.

--- a/fleet/relay/rollout/decider.go
+++ b/fleet/relay/rollout/decider.go
@@ -260,6 +260,8 @@
 	used := d.used(t.Now)
 	left := d.moveTakes(t)
 	switch {
+	case d.unpulsed() && status.Writes < mostWrites-2:
+		return d.shared("nothing was seen of the target since it was found", t.Now)
 	case used >= d.end()-left-d.writeTakes()/2:
 		return d.move(t, left)
 	case len(status.Parts) == 0 && d.counted(t.Now):
@@ -274,6 +276,13 @@
 	return d, nil
 }
 
+// unpulsed is whether all nodes have started anew where the target is tried in pulses:
+// none begins one by a status that it found, so that nothing would be seen of the target.
+func (d Decider) unpulsed() bool {
+	_, target := d.latest.Answers()
+	return d.rollout.Found && period(d.rollout.Status) > 0 && target.Answers < leastWatched && d.at.Sub(d.firstAt) >= ratesFor
+}
+
 // counted is whether there were calls enough to tell the routes' rates.
 func (d Decider) counted(now time.Time) bool {
 	passed := d.at.Sub(d.firstAt)
--- a/fleet/relay/rollout/decider_test.go
+++ b/fleet/relay/rollout/decider_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 )
@@ -60,3 +61,52 @@
 		})
 	}
 }
+
+// Where a target is tried in pulses no node begins one by a status that it found. If all
+// did, it is written anew, or nothing would be seen of the target until the end.
+func TestPulsesBeginAgainOnceAllNodesHaveStartedAnew(t *testing.T) {
+	cases := []struct {
+		name   string
+		filled float64
+		found  bool
+		target int // answers of it
+		want   bool
+	}{
+		{"all started anew", 0.5, true, 0, true},
+		{"somebody saw it written", 0.5, false, 0, false},
+		{"others have seen answers", 0.5, true, 200, false},
+		{"no pulses", 0, true, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			status := rollout.Status{
+				State: rollout.InProgress, Target: "v2", Made: 7, Share: 0.03, Filled: c.filled, Used: 500 * time.Millisecond, Writes: 2,
+				Parts: []rollout.Part{{Route: "r", Share: 0.03}},
+			}
+			d := rollout.NewDecider(rollout.Rule{Share: 0.1, Tolerance: 50, Rollback: 5 * time.Second})
+			d, _ = d.Handle(rollout.Learned{Now: now, Rollout: rollout.Rollout{
+				Order: rollout.Order{Service: "s", Target: "v2", Duration: 30 * time.Second, Made: 7}, Status: status, Revision: 9, Learned: now, Found: c.found,
+			}})
+			var effects []rollout.Effect
+			for i := range 12 {
+				at := now.Add(time.Duration(i) * 200 * time.Millisecond)
+				seen := rollout.RouteEvidence{Route: "r"}
+				seen.Old[0], seen.Target[3] = rollout.Count{Answers: 30 * (i + 1)}, rollout.Count{Answers: c.target}
+				d, _ = d.Handle(rollout.Told{Evidence: rollout.Evidence{Service: "s", Made: 7, Routes: []rollout.RouteEvidence{seen}}, Now: at})
+				var more []rollout.Effect
+				d, more = d.Handle(rollout.Tick{Now: at, Old: 2, Target: 2, Cohorts: 2, OldInFlight: 5, Decides: true})
+				effects = append(effects, more...)
+			}
+			if !c.want {
+				for _, e := range effects {
+					assert.NotContains(t, e.(rollout.Write).Why, "nothing was seen")
+				}
+				return
+			}
+			require.NotEmpty(t, effects)
+			assert.Contains(t, effects[0].(rollout.Write).Why, "nothing was seen")
+			assert.Equal(t, rollout.Sampling, effects[0].(rollout.Write).Status.Stage)
+		})
+	}
+}
