--- a/fleet/relay/choice/model_test.go
+++ b/fleet/relay/choice/model_test.go
@@ -510,3 +510,33 @@
 	assert.Len(t, p.Reads("", now), len(all))
 	assert.Len(t, p.News("", now), holdersTold)
 }
+
+// Moving parts over a distance takes the exchanges' round trips: far away they are read
+// again where that is faster.
+func TestPartsAreFetchedOverADistanceWhereThatIsFaster(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cases := []struct {
+		name    string
+		trip    time.Duration // to the region that keeps the parts
+		fetched bool
+	}{
+		{"near", time.Millisecond, true},
+		{"12 ms away", 24 * time.Millisecond, true},
+		{"on another continent", 300 * time.Millisecond, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			places := distance.From("a1", map[string]string{"a1": "a", "b1": "b"}, distance.DefaultCosts())
+			places.Measured("b1", c.trip, now)
+			p := NewPicker("a1", DefaultTuning()).WithPlaces(places)
+			all := testEngines(2)
+			all[0].Zone, all[1].Zone = "b1", "a1"
+			profile := Profile{Service: service, Tokens: true, Capacity: 100_000, TokenBytes: 131_072, LinkMbps: 500_000}
+			parts := []call.Part{{ID: "system", Tokens: 6000}, {ID: "own", Tokens: 500}}
+			p.endpoint(all[0].ID, profile.Capacity).cache.read(parts[0], true)
+			got, ok := p.Pick(Request{Call: call.Call{ID: "x", PromptMax: 6500, Parts: parts}, Engines: all, Exclude: map[string]bool{all[0].ID: true}, Profile: profile, Cap: 9, Now: now})
+			require.True(t, ok)
+			assert.Equal(t, c.fetched, got.Fetched > 0)
+		})
+	}
+}
