--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -49,6 +49,7 @@
 	sources     atomic.Pointer[[]store.Source]
 	client      *http.Client
 	rollouts    RolloutTalk // nil: none is ever ordered here
+	busy        func() bool // whether this node's link is busy
 
 	choosing  sync.Mutex // who writes, and what follows from it
 	delegates *delegates
@@ -76,11 +77,18 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), ledgers: newLedgers(), address: address, out: out, client: sourceClient(), delegates: newDelegates(r.self), places: distance.From(r.self.Zone, nil, distance.DefaultCosts())}
+	g := &Gossip{registry: r, picker: p, socket: socket, heard: map[string]heard{}, transfers: newTransfers(allowance), ledgers: newLedgers(), address: address, out: out, delegates: newDelegates(r.self), busy: func() bool { return false }, places: distance.From(r.self.Zone, nil, distance.DefaultCosts())}
+	g.client = sourceClient(func() bool { return g.busy() })
 	r.OnChange(func([]Member) { g.choose() })
 	return g, nil
 }
 
+// WithLink lets answers of peers take longer while this node's link is busy; before Run.
+func (t *Gossip) WithLink(busy func() bool) *Gossip {
+	t.busy = busy
+	return t
+}
+
 // WithPlaces has the gossip tell regions apart, before Run.
 func (t *Gossip) WithPlaces(p distance.Places) *Gossip {
 	t.places = p
