--- a/fleet/relay/peer/slope_test.go
+++ b/fleet/relay/peer/slope_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/samber/lo"
@@ -87,6 +88,10 @@
 // alike, nor with the questions that delegates ask those that watch the store for them;
 // with ten regions and 3,000 nodes no more than with six zones and 1,000.
 func TestNoNodeSendsMoreForRegions(t *testing.T) {
+	synctest.Test(t, noNodeSendsMoreForRegions) // beats are counted: with time between them delegates fall silent
+}
+
+func noNodeSendsMoreForRegions(t *testing.T) {
 	const seconds = 9 // a whole number of rounds of all kinds
 	sent := func(all []Member, regions map[string]string, self Member) float64 {
 		g, socket := slopeGossipOf(all, regions, self)
