--- /dev/null
+++ b/fleet/relay/rollout/model_decider_test.go
@@ -0,0 +1,99 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// round lets nodes tell what they have seen, and the decider tick.
+func (p *play) round() {
+	for i := range p.nodes {
+		n := &p.nodes[i]
+		if p.now < n.upAt || p.cutNow(n.zone) {
+			continue
+		}
+		p.gathered.Take(fmt.Sprintf("%d.%d", i, n.life), n.recorder.Evidence())
+	}
+	p.before = append(p.before, p.inFlight)
+	sum, at := p.gathered.Sum(), p.time()
+	told := p.tells
+	p.tells = []func(){func() { p.handle(Told{sum, at}) }}
+	for _, tell := range told {
+		tell()
+	}
+	if p.windows != nil && p.windows.bad(sum, p.now) {
+		p.handle(Heard{Target: "v2", Made: made, Why: "by windows", Now: at})
+		p.warn()
+	}
+	most := time.Duration(0)
+	for _, r := range p.service.routes {
+		most = max(most, r.most)
+	}
+	p.handle(Tick{Now: p.time(), Old: p.service.old, Target: p.targets, Cohorts: p.cohorts, Cold: lo.Ternary(p.now < p.cold, p.targets, 0), OldInFlight: p.before[max(len(p.before)-2, 0)], Lasts: most, Decides: true})
+}
+
+func (p *play) handle(m Message) {
+	var effects []Effect
+	p.decider, effects = p.decider.Handle(m)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Write:
+			if p.early && e.Status.State == InProgress && e.Status.Writes > 1 {
+				e.Status.Stage, e.Status.Left, e.Status.Full = Moving, 6*time.Second, leastProof
+			}
+			p.write(e)
+		case Warn:
+			p.warn()
+		}
+	}
+}
+
+func (p *play) warn() {
+	for i := range p.nodes {
+		if n := &p.nodes[i]; n.warnAt == 0 {
+			n.warnAt = p.now + time.Duration(p.rand.Float64()*float64(tellLatest))
+		}
+	}
+}
+
+// write lets the store take a status after the time that it needs.
+func (p *play) write(w Write) {
+	p.out.writes++
+	takes := 20*time.Millisecond + time.Duration(p.rand.Float64()*float64(80*time.Millisecond))
+	if p.storeSlow.holds(p.now) {
+		takes = time.Duration(within(p.rand, 0.3, 1.2) * float64(time.Second))
+	}
+	done := p.now + takes
+	var wait func()
+	wait = func() {
+		switch {
+		case p.now < done:
+			p.writing = append(p.writing, wait)
+		case p.storeAway.holds(p.now) || w.Revision != p.revision:
+			p.handle(Refused{p.time()})
+		default:
+			p.stored(w)
+		}
+	}
+	p.writing = append(p.writing, wait)
+}
+
+func (p *play) stored(w Write) {
+	p.revision++
+	p.out.stored++
+	p.status = w.Status
+	p.out.endedAt, p.out.why = p.now, w.Why
+	if w.Status.Stage == Moving && p.out.moved == 0 && w.Status.State == InProgress {
+		p.out.moved = p.now
+	}
+	if w.Status.State == Completed {
+		p.out.cutCalls = p.inFlight
+	}
+	for i := range p.nodes {
+		at := p.now + time.Duration(p.rand.Float64()*float64(learnLatest))
+		p.nodes[i].coming = append(p.nodes[i].coming, seen{at: at, status: w.Status, rev: p.revision})
+	}
+	p.handle(Learned{p.rollout(p.status, p.revision, false), p.time()})
+}
