--- a/fleet/relay/chain_test.go
+++ b/fleet/relay/chain_test.go
@@ -259,7 +259,7 @@
 		time.Sleep(20 * time.Second)
 		calls, _ := platform.turn(true)
 		assert.Less(t, calls, 20, "two watch, and nobody else asks")
-		for _, w := range watchers { // as a pulse does that finds the store lost
+		for _, w := range watchers { // as a heartbeat does that finds the store lost
 			w.cache.Apply(store.Lost{Err: store.ErrRefused}, store.FromOther)
 		}
 		held.Apply(store.Update{Events: []store.Event{{Object: store.Object{Name: "a", Revision: 2}}}, Revision: 2}, store.FromStore) // ends the watches
--- a/fleet/relay/following.go
+++ b/fleet/relay/following.go
@@ -20,11 +20,11 @@
 	engineRestPart = 1 - lapsePart
 )
 
-// pulsePart is the part of the time in which a leaving endpoint must get no new work
+// heartbeatPart is the part of the time in which a leaving endpoint must get no new work
 // that passes between two pings of a node which watches the store for others. With what
 // two pings may take, an outage is felt within 1.4 s of 3 at most, and those who ask this
 // node need up to 0.5 s more to turn to the store: a ping of their own, and a list.
-const pulsePart = 0.15
+const heartbeatPart = 0.15
 
 // toldRest is how long a node rests that is told by others: what comes to it was put
 // together by the rest of the one that watches the store.
@@ -48,7 +48,7 @@
 	n.followRollouts(ctx)
 	go n.registry.Run(ctx, n.cached(peer.Kind, func(store.Change) {}))
 	go n.gossip.Run(ctx)
-	go n.pulse().Run(ctx)
+	go n.heartbeat().Run(ctx)
 	go func() {
 		n.awaitPeers(ctx) // one that knows no other node writes for itself
 		n.syncer.Run(ctx)
@@ -95,10 +95,10 @@
 	}
 }
 
-// pulse feels for the store while other nodes ask this one in its place.
-func (n *Node) pulse() store.Pulse {
-	return store.Pulse{
-		Store: n.store, Every: part(pulsePart, n.settings.EndpointDrain()), Health: n.health, Log: n.log,
+// heartbeat feels for the store while other nodes ask this one in its place.
+func (n *Node) heartbeat() store.Heartbeat {
+	return store.Heartbeat{
+		Store: n.store, Every: part(heartbeatPart, n.settings.EndpointDrain()), Health: n.health, Log: n.log,
 		Serves: func() bool { return n.settings.Enabled(delegatesMechanism) && n.gossip.Serves() },
 		Lost: func(err error) {
 			for kind, cache := range n.caches {
--- a/fleet/relay/store/pulse_test.go
+++ b/fleet/relay/store/heartbeat_test.go
@@ -36,11 +36,11 @@
 	return c[kind].Watch(ctx, since, wait)
 }
 
-var pulseKinds = []string{"policy", "endpoints", "evacuations"}
+var heartbeatKinds = []string{"policy", "endpoints", "evacuations"}
 
 // followAll follows every kind, the first of which leads, and tells each revision.
 func followAll(ctx context.Context, s *store.Sourced, health *store.Health, longest func() time.Duration, tell func(kind string, c store.Change)) {
-	for i, kind := range pulseKinds {
+	for i, kind := range heartbeatKinds {
 		w := store.Watching{Kind: kind, Rest: store.Always(time.Millisecond), History: 20 * time.Second, Health: health, Leads: i == 0}
 		if i == 0 {
 			w.Longest = longest
@@ -87,7 +87,7 @@
 	time.Sleep(10 * time.Second)
 	mu.Lock()
 	defer mu.Unlock()
-	require.Len(t, known, len(pulseKinds))
+	require.Len(t, known, len(heartbeatKinds))
 	for kind, at := range known {
 		assert.Less(t, at.Sub(changed), leaving, "%s, %s", kind, begins)
 	}
@@ -96,7 +96,7 @@
 // source is a node that watches the store for others.
 func source(ctx context.Context, s store.Store, leaving time.Duration) cacheReader {
 	caches := cacheReader{}
-	for _, kind := range pulseKinds {
+	for _, kind := range heartbeatKinds {
 		caches[kind] = store.NewCache()
 	}
 	health := store.NewHealth()
@@ -104,7 +104,7 @@
 	followAll(ctx, direct, health, func() time.Duration { return 2 * time.Second }, func(kind string, c store.Change) {
 		caches[kind].Apply(c, direct.Origin(kind))
 	})
-	pulse := store.Pulse{
+	heartbeat := store.Heartbeat{
 		Store: s, Every: leaving * 15 / 100, Health: health, Log: &log.Logger{Handler: discard.New()},
 		Serves: func() bool { return true },
 		Lost: func(err error) {
@@ -113,7 +113,7 @@
 			}
 		},
 	}
-	go pulse.Run(ctx)
+	go heartbeat.Run(ctx)
 	return caches
 }
 
@@ -132,7 +132,7 @@
 			time.Sleep(length)
 			s.set(false, 2)
 			time.Sleep(3 * time.Second)
-			for _, kind := range pulseKinds {
+			for _, kind := range heartbeatKinds {
 				_, at, err := source.List(ctx, kind)
 				assert.NoError(t, err, "%s after %s", kind, length)
 				assert.Equal(t, int64(2), at)
