--- a/fleet/relay/rollout/evidence.go
+++ b/fleet/relay/rollout/evidence.go
@@ -87,16 +87,22 @@
 
 // AtLeast returns evidence that falls below an earlier one nowhere: one who has just begun
 // to gather may not have heard of a life that others knew.
-func (e Evidence) AtLeast(earlier Evidence) Evidence {
+func (e Evidence) AtLeast(earlier Evidence) Evidence { return e.joined(earlier, Counts.atLeast) }
+
+// Plus adds what others have seen of the same order.
+func (e Evidence) Plus(o Evidence) Evidence { return e.joined(o, Counts.Plus) }
+
+// joined returns the evidence with another one's counts joined to its own, route by route.
+func (e Evidence) joined(o Evidence, join func(own, other Counts) Counts) Evidence {
 	e.Routes = slices.Clone(e.Routes)
-	for _, before := range earlier.Routes {
-		i := slices.IndexFunc(e.Routes, func(own RouteEvidence) bool { return own.Route == before.Route })
+	for _, r := range o.Routes {
+		i := slices.IndexFunc(e.Routes, func(own RouteEvidence) bool { return own.Route == r.Route })
 		if i < 0 {
-			e.Routes = append(e.Routes, before)
+			e.Routes = append(e.Routes, r)
 			continue
 		}
-		e.Routes[i].Old = e.Routes[i].Old.atLeast(before.Old)
-		e.Routes[i].Target = e.Routes[i].Target.atLeast(before.Target)
+		e.Routes[i].Old = join(e.Routes[i].Old, r.Old)
+		e.Routes[i].Target = join(e.Routes[i].Target, r.Target)
 	}
 	return e
 }
@@ -118,21 +124,6 @@
 	return RouteEvidence{Route: name}
 }
 
-// Plus adds what others have seen of the same order.
-func (e Evidence) Plus(o Evidence) Evidence {
-	e.Routes = slices.Clone(e.Routes)
-	for _, r := range o.Routes {
-		i := slices.IndexFunc(e.Routes, func(own RouteEvidence) bool { return own.Route == r.Route })
-		if i < 0 {
-			e.Routes = append(e.Routes, r)
-			continue
-		}
-		e.Routes[i].Old = e.Routes[i].Old.Plus(r.Old)
-		e.Routes[i].Target = e.Routes[i].Target.Plus(r.Target)
-	}
-	return e
-}
-
 // counts is the answers of both versions on a route; "" is all routes.
 func (e Evidence) counts(route string) (target, old Count) {
 	for _, r := range e.Routes {
