Call what stands already: addresses, jitter, one loop for what is done at intervals

Gossip of roll-outs mapped members to addresses beside the function that does; a follower's pause was written out where Jittered is the same; two loops over a ticker were one; a warning was looked for twice, once by all of its fields and once by those that decide; a question that only a test asked of Sourced is asked by its origin.

--- a/fleet/relay/following.go
+++ b/fleet/relay/following.go
@@ -145,3 +145,17 @@
 	}
 	return n.settings.Contact() / 2
 }
+
+// every calls a function at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
--- a/fleet/relay/intake.go
+++ b/fleet/relay/intake.go
@@ -22,29 +22,22 @@
 func (n *Node) watchLink(ctx context.Context) {
 	steers := n.settings.Enabled(steerMechanism)
 	reader := n.meter.Reader()
-	ticker := time.NewTicker(linkEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, linkEvery, func() {
 		use := reader.Read()
 		customer, share := n.gate.Heaviest()
 		changed := n.intake.Read(overload.Load{Used: use.Fuller(), Customer: customer, OfCalls: share, Others: steers && mayMove(n.registry.Members(), n.settings.Zone)})
 		n.metrics.Link(n.intake.Share(), n.intake.Open(), n.meter.Waited())
 		n.metrics.Memory(n.memory.State())
 		if !changed {
-			continue
+			return
 		}
 		entry := n.log.WithFields(log.Fields{"linkIn": use.In, "linkOut": use.Out, "link": n.intake.Share(), "tenant": customer, "ofCalls": share})
 		if n.intake.Open() {
 			entry.Info("new connections are welcome again")
-			continue
+			return
 		}
 		entry.Warn("one customer fills the link: new connections are asked to go elsewhere")
-	}
+	})
 }
 
 // mayMove is whether callers may be sent to other nodes of a zone.
--- a/fleet/relay/peer/rollouts.go
+++ b/fleet/relay/peer/rollouts.go
@@ -99,7 +99,7 @@
 	chosen := lo.Filter(t.registry.Members(), func(m Member, _ int) bool { return delegates[m.Name] })
 	zone := slices.Min(append(lo.Map(chosen, func(m Member, _ int) string { return m.Zone }), zoneLast))
 	in := lo.Filter(chosen, func(m Member, _ int) bool { return m.Zone == zone })
-	return lo.Map(in, func(m Member, _ int) string { return m.Address })
+	return addresses(in)
 }
 
 // zoneLast comes after the name of any zone.
@@ -108,7 +108,7 @@
 // TellBad tells all nodes at once that the target of an order was found bad.
 func (t *Gossip) TellBad(w rollout.Warn) {
 	others := lo.Filter(t.registry.Members(), func(m Member, _ int) bool { return m.Name != t.registry.self.Name })
-	t.send(t.signed(message{Rollouts: &RolloutWord{Bad: []rollout.Warn{w}}}), lo.Map(others, func(m Member, _ int) string { return m.Address })...)
+	t.send(t.signed(message{Rollouts: &RolloutWord{Bad: []rollout.Warn{w}}}), addresses(others)...)
 }
 
 // badWord is what is told of targets found bad along with everything else; nil is nothing.
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -211,7 +211,7 @@
 	f.lost = true
 	f.tellLost(errors.Is(err, ErrAlone))
 	if errors.Is(err, ErrSourcesOut) || errors.Is(err, errBehind) {
-		pause(ctx, peersPause/2+rand.N(peersPause))
+		pause(ctx, Jittered(peersPause))
 		return
 	}
 	f.failures++
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -112,9 +112,6 @@
 	return wait != nil && !at.IsZero() && time.Since(at) < wait()
 }
 
-// Direct is whether the last answer for a kind came from the store itself.
-func (s *Sourced) Direct(kind string) bool { return s.Origin(kind) == FromStore }
-
 // Origin is where the last answer for a kind came from.
 func (s *Sourced) Origin(kind string) Origin {
 	s.mu.Lock()
--- a/fleet/relay/store/sourced_test.go
+++ b/fleet/relay/store/sourced_test.go
@@ -218,7 +218,7 @@
 					_, _, _ = s.Watch(t.Context(), "kind", 5, 8*time.Second)
 				}
 				assert.Equal(t, c.want, calls)
-				assert.Equal(t, c.direct, s.Direct("kind"))
+				assert.Equal(t, c.direct, s.Origin("kind") == store.FromStore)
 				assert.LessOrEqual(t, time.Since(began), c.most)
 			})
 		})
@@ -262,7 +262,7 @@
 				}
 				pings, direct := lo.Count(calls, "store pinged"), lo.Count(calls, "store")
 				assert.LessOrEqual(t, pings, int(length/time.Second))
-				assert.Equal(t, c.reached, s.Direct("kind"))
+				assert.Equal(t, c.reached, s.Origin("kind") == store.FromStore)
 				if c.reached {
 					assert.LessOrEqual(t, first, time.Second+700*time.Millisecond, "a watch waits for a second")
 					assert.Greater(t, direct, int(length/(2*time.Second)))
@@ -274,7 +274,7 @@
 				time.Sleep(time.Second)
 				_, _, err := s.Watch(t.Context(), "kind", 5, time.Second)
 				assert.NoError(t, err)
-				assert.False(t, s.Direct("kind"))
+				assert.False(t, s.Origin("kind") == store.FromStore)
 			})
 		})
 	}
@@ -352,7 +352,7 @@
 			_, _, _ = s.Watch(t.Context(), "kind", 5, time.Second)
 			time.Sleep(100 * time.Millisecond)
 		}
-		require.True(t, s.Direct("kind"))
+		require.True(t, s.Origin("kind") == store.FromStore)
 		platform.err = errDead
 		calls = nil
 		for range 20 {
--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -324,7 +324,7 @@
 // warned takes in that the target of an order is bad: it gets nothing from now on.
 func (t *trials) warned(w rollout.Warn, by string) {
 	t.mu.Lock()
-	if slices.Contains(t.bad, w) || slices.ContainsFunc(t.bad, func(known rollout.Warn) bool {
+	if slices.ContainsFunc(t.bad, func(known rollout.Warn) bool {
 		return known.Service == w.Service && known.Target == w.Target && known.Made == w.Made
 	}) {
 		t.mu.Unlock()
--- a/fleet/relay/trials_judge.go
+++ b/fleet/relay/trials_judge.go
@@ -25,16 +25,7 @@
 
 // run judges the open orders while this node is a delegate, until ctx ends.
 func (t *trials) run(ctx context.Context) {
-	ticker := time.NewTicker(judgeEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			t.tick(ctx, time.Now())
-		}
-	}
+	every(ctx, judgeEvery, func() { t.tick(ctx, time.Now()) })
 }
 
 // asked is an effect of a trial's decider that is to be carried out.
