--- /dev/null
+++ b/fleet/relay/quarantine/print_test.go
@@ -0,0 +1,41 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A request has one print, whatever its id; anything else about it, its customer above
+// all, makes it another request, and fields can't be moved into each other.
+func TestAPrintTellsARequestAgain(t *testing.T) {
+	print := PrintOf("customer", "POST", "host", "/path/x", []byte("body"))
+	assert.Equal(t, print, PrintOf("customer", "POST", "host", "/path/x", []byte("body")))
+	others := []Print{
+		PrintOf("other", "POST", "host", "/path/x", []byte("body")),
+		PrintOf("customer", "PUT", "host", "/path/x", []byte("body")),
+		PrintOf("customer", "POST", "h", "/path/x", []byte("body")),
+		PrintOf("customer", "POST", "host", "/path/y", []byte("body")),
+		PrintOf("customer", "POST", "host", "/path/x", []byte("bodY")),
+		PrintOf("customer", "POST", "host", "/path/", []byte("xbody")),
+		PrintOf("customerP", "OST", "host", "/path/x", []byte("body")),
+		PrintOf("customer", "POST", "host/path", "/x", []byte("body")),
+	}
+	for _, other := range others {
+		assert.NotEqual(t, print, other)
+	}
+}
+
+func TestAPrintReadsBack(t *testing.T) {
+	print := PrintOf("customer", "POST", "host", "/path/x", []byte("body"))
+	data, err := json.Marshal(print)
+	require.NoError(t, err)
+	var back Print
+	require.NoError(t, json.Unmarshal(data, &back))
+	assert.Equal(t, print, back)
+	for _, bad := range []string{`""`, `"00"`, `"zz"`, `"` + print.String() + `00"`} {
+		assert.Error(t, json.Unmarshal([]byte(bad), &back), bad)
+	}
+}
