Say which request was cut: a print on the lines of failed attempts and broken streams

Cause: no line told a request that comes again under another id from any other, nor which streams broke off together. Logic is as it was.

--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -17,6 +17,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
+	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
 // Handler takes callers' calls.
@@ -63,6 +64,7 @@
 	note     string // what decided, for the log
 	placed   *choice.Placement
 	told     told // of the last attempt
+	printed  quarantine.Print
 	pace     pace // of the last stream
 }
 
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -69,6 +69,7 @@
 	case rejected:
 		j.Log.WithFields(fields).WithField("status", o.status).Info("attempt refused as not run")
 	case failed:
+		fields["print"] = j.print().String()
 		j.Log.WithFields(fields).WithField("error", o.err.Error()).Info("attempt failed")
 	case answered:
 	}
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -31,6 +31,7 @@
 		}
 		j.close(t, resultOf(ctx, choice.Bad), took{})
 		j.note = at("stream", t, err).Error()
+		j.logBroken(t, s.events, err)
 		next, out, ok := j.resume(ctx, t, s)
 		if !ok {
 			j.used = j.charge(s.events)
