Hold a request back under which endpoints ended

Cause: a call was known by its id alone; what may be sent again is counted by call and by service, and a request that comes again is a new call. Change: calls that are cut with their endpoints are noted by a strong hash of customer, method, host, path and body. An end is believed when the endpoint refuses connections 20 or 200 ms later, or when its entry goes or is of another birth. Nodes tell those who judge (all in a small fleet, those that draw for others in a large one) what was cut together; an end is laid on those of its calls that were in most ends and had come least far; three occasions hold a request back for 10 minutes (then one trial, then twice as long), at all nodes, in the store too, and until it is served, or its ends are another's. It gets 502 request-quarantined, at once. A cut call that was in two ends is not sent again by the node itself.

Two ways to tell: every end to the store (one write each, one watch a node), or between nodes and the store once for each request that is held back: the second, since it costs nothing while nothing ends.

--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -213,6 +213,9 @@
 	if t.doubts != nil {
 		t.doubts.Engines(d.All())
 	}
+	if t.quarantine != nil {
+		t.quarantine.Engines(d.All(), time.Now())
+	}
 	t.picker.Forget(func(id string) bool {
 		_, ok := d.Get(id)
 		return ok
--- a/fleet/relay/following.go
+++ b/fleet/relay/following.go
@@ -48,6 +48,9 @@
 	n.followRollouts(ctx)
 	go n.registry.Run(ctx, n.cached(peer.Kind, func(store.Change) {}))
 	go n.gossip.Run(ctx)
+	if n.quarantine != nil {
+		go n.quarantine.load(ctx)
+	}
 	go n.heartbeat().Run(ctx)
 	go func() {
 		n.awaitPeers(ctx) // one that knows no other node writes for itself
--- a/fleet/relay/forward/answer.go
+++ b/fleet/relay/forward/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
 const eventStream = "text/event-stream"
@@ -25,6 +26,7 @@
 	if err != nil {
 		j.close(t, resultOf(ctx, choice.Bad), took{})
 		j.note = at("body", t, err).Error()
+		j.cut(ctx, t, quarantine.Begun)
 		if j.mayRunAgain(ctx) {
 			return nil, true
 		}
@@ -33,6 +35,7 @@
 	j.close(t, resultOfStatus(o.resp.StatusCode), took{whole: time.Since(o.sent)})
 	if o.resp.StatusCode < http.StatusBadRequest {
 		j.used = j.reserved
+		j.served()
 	}
 	j.Wire.Answer(j.w.Header(), o.resp)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -128,6 +128,9 @@
 	if refused, ok := j.readBody(); !ok {
 		return refused, false
 	}
+	if j.quarantined() {
+		return refuseQuarantined, false
+	}
 	return j.reserve()
 }
 
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -22,6 +22,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
 	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
+	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
 )
 
@@ -36,6 +37,7 @@
 	TokenSource TokenSource
 	Picker      *choice.Picker
 	Retries     *retry.Budget
+	Quarantine  *quarantine.Book // nil: no request is held back
 	Gate        Gate
 	Intake      Intake
 	Memory      *memory.Budget  // of calls in progress
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -62,5 +62,6 @@
 	refuseUnknown      = refusal{http.StatusBadGateway, "endpoint-failed", 0}
 	refuseLeft         = refusal{http.StatusBadGateway, "caller-left", 0} // nobody reads it
 	refuseTimedOut     = refusal{http.StatusGatewayTimeout, "timed-out", 0}
+	refuseQuarantined  = refusal{http.StatusBadGateway, "request-quarantined", 0} // it has run before, under other ids, and is not worth a return
 	refuseUnstarted    = refusal{http.StatusServiceUnavailable, "not-sent-in-time", 200 * time.Millisecond}
 )
--- a/fleet/relay/forward/pace.go
+++ b/fleet/relay/forward/pace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
 // paceEvery is after how many events a stream's pace is told: often enough to
@@ -31,6 +32,14 @@
 	return t
 }
 
+// progress is how far the stream has come at its endpoint.
+func (p *pace) progress(now time.Time) quarantine.Progress {
+	if p.last.IsZero() {
+		return quarantine.Nothing
+	}
+	return quarantine.ProgressOf(now.Sub(p.sent.Add(p.first)))
+}
+
 // passed notes that so many events came.
 func (p *pace) passed(events int, now time.Time) {
 	if events <= 0 {
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -12,6 +12,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
+	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
 // Bounds of one call's attempts.
@@ -29,6 +30,10 @@
 	tried := map[engine.Life]bool{}
 	unreached, dropped := 0, 0
 	for {
+		if j.quarantined() { // since it came in, or since its last attempt
+			j.refuse(refuseQuarantined)
+			return
+		}
 		placement, ok := j.pick(tried)
 		if !ok {
 			j.refuse(j.whenNone(tried))
@@ -145,6 +150,9 @@
 		j.told.heard = o.heard
 		j.close(t, resultOf(ctx, resultOfFailure(o)), took{})
 		j.note = o.err.Error()
+		if isCut(o) {
+			j.cut(ctx, t, quarantine.Nothing)
+		}
 		if j.mayRunAgain(ctx) {
 			return nil, true
 		}
@@ -210,7 +218,7 @@
 
 // mayRunAgain is whether a call that may have run may run once more.
 func (j *job) mayRunAgain(ctx context.Context) bool {
-	return j.route.MayRepeat() && j.mayRepeat(ctx)
+	return j.route.MayRepeat() && !j.wary() && j.mayRepeat(ctx)
 }
 
 // mayRepeat is whether the call may be sent to one more endpoint; true counts it.
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -25,6 +25,7 @@
 		if err == nil {
 			t.Paused(s.pace.longest)
 			j.close(t, choice.Good, s.pace.took())
+			j.served()
 			j.used = j.charge(s.events)
 			j.finish("streamed", o.resp.StatusCode)
 			return
@@ -32,6 +33,9 @@
 		j.close(t, resultOf(ctx, choice.Bad), took{})
 		j.note = at("stream", t, err).Error()
 		j.logBroken(t, s.events, err)
+		if s.caller == nil {
+			j.cut(ctx, t, s.pace.progress(time.Now()))
+		}
 		next, out, ok := j.resume(ctx, t, s)
 		if !ok {
 			j.used = j.charge(s.events)
@@ -57,7 +61,7 @@
 
 // resume takes a broken stream up at another endpoint.
 func (j *job) resume(ctx context.Context, broken *choice.Placement, s *relayed) (*choice.Placement, answered, bool) {
-	if !j.route.Resumable || s.caller != nil || !j.mayRepeat(ctx) {
+	if !j.route.Resumable || s.caller != nil || j.wary() || !j.mayRepeat(ctx) {
 		return nil, answered{}, false
 	}
 	t, ok := j.pick(map[engine.Life]bool{broken.Engine.Life(): true})
--- a/fleet/relay/forward/suspects.go
+++ b/fleet/relay/forward/suspects.go
@@ -1,12 +1,21 @@
 package forward
 
 import (
+	"context"
+	"time"
+
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
+// A request may end every endpoint that begins it, and its caller may send it again as a
+// new call, to any node. What may be sent again is counted by call and by service, and
+// knows nothing of that: so calls that are cut with their endpoints are noted by what they
+// ask for, and one under which several ended is sent nowhere, whatever its id.
+
 // print tells the call's request again under any id. It is worked out once, and only
 // where it is asked for, since it reads the whole body.
 func (j *job) print() quarantine.Print {
@@ -16,6 +25,42 @@
 	return j.printed
 }
 
+// quarantined is whether the request is to reach no endpoint.
+func (j *job) quarantined() bool {
+	if j.Quarantine == nil || !j.Quarantine.Watches(j.tenant.Name) || !j.Quarantine.Holds(j.print(), time.Now()) {
+		return false
+	}
+	j.note = "print " + j.print().String()
+	return true
+}
+
+// wary is whether one more endpoint might end under the request that would be one too many.
+func (j *job) wary() bool {
+	return j.Quarantine != nil && j.Quarantine.Watches(j.tenant.Name) && j.Quarantine.Wary(j.print(), time.Now())
+}
+
+// cut notes a call that was ended by its endpoint, or with it.
+func (j *job) cut(ctx context.Context, t *choice.Placement, p quarantine.Progress) {
+	if j.Quarantine == nil || ctx.Err() != nil {
+		return
+	}
+	s := quarantine.Suspect{Print: j.print(), Progress: p, Customer: j.tenant.Name, Route: j.route.Name}
+	j.Quarantine.Cut(t.Engine, s, time.Now())
+}
+
+// isCut is whether a failed attempt may have ended with its endpoint: nothing answered,
+// and it was not this node that gave it up.
+func isCut(o failed) bool {
+	return !o.heard && !errors.Is(o.err, errSilent) && !errors.Is(o.err, errTwice) && !errors.Is(o.err, context.Canceled)
+}
+
+// served notes that an endpoint answered the request whole.
+func (j *job) served() {
+	if j.Quarantine != nil && j.Quarantine.Watches(j.tenant.Name) {
+		j.Quarantine.Served(j.print(), time.Now())
+	}
+}
+
 // logBroken tells of a stream that broke off: what was cut together, and whether the same
 // request was cut before, can be read from the lines of one endpoint, and of one print.
 func (j *job) logBroken(t *choice.Placement, events int64, err error) {
--- a/fleet/relay/mechanisms.go
+++ b/fleet/relay/mechanisms.go
@@ -27,14 +27,15 @@
 
 // Mechanisms that are no part of the choice.
 const (
-	delegatesMechanism = "delegates"     // some nodes watch the store for the others
-	handOnMechanism    = "hand-on"       // an overloaded node hands callers on
-	toldMechanism      = "told-failures" // endpoints that other nodes tell of are avoided
-	steerMechanism     = "steer"         // a node whose link one customer fills gets no new connections
+	delegatesMechanism  = "delegates"     // some nodes watch the store for the others
+	handOnMechanism     = "hand-on"       // an overloaded node hands callers on
+	toldMechanism       = "told-failures" // endpoints that other nodes tell of are avoided
+	quarantineMechanism = "quarantine"    // requests under which endpoints end are held back
+	steerMechanism      = "steer"         // a node whose link one customer fills gets no new connections
 )
 
 func mechanismNames() []string {
-	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, handOnMechanism, steerMechanism, toldMechanism)
+	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, handOnMechanism, steerMechanism, toldMechanism, quarantineMechanism)
 }
 
 // Enabled is whether a mechanism is not switched off.
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -18,6 +18,7 @@
 	store    metric.Int64Counter
 	lives    metric.Int64Counter
 	bad      metric.Int64Counter
+	isolated metric.Int64Counter
 	took     metric.Float64Histogram
 	first    metric.Float64Histogram
 
@@ -48,6 +49,7 @@
 		{&metrics.store, "lynxshed.relay.store_calls", "calls to the store that ended, by kind of object, verb and outcome"},
 		{&metrics.lives, "lynxshed.relay.new_lives", "endpoints that were seen to have started again under their id, by how their birth changed"},
 		{&metrics.bad, "lynxshed.relay.bad_entries", "entries of the store that could not be read, each once for each of its revisions, by kind"},
+		{&metrics.isolated, "lynxshed.relay.quarantine", "requests that this node began to hold back, or let go, since endpoints ended under them, by which of both"},
 	}
 	for _, c := range counters {
 		*c.to, err = m.Int64Counter(c.name, metric.WithDescription(c.what))
@@ -123,6 +125,11 @@
 	m.bad.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
 }
 
+// Quarantined counts a request that is held back from now on, or let go.
+func (m *Metrics) Quarantined(released bool) {
+	m.isolated.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", lo.Ternary(released, "let go", "held back"))))
+}
+
 // Evacuated records how many zones are to get no new work.
 func (m *Metrics) Evacuated(zones int) {
 	m.evacuated.Record(context.Background(), int64(zones))
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -52,6 +52,7 @@
 	rollouts    RolloutTalk // nil: none is ever ordered here
 	busy        func() bool // whether this node's link is busy
 	doubts      *doubt.Book // nil: nothing is told of endpoints that fail
+	quarantine  Quarantine  // nil: nothing is told of requests under which endpoints end
 
 	choosing  sync.Mutex // who writes, and what follows from it
 	delegates *delegates
@@ -116,6 +117,9 @@
 		case <-t.urgentDoubts():
 			writers, _ := t.choice()
 			t.tellDoubts(writers)
+		case <-t.urgentQuarantine():
+			writers, _ := t.choice()
+			t.tellQuarantine(writers)
 		}
 	}
 }
@@ -131,6 +135,7 @@
 	writers, reports := t.choice()
 	t.tellRollouts(writers)
 	t.tellDoubts(writers)
+	t.tellQuarantine(writers)
 	to, budgets := t.listeners(writers)
 	if len(to) == 0 {
 		return
@@ -139,6 +144,7 @@
 	m := t.signed(message{
 		Number: t.number, Digests: t.picker.Digests(), Out: t.out(),
 		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now), Rollouts: t.badWord(), Doubts: t.doubtWords(now),
+		Quarantine: t.quarantineDigest(now),
 	})
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, reports
@@ -238,6 +244,8 @@
 		t.heardRollouts(m)
 	case len(m.Doubts) > 0 && m.Number == 0:
 		t.heardDoubts(m)
+	case m.Quarantine != nil && m.Number == 0:
+		t.heardQuarantine(m)
 	case m.Ledger > 0:
 		t.ledgers.told(m.Ledger, from)
 		t.ledgers.wrote(m.Ledger, m.Node, t.classOf(m.Node), time.Now())
@@ -268,6 +276,7 @@
 		t.heardRollouts(m)
 	}
 	t.heardDoubts(m)
+	t.heardQuarantine(m)
 	t.picker.Heard(m.Node, m.Digests, now)
 	t.picker.HeardReads(m.Reads, t.tellsOn(), now)
 	if m.HasBudgets {
--- a/fleet/relay/peer/message.go
+++ b/fleet/relay/peer/message.go
@@ -9,6 +9,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/doubt"
+	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
 // message is what one node tells another.
@@ -26,9 +27,10 @@
 	Outage        *account.Outage                 `json:"outage,omitempty"`     // of the store, that is expected again
 	Requests      []transferRequest               `json:"requests,omitempty"`
 	Grants        []grant                         `json:"grants,omitempty"`
-	Rollouts      *RolloutWord                    `json:"rollouts,omitempty"` // orders that are open
-	Doubts        []doubt.Word                    `json:"doubts,omitempty"`   // endpoints at which calls failed of late
-	Ledger        int64                           `json:"ledger,omitempty"`   // revision of one that the node has written
+	Rollouts      *RolloutWord                    `json:"rollouts,omitempty"`   // orders that are open
+	Doubts        []doubt.Word                    `json:"doubts,omitempty"`     // endpoints at which calls failed of late
+	Quarantine    *quarantine.Words               `json:"quarantine,omitempty"` // requests under which endpoints end
+	Ledger        int64                           `json:"ledger,omitempty"`     // revision of one that the node has written
 }
 
 // signed fills in who sends a message.
--- /dev/null
+++ b/fleet/relay/quarantine/held.go
@@ -0,0 +1,46 @@
+package quarantine
+
+import "time"
+
+// Held is a request that is held back, or was.
+type Held struct {
+	Print    Print
+	Round    int  // how many times it was held back; what is said of a later round holds
+	Released bool // of this round: an operator let it go, it was served, or the ends are another's
+	Stored   bool // the store keeps it, so that it outlasts all nodes
+	Since    time.Time
+	For      time.Duration
+	Customer string
+	Route    string
+	Ends     []string // ids of the endpoints that ended under it, the last ones
+	Why      string   // it was released
+}
+
+// inForce is whether the request is sent to no endpoint.
+func (h Held) inForce(now time.Time) bool { return !h.Released && now.Sub(h.Since) < h.For }
+
+// until is when it was let go, or will be.
+func (h Held) until() time.Time {
+	if h.Released {
+		return h.Since
+	}
+	return h.Since.Add(h.For)
+}
+
+// newer is whether one word on a request holds over another: a later round, and within a
+// round its end.
+func (h Held) newer(than Held) bool {
+	return h.Round > than.Round || h.Round == than.Round && h.Released && !than.Released
+}
+
+// holdFor is how long a request is held back in a round.
+func (r Rule) holdFor(round int) time.Duration {
+	hold := r.Hold
+	for range round - 1 {
+		hold = min(2*hold, r.MostHold)
+	}
+	return hold
+}
+
+// mostNamed is how many of the endpoints that ended are named with a request.
+const mostNamed = 8
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -81,7 +81,8 @@
 	allowance   *account.Allowance
 	syncer      *account.Syncer
 	picker      *choice.Picker
-	doubts      *doubt.Book // nil: what other nodes tell of failures counts for nothing
+	doubts      *doubt.Book  // nil: what other nodes tell of failures counts for nothing
+	quarantine  *quarantined // nil: no request is held back
 	places      distance.Places
 	registry    *peer.Registry
 	gossip      *peer.Gossip
@@ -131,6 +132,7 @@
 		return nil, err
 	}
 	n.tellFailures(gossip)
+	n.holdBack(gossip)
 	n.gossip = gossip.WithRollouts(n.trials).WithPlaces(n.places).WithLink(func() bool { return n.intake.Share() > busyLink })
 	n.trials.fleet = gossip
 	n.registry.OnChange(func(members []peer.Member) {
@@ -145,8 +147,8 @@
 	n.dropIdle = transport.DropIdle
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Trials: &n.moves, Samples: n.trials, Allowance: n.allowance, Picker: n.picker,
-		Retries: retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Sharers),
-		Gate:    n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: transport, TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Retries:    retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Sharers),
+		Quarantine: n.book(), Gate: n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: transport, TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler, l); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -246,7 +246,7 @@
 		s, err := ParseSettings([]byte(`{"disable":["` + name + `"],` + rest + `}`))
 		require.NoError(t, err)
 		assert.False(t, s.Enabled(name))
-		ofTheChoice := name != delegatesMechanism && name != handOnMechanism && name != steerMechanism && name != toldMechanism
+		ofTheChoice := name != delegatesMechanism && name != handOnMechanism && name != steerMechanism && name != toldMechanism && name != quarantineMechanism
 		assert.Equal(t, !ofTheChoice, s.Choice() == choice.DefaultTuning(), name)
 	}
 	_, err := ParseSettings([]byte(`{"disable":["luck"],` + rest + `}`))
