Operators see and let go what is held back; tests of what calls note

lynxctl quarantine list and release, over GET and DELETE of /quarantine at the address that the balancer asks. A node that missed that a request was let go is told again. Tests: which calls may have ended with their endpoint, a request that is held back reaches none, a cut call is not sent again, an answer clears, an operator's word reaches all nodes (processes).

--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -146,6 +146,7 @@
 		parser.AttachSubcommand(v.command, 1)
 	}
 	verbs = append(verbs, a.budgetVerbs(parser)...)
+	verbs = append(verbs, a.quarantineVerbs(parser)...)
 	return append(verbs, a.tableVerbs(parser)...)
 }
 
--- /dev/null
+++ b/fleet/relay/forward/suspects_test.go
@@ -0,0 +1,127 @@
+package forward_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
+)
+
+// allEnd believes that each endpoint has ended at which a call was cut.
+type allEnd struct {
+	book  *quarantine.Book
+	asked atomic.Int32
+	under chan quarantine.Suspect
+}
+
+func (a *allEnd) Verify(e engine.Engine) {
+	a.asked.Add(1)
+	go a.book.Ended(e.Life(), time.Now())
+}
+
+func (a *allEnd) EndSeen(_ engine.Life, under []quarantine.Suspect) {
+	for _, s := range under {
+		a.under <- s
+	}
+}
+
+func (a *allEnd) Judged(quarantine.Held) {}
+
+// withQuarantine gives a fleet's handler a book in which a request is held back from so
+// many ends on, however close together.
+func (f *fleet) withQuarantine(ends int) (*quarantine.Book, *allEnd) {
+	rule := quarantine.DefaultRule()
+	rule.Ends, rule.Apart = ends, 0
+	seen := &allEnd{under: make(chan quarantine.Suspect, 100)}
+	seen.book = quarantine.NewBook(rule, seen, func() quarantine.Role { return quarantine.Peer })
+	seen.book.Engines(f.engines, time.Now())
+	f.handler.Quarantine = seen.book
+	return seen.book, seen
+}
+
+// A call may have ended with its endpoint where its connection closed without a whole
+// answer; not where the endpoint said something else, and not where this node or the caller
+// gave it up.
+func TestWhichCallsMayHaveEndedWithTheirEndpoint(t *testing.T) {
+	cases := []struct {
+		name, path string
+		script     script
+		far        []quarantine.Progress
+	}{
+		{"an answer", "/single/", good("x"), nil},
+		{"an answer that says that it failed", "/single/", status(500, false), nil},
+		{"refused as full", "/single/", status(503, true), nil},
+		{"a reset", "/single/", reset, []quarantine.Progress{quarantine.Nothing}},
+		{"half an answer", "/single/", truncated, []quarantine.Progress{quarantine.Begun}},
+		{"half a stream", "/stream/", events(0, 3, false), []quarantine.Progress{quarantine.Begun}},
+		{"another call's answer", "/single/", foreign, nil},
+		{"nothing in time", "/brief/", hang, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 1000, c.script)
+			_, seen := f.withQuarantine(3)
+			f.do(t, f.request(t, "GET", c.path, ""))
+			require.EqualValues(t, len(c.far), seen.asked.Load())
+			for _, far := range c.far {
+				suspect := <-seen.under
+				assert.Equal(t, far, suspect.Progress)
+				assert.Equal(t, "t", suspect.Customer)
+			}
+		})
+	}
+}
+
+// A request that is held back is refused at once, reserves nothing and reaches no
+// endpoint; it is no promise that it has not run, and not worth a return. Another body,
+// and another customer's, are other requests.
+func TestARequestThatIsHeldBackReachesNoEndpoint(t *testing.T) {
+	f := newFleet(t, 1000, reset, reset, reset)
+	f.withQuarantine(1)
+	require.Equal(t, http.StatusBadGateway, f.do(t, f.request(t, "POST", "/single/", "deadly")).status)
+	refused := func() bool {
+		return f.do(t, f.request(t, "POST", "/single/", "deadly", "Call", "c2", "Prompt", "900")).body == `{"reason":"request-quarantined"}`
+	}
+	require.Eventually(t, refused, time.Second, 10*time.Millisecond)
+	ran := len(f.seen())
+	got := f.do(t, f.request(t, "POST", "/single/", "deadly", "Call", "c3"))
+	assert.Equal(t, http.StatusBadGateway, got.status)
+	assert.Empty(t, got.header.Get("Retry-After"))
+	assert.Len(t, f.seen(), ran)
+	assert.Zero(t, f.allowance.State("t").Reserved)
+	f.do(t, f.request(t, "POST", "/single/", "another", "Call", "c4"))
+	assert.Len(t, f.seen(), ran+1)
+	f.do(t, f.request(t, "POST", "/open/", "deadly", "Call", "c5", "Key", ""))
+	assert.Len(t, f.seen(), ran+2)
+}
+
+// A call that may run again is not sent again once its request was cut at two ends.
+func TestACutCallIsNotSentAgainWhereItMayEndOneMore(t *testing.T) {
+	f := newFleet(t, 1000, reset, reset, reset, reset)
+	book, _ := f.withQuarantine(3)
+	f.do(t, f.request(t, "GET", "/repeat/", ""))
+	assert.Len(t, f.seen(), 2, "nothing was known of it")
+	print := quarantine.PrintOf("t", "GET", "h", "/repeat/", nil)
+	require.Eventually(t, func() bool { return book.Wary(print, time.Now()) }, time.Second, time.Millisecond)
+	f.do(t, f.request(t, "GET", "/repeat/", "", "Call", "c2"))
+	assert.Len(t, f.seen(), 3)
+}
+
+// A request that an endpoint answers is no suspect any more.
+func TestAnAnswerClearsARequest(t *testing.T) {
+	f := newFleet(t, 1000, reset)
+	book, _ := f.withQuarantine(2)
+	print := quarantine.PrintOf("t", "GET", "h", "/single/", nil)
+	f.do(t, f.request(t, "GET", "/single/", ""))
+	require.Eventually(t, func() bool { return book.Wary(print, time.Now()) }, time.Second, time.Millisecond)
+	f.engines = []engine.Engine{f.startEngine(t, "sound", good("x"))}
+	f.directory.Store(engine.NewDirectory(2, f.engines))
+	require.Equal(t, http.StatusOK, f.do(t, f.request(t, "GET", "/single/", "", "Call", "c2")).status)
+	assert.False(t, book.Wary(print, time.Now()))
+}
--- a/fleet/relay/quarantine/book_test.go
+++ b/fleet/relay/quarantine/book_test.go
@@ -395,6 +395,15 @@
 	require.True(t, joined.Release(printed("deadly"), joined.now))
 	f.talk(noneLost)
 	f[0].Heard(Words{Held: []HeldWord{WordOf(old, f[0].now)}}, f[0].now)
+	late := newNode(Peer) // it missed that the request was let go
+	late.now = f[0].now
+	late.Heard(Words{Held: []HeldWord{WordOf(old, late.now)}}, late.now)
+	f = append(f, late)
+	assert.True(t, late.holds("deadly"))
+	for range 2 {
+		f.pass(200 * time.Millisecond)
+		f.talk(noneLost)
+	}
 	for i, n := range f {
 		assert.False(t, n.holds("deadly"), "node %d", i)
 	}
--- a/fleet/relay/quarantine/words.go
+++ b/fleet/relay/quarantine/words.go
@@ -239,6 +239,9 @@
 			known.Stored = true
 			b.held[w.Print] = known
 		}
+		if known.newer(h) && b.role() != Witness {
+			b.outbox.addHeld(w.Print) // the teller missed that it was let go
+		}
 		return Held{}, false
 	}
 	if h.Released {
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -217,7 +217,7 @@
 	return errors.CombineErrors(err, n.telemetry.Close(closing))
 }
 
-// readyHandler answers what the balancer asks, and serves the metrics.
+// readyHandler answers what the balancer asks, serves the metrics, and what operators ask.
 func (n *Node) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.settings.Ready.Path, func(w http.ResponseWriter, _ *http.Request) {
@@ -226,6 +226,7 @@
 		}
 	})
 	mux.Handle("GET /metrics", n.telemetry.Handler())
+	n.serveOperators(mux)
 	return mux
 }
 
