--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -283,6 +283,7 @@
 	m.Evacuated(1)
 	m.BadEntry("kind")
 	m.NewLife("later")
+	m.Quarantined(false)
 	m.BadEntry("kind")
 	m.Rollout("service", 1, 0.1)
 	m.RolloutAnswers("service", "route", "old", 2, 1)
@@ -293,7 +294,7 @@
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	listed := regexp.MustCompile(`\| (lynxshed_relay_\w+) \|`).FindAllStringSubmatch(string(page), -1)
-	require.Len(t, listed, 17)
+	require.Len(t, listed, 18)
 	for _, name := range listed {
 		assert.Contains(t, answer.Body.String(), "# TYPE "+name[1]+" ")
 	}
