--- a/fleet/cmd/lynxshed/main.go
+++ b/fleet/cmd/lynxshed/main.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log/handlers/text"
 	"github.com/integrii/flaggy"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/node"
 	"github.com/lynxshed/lynxshed/fleet/relay"
 	"github.com/lynxshed/lynxshed/fleet/settings"
@@ -28,6 +29,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	clock.FollowTestSource()
 	var file string
 	flaggy.SetName("lynxshed")
 	flaggy.SetDescription("one node of the lynxshed router fleet")
