--- a/fleet/clock/clock.go
+++ b/fleet/clock/clock.go
@@ -13,7 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
 )
 
@@ -80,15 +79,6 @@
 	return time.Duration(t.Nano())
 }
 
-// Real is this clock for what takes one.
-func Real() clockwork.Clock { return real{clockwork.NewRealClock()} }
-
-type real struct{ clockwork.Clock }
-
-func (real) Now() time.Time                  { return Now() }
-func (real) Since(t time.Time) time.Duration { return Since(t) }
-func (real) Until(t time.Time) time.Duration { return Until(t) }
-
 // aheadVariable names a file that holds milliseconds by which this process counts the VM
 // as suspended: tests of whole processes set clocks apart by it.
 const aheadVariable = "LYNXSHED_SUSPENDED_MS_FILE"
--- a/fleet/relay/account/allowance.go
+++ b/fleet/relay/account/allowance.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/clock"
 )
 
 // Allowance is one node's part of the budgets: what it may spend without asking
@@ -143,7 +145,7 @@
 func (p *Allowance) State(tenant string) Holding {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.quota(tenant).holding(tenant, time.Now())
+	h := p.quota(tenant).holding(tenant, clock.Now())
 	h.Revision = p.revision
 	return h
 }
--- a/fleet/relay/account/syncer.go
+++ b/fleet/relay/account/syncer.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
@@ -91,7 +92,7 @@
 	stop, stopped := context.WithCancel(context.Background())
 	k := &Syncer{
 		store: s, allowance: p, nodes: nodes, writes: writes, writers: noWriters{}, turn: func() Turn { return Turn{} }, health: health, log: l, faults: store.NewFaults(l, nil),
-		asks: make(chan chan struct{}, waitingAsks), stop: stop, stopped: stopped, answered: time.Now(),
+		asks: make(chan chan struct{}, waitingAsks), stop: stop, stopped: stopped, answered: clock.Now(),
 	}
 	k.again.Store(int64(always))
 	return k
@@ -138,7 +139,7 @@
 		case <-timer.C:
 			timer.Reset(store.Jittered(tick))
 		}
-		switch now, asked := time.Now(), len(asks) > 0; {
+		switch now, asked := clock.Now(), len(asks) > 0; {
 		case now.Sub(k.last) < max(k.pace(asked), backoff):
 		case !asked && k.turn().wait(now) > 0:
 			timer.Reset(k.turn().wait(now))
@@ -196,7 +197,7 @@
 		return askedPace + time.Duration(k.nodes())*askedPerNode
 	case k.allowance.HasShortfall():
 		return urgentPace + time.Duration(k.nodes())*urgentPerNode
-	case k.allowance.Low(k.nodes(), time.Now()):
+	case k.allowance.Low(k.nodes(), clock.Now()):
 		return lowPace + time.Duration(k.nodes())*lowPerNode
 	default:
 		return max(calmPace, time.Duration(k.nodes())*calmPerNode)
@@ -256,8 +257,8 @@
 		entry.WithError(err).Warn("accounts: store lost")
 		return
 	}
-	outage := time.Since(k.answered)
-	k.allowance.StoreBack(outage, time.Now())
+	outage := clock.Since(k.answered)
+	k.allowance.StoreBack(outage, clock.Now())
 	entry.WithField("outageMs", outage.Milliseconds()).Info("accounts: store reconnected")
 	k.health.Reconnected(Kind)
 }
@@ -269,13 +270,13 @@
 	k.rounds.Lock()
 	defer k.rounds.Unlock()
 	k.leaving = true
-	return k.settle(ctx, time.Now(), true)
+	return k.settle(ctx, clock.Now(), true)
 }
 
 func (k *Syncer) settle(ctx context.Context, now time.Time, leaving bool) error {
 	var err error
 	k.catchUp(ctx)
-	began := time.Now()
+	began := clock.Now()
 	for range conflicts {
 		if !k.fresh {
 			if err = k.read(ctx); err != nil {
@@ -287,7 +288,7 @@
 			k.allowance.Answered()
 			return nil
 		}
-		tried := time.Now()
+		tried := clock.Now()
 		if err = k.write(ctx, next); err == nil {
 			k.allowance.Answered()
 			return nil
@@ -295,7 +296,7 @@
 		if !errors.Is(err, store.ErrConflict) {
 			return err
 		}
-		if !leaving && time.Since(began)+time.Since(tried) > time.Duration(k.again.Load()) {
+		if !leaving && clock.Since(began)+clock.Since(tried) > time.Duration(k.again.Load()) {
 			return err
 		}
 		k.pauseAfterConflict()
@@ -395,7 +396,7 @@
 func (k *Syncer) logMoves(next Ledger) {
 	moves := map[string]int64{}
 	pools := map[string]int64{}
-	for _, h := range k.allowance.Holdings(time.Now()) {
+	for _, h := range k.allowance.Holdings(clock.Now()) {
 		before, _ := k.ledger.Account(h.Tenant).Row(k.allowance.life)
 		after, _ := next.Account(h.Tenant).Row(k.allowance.life)
 		if after.Drawn != before.Drawn {
--- a/fleet/relay/apply.go
+++ b/fleet/relay/apply.go
@@ -10,6 +10,7 @@
 func (n *Node) applyPolicy(name string, c store.Change) {
 	switch c := c.(type) {
 	case store.Snapshot:
+		n.confirming.heardPolicy()
 		for _, o := range c.Objects {
 			n.tryPolicy(name, o)
 		}
--- a/fleet/relay/cold/gate.go
+++ b/fleet/relay/cold/gate.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// Settle has the node take no part until the list of nodes can be known anew: others may
+// have joined while its VM was suspended, and its part be smaller.
+func (g *Gate) Settle(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.settled.IsZero() {
+		g.settled = now.Add(settle)
+	}
+}
+
 // Leave gives this node's parts up for good.
 func (g *Gate) Leave() {
 	g.mu.Lock()
--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
@@ -47,6 +48,7 @@
 	defer t.mu.Unlock()
 	switch c := c.(type) {
 	case store.Snapshot:
+		t.confirming.heardEngines()
 		t.revision = c.Revision
 		t.replace(c.Objects)
 		t.once.Do(func() { close(t.listed) })
@@ -107,7 +109,7 @@
 		t.log.WithField("endpoint", o.Name).WithField("revision", o.Revision).WithField("known", before.Seen).Info("entry of an endpoint older than the one known, ignored")
 		return
 	}
-	e, err := t.adapter.Engine(o, time.Now())
+	e, err := t.adapter.Engine(o, clock.Now())
 	if err != nil {
 		t.faults.Tell(o, "endpoint", "no endpoint", err)
 		if known {
@@ -126,7 +128,7 @@
 
 // turnedCold is whether an endpoint that was not slow, as far as it said, is slow now.
 func turnedCold(before, e engine.Engine) bool {
-	return time.Now().Before(e.ColdUntil) && !time.Now().Before(before.ColdUntil)
+	return clock.Now().Before(e.ColdUntil) && !clock.Now().Before(before.ColdUntil)
 }
 
 // gone drops an endpoint, or keeps it for a while where its entry may have
@@ -141,7 +143,7 @@
 		return
 	}
 	wait := part(lapsePart, t.settings.EndpointDrain())
-	t.lapsed[name] = time.Now().Add(wait)
+	t.lapsed[name] = clock.Now().Add(wait)
 	time.AfterFunc(wait, t.expire)
 	t.log.WithField("endpoint", name).WithField("revision", t.revision).WithField("keptMs", wait.Milliseconds()).Info("endpoint's entry went while the store was in doubt, kept")
 }
@@ -158,7 +160,7 @@
 func (t *engineTable) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for name, until := range t.lapsed {
 		if !now.Before(until) {
 			t.drop(name)
@@ -214,7 +216,7 @@
 		t.doubts.Engines(d.All())
 	}
 	if t.quarantine != nil {
-		t.quarantine.Engines(d.All(), time.Now())
+		t.quarantine.Engines(d.All(), clock.Now())
 	}
 	t.picker.Forget(func(id string) bool {
 		_, ok := d.Get(id)
--- a/fleet/relay/evacuations.go
+++ b/fleet/relay/evacuations.go
@@ -2,10 +2,10 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/evacuation"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
@@ -23,7 +23,7 @@
 func (n *Node) applyEvacuations(c store.Change) {
 	before := n.evacuated()
 	next := before
-	now := time.Now()
+	now := clock.Now()
 	switch c := c.(type) {
 	case store.Snapshot:
 		next = before.WithListed(n.listedZones(before, c.Objects), c.Revision, now)
--- a/fleet/relay/following.go
+++ b/fleet/relay/following.go
@@ -48,6 +48,7 @@
 	n.followRollouts(ctx)
 	go n.registry.Run(ctx, n.cached(peer.Kind, func(store.Change) {}))
 	go n.gossip.Run(ctx)
+	go n.watchSuspensions(ctx)
 	if n.quarantine != nil {
 		go n.quarantine.load(ctx)
 	}
--- a/fleet/relay/forward/answer.go
+++ b/fleet/relay/forward/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
@@ -32,7 +33,7 @@
 		}
 		return j.afterFailure(ctx), false
 	}
-	j.close(t, resultOfStatus(o.resp.StatusCode), took{whole: time.Since(o.sent)})
+	j.close(t, resultOfStatus(o.resp.StatusCode), j.took(o.sent))
 	if o.resp.StatusCode < http.StatusBadRequest {
 		j.used = j.reserved
 		j.served()
@@ -45,6 +46,14 @@
 	return nil, false
 }
 
+// took is how long a plain answer took since the attempt began, where that says something.
+func (j *job) took(sent time.Time) took {
+	if !j.awake.still() {
+		return took{}
+	}
+	return took{whole: clock.Since(sent)}
+}
+
 func resultOfStatus(status int) choice.Result {
 	if status >= http.StatusInternalServerError {
 		return choice.Bad
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/ingress"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
@@ -26,6 +26,7 @@
 	leaving  atomic.Bool
 	refusing atomic.Bool
 	open     atomic.Int64
+	underWay underWay
 }
 
 // New returns a handler.
@@ -55,6 +56,7 @@
 	body    []byte
 	memory  int64 // set aside for the call, bytes
 	start   time.Time
+	awake   awake     // since the start
 	end     time.Time // the caller's deadline or the route's timeout, the earlier
 
 	reserved int64
@@ -77,7 +79,7 @@
 	defer h.open.Add(-1)
 	r, end := h.traced(r)
 	defer end()
-	j := &job{Handler: h, w: w, r: r, start: time.Now(), policy: h.Policy.Load()}
+	j := &job{Handler: h, w: w, r: r, start: clock.Now(), awake: newAwake(), policy: h.Policy.Load()}
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -171,9 +173,9 @@
 	if j.r.ContentLength == 0 {
 		return refusal{}, true
 	}
-	began := time.Now()
+	began := clock.Now()
 	body, err := readAll(ingress.LimitBody(j.w, j.r, limit), j.r.ContentLength)
-	j.Gate.Body(time.Since(began))
+	j.Gate.Body(clock.Since(began))
 	if err != nil {
 		if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
 			return refuseTooLarge, false
@@ -279,7 +281,7 @@
 
 // finish logs how the call ended: one line a call.
 func (j *job) finish(reason string, status int) {
-	took := time.Since(j.start)
+	took := clock.Since(j.start)
 	j.Metrics.Finished(j.route.Name, reason, took)
 	j.describe(reason, status)
 	fields := log.Fields{
@@ -303,7 +305,7 @@
 		return
 	}
 	fields["expectedFirstMs"], fields["expectedPauseMs"] = int64(t.FirstMs), int64(t.PauseMs)
-	away := j.Places.To(t.Engine.Zone, time.Now())
+	away := j.Places.To(t.Engine.Zone, clock.Now())
 	fields["away"], fields["roundTripMs"], fields["roundTripAgeMs"] = away.Class.String(), away.RoundTrip.Milliseconds(), away.Age.Milliseconds()
 	fields["uncached"], fields["fetched"], fields["cost"] = t.Uncached, t.Fetched, int64(t.Cost)
 	if t.Source != "" {
@@ -313,8 +315,3 @@
 		fields["firstMs"], fields["pauseMs"] = j.pace.first.Milliseconds(), j.pace.longest.Milliseconds()
 	}
 }
-
-// context of the call: it ends with the caller's connection or the deadline.
-func (j *job) context() (context.Context, context.CancelFunc) {
-	return context.WithDeadline(j.r.Context(), j.end)
-}
--- a/fleet/relay/forward/pace.go
+++ b/fleet/relay/forward/pace.go
@@ -14,6 +14,7 @@
 // pace is what a stream shows of the endpoint that runs it.
 type pace struct {
 	placement *choice.Placement
+	awake     awake
 	sent      time.Time
 	last      time.Time     // when the last event came
 	first     time.Duration // from the send
@@ -25,6 +26,9 @@
 
 // took is what the stream took until its first event, and between two of the others.
 func (p *pace) took() took {
+	if !p.awake.still() {
+		return took{}
+	}
 	t := took{whole: p.first}
 	if p.events > 0 {
 		t.gap = p.last.Sub(p.sent.Add(p.first)) / time.Duration(p.events)
@@ -47,7 +51,9 @@
 	}
 	if p.last.IsZero() {
 		p.first = now.Sub(p.sent)
-		p.placement.First(p.first, now)
+		if p.awake.still() {
+			p.placement.First(p.first, now)
+		}
 		p.last, p.since = now, now
 		return
 	}
@@ -56,6 +62,10 @@
 	p.untold += events
 	p.events += events
 	if p.untold >= paceEvery {
+		if !p.awake.still() {
+			p.since, p.untold = now, 0
+			return
+		}
 		p.placement.Events(now.Sub(p.since)/time.Duration(p.untold), now)
 		p.since, p.untold = now, 0
 	}
--- a/fleet/relay/forward/pool.go
+++ b/fleet/relay/forward/pool.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/samber/lo"
+
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
 )
 
@@ -136,6 +138,14 @@
 // endpoint's life has ended, and they died with it.
 func (t *Transport) DropIdle(address string) int { return t.pool.dropIdle(address) }
 
+// DropAllIdle closes the connections to endpoints that no call uses, and tells how many.
+func (t *Transport) DropAllIdle() int {
+	t.pool.mu.Lock()
+	addresses := lo.Keys(t.pool.open)
+	t.pool.mu.Unlock()
+	return lo.SumBy(addresses, t.pool.dropIdle)
+}
+
 // dropIdle closes the connections to a place that no call uses, and tells how many.
 func (p *pool) dropIdle(address string) int {
 	p.mu.Lock()
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
@@ -85,7 +86,7 @@
 	if engines == nil {
 		return nil, false
 	}
-	now := time.Now()
+	now := clock.Now()
 	j.renewHomes()
 	r := choice.Request{
 		Call: j.placedCall(), Homes: j.homes.regions, Exclude: tried, Profile: profile(j.service),
@@ -210,7 +211,7 @@
 	if j.r.Context().Err() != nil {
 		return &refuseLeft
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if isOverdue(ctx) {
 		return &refuseTimedOut
 	}
 	return &refuseUnknown
@@ -223,10 +224,10 @@
 
 // mayRepeat is whether the call may be sent to one more endpoint; true counts it.
 func (j *job) mayRepeat(ctx context.Context) bool {
-	if ctx.Err() != nil || time.Until(j.end) < leastLeft || j.attempts >= max(j.route.Attempts, 1) {
+	if ctx.Err() != nil || clock.Until(j.end) < leastLeft || j.attempts >= max(j.route.Attempts, 1) {
 		return false
 	}
-	return j.Retries.Take(j.service.Name, time.Now())
+	return j.Retries.Take(j.service.Name, clock.Now())
 }
 
 // answer passes an endpoint's answer on.
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
@@ -60,7 +61,7 @@
 		},
 	})
 	ctx = j.measured(ctx, t.Engine.Zone)
-	started := time.Now()
+	started := clock.Now()
 	resp, err := j.Transport.RoundTrip(j.request(ctx, t, lastEventID))
 	heard()
 	if err != nil && !twice && (used == nil || used.bar()) {
@@ -81,9 +82,9 @@
 func (j *job) measured(ctx context.Context, zone string) context.Context {
 	var began time.Time // of the goroutine that connects only
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		ConnectStart: func(string, string) { began = time.Now() },
+		ConnectStart: func(string, string) { began = clock.Now() },
 		ConnectDone: func(_, _ string, err error) {
-			if now := time.Now(); err == nil {
+			if now := clock.Now(); err == nil && j.awake.still() {
 				j.Places.Measured(zone, now.Sub(began), now)
 			}
 		},
@@ -126,7 +127,7 @@
 
 func (j *job) judgeHead(t *choice.Placement, resp *http.Response, started time.Time) outcome {
 	v := j.Wire.Judge(resp)
-	now := time.Now()
+	now := clock.Now()
 	if v.HasLoad {
 		t.Report(v.Load, now)
 	}
@@ -138,7 +139,7 @@
 		finishSmall(resp)
 		return rejected{status: resp.StatusCode, moved: v.Moved}
 	}
-	if !isStream(resp) && resp.StatusCode < http.StatusInternalServerError {
+	if !isStream(resp) && resp.StatusCode < http.StatusInternalServerError && j.awake.still() {
 		t.First(now.Sub(started), now)
 	}
 	return answered{resp: resp, sent: started}
@@ -147,7 +148,7 @@
 // request builds the attempt: method, target and body are the caller's.
 func (j *job) request(ctx context.Context, t *choice.Placement, lastEventID string) *http.Request {
 	header := j.Wire.Prepare(j.r.Header, j.call, call.Send{
-		Tenant: j.tenant.Name, Instance: t.Engine.ID, Left: time.Until(j.end), Priority: j.priority(), LastEventID: lastEventID, FetchFrom: t.Source,
+		Tenant: j.tenant.Name, Instance: t.Engine.ID, Left: clock.Until(j.end), Priority: j.priority(), LastEventID: lastEventID, FetchFrom: t.Source,
 	})
 	req := &http.Request{
 		Method: j.r.Method, URL: target(t.Engine.Address, j.r.RequestURI), Host: j.r.Host, Header: header,
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -5,8 +5,8 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
@@ -19,11 +19,13 @@
 	j.w.WriteHeader(o.resp.StatusCode)
 	s := &relayed{job: j, lastID: j.call.LastEventID}
 	for {
-		s.pace = pace{placement: t, sent: o.sent}
+		s.pace = pace{placement: t, sent: o.sent, awake: j.awake}
 		err := s.copy(ctx, o.resp.Body)
 		drop(o.resp)
 		if err == nil {
-			t.Paused(s.pace.longest)
+			if j.awake.still() {
+				t.Paused(s.pace.longest)
+			}
 			j.close(t, choice.Good, s.pace.took())
 			j.served()
 			j.used = j.charge(s.events)
@@ -34,7 +36,7 @@
 		j.note = at("stream", t, err).Error()
 		j.logBroken(t, s.events, err)
 		if s.caller == nil {
-			j.cut(ctx, t, s.pace.progress(time.Now()))
+			j.cut(ctx, t, s.pace.progress(clock.Now()))
 		}
 		next, out, ok := j.resume(ctx, t, s)
 		if !ok {
@@ -127,11 +129,11 @@
 	}
 	whole := s.rest[:end+len(eventEnd)]
 	if s.events == 0 {
-		s.Metrics.FirstEvent(s.route.Name, time.Since(s.start))
+		s.Metrics.FirstEvent(s.route.Name, clock.Since(s.start))
 	}
 	before, first := s.events, s.pace.last.IsZero()
 	s.count(whole)
-	s.pace.passed(int(s.events-before), time.Now())
+	s.pace.passed(int(s.events-before), clock.Now())
 	if first && s.pace.first > 0 {
 		s.tellFirst(s.pace.placement, s.pace.first)
 	}
--- a/fleet/relay/forward/suspects.go
+++ b/fleet/relay/forward/suspects.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
@@ -27,7 +27,7 @@
 
 // quarantined is whether the request is to reach no endpoint.
 func (j *job) quarantined() bool {
-	if j.Quarantine == nil || !j.Quarantine.Watches(j.tenant.Name) || !j.Quarantine.Holds(j.print(), time.Now()) {
+	if j.Quarantine == nil || !j.Quarantine.Watches(j.tenant.Name) || !j.Quarantine.Holds(j.print(), clock.Now()) {
 		return false
 	}
 	j.note = "print " + j.print().String()
@@ -36,7 +36,7 @@
 
 // wary is whether one more endpoint might end under the request that would be one too many.
 func (j *job) wary() bool {
-	return j.Quarantine != nil && j.Quarantine.Watches(j.tenant.Name) && j.Quarantine.Wary(j.print(), time.Now())
+	return j.Quarantine != nil && j.Quarantine.Watches(j.tenant.Name) && j.Quarantine.Wary(j.print(), clock.Now())
 }
 
 // cut notes a call that was ended by its endpoint, or with it.
@@ -45,7 +45,7 @@
 		return
 	}
 	s := quarantine.Suspect{Print: j.print(), Progress: p, Customer: j.tenant.Name, Route: j.route.Name}
-	j.Quarantine.Cut(t.Engine, s, time.Now())
+	j.Quarantine.Cut(t.Engine, s, clock.Now())
 }
 
 // isCut is whether a failed attempt may have ended with its endpoint: nothing answered,
@@ -57,7 +57,7 @@
 // served notes that an endpoint answered the request whole.
 func (j *job) served() {
 	if j.Quarantine != nil && j.Quarantine.Watches(j.tenant.Name) {
-		j.Quarantine.Served(j.print(), time.Now())
+		j.Quarantine.Served(j.print(), clock.Now())
 	}
 }
 
--- a/fleet/relay/lives.go
+++ b/fleet/relay/lives.go
@@ -1,11 +1,10 @@
 package relay
 
 import (
-	"time"
-
 	"github.com/apex/log"
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
 
@@ -16,7 +15,7 @@
 // live takes in which life an entry is of, and returns the entry with what this node
 // knows of that life.
 func (t *engineTable) live(before engine.Engine, known bool, e engine.Engine) engine.Engine {
-	now := time.Now()
+	now := clock.Now()
 	told := t.births[e.ID]
 	t.births[e.ID] = lo.CoalesceOrEmpty(e.Born, told)
 	if known && (told == e.Born || e.Born == 0) {
--- a/fleet/relay/log.go
+++ b/fleet/relay/log.go
@@ -3,17 +3,17 @@
 import (
 	"io"
 	"sync/atomic"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
 
 func engineFields(e engine.Engine) log.Fields {
 	fields := log.Fields{"endpoint": e.ID, "service": e.Service, "address": e.Address, "zone": e.Zone, "version": e.Version, "draining": e.State == engine.Draining}
-	if left := time.Until(e.ColdUntil); left > 0 {
+	if left := clock.Until(e.ColdUntil); left > 0 {
 		fields["coldMs"] = left.Milliseconds()
 	}
 	return fields
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -19,6 +19,7 @@
 	lives    metric.Int64Counter
 	bad      metric.Int64Counter
 	isolated metric.Int64Counter
+	slept    metric.Int64Counter
 	took     metric.Float64Histogram
 	first    metric.Float64Histogram
 
@@ -49,6 +50,7 @@
 		{&metrics.store, "lynxshed.relay.store_calls", "calls to the store that ended, by kind of object, verb and outcome"},
 		{&metrics.lives, "lynxshed.relay.new_lives", "endpoints that were seen to have started again under their id, by how their birth changed"},
 		{&metrics.bad, "lynxshed.relay.bad_entries", "entries of the store that could not be read, each once for each of its revisions, by kind"},
+		{&metrics.slept, "lynxshed.relay.suspended_ms", "milliseconds for which the VM was suspended since the process began"},
 		{&metrics.isolated, "lynxshed.relay.quarantine", "requests that this node began to hold back, or let go, since endpoints ended under them, by which of both"},
 	}
 	for _, c := range counters {
@@ -130,6 +132,11 @@
 	m.isolated.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", lo.Ternary(released, "let go", "held back"))))
 }
 
+// Suspended counts the time for which the VM was suspended.
+func (m *Metrics) Suspended(d time.Duration) {
+	m.slept.Add(context.Background(), d.Milliseconds())
+}
+
 // Evacuated records how many zones are to get no new work.
 func (m *Metrics) Evacuated(zones int) {
 	m.evacuated.Record(context.Background(), int64(zones))
--- a/fleet/relay/operators.go
+++ b/fleet/relay/operators.go
@@ -3,10 +3,10 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
@@ -23,7 +23,7 @@
 
 func (n *Node) listQuarantine(w http.ResponseWriter, _ *http.Request) {
 	held := []quarantine.HeldWord{}
-	if book, now := n.book(), time.Now(); book != nil {
+	if book, now := n.book(), clock.Now(); book != nil {
 		held = lo.Map(book.List(now), func(h quarantine.Held, _ int) quarantine.HeldWord { return quarantine.WordOf(h, now) })
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -38,7 +38,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if book := n.book(); book == nil || !book.Release(print, time.Now()) {
+	if book := n.book(); book == nil || !book.Release(print, clock.Now()) {
 		http.Error(w, "no such request is held back", http.StatusNotFound)
 		return
 	}
--- a/fleet/relay/peer/doubts.go
+++ b/fleet/relay/peer/doubts.go
@@ -5,6 +5,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/doubt"
 )
 
@@ -36,7 +37,7 @@
 	if t.doubts == nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	audience := t.doubts.News(t.tellsOn(), now)
 	if audience == doubt.Nobody {
 		return
@@ -68,6 +69,6 @@
 // heardDoubts takes in what another node tells of endpoints that fail.
 func (t *Gossip) heardDoubts(m message) {
 	if t.doubts != nil && len(m.Doubts) > 0 {
-		t.doubts.Heard(m.Node, m.Doubts, time.Now())
+		t.doubts.Heard(m.Node, m.Doubts, clock.Now())
 	}
 }
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
@@ -99,6 +100,9 @@
 	return t
 }
 
+// DropIdle closes the connections to other nodes that no call uses.
+func (t *Gossip) DropIdle() { t.client.CloseIdleConnections() }
+
 // Close gives the socket up, where Run is not called.
 func (t *Gossip) Close() error { return t.socket.Close() }
 
@@ -126,7 +130,7 @@
 
 func (t *Gossip) broadcast() {
 	t.number++
-	for peer, requests := range t.transfers.overdue(time.Now()) {
+	for peer, requests := range t.transfers.overdue(clock.Now()) {
 		t.send(t.signed(message{Requests: requests}), peer)
 	}
 	if t.number%budgetEvery == 1 {
@@ -140,7 +144,7 @@
 	if len(to) == 0 {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	m := t.signed(message{
 		Number: t.number, Digests: t.picker.Digests(), Out: t.out(),
 		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now), Rollouts: t.badWord(), Doubts: t.doubtWords(now),
@@ -234,7 +238,7 @@
 func (t *Gossip) receive(m message, from string) {
 	switch {
 	case len(m.Requests) > 0:
-		grants := lo.Map(m.Requests, func(a transferRequest, _ int) grant { return *t.transfers.answer(a, time.Now()) })
+		grants := lo.Map(m.Requests, func(a transferRequest, _ int) grant { return *t.transfers.answer(a, clock.Now()) })
 		t.send(t.signed(message{Grants: grants}), from)
 	case len(m.Grants) > 0:
 		for _, g := range m.Grants {
@@ -248,14 +252,14 @@
 		t.heardQuarantine(m)
 	case m.Ledger > 0:
 		t.ledgers.told(m.Ledger, from)
-		t.ledgers.wrote(m.Ledger, m.Node, t.classOf(m.Node), time.Now())
+		t.ledgers.wrote(m.Ledger, m.Node, t.classOf(m.Node), clock.Now())
 	default:
 		t.receiveDigest(m, from)
 	}
 }
 
 func (t *Gossip) receiveDigest(m message, from string) {
-	now := time.Now()
+	now := clock.Now()
 	t.mu.Lock()
 	before := t.heard[m.Node]
 	old := before.life == m.Life && m.Number <= before.number
--- a/fleet/relay/peer/ledger.go
+++ b/fleet/relay/peer/ledger.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
@@ -105,7 +106,7 @@
 // Wrote implements account.Writers.
 func (t *Gossip) Wrote(o store.Object) {
 	t.ledgers.own.Apply(store.Snapshot{Objects: []store.Object{o}, Revision: o.Revision}, store.FromStore)
-	t.ledgers.wrote(o.Revision, t.registry.self.Name, distance.SameZone, time.Now())
+	t.ledgers.wrote(o.Revision, t.registry.self.Name, distance.SameZone, clock.Now())
 	writers, _ := t.choice()
 	others := lo.FilterMap(t.registry.Members(), func(m Member, _ int) (string, bool) {
 		return m.Address, writers[m.Name] && m.Name != t.registry.self.Name
@@ -119,7 +120,7 @@
 	if from == "" {
 		return store.Object{}, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, ledgerWait+2*t.places.OfClass(t.ledgers.class(), time.Now()).RoundTrip)
+	ctx, cancel := context.WithTimeout(ctx, ledgerWait+2*t.places.OfClass(t.ledgers.class(), clock.Now()).RoundTrip)
 	defer cancel()
 	objects, _, err := Remote{client: t.client, address: from, busy: t.busy}.List(ctx, account.Kind)
 	if err != nil || len(objects) != 1 {
--- a/fleet/relay/peer/quarantine.go
+++ b/fleet/relay/peer/quarantine.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
@@ -43,7 +44,7 @@
 	if t.quarantine == nil {
 		return
 	}
-	judges, all := t.quarantine.News(time.Now())
+	judges, all := t.quarantine.News(clock.Now())
 	if !judges.None() {
 		near, far := t.delegateAddresses(delegates)
 		t.send(t.signed(message{Quarantine: &judges}), append(near, far...)...)
@@ -69,7 +70,7 @@
 // heardQuarantine takes in what another node tells.
 func (t *Gossip) heardQuarantine(m message) {
 	if t.quarantine != nil && m.Quarantine != nil {
-		t.quarantine.Heard(m.Node, *m.Quarantine, time.Now())
+		t.quarantine.Heard(m.Node, *m.Quarantine, clock.Now())
 	}
 }
 
--- a/fleet/relay/peer/roles.go
+++ b/fleet/relay/peer/roles.go
@@ -4,11 +4,11 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
@@ -17,7 +17,7 @@
 // ledger, and returns what this node reports.
 func (t *Gossip) refreshBudgets(writers map[string]bool) map[string]account.BudgetReport {
 	self := t.registry.self
-	now := time.Now()
+	now := clock.Now()
 	var near, all []Member // that write the ledger: of the zone, and of the fleet
 	clients := map[string]bool{}
 	for _, m := range t.registry.Members() {
@@ -70,7 +70,7 @@
 func (t *Gossip) reachedElsewhere(writers map[string]bool, others []Member) bool {
 	return writers[t.registry.self.Name] && lo.ContainsBy(others, func(m Member) bool {
 		w := t.word(m.Name)
-		return m.Zone != t.registry.self.Zone && !w.out && time.Since(w.at) < silentAfter
+		return m.Zone != t.registry.self.Zone && !w.out && clock.Since(w.at) < silentAfter
 	})
 }
 
@@ -136,7 +136,7 @@
 		return nil
 	}
 	members := t.registry.Members()
-	now := time.Now()
+	now := clock.Now()
 	return watchersOf(writers, members, t.delegates.ordered(members), t.places, func(m Member) bool {
 		return t.word(m.Name).out || !t.delegates.alive(m, t.word, now)
 	})
@@ -156,7 +156,7 @@
 func (t *Gossip) choose() {
 	t.choosing.Lock()
 	defer t.choosing.Unlock()
-	t.chosen = t.delegates.choose(t.registry.Members(), t.word, time.Now())
+	t.chosen = t.delegates.choose(t.registry.Members(), t.word, clock.Now())
 	t.reports = t.refreshBudgets(t.chosen)
 }
 
@@ -170,7 +170,7 @@
 // word is what was last heard of a node; of itself a node knows the present.
 func (t *Gossip) word(name string) word {
 	if name == t.registry.self.Name {
-		return word{at: time.Now(), out: t.out(), elsewhere: t.elsewhere.Load()}
+		return word{at: clock.Now(), out: t.out(), elsewhere: t.elsewhere.Load()}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/fleet/relay/peer/rollouts.go
+++ b/fleet/relay/peer/rollouts.go
@@ -6,6 +6,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 )
 
@@ -60,7 +61,7 @@
 	if t.rollouts == nil {
 		return
 	}
-	self, now := t.registry.self, time.Now()
+	self, now := t.registry.self, clock.Now()
 	own := t.rollouts.Own(now)
 	if len(own) == 0 {
 		return
@@ -132,7 +133,7 @@
 			t.heard[m.Node] = h
 		}
 		t.mu.Unlock()
-		t.rollouts.Heard(Teller{Name: m.Node, Life: m.Life}, *m.Rollouts, time.Now())
+		t.rollouts.Heard(Teller{Name: m.Node, Life: m.Life}, *m.Rollouts, clock.Now())
 	}
 }
 
@@ -154,10 +155,10 @@
 // mayWrite is whether a delegate is heard, and reaches the store as far as it says.
 func (t *Gossip) mayWrite(m Member) bool {
 	if m.Name == t.registry.self.Name {
-		return !t.out() && !t.rollouts.Out(time.Now())
+		return !t.out() && !t.rollouts.Out(clock.Now())
 	}
 	w := t.word(m.Name)
-	return !w.out && !w.noWrites && !w.at.IsZero() && time.Since(w.at) < firstSilent
+	return !w.out && !w.noWrites && !w.at.IsZero() && clock.Since(w.at) < firstSilent
 }
 
 func (t *Gossip) isBlind(m Member) bool {
--- a/fleet/relay/peer/transfer.go
+++ b/fleet/relay/peer/transfer.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 )
@@ -310,7 +311,7 @@
 	if len(writers) == 0 {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	from := writers[rand.IntN(len(writers))]
 	var requests []transferRequest
 	for tenant, tokens := range t.transfers.allowance.Deficits(t.registry.Count(), refillBelow, now) {
@@ -326,10 +327,10 @@
 // Acquire asks peers for what a reservation of tokens lacks; true where it came.
 // A peer that has too little names richer ones.
 func (t *Gossip) Acquire(ctx context.Context, tenant string, tokens int64) bool {
-	if t.transfers.inVain(tenant, t.transfers.allowance.Missing(tenant, tokens), time.Now()) {
+	if t.transfers.inVain(tenant, t.transfers.allowance.Missing(tenant, tokens), clock.Now()) {
 		return false
 	}
-	peers := slices.Clone(t.transfers.sources(tenant, time.Now()))
+	peers := slices.Clone(t.transfers.sources(tenant, clock.Now()))
 	if len(peers) == 0 {
 		peers = t.namers()
 	}
@@ -338,7 +339,7 @@
 		if need == 0 {
 			return true
 		}
-		want := need + t.transfers.allowance.Ahead(tenant, time.Now())
+		want := need + t.transfers.allowance.Ahead(tenant, clock.Now())
 		if t.Writes() {
 			want = max(want, need+wantFactor*tokens)
 		}
@@ -348,7 +349,7 @@
 	}
 	missing := t.transfers.allowance.Missing(tenant, tokens)
 	if missing > 0 {
-		t.transfers.notFound(tenant, missing, time.Now())
+		t.transfers.notFound(tenant, missing, clock.Now())
 	}
 	return missing == 0
 }
@@ -367,10 +368,10 @@
 
 // requestFrom asks one peer, and returns the richer ones that it names.
 func (t *Gossip) requestFrom(ctx context.Context, peer string, a transferRequest) []string {
-	done := t.transfers.open(a, peer, time.Now())
+	done := t.transfers.open(a, peer, clock.Now())
 	for range grantTries {
 		t.send(t.signed(message{Requests: []transferRequest{a}}), peer)
-		timer := time.NewTimer(grantTimeout + t.places.OfClass(t.transfers.classOf(peer), time.Now()).RoundTrip)
+		timer := time.NewTimer(grantTimeout + t.places.OfClass(t.transfers.classOf(peer), clock.Now()).RoundTrip)
 		select {
 		case g := <-done:
 			timer.Stop()
--- a/fleet/relay/quarantine.go
+++ b/fleet/relay/quarantine.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
@@ -80,7 +81,7 @@
 			c, err := net.DialTimeout("tcp4", e.Address, endedTimeout)
 			switch {
 			case errors.Is(err, syscall.ECONNREFUSED):
-				q.Ended(e.Life(), time.Now())
+				q.Ended(e.Life(), clock.Now())
 				return
 			case err == nil:
 				_ = c.Close()
@@ -118,7 +119,7 @@
 func (q *quarantined) tell(h quarantine.Held, from string) {
 	fields := log.Fields{
 		"print": h.Print.String(), "customer": h.Customer, "route": h.Route, "round": h.Round, "ends": h.Ends,
-		"ageMs": time.Since(h.Since).Milliseconds(), "forMs": h.For.Milliseconds(), "from": from,
+		"ageMs": clock.Since(h.Since).Milliseconds(), "forMs": h.For.Milliseconds(), "from": from,
 	}
 	q.metrics.Quarantined(h.Released)
 	if h.Released {
@@ -126,7 +127,7 @@
 		return
 	}
 	q.log.WithFields(fields).Warn("request held back: endpoints ended under it, it is sent to none")
-	time.AfterFunc(time.Until(h.Since.Add(h.For)), func() { q.expire(h) })
+	time.AfterFunc(clock.Until(h.Since.Add(h.For)), func() { q.expire(h) })
 }
 
 // expire takes a request whose time is over out of the store, by one node.
@@ -242,7 +243,7 @@
 			continue
 		}
 		k.AgeMs, k.Stored = 0, true
-		if h, news := q.Learn(k, time.Now()); news {
+		if h, news := q.Learn(k, clock.Now()); news {
 			q.tell(h, "store")
 		}
 	}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/samber/lo"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/ingress"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
@@ -57,6 +58,8 @@
 	RolloutKind() string
 	Rollout(o store.Object, now time.Time) (rollout.Rollout, error)
 	RolloutStatus(rollout.Status) (json.RawMessage, error)
+	// DropIdle closes the connections to the store that no call uses.
+	DropIdle()
 }
 
 // Node is one relaying node.
@@ -96,6 +99,8 @@
 	telemetry   *telemetry.Telemetry
 	metrics     *Metrics
 	leaving     atomic.Bool
+	confirming  confirming
+	dropAllIdle func() int // connections to endpoints, that rest
 }
 
 // Bounds of the process and of the server towards the balancer.
@@ -136,7 +141,7 @@
 	n.gossip = gossip.WithRollouts(n.trials).WithPlaces(n.places).WithLink(func() bool { return n.intake.Share() > busyLink })
 	n.trials.fleet = gossip
 	n.registry.OnChange(func(members []peer.Member) {
-		n.cold.Nodes(lo.Map(members, func(m peer.Member, _ int) string { return m.Name }), time.Now())
+		n.cold.Nodes(lo.Map(members, func(m peer.Member, _ int) string { return m.Name }), clock.Now())
 	})
 	n.syncer = account.NewSyncer(n.store, n.allowance, gossip.WriterCount, gossip.Writes, n.health, l).WithFaults(n.faults).WithWriters(gossip).WithTurns(gossip.Turn, gossip.Heard())
 	n.gate = overload.NewGate(overload.DefaultRule())
@@ -144,7 +149,7 @@
 	n.meter = link.NewMeter(s.LinkMbps)
 	n.memory = memory.NewBudget(int64(callsShare * s.MemoryMB * (1 << 20)))
 	transport := forward.NewTransport().WithMeter(n.meter)
-	n.dropIdle = transport.DropIdle
+	n.dropIdle, n.dropAllIdle = transport.DropIdle, transport.DropAllIdle
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Trials: &n.moves, Samples: n.trials, Allowance: n.allowance, Picker: n.picker,
 		Retries:    retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Sharers),
@@ -232,7 +237,7 @@
 
 // Ready is whether new callers are welcome.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.intake.Open() && n.policy.Load() != nil && n.engines.Load() != nil && n.evacuations.Load() != nil && n.rollouts.Load() != nil
+	return !n.leaving.Load() && n.confirming.over() && n.intake.Open() && n.policy.Load() != nil && n.engines.Load() != nil && n.evacuations.Load() != nil && n.rollouts.Load() != nil
 }
 
 // Bounds of a planned stop.
@@ -245,7 +250,7 @@
 // left of the budgets goes back. It returns when the node may stop.
 func (n *Node) Leave(ctx context.Context) {
 	n.leaving.Store(true)
-	started := time.Now()
+	started := clock.Now()
 	n.log.WithField("open", n.handler.Open()).Info("planned stop begins")
 	n.handler.Leave()
 	n.cold.Leave()
@@ -256,16 +261,16 @@
 	n.giveBack(ctx)
 	// A call is over when its answer was sent: its handler may return long before, as what it
 	// wrote waits for its turn on a full link.
-	for time.Since(started) < n.settings.Drain()-n.handBack() && n.ingress.Busy() > 0 {
+	for clock.Since(started) < n.settings.Drain()-n.handBack() && n.ingress.Busy() > 0 {
 		time.Sleep(drainPoll)
 	}
 	n.giveBack(ctx)
-	n.log.WithField("open", n.handler.Open()).WithField("ms", time.Since(started).Milliseconds()).Info("planned stop ends")
+	n.log.WithField("open", n.handler.Open()).WithField("ms", clock.Since(started).Milliseconds()).Info("planned stop ends")
 }
 
 func (n *Node) handBack() time.Duration { return part(handBackPart, n.settings.Drain()) }
 
-func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
+func sleepUntil(t time.Time) { time.Sleep(clock.Until(t)) }
 
 // giveBack returns what is left of the budgets, and takes the node off the list.
 func (n *Node) giveBack(ctx context.Context) {
--- a/fleet/relay/rollouts.go
+++ b/fleet/relay/rollouts.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
@@ -45,7 +46,7 @@
 // applyRollouts takes orders and what the fleet agreed on for them in force; the
 // follower never hands on an older revision than one before.
 func (n *Node) applyRollouts(c store.Change) {
-	now := time.Now()
+	now := clock.Now()
 	before := rollout.Set{}
 	if known := n.rollouts.Load(); known != nil {
 		before = *known
--- a/fleet/relay/store/faults.go
+++ b/fleet/relay/store/faults.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/lynxshed/lynxshed/fleet/clock"
 )
 
 // Entries may come from other writers, and some can't be read. Each is told of once, as
@@ -40,7 +42,7 @@
 
 // NewFaults returns one that has told nothing yet; a counter of nil counts nothing.
 func NewFaults(l log.Interface, c FaultCounter) *Faults {
-	return &Faults{log: l, counter: c, seed: maphash.MakeSeed(), told: map[faultyEntry]uint64{}, lines: faultsBurst, at: time.Now()}
+	return &Faults{log: l, counter: c, seed: maphash.MakeSeed(), told: map[faultyEntry]uint64{}, lines: faultsBurst, at: clock.Now()}
 }
 
 // Tell tells that an entry can't be read, the step that found it and why; not again while
@@ -60,7 +62,7 @@
 	if f.counter != nil {
 		f.counter.BadEntry(o.Kind)
 	}
-	if !f.mayWrite(time.Now()) {
+	if !f.mayWrite(clock.Now()) {
 		f.untold++
 		return
 	}
@@ -79,7 +81,7 @@
 		return
 	}
 	delete(f.told, key)
-	if f.mayWrite(time.Now()) {
+	if f.mayWrite(clock.Now()) {
 		f.log.WithFields(log.Fields{"kind": o.Kind, "key": o.Name, "revision": o.Revision}).Info("entry can be read again")
 	}
 }
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lynxshed/lynxshed/fleet/clock"
 )
 
 // How a follower waits. A watch is shorter than the store's own bound, so that
@@ -150,9 +152,9 @@
 	renew := f.Health.renewed()
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	go cancelOn(bounded, func() {
-		if time.Since(began) > swallowedAfter {
+		if clock.Since(began) > swallowedAfter {
 			cancel()
 		}
 	}, renew, nil)
--- a/fleet/relay/store/health.go
+++ b/fleet/relay/store/health.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/clock"
 )
 
 // Health is what the followers of one node share about the store: one of them
@@ -39,7 +41,7 @@
 func (h *Health) Doubted() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.away) > 0 || !h.backAt.IsZero() && time.Since(h.backAt) < doubtAfter
+	return len(h.away) > 0 || !h.backAt.IsZero() && clock.Since(h.backAt) < doubtAfter
 }
 
 // found notes that a part of the node that got no answer has one again.
@@ -48,7 +50,7 @@
 	defer h.mu.Unlock()
 	if h.away[part] {
 		delete(h.away, part)
-		h.backAt = time.Now()
+		h.backAt = clock.Now()
 	}
 }
 
@@ -81,7 +83,7 @@
 func (h *Health) tryRenew() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if now.Sub(h.renewedAt) < renewPause {
 		return false
 	}
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lynxshed/lynxshed/fleet/clock"
 )
 
 // Reader answers lists and watches. It gives up by itself where no answer begins
@@ -109,7 +111,7 @@
 	s.mu.Lock()
 	wait, at := s.patient[kind], s.answered[kind]
 	s.mu.Unlock()
-	return wait != nil && !at.IsZero() && time.Since(at) < wait()
+	return wait != nil && !at.IsZero() && clock.Since(at) < wait()
 }
 
 // Origin is where the last answer for a kind came from.
@@ -125,7 +127,7 @@
 	all := s.sources()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	var awake []Source
 	for _, one := range all {
 		rests := now.Before(s.silent[one.Name]) || now.Before(s.unfit[kind][one.Name])
@@ -154,7 +156,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !errors.Is(err, ErrUnfit) {
-		s.silent[source.Name] = time.Now().Add(sourceRest)
+		s.silent[source.Name] = clock.Now().Add(sourceRest)
 		return
 	}
 	delete(s.silent, source.Name)
@@ -165,7 +167,7 @@
 	if source.Watches {
 		length = watcherRest
 	}
-	s.unfit[kind][source.Name] = time.Now().Add(length)
+	s.unfit[kind][source.Name] = clock.Now().Add(length)
 }
 
 // answeredBy notes that a source answered for a kind. What was found out about the store
@@ -178,7 +180,7 @@
 	if source.Watches {
 		s.origins[kind] = FromWatcher
 	}
-	s.answered[kind] = time.Now()
+	s.answered[kind] = clock.Now()
 	delete(s.silent, source.Name)
 	delete(s.unfit[kind], source.Name)
 	delete(s.lost, kind)
@@ -197,7 +199,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lost[kind] = true
-	now := time.Now()
+	now := clock.Now()
 	switch {
 	case now.Before(s.reached):
 		return true
@@ -217,11 +219,11 @@
 	case err != nil:
 		return false
 	case wasAway:
-		s.ping = time.Now().Add(Jittered(pingAgain))
+		s.ping = clock.Now().Add(Jittered(pingAgain))
 		s.wake()
 		return false
 	}
-	s.reached = time.Now().Add(proved)
+	s.reached = clock.Now().Add(proved)
 	return true
 }
 
@@ -240,7 +242,7 @@
 func (s *Sourced) wake() {
 	for _, sources := range s.unfit {
 		for name := range sources {
-			sources[name] = time.Now().Add(Jittered(wakeAfter))
+			sources[name] = clock.Now().Add(Jittered(wakeAfter))
 		}
 	}
 }
@@ -268,7 +270,7 @@
 		return
 	}
 	s.origins[kind] = FromStore
-	s.answered[kind] = time.Now()
+	s.answered[kind] = clock.Now()
 }
 
 // List implements Store.
--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
@@ -171,7 +172,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if o, ok := t.open[service]; ok {
-		o.lasts.add(d, time.Now())
+		o.lasts.add(d, clock.Now())
 	}
 }
 
--- a/fleet/relay/trials_judge.go
+++ b/fleet/relay/trials_judge.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
@@ -25,7 +26,7 @@
 
 // run judges the open orders while this node is a delegate, until ctx ends.
 func (t *trials) run(ctx context.Context) {
-	every(ctx, judgeEvery, func() { t.tick(ctx, time.Now()) })
+	every(ctx, judgeEvery, func() { t.tick(ctx, clock.Now()) })
 }
 
 // asked is an effect of a trial's decider that is to be carried out.
@@ -154,7 +155,7 @@
 		return
 	}
 	after, err := t.put(ctx, o.name, w)
-	now := time.Now()
+	now := clock.Now()
 	if err != nil {
 		entry.WithError(err).Warn("status of a rollout not written")
 		t.refused(o, now)
@@ -183,7 +184,7 @@
 		return false
 	}
 	o.writing = false
-	o.decider, _ = o.decider.Handle(rollout.Refused{Now: time.Now()})
+	o.decider, _ = o.decider.Handle(rollout.Refused{Now: clock.Now()})
 	return true
 }
 
