--- a/fleet/clock/clock.go
+++ b/fleet/clock/clock.go
@@ -79,6 +79,9 @@
 	return time.Duration(t.Nano())
 }
 
+// Suspend has this process count the VM as suspended for so long more, for tests.
+func Suspend(d time.Duration) { process.ahead.Add(int64(d)) }
+
 // aheadVariable names a file that holds milliseconds by which this process counts the VM
 // as suspended: tests of whole processes set clocks apart by it.
 const aheadVariable = "LYNXSHED_SUSPENDED_MS_FILE"
--- a/fleet/clock/clock_test.go
+++ b/fleet/clock/clock_test.go
@@ -50,11 +50,10 @@
 
 // Times of this clock age by what the VM was suspended for, and compare as Go's own do.
 func TestTimesAgeWhileTheVMIsSuspended(t *testing.T) {
-	defer process.ahead.Store(0)
 	before := Now()
 	deadline := before.Add(3 * time.Second)
 	assert.Less(t, Since(before), time.Second)
-	process.ahead.Store(int64(10 * time.Second))
+	Suspend(10 * time.Second)
 	assert.GreaterOrEqual(t, Since(before), 10*time.Second)
 	assert.Less(t, Since(before), 11*time.Second)
 	assert.True(t, Now().After(deadline))
