A stream that is taken up blames no endpoint for a connection that this node closed, and notes ends there

Cause: resume took every outcome but an answer for the endpoint's failure, also a connection of this node's that was closed before its first byte; and noted no end of an endpoint under a stream that is taken up, so that each return of such a request could end one more unseen. Change: outcomes are judged as those of a first attempt; what was never sent goes on over another connection.

--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -9,6 +9,7 @@
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
 // stream passes events on as they come, whole ones only. Where the stream
@@ -66,23 +67,48 @@
 	if !j.route.Resumable || s.caller != nil || j.wary() || !j.mayRepeat(ctx) {
 		return nil, answered{}, false
 	}
-	t, ok := j.pick(map[engine.Life]bool{broken.Engine.Life(): true})
-	if !ok {
-		return nil, answered{}, false
-	}
-	j.engine, j.placed = t.Engine.ID, t
-	out, ok := j.send(ctx, t, s.lastID).(answered)
-	if !ok {
-		j.close(t, resultOf(ctx, choice.Bad), took{})
-		return nil, answered{}, false
+	tried := map[engine.Life]bool{broken.Engine.Life(): true}
+	for range maxUnreached {
+		if j.quarantined() {
+			return nil, answered{}, false
+		}
+		t, ok := j.pick(tried)
+		if !ok {
+			return nil, answered{}, false
+		}
+		j.engine, j.placed = t.Engine.ID, t
+		switch o := j.send(ctx, t, s.lastID).(type) {
+		case answered:
+			return j.resumed(t, o)
+		case neverSent:
+			j.close(t, resultOf(ctx, resultOfUnsent(o)), took{})
+			tried[t.Engine.Life()] = !o.connected // another connection there may do
+		case rejected:
+			j.close(t, resultOfRejection(o), took{})
+			return nil, answered{}, false
+		case failed:
+			j.close(t, resultOf(ctx, resultOfFailure(o)), took{})
+			if isCut(o) {
+				j.cut(ctx, t, quarantine.Nothing)
+			}
+			return nil, answered{}, false
+		}
+		if ctx.Err() != nil {
+			return nil, answered{}, false
+		}
 	}
+	return nil, answered{}, false
+}
+
+// resumed is whether an answer goes on where the stream broke.
+func (j *job) resumed(t *choice.Placement, o answered) (*choice.Placement, answered, bool) {
 	j.told.heard = true
-	if out.resp.StatusCode != http.StatusOK || !isStream(out.resp) {
-		drop(out.resp)
+	if o.resp.StatusCode != http.StatusOK || !isStream(o.resp) {
+		drop(o.resp)
 		j.close(t, choice.Neutral, took{})
 		return nil, answered{}, false
 	}
-	return t, out, true
+	return t, o, true
 }
 
 // relayed is how far a stream has come.
