--- a/fleet/relay/quarantine.go
+++ b/fleet/relay/quarantine.go
@@ -43,6 +43,7 @@
 type quarantined struct {
 	*Node
 	*quarantine.Book
+	turn func(key string) int // this node's place among those who judge, for what one of them does
 }
 
 // holdBack has the node hold requests back under which endpoints end.
@@ -50,7 +51,7 @@
 	if !n.settings.Enabled(quarantineMechanism) {
 		return
 	}
-	q := &quarantined{Node: n}
+	q := &quarantined{Node: n, turn: g.TurnFor}
 	q.Book = quarantine.NewBook(quarantine.DefaultRule(), q, func() quarantine.Role {
 		switch {
 		case !g.Writes():
@@ -137,7 +138,7 @@
 		return
 	}
 	q.log.WithFields(log.Fields{"print": h.Print.String(), "customer": h.Customer, "round": h.Round}).Info("request held back no longer: its time is over, one end more holds it back again")
-	if q.gossip.TurnFor(h.Print.String()) != 0 {
+	if q.turn(h.Print.String()) != 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
@@ -149,7 +150,7 @@
 
 // keep has the store keep what this node judged, unless another one does.
 func (q *quarantined) keep(h quarantine.Held) {
-	time.Sleep(time.Duration(q.gossip.TurnFor(h.Print.String())) * keepTurn)
+	time.Sleep(time.Duration(q.turn(h.Print.String())) * keepTurn)
 	for range keepTries {
 		now, known := q.Of(h.Print)
 		if !known || now.Round != h.Round || now.Released != h.Released || now.Stored {
@@ -157,7 +158,7 @@
 		}
 		err := q.write(h)
 		if err == nil {
-			q.Stored(h.Print, h.Round)
+			q.Stored(h)
 			return
 		}
 		q.log.WithField("print", h.Print.String()).WithField("dependency", "store").WithError(err).Warn("request that is held back, or let go, not kept yet")
--- a/fleet/relay/quarantine/book.go
+++ b/fleet/relay/quarantine/book.go
@@ -329,7 +329,7 @@
 }
 
 func (b *Book) release(h Held, why string, now time.Time) {
-	h.Released, h.Why = true, why
+	h.Released, h.Why, h.Stored = true, why, false
 	b.keep(h, now)
 	b.outbox.addHeld(h.Print)
 	b.hurry()
@@ -351,13 +351,13 @@
 	return true
 }
 
-// Stored notes that the store keeps a request of a round.
-func (b *Book) Stored(p Print, round int) {
+// Stored notes that the store has it as it is: that a request is held back, or was let go.
+func (b *Book) Stored(h Held) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h, ok := b.held[p]; ok && h.Round == round {
-		h.Stored = true
-		b.held[p] = h
+	if known, ok := b.held[h.Print]; ok && known.says(h) {
+		known.Stored = true
+		b.held[h.Print] = known
 	}
 }
 
--- a/fleet/relay/quarantine/held.go
+++ b/fleet/relay/quarantine/held.go
@@ -7,7 +7,7 @@
 	Print    Print
 	Round    int  // how many times it was held back; what is said of a later round holds
 	Released bool // of this round: an operator let it go, it was served, or the ends are another's
-	Stored   bool // the store keeps it, so that it outlasts all nodes
+	Stored   bool // the store has it so: a request that is held back outlasts all nodes
 	Since    time.Time
 	For      time.Duration
 	Customer string
@@ -27,6 +27,9 @@
 	return h.Since.Add(h.For)
 }
 
+// says is whether two words on a request say the same.
+func (h Held) says(o Held) bool { return h.Round == o.Round && h.Released == o.Released }
+
 // newer is whether one word on a request holds over another: a later round, and within a
 // round its end.
 func (h Held) newer(than Held) bool {
--- a/fleet/relay/quarantine/words.go
+++ b/fleet/relay/quarantine/words.go
@@ -235,7 +235,7 @@
 		return Held{}, false
 	}
 	if ok && !h.newer(known) {
-		if h.Round == known.Round && h.Stored && !known.Stored {
+		if known.says(h) && h.Stored && !known.Stored {
 			known.Stored = true
 			b.held[w.Print] = known
 		}
