A process that is held up between its reads of two clocks was not suspended

Cause, found by reading: the clock that counts suspensions was read after the steady one, so that a process without a processor for 30 ms in between took them for a suspension, for good. Change: the steady clock is read once more after the other one; what is lost between them is made up by the next read.

--- a/fleet/clock/clock.go
+++ b/fleet/clock/clock.go
@@ -42,11 +42,12 @@
 )
 
 // process is the source of this process.
-var process = newSource(bootTime)
+var process = newSource(bootTime, time.Now)
 
 // source tells suspensions by two clocks, of which one counts them.
 type source struct {
 	boot    func() time.Duration
+	steady  func() time.Time
 	began   time.Time     // by the steady clock
 	atBegan time.Duration // by the other one
 	readAt  atomic.Int64  // nanoseconds of the steady clock since it began
@@ -54,15 +55,18 @@
 	ahead   atomic.Int64  // what a source outside this process adds, for tests
 }
 
-func newSource(boot func() time.Duration) *source {
-	return &source{boot: boot, began: time.Now(), atBegan: boot()}
+func newSource(boot func() time.Duration, steady func() time.Time) *source {
+	return &source{boot: boot, steady: steady, began: steady(), atBegan: boot()}
 }
 
-// suspended is how long the machine was, as of a moment of the steady clock.
+// suspended is how long the machine was, as of a moment of the steady clock. That is read
+// once more after the other clock: a process may be held up between the two, which then
+// looks like less of a suspension until they are read again, and never like one.
 func (s *source) suspended(steady time.Time) time.Duration {
 	passed := steady.Sub(s.began)
 	if read := s.readAt.Load(); passed-time.Duration(read) >= readEvery && s.readAt.CompareAndSwap(read, int64(passed)) {
-		apart := s.boot() - s.atBegan - passed
+		boot := s.boot()
+		apart := boot - s.atBegan - s.steady().Sub(s.began)
 		if apart-time.Duration(s.apart.Load()) >= leastSuspension {
 			s.apart.Store(int64(apart)) // it only rises: what a process believed to have aged stays so
 		}
--- a/fleet/clock/clock_test.go
+++ b/fleet/clock/clock_test.go
@@ -16,13 +16,10 @@
 
 func newMachine() *machine {
 	m := &machine{}
-	m.source = newSource(func() time.Duration {
-		if m.source == nil {
-			return time.Hour // since its boot
-		}
-		return time.Hour + m.steady.Sub(m.began) + m.slept
-	})
-	m.steady = m.began
+	start := time.Now()
+	m.steady = start
+	sinceBoot := func() time.Duration { return time.Hour + m.steady.Sub(start) + m.slept }
+	m.source = newSource(sinceBoot, func() time.Time { return m.steady })
 	return m
 }
 
@@ -60,6 +57,27 @@
 	assert.Negative(t, Until(deadline))
 }
 
+// A process that is held up between its reads of the two clocks, as on a VM with a part of
+// a core, was not suspended.
+func TestAProcessThatIsHeldUpIsNotSuspended(t *testing.T) {
+	m := newMachine()
+	held := time.Duration(0)
+	boot := m.boot
+	m.boot = func() time.Duration {
+		m.steady = m.steady.Add(held) // before this clock is read
+		defer func() { m.steady = m.steady.Add(held) }()
+		return boot()
+	}
+	for _, held = range []time.Duration{0, 30 * time.Millisecond, 400 * time.Millisecond} {
+		m.steady = m.steady.Add(readEvery)
+		assert.Zero(t, m.suspended(m.steady), held)
+	}
+	m.slept = 5 * time.Second
+	held = 0
+	m.steady = m.steady.Add(readEvery)
+	assert.Equal(t, m.slept, m.suspended(m.steady))
+}
+
 func BenchmarkNow(b *testing.B) {
 	b.Run("steady", func(b *testing.B) {
 		for range b.N {
