--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -66,7 +66,7 @@
 	note     string // what decided, for the log
 	placed   *choice.Placement
 	told     told // of the last attempt
-	printed  quarantine.Print
+	printed  quarantine.Print // of its request; zero: not worked out yet
 	pace     pace // of the last stream
 }
 
