--- a/fleet/relay/quarantine/book.go
+++ b/fleet/relay/quarantine/book.go
@@ -244,31 +244,31 @@
 	return len(b.served) < mostServed
 }
 
-// judge holds back the requests on which enough ends are laid, and lets those go whose
+// judge holds back the requests to which enough ends are attributed, and lets those go whose
 // ends turned out to be another one's.
 func (b *Book) judge(now time.Time) {
 	defer b.watch()
 	if b.role() == Witness {
 		return
 	}
-	on := laid(b.ends, b.served, b.rule, b.held)
+	on := attribute(b.ends, b.served, b.rule, b.held)
 	b.nameNear(on, now)
-	guilty := on.guilty(b.rule, b.needed)
-	for p, ends := range guilty {
+	over := on.overLimit(b.rule, b.needed)
+	for p, ends := range over {
 		if h := b.held[p]; !h.inForce(now) && ends[len(ends)-1].at.After(h.until()) {
 			b.hold(p, ends, now)
 		}
 	}
 	for p, h := range b.held {
 		if h.inForce(now) && b.another(p, on) {
-			b.release(h, "the ends are laid on another request", now)
+			b.release(h, "the ends are attributed to another request", now)
 		}
 	}
 }
 
 // nameNear names the suspects of which one end more would be enough to those who don't
 // hear of the ends, so that they tell if they serve one.
-func (b *Book) nameNear(on blame, now time.Time) {
+func (b *Book) nameNear(on attribution, now time.Time) {
 	if b.role() != Judge {
 		return
 	}
@@ -283,7 +283,7 @@
 	}
 }
 
-// needed is how much the ends have to count that are laid on a request. One that was
+// needed is how much the ends have to count that are attributed to a request. One that was
 // held back before, and not let go, is tried once when its time is over.
 func (b *Book) needed(p Print) int {
 	if h, ok := b.held[p]; ok && !h.Released {
@@ -294,7 +294,7 @@
 
 // another is whether this node knows the ends for which a request is held back, and lays
 // too few of them on it.
-func (b *Book) another(p Print, on blame) bool {
+func (b *Book) another(p Print, on attribution) bool {
 	in := lo.Filter(b.ends, func(e *end, _ int) bool { _, in := e.suspects[p]; return in })
 	return occasions(in, b.rule.Apart) >= b.rule.Ends && weight(p, on[p], b.rule.Apart) < b.rule.Ends*endWeight && b.served[p].Before(in[0].at)
 }
--- a/fleet/relay/quarantine/book_test.go
+++ b/fleet/relay/quarantine/book_test.go
@@ -89,7 +89,7 @@
 
 func (n *node) holds(name string) bool { return n.Holds(printed(name), n.now) }
 
-// Which requests are held back: those on which three ends are laid, and no others that
+// Which requests are held back: those to which three ends are attributed, and no others that
 // ran there.
 func TestWhichRequestsAreHeldBack(t *testing.T) {
 	first, second := ordered()
--- a/fleet/relay/quarantine/end.go
+++ b/fleet/relay/quarantine/end.go
@@ -79,7 +79,7 @@
 	return false
 }
 
-// prime is which suspects the end may be laid on: those that were not served since, and
+// prime is which suspects the end may be attributed to: those that were not served since, and
 // among them those whose answers had come least far.
 func (e *end) prime(served map[Print]time.Time) []Print {
 	var of [Underway + 1][]Print
@@ -120,7 +120,7 @@
 	underwayWeight = 3
 )
 
-// weight is what the ends that are laid on a request count together.
+// weight is what the ends that are attributed to a request count together.
 func weight(p Print, ends []*end, apart time.Duration) int {
 	sum := 0
 	for _, e := range distinct(ends, apart) {
--- a/fleet/relay/quarantine/model_test.go
+++ b/fleet/relay/quarantine/model_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// way is how a request is found guilty.
+// way is how the request is found.
 type way interface {
 	cut(e int, life int64, under []Suspect, now time.Time)
 	served(p Print, now time.Time)
@@ -189,7 +189,7 @@
 	}{
 		{"a plain count", func() way { return counted{} }},
 		{"a count, cleared by an answer", func() way { return cleared{counted{}} }},
-		{"ends laid on who was in most", func() way { return judged{newNode(Peer)} }},
+		{"ends attributed to who was in most", func() way { return judged{newNode(Peer)} }},
 	}
 	for _, p := range plays {
 		for _, w := range ways {
