--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -65,9 +65,9 @@
 	engine   string
 	note     string // what decided, for the log
 	placed   *choice.Placement
-	told     told // of the last attempt
+	told     told             // of the last attempt
 	printed  quarantine.Print // of its request; zero: not worked out yet
-	pace     pace // of the last stream
+	pace     pace             // of the last stream
 }
 
 // maxDeadline bounds calls that state no deadline on routes without a timeout.
