Words on requests that are held back go to the teller's zone, and once

Change: it tells its zone, and those who judge elsewhere, once; the digests repeat what is held back, and what was let go is told on by those who judge.

--- a/fleet/relay/peer/quarantine.go
+++ b/fleet/relay/peer/quarantine.go
@@ -14,8 +14,8 @@
 
 // A node tells those who draw for others, of all zones, which of its calls ended with an
 // endpoint: they judge, since what ran beside a request elsewhere may clear it. In a fleet
-// where all write all judge. Whoever finds that a request is to be held back tells all
-// nodes at once; it is told again with the digests.
+// where all write all judge. Whoever finds that a request is to be held back tells its zone
+// at once, and those who judge elsewhere; it is told again with the digests.
 
 // Quarantine is what a node knows of requests under which endpoints end.
 type Quarantine interface {
@@ -45,13 +45,14 @@
 		return
 	}
 	judges, all := t.quarantine.News(clock.Now())
+	near, far := t.delegateAddresses(delegates)
 	if !judges.None() {
-		near, far := t.delegateAddresses(delegates)
 		t.send(t.signed(message{Quarantine: &judges}), append(near, far...)...)
 	}
 	if !all.None() {
-		others := lo.Filter(t.registry.Members(), func(m Member, _ int) bool { return m.Name != t.registry.self.Name })
-		t.send(t.signed(message{Quarantine: &all}), addresses(others)...)
+		self := t.registry.self
+		zone := lo.Filter(t.registry.Members(), func(m Member, _ int) bool { return m.Name != self.Name && m.Zone == self.Zone })
+		t.send(t.signed(message{Quarantine: &all}), lo.Uniq(slices.Concat(addresses(zone), near, far))...)
 	}
 }
 
--- a/fleet/relay/quarantine/book.go
+++ b/fleet/relay/quarantine/book.go
@@ -277,7 +277,7 @@
 		if n := occasions(ends, b.rule.Apart); !named && n >= b.rule.Ends-1 && len(b.near) < mostNear {
 			customer := ends[len(ends)-1].suspects[p].Customer
 			b.near[p] = nearly{customer, now}
-			b.outbox.near = append(b.outbox.near, told[NearWord]{NearWord{p, customer}, now, timesTold})
+			b.outbox.near = append(b.outbox.near, told[NearWord]{NearWord{p, customer}, now, 1})
 			b.hurry()
 		}
 	}
@@ -331,7 +331,7 @@
 func (b *Book) release(h Held, why string, now time.Time) {
 	h.Released, h.Why, h.Stored = true, why, false
 	b.keep(h, now)
-	b.outbox.addHeld(h.Print)
+	b.outbox.addReleased(h.Print)
 	b.hurry()
 	b.seen.Judged(h)
 }
--- a/fleet/relay/quarantine/words.go
+++ b/fleet/relay/quarantine/words.go
@@ -70,7 +70,7 @@
 	mostServedWords = 16
 	mostNearWords   = 16
 	mostHeldWords   = 8
-	timesTold       = 3 // beats in which each word is told, since a datagram may be lost
+	timesTold       = 3 // beats in which a word is told that no digest repeats, since a datagram may be lost
 )
 
 // told is a word that is to be told some more times.
@@ -116,7 +116,11 @@
 	}
 }
 
-func (o *outbox) addHeld(p Print) { o.held[p] = timesTold }
+// addHeld has a request told of that is held back: the digests repeat it.
+func (o *outbox) addHeld(p Print) { o.held[p] = 1 }
+
+// addReleased has a request told of that was let go: no digest does.
+func (o *outbox) addReleased(p Print) { o.held[p] = timesTold }
 
 // due takes some words that are due, and keeps those that are to be told again.
 func due[T any](of []told[T], most int, fill func(T, time.Time) T) (words []T, rest []told[T]) {
@@ -240,13 +244,16 @@
 			b.held[w.Print] = known
 		}
 		if known.newer(h) && b.role() != Witness {
-			b.outbox.addHeld(w.Print) // the teller missed that it was let go
+			b.outbox.addReleased(w.Print) // the teller missed that it was let go
 		}
 		return Held{}, false
 	}
 	if h.Released {
 		b.served[w.Print] = now
 	}
+	if h.Released && b.role() == Judge {
+		b.outbox.addReleased(w.Print) // its zone may not have heard
+	}
 	b.keep(h, now)
 	b.watch()
 	return h, true
