--- a/fleet/relay/suspended.go
+++ b/fleet/relay/suspended.go
@@ -43,6 +43,7 @@
 	n.gossip.DropIdle()
 	n.cold.Settle(clock.Now())
 	n.engineTable.expire()
+	n.trials.woke(clock.Now())
 	n.health.Renew()
 	n.metrics.Suspended(slept)
 	n.log.WithFields(log.Fields{"ms": slept.Milliseconds(), "callsEnded": ended, "connections": idle}).Warn("the VM was suspended: connections are given up, and what the store says is listed anew")
--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -115,6 +115,16 @@
 	return opened
 }
 
+// woke has the deciders of open orders hear what others saw, and how much time is over,
+// before they decide anything: this node's VM was suspended.
+func (t *trials) woke(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, o := range t.open {
+		o.rollout.Found, o.opened, o.judged = true, now, 0
+	}
+}
+
 func (o *trial) isAbout(w rollout.Warn) bool {
 	return w.Service == o.rollout.Service && w.Target == o.rollout.Target && w.Made == o.rollout.Made
 }
--- a/fleet/relay/trials_found_test.go
+++ b/fleet/relay/trials_found_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 )
@@ -84,3 +86,24 @@
 		})
 	}
 }
+
+// A decider whose VM was suspended decides nothing before it has heard others: what it
+// believes of the order is old, and how old it is they know.
+func TestADeciderThatWakesHearsOthersFirst(t *testing.T) {
+	const slept = time.Minute
+	inJudging(t, func(ctx context.Context, j *judging) {
+		j.play(ctx, 3*time.Second)
+		require.Equal(t, rollout.InProgress, j.state())
+		calls := j.store.calls
+		clock.Suspend(slept)
+		defer clock.Suspend(-slept) // tests after it are of another process
+		j.trials.woke(clock.Now())
+		j.play(ctx, learnsFor-judgeEvery)
+		assert.Equal(t, calls, j.store.calls)
+		r, _ := j.rollouts.Load().Of("s")
+		told := peer.RolloutSeen{Target: "v2", Evidence: rollout.Evidence{Service: "s", Made: 5}, At: r.Revision, UsedMs: 4000}
+		j.trials.Heard(peer.Teller{Name: "b", Life: "1"}, peer.RolloutWord{Seen: []peer.RolloutSeen{told}}, clock.Now())
+		j.play(ctx, 2*time.Second)
+		assert.Equal(t, rollout.InProgress, j.state(), "6 s of 12 are over")
+	})
+}
