--- a/fleet/clock/clock.go
+++ b/fleet/clock/clock.go
@@ -34,8 +34,8 @@
 func Suspended() time.Duration { return process.suspended(time.Now()) }
 
 // Bounds of reading the clock that counts suspensions: a call to the kernel each time, where
-// the steady clock is none. A benchmark of Now: 85 ns for the steady clock alone, 574 ns
-// where both were read each time, 84 ns as it is.
+// the steady clock is none. A benchmark of Now: 574 ns where both were read each time, 77 ns
+// as it is, and 73 ns for the steady clock alone.
 const (
 	readEvery       = 20 * time.Millisecond // by the steady clock: so late a process notices that it was suspended
 	leastSuspension = 10 * time.Millisecond // less is what lies between two reads
