Addresses of those who judge are listed only where something is told

Cause, found by reading: each beat (0.2 s) listed all nodes of the fleet for words on requests, though nothing is to be told mostly. Change: a beat with nothing to tell ends before that.

--- a/fleet/relay/peer/quarantine.go
+++ b/fleet/relay/peer/quarantine.go
@@ -45,6 +45,9 @@
 		return
 	}
 	judges, all := t.quarantine.News(clock.Now())
+	if judges.None() && all.None() {
+		return // as mostly, at each beat
+	}
 	near, far := t.delegateAddresses(delegates)
 	if !judges.None() {
 		t.send(t.signed(message{Quarantine: &judges}), append(near, far...)...)
