The limit that an endpoint names stands on the line of its call

Cause: lines said where a call went and what came of it, but not what the answer said of the endpoint's need, so that they could not tell nodes that never read it from nodes that kept it alone. Nothing is decided by it yet.

--- a/fleet/relay/call/call.go
+++ b/fleet/relay/call/call.go
@@ -53,6 +53,23 @@
 	Slots   int
 }
 
+// Limit is how many calls a second an endpoint in need says that it takes from all nodes
+// together.
+type Limit struct {
+	PerSecond float64 // where it is named: 0 or more
+	Said      Said
+}
+
+// Said is what an answer says of a limit.
+type Said int
+
+// What an answer may say.
+const (
+	NoLimit    Said = iota // the endpoint has none
+	Named                  // it has one
+	Unreadable             // something that is no rate: nothing follows
+)
+
 // Verdict is what the head of an endpoint's answer says about the attempt.
 type Verdict struct {
 	CallID      string // as the endpoint repeats it; "" where it does not
@@ -61,6 +78,7 @@
 	Sealed      bool   // the answer is the endpoint's own word
 	Load        Load
 	HasLoad     bool
+	Limit       Limit
 }
 
 // Wire translates heads. It is filled by an adapter.
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -66,6 +66,7 @@
 	note     string // what decided, for the log
 	placed   *choice.Placement
 	told     told             // of the last attempt
+	limit    call.Limit       // that the last answer named
 	printed  quarantine.Print // of its request; zero: not worked out yet
 	pace     pace             // of the last stream
 }
@@ -292,12 +293,24 @@
 		fields["policy"] = j.policy.Version
 	}
 	j.describePlacement(fields)
+	j.describeLimit(fields)
 	if j.note != "" {
 		fields["note"] = j.note
 	}
 	j.Log.WithFields(fields).Info("call ended")
 }
 
+// describeLimit tells what the endpoint said of the calls that it takes.
+func (j *job) describeLimit(fields log.Fields) {
+	switch j.limit.Said {
+	case call.Named:
+		fields["limit"] = j.limit.PerSecond
+	case call.Unreadable:
+		fields["limit"] = "unreadable"
+	case call.NoLimit:
+	}
+}
+
 // describePlacement tells why the last endpoint was chosen, and what came of it.
 func (j *job) describePlacement(fields log.Fields) {
 	t := j.placed
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -135,6 +135,9 @@
 		drop(resp)
 		return failed{heard: true, err: at("answer", t, errors.Newf("the answer is to call %q, status %d", v.CallID, resp.StatusCode))}
 	}
+	if !v.Moved {
+		j.limit = v.Limit
+	}
 	if v.NotExecuted || v.Moved {
 		finishSmall(resp)
 		return rejected{status: resp.StatusCode, moved: v.Moved}
