Limits that endpoints name are kept by all nodes together

What callers and users saw: an endpoint in need that named a limit of 1 a second went on getting 3 to 6 a second from all nodes together.

Cause: no node read what the answer named; it went on to the caller. A bound on what all nodes send together stood for cold endpoints alone.

Why the mend holds: each node knows by its own answers and by others' words, told at once; the parts that nodes may send add up to the limit, by the mechanism of cold endpoints (now package bound, with any window, and a smaller sum for nodes that are not sure of their list). A limit ends with the answer to a call that was sent under it.

--- a/fleet/relay/cold/share.go
+++ b/fleet/relay/bound/parts.go
@@ -1,16 +1,15 @@
-// Package cold bounds what all nodes together send to an endpoint that is slow after
-// its start: it bears so many calls a second, and falls over at well above that.
+// Package bound keeps what all nodes together send to an endpoint within a bound: to one
+// that is slow after its start (package cold), or that names a limit (package limit).
 //
 // No node can know what the others send in the same second, and none may ask: in a cut
 // nobody answers. So all choose alike, from the list of nodes, a few nodes for each
-// cold endpoint; each has its part of what the endpoint bears within any second, and
-// saves nothing up. The parts add up to half of the bound at most, so that two views
-// of the fleet, an old and a new one, may be in force at the same time.
-package cold
+// endpoint; each has its part of the calls of any window, and saves nothing up. Two lists
+// of nodes may be in force at the same time, an old and a new one.
+package bound
 
 import (
-	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
@@ -18,26 +17,16 @@
 	"github.com/lynxshed/lynxshed/fleet/ident"
 )
 
-// Rule says how far the calls of one second may lie above what a cold endpoint bears.
-type Rule struct {
-	Overrun   float64 // times what it bears
-	Tolerance float64 // calls beyond that
+// Bound is how many calls of any window the parts of all nodes add up to. The endpoint has
+// to bear both numbers together: nodes that know of a new list and nodes that don't meet.
+type Bound struct {
+	Window time.Duration // Longest at most
+	Calls  int           // by the parts of nodes that are sure of their list
+	Unsure int           // by the parts of those that are not
 }
 
-// views is how many lists of nodes may be in force at once.
-const views = 2
-
-// Bound is how many calls all nodes together may send within any second to an
-// endpoint that bears so many.
-func (r Rule) Bound(perSecond float64) int {
-	return int(math.Floor(perSecond*r.Overrun + r.Tolerance))
-}
-
-// Target is how many calls of one second the parts of all nodes add up to: what the
-// endpoint bears, within the bound for each view of the fleet, and one at least.
-func (r Rule) Target(perSecond float64) int {
-	return max(min(int(math.Floor(perSecond)), r.Bound(perSecond)/views), 1)
-}
+// Longest is the longest window of a bound.
+const Longest = 10 * time.Second
 
 // Fleet is one node's view of the nodes, for the parts: immutable.
 type Fleet struct {
@@ -55,7 +44,7 @@
 	return Fleet{self: xxhash.Sum64String(self), nodes: hashes}
 }
 
-// Part is how many of a target's calls within any second this node may send to an
+// Part is how many of a target's calls within any window this node may send to an
 // endpoint, by the hash of its id.
 func (f Fleet) Part(endpoint uint64, target int) int {
 	chosen := min(target, len(f.nodes))
--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -13,11 +13,13 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/relay/bound"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/cold"
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/doubt"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 )
 
 // Picker chooses endpoints and remembers what was sent where. It is safe for
@@ -25,7 +27,9 @@
 type Picker struct {
 	tuning Tuning
 	places distance.Places
-	cold   *cold.Gate
+	gate   *bound.Gate
+	cold   cold.Rule
+	limits *limit.Book // nil: what endpoints name counts for nothing
 	doubts *doubt.Book // nil: what others tell of failures counts for nothing
 
 	mu        sync.Mutex
@@ -40,7 +44,7 @@
 
 // NewPicker returns a picker for a node of a zone, which sends nothing to cold endpoints.
 func NewPicker(zone string, t Tuning) *Picker {
-	return &Picker{tuning: t, places: distance.From(zone, nil, costs(t)), cold: cold.NewGate("", cold.Rule{}), endpoints: map[string]*endpoint{}, models: map[string]*model{}, holders: holders{}, zones: zones{}, told: map[string][]string{}}
+	return &Picker{tuning: t, places: distance.From(zone, nil, costs(t)), gate: bound.NewGate(""), endpoints: map[string]*endpoint{}, models: map[string]*model{}, holders: holders{}, zones: zones{}, told: map[string][]string{}}
 }
 
 // WithPlaces has the picker tell regions apart.
@@ -58,8 +62,14 @@
 }
 
 // WithColdGate has the picker send to cold endpoints what a gate allows.
-func (p *Picker) WithColdGate(g *cold.Gate) *Picker {
-	p.cold = g
+func (p *Picker) WithColdGate(g *bound.Gate, r cold.Rule) *Picker {
+	p.gate, p.cold = g, r
+	return p
+}
+
+// WithLimits has the picker keep to the limits that endpoints name, by the same gate.
+func (p *Picker) WithLimits(b *limit.Book) *Picker {
+	p.limits = b
 	return p
 }
 
@@ -81,11 +91,6 @@
 	ColdPerSecond float64       // calls that one bears then; 0 is no bound
 }
 
-// isCold is whether an endpoint gets no more calls than a cold one bears.
-func (r Request) isCold(e engine.Engine) bool {
-	return r.Profile.ColdPerSecond > 0 && cold.Cold(e, r.Profile.ColdStart, r.Now)
-}
-
 // Request is what a choice depends on.
 type Request struct {
 	Call      call.Call
@@ -120,8 +125,9 @@
 	e := p.endpoint(t.Engine.Life(), r.Profile.Capacity)
 	t.picker, t.model, t.request, t.at = p, p.model(r.Profile.Service), r, e
 	p.capacity = max(p.capacity, r.Profile.Capacity)
-	if r.isCold(t.Engine) {
-		p.cold.Sent(t.Engine.ID, r.Now)
+	p.gate.Sent(t.Engine.ID, r.Now)
+	if p.limits != nil {
+		p.limits.Tried(t.Engine.Life(), r.Now)
 	}
 	e.told, e.placed = true, r.Now
 	e.inFlight++
@@ -181,7 +187,7 @@
 		if with != whichever && p.doubts != nil && p.doubts.Avoids(e.Life(), r.Again, key, r.Now) {
 			continue
 		}
-		if r.isCold(e) && !p.cold.May(e, r.Profile.ColdPerSecond, r.Now) {
+		if !p.may(r, e) {
 			continue
 		}
 		t := p.weigh(r, e, s, affinity, source)
@@ -240,6 +246,7 @@
 
 // Forget drops what is known of endpoints that are gone and have no calls.
 func (p *Picker) Forget(known func(id string) bool) {
+	p.gate.Forget(known)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, s := range p.endpoints {
--- a/fleet/relay/choice/choice_test.go
+++ b/fleet/relay/choice/choice_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lynxshed/lynxshed/fleet/relay/bound"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/cold"
@@ -208,8 +209,8 @@
 }
 
 // coldGate is the gate of a node that is alone in its fleet.
-func coldGate(now time.Time) *cold.Gate {
-	g := cold.NewGate("n", cold.Rule{Overrun: 1.5, Tolerance: 5})
+func coldGate(now time.Time) *bound.Gate {
+	g := bound.NewGate("n")
 	g.Nodes([]string{"n"}, now.Add(-time.Minute))
 	return g
 }
@@ -219,14 +220,14 @@
 	cases := []struct {
 		name  string
 		cold  []int // of three endpoints
-		gate  *cold.Gate
+		gate  *bound.Gate
 		calls int
 		want  map[string]int // calls at most
 		sent  int            // of all
 	}{
 		{"one of three", []int{0}, coldGate(now), 60, map[string]int{"e0": 7, "e1": 60, "e2": 60}, 60},
 		{"all of them", []int{0, 1, 2}, coldGate(now), 60, map[string]int{"e0": 7, "e1": 7, "e2": 7}, 21},
-		{"a node that knows no other yet", []int{0}, cold.NewGate("n", cold.Rule{Overrun: 1.5}), 60, map[string]int{"e1": 60, "e2": 60}, 60},
+		{"a node that knows no other yet", []int{0}, bound.NewGate("n"), 60, map[string]int{"e1": 60, "e2": 60}, 60},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -234,7 +235,7 @@
 			for _, i := range c.cold {
 				all[i].ColdUntil = now.Add(time.Second)
 			}
-			p := choice.NewPicker("z0", choice.DefaultTuning()).WithColdGate(c.gate)
+			p := choice.NewPicker("z0", choice.DefaultTuning()).WithColdGate(c.gate, cold.Rule{Overrun: 1.5, Tolerance: 5})
 			used, sent := map[string]int{}, 0
 			for i := range c.calls {
 				r := ask(prompt(fmt.Sprint("c", i), "hot"), all, now)
--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -215,6 +215,9 @@
 	if t.doubts != nil {
 		t.doubts.Engines(d.All())
 	}
+	if t.limits != nil {
+		t.limits.Engines(d.All())
+	}
 	if t.quarantine != nil {
 		t.quarantine.Engines(d.All(), clock.Now())
 	}
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
+	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
@@ -196,6 +197,7 @@
 	f.handler = forward.New(forward.Options{
 		Wire: plainWire{}, Policy: &f.inForce, Engines: &f.directory, Trials: &f.trials, Samples: &f.samples, Allowance: f.allowance, TokenSource: noSource{},
 		Picker:  f.picker,
+		Returns: limit.NewReturns(),
 		Retries: retry.NewBudget(retry.Rule{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one),
 		Gate:    &f.gate, Intake: &f.intake, Memory: f.memory, Nodes: func() int { return max(f.nodes, 1) }, Places: f.places, Transport: f.connections, Log: quiet, Metrics: noMetrics{},
 	})
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -19,6 +19,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
 	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
@@ -37,6 +38,7 @@
 	TokenSource TokenSource
 	Picker      *choice.Picker
 	Retries     *retry.Budget
+	Returns     *limit.Returns   // of callers that limits leave out
 	Quarantine  *quarantine.Book // nil: no request is held back
 	Gate        Gate
 	Intake      Intake
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -127,12 +128,33 @@
 	switch {
 	case j.nowhere():
 		return refuseNoHome
-	case len(tried) > 0:
+	}
+	if f, limited := j.limited(); limited {
+		return f
+	}
+	if len(tried) > 0 {
 		return refuseFull
 	}
 	return refuseNoEngine
 }
 
+// limited is the refusal of a call where all endpoints of its service name limits. The caller is
+// told to come back as fast as they allow, shared among all nodes.
+func (j *job) limited() (refusal, bool) {
+	engines := j.Engines.Load()
+	if engines == nil {
+		return refusal{}, false
+	}
+	perSecond, all := j.Picker.Limits(j.atHome(engines.Of(j.service.Name)))
+	if !all {
+		return refusal{}, false
+	}
+	f := refuseLimited
+	f.after = j.Returns.After(j.service.Name, perSecond/float64(max(j.Nodes(), 1)), clock.Now())
+	j.note = fmt.Sprintf("all endpoints name limits: %.2f calls a second in all", perSecond)
+	return f, true
+}
+
 // judge decides what an attempt's outcome means for the call: send it again,
 // refuse it (nil: it is already answered).
 func (j *job) judge(ctx context.Context, t *choice.Placement, out outcome) (*refusal, bool) {
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -135,8 +135,9 @@
 		drop(resp)
 		return failed{heard: true, err: at("answer", t, errors.Newf("the answer is to call %q, status %d", v.CallID, resp.StatusCode))}
 	}
-	if !v.Moved {
+	if !v.Moved && j.awake.still() { // not another endpoint's word, nor one of before a suspension
 		j.limit = v.Limit
+		t.Limit(v.Limit, resp.StatusCode < http.StatusMultipleChoices, started, now)
 	}
 	if v.NotExecuted || v.Moved {
 		finishSmall(resp)
--- /dev/null
+++ b/fleet/relay/limit/book_test.go
@@ -0,0 +1,205 @@
+package limit_test
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/limit"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	first = engine.Engine{ID: "e", Born: 1, Service: "s"}
+	other = engine.Engine{ID: "f", Service: "s"}
+)
+
+// at is a moment of a test, in milliseconds.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func newBook(changes *[]limit.Change) *limit.Book {
+	b := limit.NewBook(promised, func(c limit.Change) {
+		if changes != nil {
+			*changes = append(*changes, c)
+		}
+	})
+	b.Engines([]engine.Engine{first, other})
+	return b
+}
+
+func named(t *testing.T, b *limit.Book, perSecond float64) {
+	t.Helper()
+	got, ok := b.Of(first.Life())
+	assert.True(t, ok)
+	assert.Equal(t, perSecond, got)
+}
+
+func unnamed(t *testing.T, b *limit.Book) {
+	t.Helper()
+	_, ok := b.Of(first.Life())
+	assert.False(t, ok)
+}
+
+func TestALimitLastsUntilACallThatWasSentUnderItIsAnsweredWithoutOne(t *testing.T) {
+	var changes []limit.Change
+	b := newBook(&changes)
+	b.Unnamed(first.Life(), at(0), at(5))
+	assert.Empty(t, changes, "nothing is known of endpoints that name none")
+	b.Named(first.Life(), 2, at(100))
+	named(t, b, 2)
+	_, ok := b.Of(other.Life())
+	assert.False(t, ok)
+	b.Unnamed(first.Life(), at(90), at(150))
+	named(t, b, 2) // the answer may be from before the limit
+	b.Named(first.Life(), 2, at(200))
+	b.Named(first.Life(), 0.5, at(300))
+	named(t, b, 0.5)
+	b.Unnamed(first.Life(), at(250), at(400))
+	unnamed(t, b)
+	b.Named(first.Life(), 1, at(500))
+	b.Unnamed(first.Life(), at(450), at(600))
+	named(t, b, 1) // sent before it named one again
+	assert.Equal(t, []bool{true, true, false, true}, lo.Map(changes, func(c limit.Change, _ int) bool { return c.Named }))
+	assert.Equal(t, []float64{0, 2, 0.5, 0}, lo.Map(changes, func(c limit.Change, _ int) float64 { return c.Before }))
+}
+
+func TestALimitIsOfOneLifeOfAListedEndpoint(t *testing.T) {
+	b := newBook(nil)
+	b.Named(engine.Life{ID: "unknown"}, 1, at(0))
+	b.Named(engine.Life{ID: first.ID, Born: 7}, 1, at(0))
+	assert.Empty(t, b.List(at(1)))
+	b.Named(first.Life(), 1, at(0))
+	reborn := first
+	reborn.Born = 2
+	b.Engines([]engine.Engine{reborn, other})
+	assert.Empty(t, b.List(at(1)), "another life, and an address that passed on, are under no limit")
+	_, ok := b.Of(reborn.Life())
+	assert.False(t, ok)
+}
+
+// rate is the rate of a word.
+func rate(perSecond float64) *float64 { return &perSecond }
+
+func TestWordsOfOtherNodes(t *testing.T) {
+	word := func(perSecond *float64, ageMs int64) []limit.Word {
+		return []limit.Word{{Endpoint: first.ID, Born: first.Born, PerSecond: perSecond, AgeMs: ageMs}}
+	}
+	cases := []struct {
+		name  string
+		words []limit.Word
+		want  float64 // below zero: none
+	}{
+		{"a lower limit", word(rate(1), 0), 1},
+		{"none at all", word(rate(0), 0), 0},
+		{"an older one than this node's", word(rate(1), 600), 4},
+		{"its end", word(nil, 10), -1},
+		{"an end from before", word(nil, 600), 4},
+		{"below zero", word(rate(-1), 0), 4},
+		{"not a number", word(rate(math.NaN()), 0), 4},
+		{"without end", word(rate(math.Inf(1)), 0), 4},
+		{"from the future", word(rate(1), -1), 4},
+		{"too old to count", word(rate(1), math.MaxInt64), 4},
+		{"of another life", []limit.Word{{Endpoint: first.ID, Born: 9, PerSecond: rate(1)}}, 4},
+		{"of an endpoint that is not listed", []limit.Word{{Endpoint: "x", PerSecond: rate(1)}}, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBook(nil)
+			b.Named(first.Life(), 4, at(500))
+			b.Heard("peer", c.words, at(1000))
+			if c.want < 0 {
+				unnamed(t, b)
+				return
+			}
+			named(t, b, c.want)
+		})
+	}
+}
+
+// A node tells what its answers said, at once where it is news, and along with all else for
+// a while; one that passes on what it hears tells that, too, and others do not.
+func TestWhatIsTold(t *testing.T) {
+	b := newBook(nil)
+	assert.Nil(t, b.Words(true, at(0)))
+	b.Named(first.Life(), 1.5, at(0))
+	select {
+	case <-b.Urgent():
+	default:
+		assert.Fail(t, "news are urgent")
+	}
+	want := []limit.Word{{Endpoint: "e", Born: 1, PerSecond: rate(1.5), AgeMs: 20}}
+	assert.Equal(t, want, b.News(false, at(20)))
+	assert.Empty(t, b.News(false, at(30)), "told once")
+	assert.Equal(t, want, b.Words(false, at(20)))
+	assert.Len(t, b.Words(false, at(1000)), 1)
+	b.Named(first.Life(), 1.5, at(2000))
+	assert.Empty(t, b.Words(false, at(2000)), "nothing new")
+	assert.Empty(t, b.News(false, at(2000)))
+	b.Named(first.Life(), 1.5, at(11_000))
+	assert.Len(t, b.Words(false, at(11_000)), 1, "again, for those that heard nothing")
+
+	listener := newBook(nil)
+	listener.Heard("n", want, at(50))
+	named(t, listener, 1.5)
+	assert.Empty(t, listener.Words(false, at(60)))
+	assert.Len(t, listener.Words(true, at(60)), 1)
+	assert.Len(t, listener.News(true, at(60)), 1)
+	data, err := json.Marshal(want)
+	require.NoError(t, err)
+	assert.JSONEq(t, `[{"e":"e","b":1,"r":1.5,"a":20}]`, string(data))
+}
+
+// The end of a limit that one node missed reaches it with a later word.
+func TestAnEndThatWasMissedIsToldAgain(t *testing.T) {
+	b, listener := newBook(nil), newBook(nil)
+	b.Named(first.Life(), 1, at(0))
+	listener.Heard("n", b.Words(false, at(0)), at(0))
+	b.Unnamed(first.Life(), at(100), at(200))
+	b.Unnamed(first.Life(), at(11_000), at(11_010))
+	listener.Heard("n", b.Words(false, at(11_020)), at(11_020))
+	unnamed(t, listener)
+}
+
+// A node that has no part, and hears nothing for long, finds out by a call of its own whether
+// the limit is over: the more seldom the more nodes do, half of the limit together at
+// the most.
+func TestANodeThatHearsNothingTriesNowAndThen(t *testing.T) {
+	cases := []struct {
+		perSecond float64
+		nodes     int
+		after     time.Duration
+	}{{1, 8, 30 * time.Second}, {1, 300, 600 * time.Second}, {0, 4, 80 * time.Second}, {0.5, 60, 240 * time.Second}}
+	for _, c := range cases {
+		b := newBook(nil)
+		b.Named(first.Life(), c.perSecond, start)
+		assert.False(t, b.MayTry(first.Life(), c.nodes, start.Add(c.after-time.Second)), "%+v", c)
+		assert.True(t, b.MayTry(first.Life(), c.nodes, start.Add(c.after)), "%+v", c)
+		b.Tried(first.Life(), start.Add(c.after))
+		assert.False(t, b.MayTry(first.Life(), c.nodes, start.Add(2*c.after-time.Second)), "%+v", c)
+		if c.perSecond > 0 {
+			assert.LessOrEqual(t, float64(c.nodes)/c.after.Seconds(), max(c.perSecond/2, 8.0/30), "%+v", c)
+		}
+	}
+}
+
+// Callers who are left out come back each at a time of its own, as fast as the limits allow,
+// and those for whom there is no place are told the latest time.
+func TestCallersComeBackAsFastAsLimitsAllow(t *testing.T) {
+	r := limit.NewReturns()
+	assert.Equal(t, 500*time.Millisecond, r.After("s", 2, at(0)))
+	assert.Equal(t, time.Second, r.After("s", 2, at(0)))
+	assert.Equal(t, 500*time.Millisecond, r.After("another", 2, at(0)))
+	assert.Equal(t, 600*time.Millisecond, r.After("s", 2, at(900)))
+	for range 50 {
+		assert.LessOrEqual(t, r.After("s", 2, at(900)), 10*time.Second)
+	}
+	assert.Equal(t, 10*time.Second, r.After("s", 2, at(900)))
+	assert.Equal(t, 10*time.Second, r.After("s", 0, at(900)))
+	assert.Equal(t, 300*time.Millisecond, r.After("many", 1000, at(0)), "no sooner than it takes to tell")
+}
--- a/fleet/relay/lives.go
+++ b/fleet/relay/lives.go
@@ -34,7 +34,7 @@
 	if change != birthEarlier {
 		e.RebornAt = now
 	}
-	t.cold.Begin(e.ID, dropped.Placed, now)
+	t.bounds.Begin(e.ID, dropped.Placed, now)
 	idle := 0
 	if known {
 		idle = t.dropIdle(before.Address)
--- a/fleet/relay/lives_test.go
+++ b/fleet/relay/lives_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lynxshed/lynxshed/fleet/relay/bound"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/cold"
@@ -47,9 +48,9 @@
 func livesNode(objects ...store.Object) *Node {
 	n := testNode()
 	n.adapter = births{}
-	n.cold = cold.NewGate("n", cold.Rule{Overrun: 1.5, Tolerance: 5})
-	n.cold.Nodes([]string{"n"}, time.Now().Add(-time.Minute))
-	n.picker = choice.NewPicker("z", choice.DefaultTuning()).WithColdGate(n.cold)
+	n.bounds = bound.NewGate("n")
+	n.bounds.Nodes([]string{"n"}, time.Now().Add(-time.Minute))
+	n.picker = choice.NewPicker("z", choice.DefaultTuning()).WithColdGate(n.bounds, cold.Rule{Overrun: 1.5, Tolerance: 5})
 	n.engineTable.apply(store.Snapshot{Revision: objects[len(objects)-1].Revision, Objects: objects})
 	return n
 }
--- a/fleet/relay/mechanisms.go
+++ b/fleet/relay/mechanisms.go
@@ -31,11 +31,12 @@
 	handOnMechanism     = "hand-on"       // an overloaded node hands callers on
 	toldMechanism       = "told-failures" // endpoints that other nodes tell of are avoided
 	quarantineMechanism = "quarantine"    // requests under which endpoints end are held back
+	limitsMechanism     = "limits"        // what endpoints name as their limit is kept
 	steerMechanism      = "steer"         // a node whose link one customer fills gets no new connections
 )
 
 func mechanismNames() []string {
-	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, handOnMechanism, steerMechanism, toldMechanism, quarantineMechanism)
+	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, handOnMechanism, steerMechanism, toldMechanism, quarantineMechanism, limitsMechanism)
 }
 
 // Enabled is whether a mechanism is not switched off.
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -20,6 +20,7 @@
 	bad      metric.Int64Counter
 	isolated metric.Int64Counter
 	slept    metric.Int64Counter
+	limited  metric.Int64Counter
 	took     metric.Float64Histogram
 	first    metric.Float64Histogram
 
@@ -51,6 +52,7 @@
 		{&metrics.lives, "lynxshed.relay.new_lives", "endpoints that were seen to have started again under their id, by how their birth changed"},
 		{&metrics.bad, "lynxshed.relay.bad_entries", "entries of the store that could not be read, each once for each of its revisions, by kind"},
 		{&metrics.slept, "lynxshed.relay.suspended_ms", "milliseconds for which the VM was suspended since the process began"},
+		{&metrics.limited, "lynxshed.relay.limits", "limits of endpoints that this node learned of, by change: named, changed, ended"},
 		{&metrics.isolated, "lynxshed.relay.quarantine", "requests that this node began to hold back, or let go, since endpoints ended under them, by which of both"},
 	}
 	for _, c := range counters {
@@ -132,6 +134,11 @@
 	m.isolated.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", lo.Ternary(released, "let go", "held back"))))
 }
 
+// Limited counts a limit that this node learned of, or a change of one.
+func (m *Metrics) Limited(change string) {
+	m.limited.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
+}
+
 // Suspended counts the time for which the VM was suspended.
 func (m *Metrics) Suspended(d time.Duration) {
 	m.slept.Add(context.Background(), d.Milliseconds())
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -20,6 +20,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/doubt"
+	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
@@ -54,6 +55,7 @@
 	busy        func() bool // whether this node's link is busy
 	doubts      *doubt.Book // nil: nothing is told of endpoints that fail
 	quarantine  Quarantine  // nil: nothing is told of requests under which endpoints end
+	limits      *limit.Book // nil: nothing is told of limits that endpoints name
 
 	choosing  sync.Mutex // who writes, and what follows from it
 	delegates *delegates
@@ -124,6 +126,9 @@
 		case <-t.urgentQuarantine():
 			writers, _ := t.choice()
 			t.tellQuarantine(writers)
+		case <-t.urgentLimits():
+			writers, _ := t.choice()
+			t.tellLimits(writers)
 		}
 	}
 }
@@ -148,7 +153,7 @@
 	m := t.signed(message{
 		Number: t.number, Digests: t.picker.Digests(), Out: t.out(),
 		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now), Rollouts: t.badWord(), Doubts: t.doubtWords(now),
-		Quarantine: t.quarantineDigest(now),
+		Quarantine: t.quarantineDigest(now), Limits: t.limitWords(),
 	})
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, reports
@@ -250,6 +255,8 @@
 		t.heardDoubts(m)
 	case m.Quarantine != nil && m.Number == 0:
 		t.heardQuarantine(m)
+	case len(m.Limits) > 0 && m.Number == 0:
+		t.heardLimits(m)
 	case m.Ledger > 0:
 		t.ledgers.told(m.Ledger, from)
 		t.ledgers.wrote(m.Ledger, m.Node, t.classOf(m.Node), clock.Now())
@@ -281,6 +288,7 @@
 	}
 	t.heardDoubts(m)
 	t.heardQuarantine(m)
+	t.heardLimits(m)
 	t.picker.Heard(m.Node, m.Digests, now)
 	t.picker.HeardReads(m.Reads, t.tellsOn(), now)
 	if m.HasBudgets {
--- a/fleet/relay/peer/message.go
+++ b/fleet/relay/peer/message.go
@@ -9,6 +9,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/doubt"
+	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
@@ -30,6 +31,7 @@
 	Rollouts      *RolloutWord                    `json:"rollouts,omitempty"`   // orders that are open
 	Doubts        []doubt.Word                    `json:"doubts,omitempty"`     // endpoints at which calls failed of late
 	Quarantine    *quarantine.Words               `json:"quarantine,omitempty"` // requests under which endpoints end
+	Limits        []limit.Word                    `json:"limits,omitempty"`     // that endpoints name
 	Ledger        int64                           `json:"ledger,omitempty"`     // revision of one that the node has written
 }
 
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/ingress"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/bound"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/cold"
@@ -29,6 +30,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/evacuation"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
+	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
 	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/overload"
@@ -80,7 +82,8 @@
 	trials      *trials
 	ordersAgain store.Again
 	faults      *store.Faults // tells of entries that can't be read
-	cold        *cold.Gate
+	bounds      *bound.Gate
+	limits      *limit.Book // nil: what endpoints name counts for nothing
 	allowance   *account.Allowance
 	syncer      *account.Syncer
 	picker      *choice.Picker
@@ -125,8 +128,8 @@
 	life := uuid.NewString()
 	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps}
 	n.allowance = account.NewAllowance(s.Node, life, s.Budget.Tuning())
-	n.cold = cold.NewGate(s.Node, cold.Rule{Overrun: s.Cold.Overrun, Tolerance: s.Cold.Tolerance})
-	n.picker = choice.NewPicker(s.Zone, s.Choice()).WithColdGate(n.cold).WithPlaces(n.places)
+	n.bounds = bound.NewGate(s.Node).WithCutOff(func() bool { return n.syncer.Out() })
+	n.picker = choice.NewPicker(s.Zone, s.Choice()).WithColdGate(n.bounds, cold.Rule{Overrun: s.Cold.Overrun, Tolerance: s.Cold.Tolerance}).WithPlaces(n.places)
 	n.engineTable, n.trials = newEngineTable(n), newTrials(n, life)
 	n.registry = peer.NewRegistry(n.store, self, n.health, s.History(), l).WithFaults(n.faults)
 	if s.Bootstrap && s.Enabled(delegatesMechanism) {
@@ -138,10 +141,11 @@
 	}
 	n.tellFailures(gossip)
 	n.holdBack(gossip)
+	n.keepLimits(gossip)
 	n.gossip = gossip.WithRollouts(n.trials).WithPlaces(n.places).WithLink(func() bool { return n.intake.Share() > busyLink })
 	n.trials.fleet = gossip
 	n.registry.OnChange(func(members []peer.Member) {
-		n.cold.Nodes(lo.Map(members, func(m peer.Member, _ int) string { return m.Name }), clock.Now())
+		n.bounds.Nodes(lo.Map(members, func(m peer.Member, _ int) string { return m.Name }), clock.Now())
 	})
 	n.syncer = account.NewSyncer(n.store, n.allowance, gossip.WriterCount, gossip.Writes, n.health, l).WithFaults(n.faults).WithWriters(gossip).WithTurns(gossip.Turn, gossip.Heard())
 	n.gate = overload.NewGate(overload.DefaultRule())
@@ -153,6 +157,7 @@
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Trials: &n.moves, Samples: n.trials, Allowance: n.allowance, Picker: n.picker,
 		Retries:    retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Sharers),
+		Returns:    limit.NewReturns(),
 		Quarantine: n.book(), Gate: n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: transport, TokenSource: tokenSource{n}, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler, l); err != nil {
@@ -253,7 +258,7 @@
 	started := clock.Now()
 	n.log.WithField("open", n.handler.Open()).Info("planned stop begins")
 	n.handler.Leave()
-	n.cold.Leave()
+	n.bounds.Leave()
 	n.ingress.AnnounceClose()
 	sleepUntil(started.Add(n.settings.Notice()))
 	n.log.WithField("closed", n.ingress.DisableKeepAlives()).Info("planned stop: connections that rested were closed")
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -19,9 +19,9 @@
 	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
+	"github.com/lynxshed/lynxshed/fleet/relay/bound"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
-	"github.com/lynxshed/lynxshed/fleet/relay/cold"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/evacuation"
 	"github.com/lynxshed/lynxshed/fleet/relay/memory"
@@ -71,7 +71,7 @@
 		adapter: numbers{}, log: quiet, settings: DefaultSettings(), health: store.NewHealth(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning()),
 		picker: choice.NewPicker("z", choice.DefaultTuning()), intake: overload.NewIntake(overload.DefaultIntakeRule()),
 	}
-	n.cold, n.dropIdle = cold.NewGate("n", cold.Rule{}), func(string) int { return 0 }
+	n.bounds, n.dropIdle = bound.NewGate("n"), func(string) int { return 0 }
 	n.metrics, _ = NewMetrics(noop.Meter{})
 	n.faults = store.NewFaults(quiet, n.metrics)
 	n.engineTable, n.trials = newEngineTable(n), newTrials(n, "n/1")
@@ -248,7 +248,7 @@
 		s, err := ParseSettings([]byte(`{"disable":["` + name + `"],` + rest + `}`))
 		require.NoError(t, err)
 		assert.False(t, s.Enabled(name))
-		ofTheChoice := name != delegatesMechanism && name != handOnMechanism && name != steerMechanism && name != toldMechanism && name != quarantineMechanism
+		ofTheChoice := name != delegatesMechanism && name != handOnMechanism && name != steerMechanism && name != toldMechanism && name != quarantineMechanism && name != limitsMechanism
 		assert.Equal(t, !ofTheChoice, s.Choice() == choice.DefaultTuning(), name)
 	}
 	_, err := ParseSettings([]byte(`{"disable":["luck"],` + rest + `}`))
@@ -286,6 +286,7 @@
 	m.BadEntry("kind")
 	m.NewLife("later")
 	m.Quarantined(false)
+	m.Limited("named")
 	m.Suspended(time.Second)
 	m.BadEntry("kind")
 	m.Rollout("service", 1, 0.1)
@@ -297,7 +298,7 @@
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	listed := regexp.MustCompile(`\| (lynxshed_relay_\w+) \|`).FindAllStringSubmatch(string(page), -1)
-	require.Len(t, listed, 19)
+	require.Len(t, listed, 20)
 	for _, name := range listed {
 		assert.Contains(t, answer.Body.String(), "# TYPE "+name[1]+" ")
 	}
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
+	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 	"github.com/lynxshed/lynxshed/fleet/settings/schema"
 )
@@ -34,6 +35,7 @@
 	Retry      RetrySettings     `json:"retry"`      // the fleet's bound on what is sent again
 	Budget     BudgetSettings    `json:"budget"`     // how much of the budgets a node holds
 	Cold       ColdSettings      `json:"cold"`       // bounds on what endpoints get that have just started
+	Limit      LimitSettings     `json:"limit"`      // bounds on what endpoints get that name a limit
 	Rollout    RolloutSettings   `json:"rollout"`    // bounds on what a bad version gets; without a share services are never moved to another version
 	Regions    map[string]string `json:"regions"`    // of the availability zones, by name
 	Bytes      BytesSettings     `json:"bytes"`      // what a megabyte costs that leaves the zone
@@ -69,6 +71,18 @@
 	Tolerance float64 `json:"tolerance"` // calls beyond that
 }
 
+// LimitSettings bound what all nodes together send to an endpoint that names a limit.
+type LimitSettings struct {
+	Overrun   float64 `json:"overrun"`   // times what the limit allows in a window
+	Tolerance float64 `json:"tolerance"` // calls beyond that
+	WindowMs  float64 `json:"windowMs"`
+}
+
+// Rule is the rule that the settings say.
+func (l LimitSettings) Rule() limit.Rule {
+	return limit.Rule{Overrun: l.Overrun, Tolerance: l.Tolerance, Window: time.Duration(l.WindowMs * float64(time.Millisecond))}
+}
+
 // BytesSettings say what a megabyte costs, in tokens of prompts: what a prompt of so many
 // tokens is worth to the deployment. 0 is the default.
 type BytesSettings struct {
@@ -118,6 +132,7 @@
 		Ready:   ReadySettings{Path: "/readyz", NoticeS: 2.8}, // two probes, one a second, and what the second one takes
 		Retry:   RetrySettings{Ratio: 0.2, Slack: 20, WindowS: 10},
 		Cold:    ColdSettings{Overrun: 1},
+		Limit:   LimitSettings{Overrun: 1.5, Tolerance: 5, WindowMs: 4000},
 		Rollout: RolloutSettings{RollbackMs: 5000},
 	}
 }
@@ -156,6 +171,11 @@
 		{Name: "overrun", Number: schema.Number(0, 100)},
 		{Name: "tolerance", Number: schema.Number(0, 1<<20)},
 	}},
+	{Name: "limit", Fields: []schema.Field{
+		{Name: "overrun", Number: schema.Number(1, 100)},
+		{Name: "tolerance", Number: schema.Number(0, 1<<20)},
+		{Name: "windowMs", Number: schema.Number(100, 9000)},
+	}},
 	{Name: "rollout", Fields: []schema.Field{
 		{Name: "share", Number: schema.Number(0, 1)},
 		{Name: "tolerance", Number: schema.Number(0, 1<<20)},
--- a/fleet/relay/suspended.go
+++ b/fleet/relay/suspended.go
@@ -41,7 +41,7 @@
 	idle := n.dropAllIdle()
 	n.adapter.DropIdle()
 	n.gossip.DropIdle()
-	n.cold.Settle(clock.Now())
+	n.bounds.Settle(clock.Now())
 	n.engineTable.expire()
 	n.trials.woke(clock.Now())
 	n.health.Renew()
