Forms of earlier builds are read by this one, and this one's by them

Cause: what nodes tell each other and leave in the store carried no version and was compatible by chance. A message of a kind that only a later build knows is passed over (it was taken for a digest of number 0 and dropped unless it was the first of its node).

--- a/fleet/relay/peer/fuzz_test.go
+++ b/fleet/relay/peer/fuzz_test.go
@@ -13,6 +13,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/doubt"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
@@ -28,6 +29,8 @@
 	f.Add([]byte(`{"node":"p","number":1,"digests":{"e":{"n":1,"g":true,"b":5},"f":{"b":-9223372036854775808}},"reads":[{"e":"e","b":-1,"p":["x"],"t":[5]},{"e":"e","b":7,"p":["x"],"t":[-5]}]}`))
 	f.Add([]byte(`{"node":"p","doubts":[{"e":"e","b":5,"t":[{"n":"p","a":-9223372036854775808,"c":true},{"n":"q","a":9223372036854775807}]},{"e":"","t":null}]}`))
 	f.Add([]byte(`{"node":"p","number":1,"doubts":[{"e":"e","b":5,"t":[{"n":"p","c":true},{"n":"q","c":true},{"n":"r","c":true}]}]}`))
+	f.Add([]byte(`{"node":"p","limits":[{"e":"e","b":5,"r":-1},{"e":"e","b":5,"r":1e308,"a":-9223372036854775808},{"e":"e","b":5,"a":9223372036854775807},{"e":"x"}]}`))
+	f.Add([]byte(`{"node":"p","life":"1","build":"later","of-a-later-build":{"x":[1]}}`))
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var m message
@@ -44,7 +47,14 @@
 		ill := engine.Engine{ID: "e", Born: 5, Service: "s", Zone: "z"}
 		book.Engines([]engine.Engine{ill, {ID: "f", Service: "s", Zone: "z"}})
 		book.Nodes(map[string]string{"a": "z", "p": "z", "q": "z", "r": "z"})
+		limits := limit.NewBook(limit.Rule{Overrun: 1.5, Tolerance: 5, Window: 4 * time.Second}, func(limit.Change) {})
+		limits.Engines([]engine.Engine{ill})
+		gossip.WithLimits(limits)
 		gossip.receive(m, "127.0.0.1:9")
+		if perSecond, named := limits.Of(ill.Life()); named {
+			assert.GreaterOrEqual(t, perSecond, 0.0)
+			assert.Positive(t, limits.Bound(perSecond).Calls, "it is used now and then, whatever is told of it")
+		}
 		assert.False(t, book.Avoids(ill.Life(), false, 0, time.Now()), "one datagram takes no endpoint out")
 		free := allowance.State(tenant).Free
 		assert.GreaterOrEqual(t, free, int64(0))
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -260,7 +260,7 @@
 	case m.Ledger > 0:
 		t.ledgers.told(m.Ledger, from)
 		t.ledgers.wrote(m.Ledger, m.Node, t.classOf(m.Node), clock.Now())
-	default:
+	case m.Number > 0: // else of a kind that a later build sends
 		t.receiveDigest(m, from)
 	}
 }
