A request that was served before the word on an end is cleared of it

Cause: that a request was served was noted, and told, only where it was a suspect already. The word on an end comes some time after it: the endpoint's end has to be sure first. A node that served it in between knew of no end and forgot.

--- a/fleet/relay/quarantine/book.go
+++ b/fleet/relay/quarantine/book.go
@@ -34,9 +34,10 @@
 	mu      sync.Mutex
 	listed  map[engine.Life]bool // endpoints that there are
 	pending map[engine.Life]*cut
-	ends    []*end           // the oldest first
-	near    map[Print]nearly // suspects that judges named, of which one end more would be enough
-	served  map[Print]time.Time
+	ends    []*end              // the oldest first
+	near    map[Print]nearly    // suspects that judges named, of which one end more would be enough
+	served  map[Print]time.Time // suspects, when each was last served
+	lately  map[Print]time.Time // others that were: the word on an end may come after
 	held    map[Print]Held
 	outbox  outbox
 }
@@ -67,7 +68,7 @@
 func NewBook(r Rule, seen Observer, role func() Role) *Book {
 	b := &Book{
 		rule: r, seen: seen, role: role, urgent: make(chan struct{}, 1),
-		listed: map[engine.Life]bool{}, pending: map[engine.Life]*cut{}, near: map[Print]nearly{}, served: map[Print]time.Time{}, held: map[Print]Held{}, outbox: newOutbox(),
+		listed: map[engine.Life]bool{}, pending: map[engine.Life]*cut{}, near: map[Print]nearly{}, served: map[Print]time.Time{}, lately: map[Print]time.Time{}, held: map[Print]Held{}, outbox: newOutbox(),
 	}
 	b.watched.Store(&map[string]bool{})
 	return b
@@ -183,6 +184,7 @@
 	b.ends = b.ends[max(len(b.ends)-mostEnds, 0):]
 	for _, s := range suspects {
 		news = e.add(s) || news
+		b.clearedBefore(s.Print, e.at, now)
 	}
 	b.ends = lo.Filter(b.ends, func(e *end, _ int) bool { return now.Sub(e.at) < b.rule.Memory })
 	maps.DeleteFunc(b.near, func(_ Print, n nearly) bool { return now.Sub(n.at) > b.rule.Memory })
@@ -224,7 +226,11 @@
 	releases := h.inForce(now) && at.After(h.Since)
 	_, near := b.near[p]
 	delete(b.near, p)
-	if !suspected && !releases && !near || !b.roomForServed(p, now) {
+	if !suspected && !releases && !near {
+		b.noteServed(p, at, now)
+		return false
+	}
+	if !b.roomForServed(p, now) {
 		return false
 	}
 	b.served[p] = at
@@ -235,6 +241,28 @@
 	return true
 }
 
+// noteServed keeps for a while that a request was served which is no suspect yet: an end is
+// known only once it is sure that the endpoint ended, and to other nodes after that.
+func (b *Book) noteServed(p Print, at, now time.Time) {
+	if len(b.lately) >= mostServed {
+		maps.DeleteFunc(b.lately, func(_ Print, at time.Time) bool { return now.Sub(at) > b.rule.Doubted })
+	}
+	if _, known := b.lately[p]; known || len(b.lately) < mostServed {
+		b.lately[p] = at
+	}
+}
+
+// clearedBefore takes in that a suspect of an end was served since, and tells it.
+func (b *Book) clearedBefore(p Print, end, now time.Time) {
+	at, known := b.lately[p]
+	if !known || at.Before(end) || !b.served[p].Before(at) || !b.roomForServed(p, now) {
+		return
+	}
+	b.served[p] = at
+	b.outbox.addServed(p, at)
+	b.hurry()
+}
+
 // roomForServed is whether it can be noted that one more request was served.
 func (b *Book) roomForServed(p Print, now time.Time) bool {
 	if _, known := b.served[p]; known || len(b.served) < mostServed {
--- a/fleet/relay/quarantine/book_test.go
+++ b/fleet/relay/quarantine/book_test.go
@@ -480,3 +480,31 @@
 		n.judge(n.now)
 	}
 }
+
+// What users saw: a popular request got 502 on all nodes for minutes, and nothing served it.
+//
+// The order of events: an endpoint ended and started again three times within two seconds, each time
+// under calls of that request; in between another node served it, and only then heard of
+// the first of these ends.
+//
+// The cause: that a request was served was noted only where it was known as a suspect then.
+//
+// The evidence: a line `answered` of that request lies between the ends for which all
+// nodes held it back, and no node told that it was served (soak, seed 8002).
+func TestARequestThatWasServedBeforeTheWordOnAnEndIsCleared(t *testing.T) {
+	n := newNode(Peer)
+	n.endUnder(0, suspects(Nothing, "beside")...) // so that the customer's requests are worth a print
+	_, _ = n.News(n.now)
+	n.serve("popular")
+	served := n.now
+	n.now = n.now.Add(50 * time.Millisecond)
+	n.Heard(Words{Ends: []EndWord{{Endpoint: "e01", Born: 1, AgeMs: 300, Suspects: suspects(Nothing, "popular")}}}, n.now)
+	judges, _ := n.News(n.now)
+	want := []ServedWord{{Print: printed("popular"), AgeMs: n.now.Sub(served).Milliseconds()}}
+	assert.Equal(t, want, judges.Served, "those who heard of the end learn that it was served since")
+	n.endUnder(2, suspects(Nothing, "popular")...)
+	n.endUnder(3, suspects(Nothing, "popular")...)
+	assert.False(t, n.holds("popular"), "two ends since it was served")
+	n.endUnder(4, suspects(Nothing, "popular")...)
+	assert.True(t, n.holds("popular"), "three")
+}
