--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -13,7 +13,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/lynxshed/lynxshed/ctl/client"
-	"github.com/lynxshed/lynxshed/fleet/node"
+	"github.com/lynxshed/lynxshed/fleet/version"
 )
 
 // Exit codes.
@@ -81,7 +81,7 @@
 	a := &app{out: out}
 	parser := flaggy.NewParser("lynxctl")
 	parser.Description = "the operators' tool of the lynxshed router fleet"
-	parser.Version = node.Version
+	parser.Version = version.Number
 	parser.ShowVersionWithVersionFlag = false // table set has a --version of its own
 	parser.StringSlice(&a.flags.nodes, "n", "node", "URL of a node; may be given more than once")
 	parser.String(&a.flags.key, "k", "key", "operator's key, or "+keyVariable)
@@ -141,7 +141,7 @@
 	standin.AddPositionalValue(&a.flags.first, "kind", 1, true, "platform, engine or application")
 	a.flags.listen = "127.0.0.1:0"
 	standin.String(&a.flags.listen, "", "listen", "address and port")
-	verbs := []verb{{capacity, (*app).capacity}, {standin, (*app).standin}, {demo, (*app).demo}, {status, (*app).status}, {bills, (*app).bills}, {explain, (*app).explain}, {drain, (*app).drain}, {load, (*app).load}, {a.storyCommand(), (*app).story}, {a.lossesCommand(), (*app).losses}, {a.spendingCommand(), (*app).spending}, {a.placementsCommand(), (*app).placements}, {a.rolloutsCommand(), (*app).rollouts}, {a.limitsCommand(), (*app).limits}}
+	verbs := []verb{{capacity, (*app).capacity}, {standin, (*app).standin}, {demo, (*app).demo}, {status, (*app).status}, {bills, (*app).bills}, {explain, (*app).explain}, {drain, (*app).drain}, {load, (*app).load}, {a.storyCommand(), (*app).story}, {a.lossesCommand(), (*app).losses}, {a.spendingCommand(), (*app).spending}, {a.placementsCommand(), (*app).placements}, {a.rolloutsCommand(), (*app).rollouts}, {a.limitsCommand(), (*app).limits}, {a.nodesCommand(), (*app).relayNodes}}
 	for _, v := range verbs {
 		parser.AttachSubcommand(v.command, 1)
 	}
--- a/fleet/cmd/lynxshed/main.go
+++ b/fleet/cmd/lynxshed/main.go
@@ -17,6 +17,7 @@
 	"github.com/lynxshed/lynxshed/fleet/node"
 	"github.com/lynxshed/lynxshed/fleet/relay"
 	"github.com/lynxshed/lynxshed/fleet/settings"
+	"github.com/lynxshed/lynxshed/fleet/version"
 )
 
 // Exit codes.
@@ -71,7 +72,7 @@
 }
 
 func versionLine() string {
-	return fmt.Sprintf("lynxshed %s commit %s %s", node.Version, node.Commit(), runtime.Version())
+	return fmt.Sprintf("lynxshed %s commit %s %s", version.Number, version.Commit(), runtime.Version())
 }
 
 func usage(text string) int {
--- a/fleet/node/wire.go
+++ b/fleet/node/wire.go
@@ -20,6 +20,7 @@
 	"github.com/lynxshed/lynxshed/fleet/platform"
 	"github.com/lynxshed/lynxshed/fleet/problem"
 	"github.com/lynxshed/lynxshed/fleet/telemetry"
+	"github.com/lynxshed/lynxshed/fleet/version"
 )
 
 // Package provides the parts of a node; each takes what it needs from the injector.
@@ -150,7 +151,7 @@
 	e := do.MustInvoke[*entry.Entry](i)
 	do.MustInvoke[*orders.Giver](i)
 	mux := http.NewServeMux()
-	api := humago.New(mux, huma.DefaultConfig("lynxshed", Version))
+	api := humago.New(mux, huma.DefaultConfig("lynxshed", version.Number))
 	operators := operator.NewAPI(n.options.OperatorHashes, do.MustInvoke[*operator.Desk](i), n.inForce, do.MustInvoke[*config.Editor](i), n.accepted)
 	operators.Register(api)
 	e.Routes(mux)
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -25,6 +25,7 @@
 	first    metric.Float64Histogram
 
 	evacuated metric.Int64Gauge
+	builds    metric.Int64Gauge
 	link      metric.Float64Gauge
 	intake    metric.Int64Gauge
 
@@ -64,6 +65,7 @@
 		name, what string
 	}{
 		{&metrics.evacuated, "lynxshed.relay.evacuated_zones", "availability zones whose endpoints are to get no new work"},
+		{&metrics.builds, "lynxshed.relay.builds", "builds that the nodes run, as this node knows: more than one while VMs are replaced"},
 		{&metrics.stage, "lynxshed.relay.rollout_stage", "of a service's rollout: 0 ordered, 1 sampling, 2 moving, 3 completed, 4 reverted"},
 		{&metrics.intake, "lynxshed.relay.intake_open", "1 while new connections are welcome as far as the link goes, 0 while one customer's callers fill it"},
 		{&metrics.answers, "lynxshed.relay.rollout_answers", "answers that this node had since the open order, by version"},
@@ -149,6 +151,11 @@
 	m.evacuated.Record(context.Background(), int64(zones))
 }
 
+// Builds records how many builds the nodes run.
+func (m *Metrics) Builds(n int) {
+	m.builds.Record(context.Background(), int64(n))
+}
+
 // Rollout records where a service's order stands, as this node knows.
 func (m *Metrics) Rollout(service string, stage int64, share float64) {
 	of := metric.WithAttributes(attribute.String("service", service))
--- a/fleet/relay/operators.go
+++ b/fleet/relay/operators.go
@@ -18,6 +18,7 @@
 // serveOperators adds what operators ask of this node alone.
 func (n *Node) serveOperators(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+QuarantinePath, n.listQuarantine)
+	mux.HandleFunc("GET "+NodesPath, n.listNodes)
 	mux.HandleFunc("GET "+LimitsPath, n.listLimits)
 	mux.HandleFunc("DELETE "+QuarantinePath+"/{print}", n.releaseQuarantined)
 }
--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -27,6 +27,7 @@
 	Zone     string  `json:"zone"`
 	Address  string  `json:"address"`            // for datagrams and for lists and watches, IP:PORT
 	LinkMbps float64 `json:"linkMbps,omitempty"` // of its VM; 0 is not known
+	Build    string  `json:"build,omitempty"`    // of its program; "": it does not say
 }
 
 // Registry is the nodes that the store lists.
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -40,6 +40,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 	"github.com/lynxshed/lynxshed/fleet/telemetry"
+	"github.com/lynxshed/lynxshed/fleet/version"
 )
 
 // Adapter is what a platform brings.
@@ -126,7 +127,7 @@
 	n.faults = store.NewFaults(l, n.metrics)
 	n.store = store.NewSourced(store.Probed(store.Counted(a.Store(), n.metrics)), n.sources)
 	life := uuid.NewString()
-	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps}
+	self := peer.Member{Name: s.Node, Life: life, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps, Build: version.Build()}
 	n.allowance = account.NewAllowance(s.Node, life, s.Budget.Tuning())
 	n.bounds = bound.NewGate(s.Node).WithCutOff(func() bool { return n.syncer.Out() })
 	n.picker = choice.NewPicker(s.Zone, s.Choice()).WithColdGate(n.bounds, cold.Rule{Overrun: s.Cold.Overrun, Tolerance: s.Cold.Tolerance}).WithPlaces(n.places)
@@ -147,6 +148,7 @@
 	n.registry.OnChange(func(members []peer.Member) {
 		n.bounds.Nodes(lo.Map(members, func(m peer.Member, _ int) string { return m.Name }), clock.Now())
 	})
+	n.registry.OnChange(newBuilds(n).tell)
 	n.syncer = account.NewSyncer(n.store, n.allowance, gossip.WriterCount, gossip.Writes, n.health, l).WithFaults(n.faults).WithWriters(gossip).WithTurns(gossip.Turn, gossip.Heard())
 	n.gate = overload.NewGate(overload.DefaultRule())
 	n.intake = overload.NewIntake(overload.DefaultIntakeRule())
@@ -214,7 +216,7 @@
 	go func() { failed <- n.ingress.Serve() }()
 	go func() { failed <- asked.Serve(peers) }()
 	go func() { failed <- ready.Serve(balancer) }()
-	n.log.WithField("zone", n.settings.Zone).WithField("listen", n.settings.Listen).Info("started")
+	n.log.WithField("zone", n.settings.Zone).WithField("listen", n.settings.Listen).WithField("build", version.Build()).Info("started")
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -287,6 +287,7 @@
 	m.NewLife("later")
 	m.Quarantined(false)
 	m.Limited("named")
+	m.Builds(2)
 	m.Suspended(time.Second)
 	m.BadEntry("kind")
 	m.Rollout("service", 1, 0.1)
@@ -298,7 +299,7 @@
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	listed := regexp.MustCompile(`\| (lynxshed_relay_\w+) \|`).FindAllStringSubmatch(string(page), -1)
-	require.Len(t, listed, 20)
+	require.Len(t, listed, 21)
 	for _, name := range listed {
 		assert.Contains(t, answer.Body.String(), "# TYPE "+name[1]+" ")
 	}
