--- a/fleet/relay/account/turns.go
+++ b/fleet/relay/account/turns.go
@@ -3,9 +3,8 @@
 import "time"
 
 // Turn is when a writer of the ledger writes, beside the others: all write one object, and
-// a write that another's overtakes is refused: without turns 479 of 827 writes of a day of
-// twelve writers in three regions, 12 ms from each other. After each write the others
-// follow in their order, each when it heard of it; so no clock is shared.
+// a write that another's overtakes is refused, and costs a call all the same. After each
+// write the others follow in their order, each when it heard of it; so no clock is shared.
 type Turn struct {
 	Word   time.Time     // when this writer heard of the last write, or made it; zero: of none
 	After  int           // place of this writer behind the one that wrote; 0 is the next
--- a/fleet/relay/quarantine/end.go
+++ b/fleet/relay/quarantine/end.go
@@ -112,9 +112,7 @@
 
 // What an end counts under a request. Where its answer had been coming for a while five
 // such are as good as three others: streams that last are in many ends of endpoints that
-// go down and up by themselves. Where one of ten does every 0.7 s, and callers come again
-// ten times, 32 requests that end nothing were held back in 20 plays of 30 s while all
-// ends counted alike, and none since.
+// go down and up by themselves, and would be held back for it.
 const (
 	endWeight      = 5
 	underwayWeight = 3
--- a/fleet/relay/rollout/slowness.go
+++ b/fleet/relay/rollout/slowness.go
@@ -14,9 +14,8 @@
 
 // lies is how far the logarithm of an answer's slowness lies above what is usual. A first
 // answer far from what was expected tells what that is, and others move it by ever smaller
-// steps, as if three had been as expected: where expectations were ten times too low, a start from them had a
-// node's first 80 answers of the old version count as slow, which hid any target that was
-// bad.
+// steps, as if three had been as expected: from expectations that are far too low, a slower start would count many
+// answers of the old version as slow, which hides a target that is bad.
 func (k *slowness) lies(slow float64, target bool) float64 {
 	lies := slow - k.usual
 	switch {
--- a/fleet/relay/store/probed.go
+++ b/fleet/relay/store/probed.go
@@ -9,8 +9,7 @@
 )
 
 // probed is a store that is pinged before a call once it refused one: a call that is
-// refused costs as much as another, a ping a tenth of it. Who asks on in an outage of eight
-// seconds makes some ten calls.
+// refused costs as much as another, a ping a tenth of it.
 type probed struct {
 	Store
 	refused atomic.Bool // the last call was
