An endpoint under a limit is asked when nothing was heard of it

Cause: a limit ends with an answer to a call that was sent under it. The nodes that have a part of it chose others, which cost as much or less, so that there was no answer; nobody else may send there. Worst where the nodes with a part lie in other zones than the endpoint.

Why it holds: where nothing was heard for 3 s, a node that has a part left sends its next call there before any other; its part bounds how often.

--- a/fleet/relay/choice/bounds.go
+++ b/fleet/relay/choice/bounds.go
@@ -30,6 +30,22 @@
 	return p.limits.MayTry(e.Life(), p.gate.Count(), r.Now)
 }
 
+// unheard is which endpoints a call goes to before any other, where it may: nothing was heard
+// of their limits for a while, and only an answer tells whether they still hold. Left to
+// what costs least, an endpoint might never be asked, and stay under a limit that is over.
+func (p *Picker) unheard(r Request) []engine.Engine {
+	if p.limits == nil {
+		return nil
+	}
+	var of []engine.Engine
+	for _, life := range p.limits.Unheard(r.Now) {
+		if e, ok := find(r.Engines, life.ID); ok && e.Life() == life {
+			of = append(of, e)
+		}
+	}
+	return of
+}
+
 // Limits are how many calls a second the ready endpoints take from all nodes together; false
 // where one of them names no limit.
 func (p *Picker) Limits(among []engine.Engine) (perSecond float64, all bool) {
--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -155,6 +155,9 @@
 func (p *Picker) first(r Request) (Placement, bool) {
 	key := xxhash.Sum64String(r.Call.ID)
 	affinity := p.affinity(r)
+	if best, found := p.best(r, p.unheard(r), affinity, key, sound); found {
+		return best, true
+	}
 	some := candidates(r, affinity, key)
 	if best, found := p.best(r, some, affinity, key, sound); found {
 		return best, true
--- a/fleet/relay/limit/book.go
+++ b/fleet/relay/limit/book.go
@@ -155,6 +155,26 @@
 	return k.perSecond, true
 }
 
+// unheardFor is after how long without an answer from an endpoint under a limit this node
+// asks it by a call, where it has a part left.
+const unheardFor = 3 * time.Second
+
+// Unheard lists the endpoints under a limit that is to be heard of again.
+func (b *Book) Unheard(now time.Time) []engine.Life {
+	if b.count.Load() == 0 {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var lives []engine.Life
+	for life, k := range b.known {
+		if k.named && now.Sub(k.observed) >= unheardFor && now.Sub(k.tried) >= unheardFor {
+			lives = append(lives, life)
+		}
+	}
+	return lives
+}
+
 const (
 	silent  = 30 * time.Second // without a word on a limit
 	triesOf = 2                // calls in so many that a limit allows, by all nodes that try together
