What endpoints say of leaving and rest stands on the lines of calls

Cause: lines said where a call went and what came of it, but not whether the answer spoke of leaving or asked for rest, so that they could not tell a node that never reads it from one that had placed calls before. Nothing is decided by it yet.

--- a/fleet/relay/call/call.go
+++ b/fleet/relay/call/call.go
@@ -79,6 +79,7 @@
 	Load        Load
 	HasLoad     bool
 	Limit       Limit
+	Notices     []Notice
 }
 
 // Wire translates heads. It is filled by an adapter.
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -67,6 +67,7 @@
 	placed   *choice.Placement
 	told     told             // of the last attempt
 	limit    call.Limit       // that the last answer named
+	notices  []call.Notice    // of the last answer
 	printed  quarantine.Print // of its request; zero: not worked out yet
 	pace     pace             // of the last stream
 }
@@ -294,6 +295,7 @@
 	}
 	j.describePlacement(fields)
 	j.describeLimit(fields)
+	j.describeNotices(fields)
 	if j.note != "" {
 		fields["note"] = j.note
 	}
@@ -311,6 +313,18 @@
 	}
 }
 
+// describeNotices tells what the endpoint said about the calls that it wants.
+func (j *job) describeNotices(fields log.Fields) {
+	for _, n := range j.notices {
+		switch n := n.(type) {
+		case call.Leaving:
+			fields["leaving"] = true
+		case call.Rest:
+			fields["restMs"] = n.For.Milliseconds()
+		}
+	}
+}
+
 // describePlacement tells why the last endpoint was chosen, and what came of it.
 func (j *job) describePlacement(fields log.Fields) {
 	t := j.placed
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -74,6 +74,7 @@
 	case neverSent:
 		j.Log.WithFields(fields).WithField("error", o.err.Error()).Info("attempt not sent")
 	case rejected:
+		j.describeNotices(fields)
 		j.Log.WithFields(fields).WithField("status", o.status).Info("attempt refused as not run")
 	case failed:
 		fields["print"] = j.print().String()
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -31,6 +31,7 @@
 // send makes one attempt and waits for the head of its answer; the span of the
 // attempt ends with the head.
 func (j *job) send(ctx context.Context, t *choice.Placement, lastEventID string) outcome {
+	j.notices = nil
 	ctx, end := j.attempt(ctx, t)
 	out := j.exchange(ctx, t, lastEventID)
 	end(out)
@@ -135,6 +136,9 @@
 		drop(resp)
 		return failed{heard: true, err: at("answer", t, errors.Newf("the answer is to call %q, status %d", v.CallID, resp.StatusCode))}
 	}
+	if !v.Moved {
+		j.notices = v.Notices
+	}
 	if !v.Moved && j.awake.still() { // not another endpoint's word, nor one of before a suspension
 		j.limit = v.Limit
 		t.Limit(v.Limit, resp.StatusCode < http.StatusMultipleChoices, started, now)
