An endpoint that says in its answers that it leaves gets no new calls

What callers and users saw: an endpoint that had said so got calls from the same node 3 s later, until the store told of it.

Cause: a node knew of leaving by the store's entry alone; what answers said went on to the caller. With the store away that was 13 s late.

Why the mend holds: the word binds the node that was told for the life of the endpoint, whatever its entry, the store or a later answer says; the directory shows it as leaving, so that choice, homes of prompts, doubts and roll-outs treat it alike; other nodes are told at once, and believe it for 30 s. For 0.7 of the time allowed it stays the last resort.

When something is told stands once now (package telling), for limits as well.

--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -20,17 +20,19 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/doubt"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
+	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 )
 
 // Picker chooses endpoints and remembers what was sent where. It is safe for
 // concurrent use.
 type Picker struct {
-	tuning Tuning
-	places distance.Places
-	gate   *bound.Gate
-	cold   cold.Rule
-	limits *limit.Book // nil: what endpoints name counts for nothing
-	doubts *doubt.Book // nil: what others tell of failures counts for nothing
+	tuning  Tuning
+	places  distance.Places
+	gate    *bound.Gate
+	cold    cold.Rule
+	limits  *limit.Book  // nil: what endpoints name counts for nothing
+	notices *notice.Book // nil: what endpoints say in answers counts for nothing
+	doubts  *doubt.Book  // nil: what others tell of failures counts for nothing
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
@@ -73,6 +75,12 @@
 	return p
 }
 
+// WithNotices has the picker heed what endpoints say in their answers.
+func (p *Picker) WithNotices(b *notice.Book) *Picker {
+	p.notices = b
+	return p
+}
+
 // WithDoubts has the picker avoid endpoints that nodes tell of, and note failures for them.
 func (p *Picker) WithDoubts(b *doubt.Book) *Picker {
 	p.doubts = b
@@ -180,7 +188,7 @@
 	found := false
 	source := p.source(r, affinity)
 	for _, e := range among {
-		if e.State != engine.Ready || r.Exclude[e.Life()] {
+		if !r.mayGet(e, with) || r.Exclude[e.Life()] {
 			continue
 		}
 		s := p.endpoint(e.Life(), r.Profile.Capacity)
--- a/fleet/relay/engine/engine.go
+++ b/fleet/relay/engine/engine.go
@@ -18,6 +18,7 @@
 	Ready State = iota
 	Draining
 	Evacuated // not its own word: its zone is to get no new work
+	Leaving   // by its answers, whatever its entry says
 )
 
 // Life is one life of an endpoint: one that starts again may keep its id, but not its
@@ -42,12 +43,16 @@
 
 	ColdUntil  time.Time // it says that it is slow until then; zero: it is not
 	RebornAt   time.Time // when this node learned that it has started again under its id; zero: no earlier life was known
+	LeavesBy   time.Time // of one that is Leaving: until then it may get calls that no other endpoint may take
 	ReturnedAt time.Time // when its zone was last given back after an evacuation; zero: never
 }
 
 // Life returns which life of the endpoint this is.
 func (e Engine) Life() Life { return Life{ID: e.ID, Born: e.Born} }
 
+// Ends is whether the endpoint is about to end, by its own word.
+func (e Engine) Ends() bool { return e.State == Draining || e.State == Leaving }
+
 // Directory is an immutable set of endpoints.
 type Directory struct {
 	Revision  int64
--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -138,7 +138,7 @@
 	if !known || !t.lapsed[name].IsZero() {
 		return
 	}
-	if e.State != engine.Ready || !t.health.Doubted() {
+	if t.leaves(e).State != engine.Ready || !t.health.Doubted() {
 		t.drop(name)
 		return
 	}
@@ -204,6 +204,7 @@
 		if !t.lapsed[e.ID].IsZero() && apart[e.Service] || foreign[e.ID] {
 			continue
 		}
+		e = t.leaves(e)
 		if e.State == engine.Ready && zones.Active(e.Zone) {
 			e.State = engine.Evacuated
 		}
@@ -218,6 +219,9 @@
 	if t.limits != nil {
 		t.limits.Engines(d.All())
 	}
+	if t.notices != nil {
+		t.notices.Engines(d.All(), clock.Now())
+	}
 	if t.quarantine != nil {
 		t.quarantine.Engines(d.All(), clock.Now())
 	}
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -138,6 +138,9 @@
 	}
 	if !v.Moved {
 		j.notices = v.Notices
+		for _, n := range v.Notices {
+			t.Notice(n, now)
+		}
 	}
 	if !v.Moved && j.awake.still() { // not another endpoint's word, nor one of before a suspension
 		j.limit = v.Limit
--- a/fleet/relay/limit/book.go
+++ b/fleet/relay/limit/book.go
@@ -8,13 +8,14 @@
 	"time"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/telling"
 )
 
 // Book is what a node knows of limits. It is safe for concurrent use.
 type Book struct {
 	Rule
 	changed func(Change)
-	urgent  chan struct{}
+	urgent  telling.Urgent
 	count   atomic.Int64 // of what is known, so that nothing is asked where nothing is
 
 	mu     sync.Mutex
@@ -42,9 +43,7 @@
 	by        string
 	own       bool // this node's answer was the latest
 	tried     time.Time
-	news      bool
-	told      time.Time
-	tellUntil time.Time
+	due       telling.Due
 }
 
 // said is what an answer says of a limit.
@@ -57,7 +56,7 @@
 
 // NewBook returns a book that knows of no limit; changed is told of each change.
 func NewBook(r Rule, changed func(Change)) *Book {
-	return &Book{Rule: r, changed: changed, urgent: make(chan struct{}, 1), listed: map[engine.Life]engine.Engine{}, known: map[engine.Life]*known{}}
+	return &Book{Rule: r, changed: changed, urgent: telling.NewUrgent(), listed: map[engine.Life]engine.Engine{}, known: map[engine.Life]*known{}}
 }
 
 // Engines sets which endpoints there are; what is known of others, and of lives that have
@@ -106,10 +105,7 @@
 	if !news {
 		return
 	}
-	select {
-	case b.urgent <- struct{}{}:
-	default:
-	}
+	b.urgent.Hurry()
 	b.changed(c)
 }
 
@@ -134,10 +130,11 @@
 		return Change{}, false
 	}
 	k.named, k.perSecond, k.observed, k.by, k.own = s.named, s.perSecond, s.at, s.by, s.by == ""
-	if news || now.Sub(k.told) >= tellAgain {
-		k.told, k.tellUntil = now, now.Add(tellFor)
+	if news {
+		k.due.News(now)
+	} else {
+		k.due.Renew(now)
 	}
-	k.news = k.news || news
 	return c, news
 }
 
--- a/fleet/relay/limit/word.go
+++ b/fleet/relay/limit/word.go
@@ -27,9 +27,7 @@
 // Bounds of what is told.
 const (
 	mostWords = 48
-	oldest    = time.Minute             // that an answer may be for its word to count
-	tellFor   = 1200 * time.Millisecond // after a change, with all that is told meanwhile: datagrams are lost, and in a large fleet not all are told at once
-	tellAgain = 10 * time.Second        // while nothing changes, for those that heard nothing
+	oldest    = time.Minute // that an answer may be for its word to count
 )
 
 // Urgent tells that there are news that are not to wait for what is told at intervals.
@@ -42,10 +40,9 @@
 	defer b.mu.Unlock()
 	var words []Word
 	for life, k := range b.known {
-		if k.news && (k.own || tellsOn) {
+		if k.due.TakeNews() && (k.own || tellsOn) {
 			words = append(words, k.word(life, now))
 		}
-		k.news = false
 	}
 	return few(words)
 }
@@ -59,7 +56,7 @@
 	defer b.mu.Unlock()
 	var words []Word
 	for life, k := range b.known {
-		if now.Before(k.tellUntil) && (k.own || tellsOn) {
+		if k.due.Along(now) && (k.own || tellsOn) {
 			words = append(words, k.word(life, now))
 		}
 	}
--- a/fleet/relay/mechanisms.go
+++ b/fleet/relay/mechanisms.go
@@ -32,11 +32,12 @@
 	toldMechanism       = "told-failures" // endpoints that other nodes tell of are avoided
 	quarantineMechanism = "quarantine"    // requests under which endpoints end are held back
 	limitsMechanism     = "limits"        // what endpoints name as their limit is kept
+	noticesMechanism    = "notices"       // what endpoints say in their answers about the calls that they want is heeded
 	steerMechanism      = "steer"         // a node whose link one customer fills gets no new connections
 )
 
 func mechanismNames() []string {
-	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, handOnMechanism, steerMechanism, toldMechanism, quarantineMechanism, limitsMechanism)
+	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, handOnMechanism, steerMechanism, toldMechanism, quarantineMechanism, limitsMechanism, noticesMechanism)
 }
 
 // Enabled is whether a mechanism is not switched off.
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -21,6 +21,7 @@
 	isolated metric.Int64Counter
 	slept    metric.Int64Counter
 	limited  metric.Int64Counter
+	noticed  metric.Int64Counter
 	took     metric.Float64Histogram
 	first    metric.Float64Histogram
 
@@ -53,6 +54,7 @@
 		{&metrics.lives, "lynxshed.relay.new_lives", "endpoints that were seen to have started again under their id, by how their birth changed"},
 		{&metrics.bad, "lynxshed.relay.bad_entries", "entries of the store that could not be read, each once for each of its revisions, by kind"},
 		{&metrics.slept, "lynxshed.relay.suspended_ms", "milliseconds for which the VM was suspended since the process began"},
+		{&metrics.noticed, "lynxshed.relay.notices", "what endpoints say in answers, as this node began to act on it, by kind: leaving, rest"},
 		{&metrics.limited, "lynxshed.relay.limits", "limits of endpoints that this node learned of, by change: named, changed, ended"},
 		{&metrics.isolated, "lynxshed.relay.quarantine", "requests that this node began to hold back, or let go, since endpoints ended under them, by which of both"},
 	}
@@ -136,6 +138,11 @@
 	m.isolated.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", lo.Ternary(released, "let go", "held back"))))
 }
 
+// Noticed counts something that endpoints say in answers, and that this node acts on.
+func (m *Metrics) Noticed(kind string) {
+	m.noticed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
+}
+
 // Limited counts a limit that this node learned of, or a change of one.
 func (m *Metrics) Limited(change string) {
 	m.limited.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
--- a/fleet/relay/operators.go
+++ b/fleet/relay/operators.go
@@ -20,6 +20,7 @@
 	mux.HandleFunc("GET "+QuarantinePath, n.listQuarantine)
 	mux.HandleFunc("GET "+NodesPath, n.listNodes)
 	mux.HandleFunc("GET "+LimitsPath, n.listLimits)
+	mux.HandleFunc("GET "+NoticesPath, n.listNotices)
 	mux.HandleFunc("DELETE "+QuarantinePath+"/{print}", n.releaseQuarantined)
 }
 
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -21,6 +21,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/doubt"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
+	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
@@ -51,11 +52,12 @@
 	elsewhere   atomic.Bool // a writer of another zone reaches the store, as this one heard
 	sources     atomic.Pointer[[]store.Source]
 	client      *http.Client
-	rollouts    RolloutTalk // nil: none is ever ordered here
-	busy        func() bool // whether this node's link is busy
-	doubts      *doubt.Book // nil: nothing is told of endpoints that fail
-	quarantine  Quarantine  // nil: nothing is told of requests under which endpoints end
-	limits      *limit.Book // nil: nothing is told of limits that endpoints name
+	rollouts    RolloutTalk  // nil: none is ever ordered here
+	busy        func() bool  // whether this node's link is busy
+	doubts      *doubt.Book  // nil: nothing is told of endpoints that fail
+	quarantine  Quarantine   // nil: nothing is told of requests under which endpoints end
+	limits      *limit.Book  // nil: nothing is told of limits that endpoints name
+	notices     *notice.Book // nil: nothing is told of what endpoints say in answers
 
 	choosing  sync.Mutex // who writes, and what follows from it
 	delegates *delegates
@@ -129,6 +131,9 @@
 		case <-t.urgentLimits():
 			writers, _ := t.choice()
 			t.tellLimits(writers)
+		case <-t.urgentNotices():
+			writers, _ := t.choice()
+			t.tellNotices(writers)
 		}
 	}
 }
@@ -153,7 +158,7 @@
 	m := t.signed(message{
 		Number: t.number, Digests: t.picker.Digests(), Out: t.out(),
 		Reconnects: t.registry.health.Reconnects(), Elsewhere: t.elsewhere.Load(), Outage: t.transfers.allowance.Expected(now), Rollouts: t.badWord(), Doubts: t.doubtWords(now),
-		Quarantine: t.quarantineDigest(now), Limits: t.limitWords(),
+		Quarantine: t.quarantineDigest(now), Limits: t.limitWords(), Notices: t.noticeWords(),
 	})
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, reports
@@ -257,6 +262,8 @@
 		t.heardQuarantine(m)
 	case len(m.Limits) > 0 && m.Number == 0:
 		t.heardLimits(m)
+	case len(m.Notices) > 0 && m.Number == 0:
+		t.heardNotices(m)
 	case m.Ledger > 0:
 		t.ledgers.told(m.Ledger, from)
 		t.ledgers.wrote(m.Ledger, m.Node, t.classOf(m.Node), clock.Now())
@@ -289,6 +296,7 @@
 	t.heardDoubts(m)
 	t.heardQuarantine(m)
 	t.heardLimits(m)
+	t.heardNotices(m)
 	t.picker.Heard(m.Node, m.Digests, now)
 	t.picker.HeardReads(m.Reads, t.tellsOn(), now)
 	if m.HasBudgets {
--- a/fleet/relay/peer/limits.go
+++ b/fleet/relay/peer/limits.go
@@ -34,6 +34,12 @@
 	if len(words) == 0 {
 		return
 	}
+	t.send(t.signed(message{Limits: words}), t.audience(delegates)...)
+}
+
+// audience is whom a node tells at once what it has learned: the delegates of its zone; a
+// delegate all nodes of its zone, and the delegates of others. Where all write, all others.
+func (t *Gossip) audience(delegates map[string]bool) []string {
 	to, far := t.delegateAddresses(delegates)
 	if t.Writes() {
 		to = append(to, far...)
@@ -43,7 +49,7 @@
 		zone := lo.Filter(t.registry.Members(), func(m Member, _ int) bool { return m.Name != self.Name && m.Zone == self.Zone })
 		to = lo.Uniq(slices.Concat(addresses(zone), to))
 	}
-	t.send(t.signed(message{Limits: words}), to...)
+	return to
 }
 
 // limitWords is what is told of limits along with everything else.
--- a/fleet/relay/peer/limits_test.go
+++ b/fleet/relay/peer/limits_test.go
@@ -14,9 +14,11 @@
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
+	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 )
 
-// limitCounter is a node's socket: it counts what is told of limits, and hands it on.
+// limitCounter is a node's socket: it counts what is told of limits and of what endpoints say
+// in answers, and hands it on.
 type limitCounter struct {
 	net.PacketConn
 	at      map[string]*Gossip
@@ -25,12 +27,13 @@
 }
 
 func (c limitCounter) WriteTo(data []byte, to net.Addr) (int, error) {
-	if !bytes.Contains(data, []byte(`"limits"`)) {
+	if !bytes.Contains(data, []byte(`"limits"`)) && !bytes.Contains(data, []byte(`"notices"`)) {
 		return len(data), nil // of no concern here
 	}
 	m := decoded(data)
-	words, _ := json.Marshal(m.Limits)
-	c.sums.bytes += len(words)
+	limits, _ := json.Marshal(m.Limits)
+	notices, _ := json.Marshal(m.Notices)
+	c.sums.bytes += len(limits) + len(notices)
 	c.sums.datagrams++
 	if g, ok := c.at[to.String()]; ok {
 		g.receive(m, c.address)
@@ -52,7 +55,8 @@
 		g.socket = limitCounter{at: at, address: m.Address, sums: total}
 		b := limit.NewBook(limit.Rule{Overrun: 1.5, Tolerance: 5, Window: 4 * time.Second}, func(limit.Change) {})
 		b.Engines(engines)
-		g.WithLimits(b)
+		g.WithLimits(b).WithNotices(notice.NewBook(notice.Rule{}, func(notice.Change) {}))
+		g.notices.Engines(engines, clock.Now())
 		g.choose()
 		at[m.Address] = g
 		gossips, books = append(gossips, g), append(books, b)
--- a/fleet/relay/peer/message.go
+++ b/fleet/relay/peer/message.go
@@ -10,6 +10,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/doubt"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
+	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
@@ -32,6 +33,7 @@
 	Doubts        []doubt.Word                    `json:"doubts,omitempty"`     // endpoints at which calls failed of late
 	Quarantine    *quarantine.Words               `json:"quarantine,omitempty"` // requests under which endpoints end
 	Limits        []limit.Word                    `json:"limits,omitempty"`     // that endpoints name
+	Notices       []notice.Word                   `json:"notices,omitempty"`    // what endpoints say in their answers
 	Ledger        int64                           `json:"ledger,omitempty"`     // revision of one that the node has written
 }
 
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -33,6 +33,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
 	"github.com/lynxshed/lynxshed/fleet/relay/memory"
+	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 	"github.com/lynxshed/lynxshed/fleet/relay/overload"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
@@ -84,7 +85,8 @@
 	ordersAgain store.Again
 	faults      *store.Faults // tells of entries that can't be read
 	bounds      *bound.Gate
-	limits      *limit.Book // nil: what endpoints name counts for nothing
+	limits      *limit.Book  // nil: what endpoints name counts for nothing
+	notices     *notice.Book // nil: what endpoints say in answers counts for nothing
 	allowance   *account.Allowance
 	syncer      *account.Syncer
 	picker      *choice.Picker
@@ -143,6 +145,7 @@
 	n.tellFailures(gossip)
 	n.holdBack(gossip)
 	n.keepLimits(gossip)
+	n.heedNotices(gossip)
 	n.gossip = gossip.WithRollouts(n.trials).WithPlaces(n.places).WithLink(func() bool { return n.intake.Share() > busyLink })
 	n.trials.fleet = gossip
 	n.registry.OnChange(func(members []peer.Member) {
--- a/fleet/relay/rollout/split.go
+++ b/fleet/relay/rollout/split.go
@@ -97,7 +97,7 @@
 // service's calls as full as the old ones hold the rest. They lie in as many zones, and
 // count in as many cohorts, as can be.
 func tried(target, old []engine.Engine, share float64) []engine.Engine {
-	ready := lo.Filter(target, func(e engine.Engine, _ int) bool { return e.State != engine.Draining })
+	ready := lo.Filter(target, func(e engine.Engine, _ int) bool { return !e.Ends() })
 	need := int(math.Ceil(share * float64(slotsOf(old))))
 	var chosen []engine.Engine
 	slots := 0
