An endpoint that asks a node for rest gets it, and the next try goes elsewhere

What callers and users saw: an endpoint answered a node 503 with a time for which it wanted no calls, and got six in that time; callers were refused while most endpoints had room, as repeats went to others that had asked for rest.

Cause: nothing read that time; a refusal counted as that of an endpoint that is full for a moment.

Why the mend holds: the node that was asked places nothing there until the latest end, whatever else is left, and writes nothing on a connection that was waited for meanwhile. Other nodes are told and use the endpoint last. Each comes back at a time of its own, with one call that may be sent elsewhere. Where all rest callers are refused at once, before tokens are looked for, and told how long the rest lasts.

--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -105,6 +105,7 @@
 	Engines   []engine.Engine      // in the order of their ids
 	Sources   []engine.Engine      // that parts of prompts may be taken from, in that order, too; nil: Engines
 	Again     bool                 // the call may run again
+	Elsewhere bool                 // the call may be sent to another endpoint if this one turns it away
 	Trial     bool                 // the endpoints are on trial: what they show is no word on the others of the service
 	Exclude   map[engine.Life]bool // already tried
 	Profile   Profile
@@ -137,6 +138,9 @@
 	if p.limits != nil {
 		p.limits.Tried(t.Engine.Life(), r.Now)
 	}
+	if p.notices != nil {
+		p.notices.Placed(t.Engine.Life(), r.Now)
+	}
 	e.told, e.placed = true, r.Now
 	e.inFlight++
 	e.waiting += t.Uncached
@@ -188,7 +192,7 @@
 	found := false
 	source := p.source(r, affinity)
 	for _, e := range among {
-		if !r.mayGet(e, with) || r.Exclude[e.Life()] {
+		if !r.mayGet(e, with) || r.Exclude[e.Life()] || p.restCare(r, e, with) {
 			continue
 		}
 		s := p.endpoint(e.Life(), r.Profile.Capacity)
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -233,6 +233,9 @@
 	if !j.tenant.HasPrepaid || j.call.Cost() == 0 {
 		return refusal{}, true
 	}
+	if f, resting := j.resting(); resting {
+		return f, false // what can't be sent is not held while tokens are found for it
+	}
 	answer := j.Allowance.Reserve(j.tenant.Name, j.call.Cost(), j.start)
 	if answer == account.Insufficient && j.TokenSource.Acquire(j.r.Context(), j.tenant.Name, j.call.Cost()) {
 		j.note = "transferred"
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -25,6 +25,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/memory"
+	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
 )
@@ -54,7 +55,11 @@
 }
 
 func (plainWire) Judge(resp *http.Response) call.Verdict {
-	return call.Verdict{CallID: resp.Header.Get("Call"), NotExecuted: resp.Header.Get("Not-Run") != "", Moved: resp.StatusCode == http.StatusMisdirectedRequest}
+	v := call.Verdict{CallID: resp.Header.Get("Call"), NotExecuted: resp.Header.Get("Not-Run") != "", Moved: resp.StatusCode == http.StatusMisdirectedRequest}
+	if rest, err := time.ParseDuration(resp.Header.Get("Rest")); err == nil {
+		v.Notices = []call.Notice{call.Rest{For: rest}}
+	}
+	return v
 }
 
 func (plainWire) Answer(to http.Header, resp *http.Response) {
@@ -117,6 +122,7 @@
 	engines     []engine.Engine
 	directory   atomic.Pointer[engine.Directory]
 	picker      *choice.Picker
+	notices     *notice.Book
 	connections *forward.Transport
 
 	mu   sync.Mutex
@@ -192,7 +198,9 @@
 	one := func() int { return 1 }
 	f.inForce.Store(f.policy.Indexed())
 	f.directory.Store(engine.NewDirectory(1, engines))
-	f.picker, f.connections = choice.NewPicker("z", choice.DefaultTuning()), f.transport(t)
+	f.notices = notice.NewBook("n", notice.Rule{}, func(notice.Change) {})
+	f.notices.Engines(engines, time.Now())
+	f.picker, f.connections = choice.NewPicker("z", choice.DefaultTuning()).WithNotices(f.notices), f.transport(t)
 	f.places = distance.From("z", testRegions, distance.DefaultCosts())
 	f.handler = forward.New(forward.Options{
 		Wire: plainWire{}, Policy: &f.inForce, Engines: &f.directory, Trials: &f.trials, Samples: &f.samples, Allowance: f.allowance, TokenSource: noSource{},
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -59,7 +59,9 @@
 	refuseNoEngine     = refusal{http.StatusServiceUnavailable, "no-endpoint", 300 * time.Millisecond}
 	refuseNoHome       = refusal{http.StatusServiceUnavailable, "no-allowed-region", 5 * time.Second} // until a policy changes it
 	refuseFull         = refusal{http.StatusServiceUnavailable, "endpoints-full", 200 * time.Millisecond}
-	refuseLimited      = refusal{http.StatusServiceUnavailable, "endpoints-limited", 0} // when to come back depends on the limits and on who waits
+	refuseLimited      = refusal{http.StatusServiceUnavailable, "endpoints-limited", 0}                        // when to come back depends on the limits and on who waits
+	refuseTurnedAway   = refusal{http.StatusServiceUnavailable, "endpoint-turned-away", 50 * time.Millisecond} // others of its service may take the next try
+	refuseResting      = refusal{http.StatusServiceUnavailable, "endpoints-resting", 0}                        // when to come back depends on what they asked for
 	refuseUnknown      = refusal{http.StatusBadGateway, "endpoint-failed", 0}
 	refuseLeft         = refusal{http.StatusBadGateway, "caller-left", 0} // nobody reads it
 	refuseTimedOut     = refusal{http.StatusGatewayTimeout, "timed-out", 0}
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -9,8 +9,10 @@
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
@@ -92,7 +94,7 @@
 	j.renewHomes()
 	r := choice.Request{
 		Call: j.placedCall(), Homes: j.homes.regions, Exclude: tried, Profile: profile(j.service),
-		Again: j.route.MayRepeat(), Objective: j.route.Objective - now.Sub(j.start), Gap: j.route.Gap, Bytes: j.bytes(), Cap: j.cap(), Now: now,
+		Again: j.route.MayRepeat(), Elsewhere: j.attempts+1 < j.route.Attempts, Objective: j.route.Objective - now.Sub(j.start), Gap: j.route.Gap, Bytes: j.bytes(), Cap: j.cap(), Now: now,
 	}
 	j.told = told{}
 	if t := j.trial(); t != nil {
@@ -133,6 +135,9 @@
 	if f, limited := j.limited(); limited {
 		return f
 	}
+	if f, resting := j.resting(); resting {
+		return f
+	}
 	if len(tried) > 0 {
 		return refuseFull
 	}
@@ -156,6 +161,30 @@
 	return f, true
 }
 
+// resting is the refusal of a call where all endpoints of its service want nothing from this node
+// for a while.
+func (j *job) resting() (refusal, bool) {
+	engines := j.Engines.Load()
+	if engines == nil {
+		return refusal{}, false
+	}
+	wait, all := j.Picker.Resting(j.atHome(engines.Of(j.service.Name)), clock.Now())
+	f := refuseResting
+	f.after = wait
+	return f, all
+}
+
+// turnedAway is the refusal of a call that an endpoint did not run, and that may not be sent again.
+func (j *job) turnedAway() refusal {
+	if f, resting := j.resting(); resting {
+		return f
+	}
+	if lo.SomeBy(j.notices, func(n call.Notice) bool { _, rest := n.(call.Rest); return rest }) {
+		return refuseTurnedAway
+	}
+	return refuseFull
+}
+
 // judge decides what an attempt's outcome means for the call: send it again,
 // refuse it (nil: it is already answered).
 func (j *job) judge(ctx context.Context, t *choice.Placement, out outcome) (*refusal, bool) {
@@ -169,7 +198,8 @@
 		if j.mayRepeat(ctx) {
 			return nil, true
 		}
-		return &refuseFull, false
+		f := j.turnedAway()
+		return &f, false
 	case failed:
 		j.told.heard = o.heard
 		j.close(t, resultOf(ctx, resultOfFailure(o)), took{})
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -19,6 +19,9 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
 )
 
+// errResting ends an attempt whose endpoint asked for rest before a byte was sent.
+var errResting = errors.New("the endpoint asked for rest before the call was sent")
+
 // errTwice ends an attempt that the transport was about to send a second time.
 var errTwice = errors.New("the transport would have sent the call twice")
 
@@ -50,8 +53,12 @@
 				cancel(errTwice)
 			}
 			heard()
-			j.tellSent(t)
 			used = use(info.Conn)
+			if t.Resting(clock.Now()) && used.bar() {
+				cancel(errResting) // it said so while this call waited for its connection
+				return
+			}
+			j.tellSent(t)
 			classify(info.Conn, j.class())
 			heard = whileSilent(j.patience(t), cancel)
 		},
@@ -146,6 +153,9 @@
 		j.limit = v.Limit
 		t.Limit(v.Limit, resp.StatusCode < http.StatusMultipleChoices, started, now)
 	}
+	if !v.NotExecuted && !v.Moved {
+		t.Took(started)
+	}
 	if v.NotExecuted || v.Moved {
 		finishSmall(resp)
 		return rejected{status: resp.StatusCode, moved: v.Moved}
--- a/fleet/relay/notice/book.go
+++ b/fleet/relay/notice/book.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
@@ -17,6 +18,7 @@
 // Book is what a node knows of endpoints by what they say. It is safe for concurrent use.
 type Book struct {
 	rule    Rule
+	self    uint64 // hash of this node's name
 	changed func(Change)
 	urgent  telling.Urgent
 	count   atomic.Int64 // of the lives that are known, so that nothing is asked where none is
@@ -26,24 +28,34 @@
 	known  map[engine.Life]*known
 }
 
-// Change is a notice that began to hold at this node.
-type Change struct {
+// Change is what changes by what endpoints say: sealed.
+type Change interface{ change() }
+
+// Began is a notice that began to hold at this node.
+type Began struct {
 	Engine engine.Engine
 	Notice call.Notice
 	From   string // the node by whose word; "" by an answer to this node
 	Age    time.Duration
 }
 
+// Ended is a rest that a call showed to be over.
+type Ended struct{ Engine engine.Engine }
+
+func (Began) change() {}
+func (Ended) change() {}
+
 // known is what is known of one life of an endpoint.
 type known struct {
 	engine  engine.Engine
 	gone    time.Time // when its entry went; zero: it is listed
 	leaving leaving
+	rest    rest
 }
 
-// NewBook returns a book that knows of nothing; changed is told of each notice that begins to hold.
-func NewBook(r Rule, changed func(Change)) *Book {
-	return &Book{rule: r, changed: changed, urgent: telling.NewUrgent(), listed: map[engine.Life]engine.Engine{}, known: map[engine.Life]*known{}}
+// NewBook returns a node's book that knows of nothing; changed is told of each change.
+func NewBook(self string, r Rule, changed func(Change)) *Book {
+	return &Book{rule: r, self: xxhash.Sum64String(self), changed: changed, urgent: telling.NewUrgent(), listed: map[engine.Life]engine.Engine{}, known: map[engine.Life]*known{}}
 }
 
 // Engines sets which endpoints there are. What is known of others is dropped after a while.
@@ -71,14 +83,16 @@
 	b.mu.Lock()
 	k := b.of(e, now)
 	var began bool
-	switch n.(type) {
+	switch n := n.(type) {
 	case call.Leaving:
 		began = k.leaving.told(now)
+	case call.Rest:
+		began = k.rest.asked(n.For, now)
 	}
 	b.mu.Unlock()
 	if began {
 		b.urgent.Hurry()
-		b.changed(Change{Engine: e, Notice: n})
+		b.changed(Began{Engine: e, Notice: n})
 	}
 }
 
@@ -97,6 +111,14 @@
 	return k
 }
 
+// forget drops a life of which nothing is known any more.
+func (b *Book) forget(life engine.Life, k *known) {
+	if k.leaving.observed.IsZero() && k.rest.end().IsZero() {
+		delete(b.known, life)
+		b.count.Store(int64(len(b.known)))
+	}
+}
+
 // find is what is known of a life; false where nothing is.
 func (b *Book) find(life engine.Life) (*known, bool) {
 	if b.count.Load() == 0 {
@@ -130,6 +152,9 @@
 		if k.leaving.holds(now) {
 			all = append(all, k.leaving.list(one, now))
 		}
+		if now.Before(k.rest.end()) {
+			all = append(all, k.rest.list(one, now))
+		}
 	}
 	slices.SortFunc(all, func(a, b Listed) int {
 		return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Says, b.Says))
--- a/fleet/relay/notice/leaving_test.go
+++ b/fleet/relay/notice/leaving_test.go
@@ -24,7 +24,7 @@
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 func newBook(changes *[]notice.Change) *notice.Book {
-	b := notice.NewBook(rule, func(c notice.Change) {
+	b := notice.NewBook("n", rule, func(c notice.Change) {
 		if changes != nil {
 			*changes = append(*changes, c)
 		}
--- a/fleet/relay/notice/notice.go
+++ b/fleet/relay/notice/notice.go
@@ -5,6 +5,10 @@
 // store away. It holds for the rest of its life, and for all nodes: whoever is told tells
 // the others at once. New calls go there only where no other endpoint may take them, and only for a
 // part of the time in which it still serves them.
+//
+// An endpoint that turns a call away may ask the node for rest. That node sends nothing until the end,
+// and comes back by one call. Others are told, and send there what no other endpoint may
+// take.
 package notice
 
 import "time"
--- a/fleet/relay/notices.go
+++ b/fleet/relay/notices.go
@@ -27,18 +27,32 @@
 	if !n.settings.Enabled(noticesMechanism) {
 		return
 	}
-	n.notices = notice.NewBook(notice.Rule{Serves: part(servesPart, n.settings.EndpointDrain())}, n.noticed)
+	n.notices = notice.NewBook(n.settings.Node, notice.Rule{Serves: part(servesPart, n.settings.EndpointDrain())}, n.noticed)
 	n.picker.WithNotices(n.notices)
 	g.WithNotices(n.notices)
 }
 
-// noticed takes a notice that began to hold in force.
+// noticed takes a change in force.
 func (n *Node) noticed(c notice.Change) {
-	fields := log.Fields{
-		"endpoint": c.Engine.ID, "born": c.Engine.Born, "service": c.Engine.Service, "zone": c.Engine.Zone,
-		"from": lo.CoalesceOrEmpty(c.From, n.settings.Node), "ageMs": c.Age.Milliseconds(),
+	switch c := c.(type) {
+	case notice.Began:
+		n.began(c)
+	case notice.Ended:
+		n.log.WithFields(noticeFields(c.Engine)).Info("endpoint takes calls again")
 	}
-	switch c.Notice.(type) {
+}
+
+func noticeFields(e engine.Engine) log.Fields {
+	return log.Fields{"endpoint": e.ID, "born": e.Born, "service": e.Service, "zone": e.Zone}
+}
+
+func (n *Node) began(c notice.Began) {
+	fields := noticeFields(c.Engine)
+	fields["from"], fields["ageMs"] = lo.CoalesceOrEmpty(c.From, n.settings.Node), c.Age.Milliseconds()
+	switch said := c.Notice.(type) {
+	case call.Rest:
+		n.metrics.Noticed("rest")
+		n.log.WithFields(fields).WithField("restMs", said.For.Milliseconds()).Info("endpoint asks a node for rest")
 	case call.Leaving:
 		n.metrics.Noticed("leaving")
 		n.log.WithFields(fields).Info("endpoint leaves, as it says in its answers: it gets no new calls")
--- a/fleet/relay/notices_test.go
+++ b/fleet/relay/notices_test.go
@@ -14,7 +14,7 @@
 // heeding is a node that knows endpoints by their entries and by what they say.
 func heeding(ids ...string) *Node {
 	n := livesNode(entry("a", firstBorn, 1), entry("b", firstBorn, 2))
-	n.notices = notice.NewBook(notice.Rule{Serves: time.Minute}, func(notice.Change) { n.engineTable.refresh() })
+	n.notices = notice.NewBook("n", notice.Rule{Serves: time.Minute}, func(notice.Change) { n.engineTable.refresh() })
 	n.picker.WithNotices(n.notices)
 	n.engineTable.refresh()
 	for _, id := range ids {
--- a/fleet/relay/peer/limits_test.go
+++ b/fleet/relay/peer/limits_test.go
@@ -55,7 +55,7 @@
 		g.socket = limitCounter{at: at, address: m.Address, sums: total}
 		b := limit.NewBook(limit.Rule{Overrun: 1.5, Tolerance: 5, Window: 4 * time.Second}, func(limit.Change) {})
 		b.Engines(engines)
-		g.WithLimits(b).WithNotices(notice.NewBook(notice.Rule{}, func(notice.Change) {}))
+		g.WithLimits(b).WithNotices(notice.NewBook("n", notice.Rule{}, func(notice.Change) {}))
 		g.notices.Engines(engines, clock.Now())
 		g.choose()
 		at[m.Address] = g
