--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -287,6 +287,7 @@
 	m.NewLife("later")
 	m.Quarantined(false)
 	m.Limited("named")
+	m.Noticed("leaving")
 	m.Builds(2)
 	m.Suspended(time.Second)
 	m.BadEntry("kind")
@@ -299,7 +300,7 @@
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	listed := regexp.MustCompile(`\| (lynxshed_relay_\w+) \|`).FindAllStringSubmatch(string(page), -1)
-	require.Len(t, listed, 21)
+	require.Len(t, listed, 22)
 	for _, name := range listed {
 		assert.Contains(t, answer.Body.String(), "# TYPE "+name[1]+" ")
 	}
