A request under which two endpoints have ended is not sent again by the node itself

What callers saw: beside a popular request whose calls may run again, a deadly one sent every 250 ms ended 8 endpoints (6 may), as each try ends two: the node sends it again before it can know better.

Cause: whether a call may be sent again went by occasions, and ends that lie less than 300 ms apart are one: tries 250 ms apart were sent again up to the fourth.

Why the mend holds: that rule now counts ends. A request is held back by occasions as before, so that a rack that is lost condemns nobody; what it costs is that a call of a request that was cut by two ends, and has not been served since, gets 502 where it would have been sent again.

--- a/fleet/relay/quarantine/book.go
+++ b/fleet/relay/quarantine/book.go
@@ -86,7 +86,8 @@
 }
 
 // Wary is whether a call that was cut is not sent again by the node itself: one end more
-// would be one too many.
+// would be one too many. Ends count here that are one occasion, too: tries of one request may follow
+// each other closely, and each that is sent again ends two endpoints.
 func (b *Book) Wary(p Print, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -94,7 +95,7 @@
 		_, suspected := e.suspects[p]
 		return suspected && b.served[p].Before(e.at)
 	})
-	return b.held[p].inForce(now) || occasions(in, b.rule.Apart) >= b.rule.Ends-1
+	return b.held[p].inForce(now) || len(in) >= b.rule.Ends-1
 }
 
 // Cut takes in a call of this node that its endpoint ended without its whole answer. It
--- a/fleet/relay/quarantine/book_test.go
+++ b/fleet/relay/quarantine/book_test.go
@@ -508,3 +508,13 @@
 	n.endUnder(4, suspects(Nothing, "popular")...)
 	assert.True(t, n.holds("popular"), "three")
 }
+
+// Tries of one request may follow each other within what counts as one occasion: each of them that the
+// node sends again by itself ends two endpoints.
+func TestACallIsNotSentAgainAfterTwoEndsAtOnce(t *testing.T) {
+	n := newNode(Peer)
+	for i, wary := range []bool{false, true} {
+		n.endNow(i, suspects(Nothing, "deadly")...)
+		assert.Equal(t, wary, n.Wary(printed("deadly"), n.now), "%d ends", i+1)
+	}
+}
