--- a/fleet/relay/call/call.go
+++ b/fleet/relay/call/call.go
@@ -80,6 +80,7 @@
 	HasLoad     bool
 	Limit       Limit
 	Notices     []Notice
+	Keeps       time.Duration // for which the endpoint keeps the connection while it rests; 0: it does not say
 }
 
 // Wire translates heads. It is filled by an adapter.
--- a/fleet/relay/forward/pool.go
+++ b/fleet/relay/forward/pool.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/samber/lo"
 
@@ -26,6 +27,7 @@
 	holder  atomic.Pointer[hold] // nil: no call uses it; it changes under the pool's lock
 	dropped bool                 // it was closed while it rested; under the pool's lock
 	metered *link.Conn           // nil: nothing is counted
+	keeps   atomic.Int64         // for how long the endpoint keeps it while it rests, in nanoseconds; 0: it did not say
 }
 
 // hold is one call's use of a connection. How far the call was written is the call's own:
@@ -103,6 +105,27 @@
 	return h
 }
 
+// keepsFor notes for how long the endpoint keeps the call's connection while it rests.
+func (h *hold) keepsFor(d time.Duration) {
+	if h != nil && h.conn != nil && d > 0 {
+		h.conn.keeps.Store(int64(d))
+	}
+}
+
+// forgottenMargin is how much sooner than its endpoint forgets it a connection is not used again: the endpoint
+// counts from the end of its answer, and the next call is on its way for a while.
+const forgottenMargin = 250 * time.Millisecond
+
+// forgotten is whether the endpoint has forgotten the call's connection, or is about to, after it rested
+// for so long.
+func (h *hold) forgotten(rested time.Duration) bool {
+	if h.conn == nil {
+		return false
+	}
+	keeps := time.Duration(h.conn.keeps.Load())
+	return keeps > 0 && rested >= keeps-forgottenMargin
+}
+
 // release notes that the call has left its connection, which another call may have by now.
 func (h *hold) release() {
 	if h.conn == nil {
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -22,6 +22,9 @@
 // errResting ends an attempt whose endpoint asked for rest before a byte was sent.
 var errResting = errors.New("the endpoint asked for rest before the call was sent")
 
+// errForgotten ends an attempt on a connection that its endpoint no longer keeps.
+var errForgotten = errors.New("the endpoint keeps no connection that rested for so long")
+
 // errTwice ends an attempt that the transport was about to send a second time.
 var errTwice = errors.New("the transport would have sent the call twice")
 
@@ -54,8 +57,8 @@
 			}
 			heard()
 			used = use(info.Conn)
-			if t.Resting(clock.Now()) && used.bar() {
-				cancel(errResting) // it said so while this call waited for its connection
+			if why := j.unfit(t, used, info); why != nil && used.bar() {
+				cancel(why)
 				return
 			}
 			j.tellSent(t)
@@ -83,7 +86,21 @@
 		return failed{err: at("send", t, err)}
 	}
 	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
-	return j.judgeHead(t, resp, started)
+	return j.judgeHead(t, used, resp, started)
+}
+
+// unfit is why not a byte of the call is sent on a connection that the transport handed out; nil where it
+// is. Those that rest beside one that its endpoint has forgotten have rested for longer: the transport
+// hands out the latest.
+func (j *job) unfit(t *choice.Placement, used *hold, info httptrace.GotConnInfo) error {
+	if t.Resting(clock.Now()) {
+		return errResting // it said so while this call waited for its connection
+	}
+	if info.WasIdle && used.forgotten(info.IdleTime) {
+		j.Transport.pool.dropIdle(t.Engine.Address)
+		return errForgotten
+	}
+	return nil
 }
 
 // measured takes how long connecting to a zone takes as the round trip there.
@@ -133,8 +150,9 @@
 	return err
 }
 
-func (j *job) judgeHead(t *choice.Placement, resp *http.Response, started time.Time) outcome {
+func (j *job) judgeHead(t *choice.Placement, used *hold, resp *http.Response, started time.Time) outcome {
 	v := j.Wire.Judge(resp)
+	used.keepsFor(v.Keeps)
 	now := clock.Now()
 	if v.HasLoad {
 		t.Report(v.Load, now)
