One place says whether an endpoint may get a call, and refusals say why none may

What operators saw: no-endpoint said that none may take a call, and not why; six conditions stood in the loop of the choice, each by itself.

Change: choice.usable returns the reason (ending, emptied, tried, replaced, busy, suspected, zone unreachable, resting, doubted, bounded), and is the only place that asks. The note of a refusal counts the endpoints by reason. What is chosen is as it was.

--- a/fleet/relay/choice/bounds.go
+++ b/fleet/relay/choice/bounds.go
@@ -8,13 +8,6 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 )
 
-// mayGet is whether an endpoint gets new calls by what it, or an operator, says. One that
-// says in its answers that it leaves still serves for a while: that is better for a call than a refusal,
-// and worse than any other endpoint.
-func (r Request) mayGet(e engine.Engine, with care) bool {
-	return e.State == engine.Ready || e.State == engine.Leaving && with == whichever && r.Now.Before(e.LeavesBy)
-}
-
 // isCold is whether an endpoint gets no more calls than a cold one bears.
 func (r Request) isCold(e engine.Engine) bool {
 	return r.Profile.ColdPerSecond > 0 && cold.Cold(e, r.Profile.ColdStart, r.Now)
--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -192,17 +192,8 @@
 	found := false
 	source := p.source(r, affinity)
 	for _, e := range among {
-		if !r.mayGet(e, with) || r.Exclude[e.Life()] || p.restCare(r, e, with) {
-			continue
-		}
-		s := p.endpoint(e.Life(), r.Profile.Capacity)
-		if s.gone || s.inFlight >= r.Cap || with == sound && (r.Now.Before(s.suspected) || p.unreachable(e.Zone, r.Now)) {
-			continue
-		}
-		if with != whichever && p.doubts != nil && p.doubts.Avoids(e.Life(), r.Again, key, r.Now) {
-			continue
-		}
-		if !p.may(r, e) {
+		s, why := p.usable(&r, &e, key, with)
+		if why != Usable {
 			continue
 		}
 		t := p.weigh(r, e, s, affinity, source)
--- a/fleet/relay/choice/notices.go
+++ b/fleet/relay/choice/notices.go
@@ -8,10 +8,10 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 )
 
-// restCare is whether a rest that an endpoint asked for leaves it out of a choice. Asked of this
+// rests is whether a rest that an endpoint asked for leaves it out of a choice. Asked of this
 // node it holds whatever else is left; asked of another one, it does while others may
 // take the call.
-func (p *Picker) restCare(r Request, e engine.Engine, with care) bool {
+func (p *Picker) rests(r *Request, e *engine.Engine, with care) bool {
 	if p.notices == nil {
 		return false
 	}
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -90,12 +90,8 @@
 	if engines == nil {
 		return nil, false
 	}
-	now := clock.Now()
 	j.renewHomes()
-	r := choice.Request{
-		Call: j.placedCall(), Homes: j.homes.regions, Exclude: tried, Profile: profile(j.service),
-		Again: j.route.MayRepeat(), Elsewhere: j.attempts+1 < j.route.Attempts, Objective: j.route.Objective - now.Sub(j.start), Gap: j.route.Gap, Bytes: j.bytes(), Cap: j.cap(), Now: now,
-	}
+	r := j.choiceOf(tried, clock.Now())
 	j.told = told{}
 	if t := j.trial(); t != nil {
 		return j.pickBySide(t, r)
@@ -104,6 +100,14 @@
 	return j.Picker.Pick(r)
 }
 
+// choiceOf is what the choice of an endpoint depends on, but for which there are.
+func (j *job) choiceOf(tried map[engine.Life]bool, now time.Time) choice.Request {
+	return choice.Request{
+		Call: j.placedCall(), Homes: j.homes.regions, Exclude: tried, Profile: profile(j.service),
+		Again: j.route.MayRepeat(), Elsewhere: j.attempts+1 < j.route.Attempts, Objective: j.route.Objective - now.Sub(j.start), Gap: j.route.Gap, Bytes: j.bytes(), Cap: j.cap(), Now: now,
+	}
+}
+
 // answerToken is how many bytes of an answer a generated token takes, at the least: text
 // alone.
 const answerToken = 4
@@ -132,6 +136,7 @@
 	case j.nowhere():
 		return refuseNoHome
 	}
+	j.noteLeftOut(tried)
 	if f, limited := j.limited(); limited {
 		return f
 	}
@@ -144,6 +149,21 @@
 	return refuseNoEngine
 }
 
+// noteLeftOut keeps why no endpoint may take the call, for the log.
+func (j *job) noteLeftOut(tried map[engine.Life]bool) {
+	engines := j.Engines.Load()
+	if engines == nil {
+		return
+	}
+	r := j.choiceOf(tried, clock.Now())
+	r.Engines = j.atHome(engines.Of(j.service.Name))
+	why := "endpoints: " + j.Picker.LeftOut(r).String()
+	if j.note != "" {
+		why = j.note + "; " + why // what the last attempt showed
+	}
+	j.note = why
+}
+
 // limited is the refusal of a call where all endpoints of its service name limits. The caller is
 // told to come back as fast as they allow, shared among all nodes.
 func (j *job) limited() (refusal, bool) {
