--- a/fleet/relay/peer/quarantine.go
+++ b/fleet/relay/peer/quarantine.go
@@ -23,20 +23,11 @@
 	News(now time.Time) (judges, all quarantine.Words)
 	Digest(now time.Time) quarantine.Words
 	Heard(from string, w quarantine.Words, now time.Time)
-	Joined(now time.Time)
 }
 
 // WithQuarantine has the node tell and hear of requests that are held back, before Run.
 func (t *Gossip) WithQuarantine(q Quarantine) *Gossip {
 	t.quarantine = q
-	known := map[string]string{} // lives by node
-	t.registry.OnChange(func(members []Member) {
-		joined := lo.SomeBy(members, func(m Member) bool { return known[m.Name] != m.Life })
-		known = lo.SliceToMap(members, func(m Member) (string, string) { return m.Name, m.Life })
-		if joined {
-			q.Joined(clock.Now())
-		}
-	})
 	return t
 }
 
--- a/fleet/relay/quarantine/words.go
+++ b/fleet/relay/quarantine/words.go
@@ -70,9 +70,7 @@
 	mostServedWords = 16
 	mostNearWords   = 16
 	mostHeldWords   = 8
-	mostAgain       = 32          // ends that are told again to a node that joins
-	joinedTold      = time.Minute // that these may be old
-	timesTold       = 3           // beats in which a word is told that no digest repeats, since a datagram may be lost
+	timesTold       = 3 // beats in which a word is told that no digest repeats, since a datagram may be lost
 )
 
 // told is a word that is to be told some more times.
@@ -85,7 +83,6 @@
 // outbox is what is still to be told.
 type outbox struct {
 	ends   []told[EndWord]
-	lately []timedEnd // that were told of late, the oldest first
 	served []told[ServedWord]
 	near   []told[NearWord]
 	held   map[Print]int // times that each is still to be told to all
@@ -106,13 +103,6 @@
 }
 
 func (o *outbox) add(e timedEnd) {
-	o.lately = append(o.lately, e)
-	o.lately = o.lately[max(len(o.lately)-mostAgain, 0):]
-	o.put(e)
-}
-
-// put has an end told some times.
-func (o *outbox) put(e timedEnd) {
 	for _, some := range lo.Chunk(e.word.Suspects, mostWordPrints) {
 		if len(o.ends) < mostEnds {
 			o.ends = append(o.ends, told[EndWord]{EndWord{Endpoint: e.word.Endpoint, Born: e.word.Born, Suspects: some}, e.at, timesTold})
@@ -126,19 +116,6 @@
 	}
 }
 
-// Joined has this node's ends of late told again, since a node has joined: words on ends are told a few
-// times only, and reach nobody who is not listed yet.
-func (b *Book) Joined(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, e := range b.outbox.lately {
-		if now.Sub(e.at) < joinedTold {
-			b.outbox.put(e)
-			b.hurry()
-		}
-	}
-}
-
 // addHeld has a request told of that is held back: the digests repeat it.
 func (o *outbox) addHeld(p Print) { o.held[p] = 1 }
 
