Another node's word on a rest is believed for half a minute at the most

Such words are taken, not trusted; what the endpoint tells this node itself holds as before. The row in the test fails without the bound.

--- a/fleet/relay/notice/notice.go
+++ b/fleet/relay/notice/notice.go
@@ -19,8 +19,8 @@
 }
 
 const (
-	// Believed is for how long a node acts on another one's word that an endpoint leaves. What it
-	// was told itself holds for the endpoint's life.
+	// Believed is for how long a node acts on another one's word: it may have been misled. What it was
+	// told itself holds for as long as the endpoint said, or lives.
 	Believed = 30 * time.Second
 	// kept is how long after its entry went what an endpoint said is remembered: entries lapse while
 	// the store is away, and come back.
--- a/fleet/relay/notice/rest_test.go
+++ b/fleet/relay/notice/rest_test.go
@@ -55,6 +55,7 @@
 		}, first, at(1_100), notice.Closed},
 		{"another node was asked", func(b *notice.Book) { b.Heard("n", []notice.Word{restWord(3_000)}, at(0)) }, first, at(100), notice.Spare},
 		{"and its rest is over", func(b *notice.Book) { b.Heard("n", []notice.Word{restWord(3_000)}, at(0)) }, first, at(6_500), notice.Free},
+		{"for a day, as it says: not believed for longer than half a minute", func(b *notice.Book) { b.Heard("n", []notice.Word{restWord(86_400_000)}, at(0)) }, first, at(33_500), notice.Free},
 		{"both were, the other one for longer", func(b *notice.Book) {
 			asked(b, time.Second, 0)
 			b.Heard("n", []notice.Word{restWord(3_000)}, at(0))
--- a/fleet/relay/notice/word.go
+++ b/fleet/relay/notice/word.go
@@ -126,7 +126,7 @@
 				began = append(began, Began{Engine: e, Notice: call.Leaving{}, From: from, Age: age})
 			}
 		}
-		if left := time.Duration(w.RestMs) * time.Millisecond; left > 0 && k.rest.told(from, now.Add(left), now) {
+		if left := min(time.Duration(w.RestMs)*time.Millisecond, Believed); left > 0 && k.rest.told(from, now.Add(left), now) {
 			began = append(began, Began{Engine: e, Notice: call.Rest{For: left}, From: from})
 		}
 	}
