A request that was answered before is probed while it is held back

Cause: such a request is under way at each endpoint that ends, whatever the cause; and once it is held back nothing is sent that could clear it.

Change: an end tells whether the node whose calls were cut had answered the request before. Such a request is probed 5 s after it was held back, by one call, and by one more at another node 10 s later where the first showed nothing. Probes are claimed in the store, two in a round, so that nodes that are cut off from each other or start anew send no more together; three sends are allowed after the third end. One that was never answered is not probed.

--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -70,6 +70,7 @@
 	limit    call.Limit       // that the last answer named
 	notices  []call.Notice    // of the last answer
 	printed  quarantine.Print // of its request; zero: not worked out yet
+	probe    bool             // of a request that is held back
 	pace     pace             // of the last stream
 }
 
@@ -133,7 +134,7 @@
 	if refused, ok := j.readBody(); !ok {
 		return refused, false
 	}
-	if j.quarantined() {
+	if j.refusedAtOnce() {
 		return refuseQuarantined, false
 	}
 	return j.reserve()
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -29,6 +29,7 @@
 // run sends the call until it has an answer or may not be sent again.
 func (j *job) run() {
 	j.Retries.Arrived(j.service.Name, j.start)
+	defer j.returnProbe()
 	ctx, cancel := j.context()
 	defer cancel()
 	tried := map[engine.Life]bool{}
--- a/fleet/relay/forward/suspects.go
+++ b/fleet/relay/forward/suspects.go
@@ -25,15 +25,47 @@
 	return j.printed
 }
 
-// quarantined is whether the request is to reach no endpoint.
+// quarantined is whether the request is to reach no endpoint. A probe of one that is held
+// back reaches one.
 func (j *job) quarantined() bool {
-	if j.Quarantine == nil || !j.Quarantine.Watches(j.tenant.Name) || !j.Quarantine.Holds(j.print(), clock.Now()) {
+	if !j.heldBack() || j.attempts == 0 && j.probes() {
 		return false
 	}
 	j.note = "print " + j.print().String()
 	return true
 }
 
+// refusedAtOnce is whether the request is to reach no endpoint, and this call is no probe of it.
+func (j *job) refusedAtOnce() bool {
+	if !j.heldBack() || j.Quarantine.Armed(j.print(), clock.Now()) {
+		return false
+	}
+	j.note = "print " + j.print().String()
+	return true
+}
+
+func (j *job) heldBack() bool {
+	return j.Quarantine != nil && j.Quarantine.Watches(j.tenant.Name) && j.Quarantine.Holds(j.print(), clock.Now())
+}
+
+// probes is whether this call shows whether endpoints bear a request that is held back.
+func (j *job) probes() bool {
+	if j.probe {
+		return true
+	}
+	if j.probe = j.Quarantine.Probe(j.print(), clock.Now()); j.probe {
+		j.Log.WithFields(log.Fields{"request": j.call.ID, "print": j.print().String(), "customer": j.tenant.Name}).Info("request held back is probed: this call is sent on")
+	}
+	return j.probe
+}
+
+// returnProbe lets another call be the probe where this one reached no endpoint.
+func (j *job) returnProbe() {
+	if j.probe && j.attempts == 0 {
+		j.Quarantine.Unsent(j.print())
+	}
+}
+
 // wary is whether one more endpoint might end under the request that would be one too many.
 func (j *job) wary() bool {
 	return j.Quarantine != nil && j.Quarantine.Watches(j.tenant.Name) && j.Quarantine.Wary(j.print(), clock.Now())
@@ -56,8 +88,13 @@
 
 // served notes that an endpoint answered the request whole.
 func (j *job) served() {
-	if j.Quarantine != nil && j.Quarantine.Watches(j.tenant.Name) {
-		j.Quarantine.Served(j.print(), clock.Now())
+	if j.Quarantine == nil {
+		return
+	}
+	now := clock.Now()
+	j.Quarantine.Answered(j.print(), now)
+	if j.Quarantine.Watches(j.tenant.Name) {
+		j.Quarantine.Served(j.print(), now)
 	}
 }
 
--- a/fleet/relay/quarantine.go
+++ b/fleet/relay/quarantine.go
@@ -129,6 +129,7 @@
 	}
 	q.log.WithFields(fields).Warn("request held back: endpoints ended under it, it is sent to none")
 	time.AfterFunc(clock.Until(h.Since.Add(h.For)), func() { q.expire(h) })
+	q.probeLater(h)
 }
 
 // expire takes a request whose time is over out of the store, by one node.
@@ -195,11 +196,9 @@
 	if h.Released {
 		return ignoreNotFound(q.store.Delete(ctx, quarantineKind, h.Print.String()))
 	}
-	word := quarantine.WordOf(h, h.Since) // of no age: the store has no clock that only goes on
-	word.Stored = true
-	data, err := json.Marshal(word)
+	data, err := kept(h)
 	if err != nil {
-		return errors.Wrap(err, "request to keep")
+		return err
 	}
 	o := store.Object{Kind: quarantineKind, Name: h.Print.String(), Data: data}
 	there, err := q.store.Put(ctx, o)
--- a/fleet/relay/quarantine/book.go
+++ b/fleet/relay/quarantine/book.go
@@ -29,6 +29,7 @@
 	seen    Observer
 	role    func() Role
 	watched atomic.Pointer[map[string]bool]
+	known   history
 	urgent  chan struct{}
 
 	mu      sync.Mutex
@@ -101,6 +102,7 @@
 // Cut takes in a call of this node that its endpoint ended without its whole answer. It
 // counts once the endpoint is known to have ended.
 func (b *Book) Cut(e engine.Engine, s Suspect, now time.Time) {
+	s.Answered = b.known.has(s.Print)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if at := b.endOf(e.Life(), now); at != nil {
@@ -206,8 +208,12 @@
 	}
 }
 
-// Served takes in that a request was answered whole: endpoints bear it, whatever ended
-// beside it.
+// Answered takes in that any request was answered whole, for the case that endpoints end under
+// it later.
+func (b *Book) Answered(p Print, now time.Time) { b.known.add(p, now, b.rule.Memory) }
+
+// Served takes in that a request of a customer that is watched was answered whole: endpoints
+// bear it, whatever ended beside it.
 func (b *Book) Served(p Print, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -333,7 +339,8 @@
 	round := b.held[p].Round + 1
 	h := Held{
 		Print: p, Round: round, Since: now, For: b.rule.holdFor(round), Customer: s.Customer, Route: s.Route,
-		Ends: lo.Map(ends[max(len(ends)-mostNamed, 0):], func(e *end, _ int) string { return e.life.ID }),
+		Ends:     lo.Map(ends[max(len(ends)-mostNamed, 0):], func(e *end, _ int) string { return e.life.ID }),
+		Answered: lo.SomeBy(ends, func(e *end) bool { return e.suspects[p].Answered }),
 	}
 	b.keep(h, now)
 	b.outbox.addHeld(p)
--- a/fleet/relay/quarantine/end.go
+++ b/fleet/relay/quarantine/end.go
@@ -12,6 +12,7 @@
 	Progress Progress `json:"a,omitempty"`
 	Customer string   `json:"c,omitempty"`
 	Route    string   `json:"r,omitempty"`
+	Answered bool     `json:"w,omitempty"` // the node that tells had answered the request before
 }
 
 // Progress is how far an answer had come when the call was cut.
@@ -55,11 +56,10 @@
 // add takes a suspect in; true where it was not known.
 func (e *end) add(s Suspect) bool {
 	if known, ok := e.suspects[s.Print]; ok {
-		if s.Progress < known.Progress {
-			e.suspects[s.Print] = s
-			return true
-		}
-		return false
+		news := s.Progress < known.Progress || s.Answered && !known.Answered
+		known.Progress, known.Answered = min(known.Progress, s.Progress), known.Answered || s.Answered
+		e.suspects[s.Print] = known
+		return news
 	}
 	if len(e.suspects) >= mostSuspects && !e.makeRoom(s) {
 		return false
--- a/fleet/relay/quarantine/held.go
+++ b/fleet/relay/quarantine/held.go
@@ -13,6 +13,9 @@
 	Customer string
 	Route    string
 	Ends     []string // ids of the endpoints that ended under it, the last ones
+	Answered bool     // endpoints had answered it before: it may have been under way by chance where they ended
+	Probes   int      // that nodes claimed in this round, as far as this one knows
+	armed    bool     // this node's next call of it is a probe
 	Why      string   // it was released
 }
 
@@ -45,5 +48,14 @@
 	return hold
 }
 
+// probeAfter is how long a request is held back in a round until it is probed.
+func (r Rule) probeAfter(round int) time.Duration {
+	after := r.Probe
+	for range round - 1 {
+		after = min(2*after, r.MostHold)
+	}
+	return after
+}
+
 // mostNamed is how many of the endpoints that ended are named with a request.
 const mostNamed = 8
--- a/fleet/relay/quarantine/print_test.go
+++ b/fleet/relay/quarantine/print_test.go
@@ -39,3 +39,11 @@
 		assert.Error(t, json.Unmarshal([]byte(bad), &back), bad)
 	}
 }
+
+func BenchmarkPrint(b *testing.B) {
+	body := make([]byte, 40_000)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		PrintOf("customer", "POST", "host", "/path", body)
+	}
+}
--- /dev/null
+++ b/fleet/relay/quarantine/probe.go
@@ -0,0 +1,75 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// MostProbes is how many probes there are of a request in a round: the second one where the
+// node of the first gets no call of it, or ends. They stay within what is allowed to be sent
+// after the third end.
+const MostProbes = 2
+
+// ProbeAt is when a request that is held back is to be probed.
+func (b *Book) ProbeAt(h Held) time.Time { return h.Since.Add(b.rule.probeAfter(h.Round)) }
+
+// MayProbe is whether a request that endpoints had answered before is still held back in a
+// round, and no endpoint has ended under it since its first probe was due. One that was never
+// answered is not worth an endpoint more.
+func (b *Book) MayProbe(h Held, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.held[h.Print]
+	return known.Answered && known.Round == h.Round && known.inForce(now) && !b.endedSince(h.Print, b.ProbeAt(known))
+}
+
+func (b *Book) endedSince(p Print, at time.Time) bool {
+	return lo.SomeBy(b.ends, func(e *end) bool {
+		_, in := e.suspects[p]
+		return in && !e.at.Before(at)
+	})
+}
+
+// Arm has the next call of a request that is held back be a probe: it is sent on, to learn
+// whether endpoints bear it. A request that many callers send is under way wherever an
+// endpoint ends, and while it is held back no answer clears it.
+func (b *Book) Arm(claimed Held) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h, ok := b.held[claimed.Print]; ok && h.Round == claimed.Round {
+		h.armed, h.Probes = true, claimed.Probes
+		b.held[h.Print] = h
+	}
+}
+
+// Armed is whether the next call of a request is a probe.
+func (b *Book) Armed(p Print, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.held[p]
+	return h.armed && h.inForce(now)
+}
+
+// Probe is whether a call is a probe; no other one is then.
+func (b *Book) Probe(p Print, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.held[p]
+	if !h.armed || !h.inForce(now) {
+		return false
+	}
+	h.armed = false
+	b.held[p] = h
+	return true
+}
+
+// Unsent gives a probe back that reached no endpoint.
+func (b *Book) Unsent(p Print) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h, ok := b.held[p]; ok {
+		h.armed = true
+		b.held[p] = h
+	}
+}
--- /dev/null
+++ b/fleet/relay/quarantine/probe_test.go
@@ -0,0 +1,127 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// holding returns a node that has just begun to hold a request back, and what it holds.
+func holding(t *testing.T) (*node, Held) {
+	n := newNode(Peer)
+	n.Answered(printed("popular"), n.now)
+	for i := range DefaultRule().Ends {
+		n.endUnder(i, suspects(Nothing, "popular")...)
+	}
+	require.True(t, n.holds("popular"))
+	h, _ := n.Of(printed("popular"))
+	return n, h
+}
+
+func (n *node) probes() bool { return n.Probe(printed("popular"), n.now) }
+
+func TestWhetherARequestMayBeProbed(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(n *node, h Held)
+		want bool
+	}{
+		{"nothing happened since", func(*node, Held) {}, true},
+		{"an endpoint ended under a call of before", func(n *node, _ Held) { n.endUnder(9, suspects(Nothing, "popular")...) }, true},
+		{"an endpoint ended since its probe was due", func(n *node, h Held) {
+			n.now = n.ProbeAt(h)
+			n.endNow(9, suspects(Nothing, "popular")...)
+		}, false},
+		{"one ended under another request", func(n *node, h Held) {
+			n.now = n.ProbeAt(h)
+			n.endNow(9, suspects(Nothing, "another")...)
+		}, true},
+		{"it was let go", func(n *node, h Held) { n.Release(h.Print, n.now) }, false},
+		{"it is held back in a later round", func(n *node, h Held) {
+			h.Round++
+			n.Heard(Words{Held: []HeldWord{WordOf(h, n.now)}}, n.now)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n, h := holding(t)
+			c.do(n, h)
+			n.now = n.ProbeAt(h).Add(time.Second)
+			assert.Equal(t, c.want, n.MayProbe(h, n.now))
+		})
+	}
+}
+
+// Guards against a popular request that is held back for all of its time since endpoints
+// ended beside it by chance.
+func TestAProbeThatIsServedLetsTheRequestGo(t *testing.T) {
+	n, h := holding(t)
+	n.now = n.ProbeAt(h)
+	assert.False(t, n.probes(), "none was claimed")
+	n.Arm(h)
+	require.True(t, n.probes())
+	assert.False(t, n.probes(), "one call is the probe")
+	n.serve("popular")
+	assert.False(t, n.holds("popular"))
+	assert.True(t, n.judged[len(n.judged)-1].Released)
+}
+
+func TestAProbeUnderWhichAnEndpointEndsLeavesTheRequestHeldBack(t *testing.T) {
+	n, h := holding(t)
+	n.now = n.ProbeAt(h)
+	n.Arm(h)
+	require.True(t, n.probes())
+	n.endNow(9, suspects(Nothing, "popular")...)
+	assert.False(t, n.MayProbe(h, n.now))
+	n.now = h.Since.Add(DefaultRule().Hold - time.Second)
+	assert.True(t, n.holds("popular"))
+}
+
+// A request that was never answered costs no endpoint more.
+func TestOnlyARequestThatWasAnsweredIsProbed(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		answered string
+		others   int // requests that were answered since
+		want     bool
+	}{
+		{"it was answered", "deadly", 0, true},
+		{"another one was", "another", 0, false},
+		{"others were since", "deadly", mostAnswered, true},
+		{"too many others were since", "deadly", 2 * mostAnswered, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNode(Peer)
+			n.Answered(printed(c.answered), n.now)
+			for i := range c.others {
+				n.Answered(printed(fmt.Sprint("other", i)), n.now)
+			}
+			for i := range DefaultRule().Ends {
+				n.endUnder(i, suspects(Nothing, "deadly")...)
+			}
+			h, _ := n.Of(printed("deadly"))
+			assert.Equal(t, c.want, h.Answered)
+			assert.Equal(t, c.want, n.MayProbe(h, n.ProbeAt(h)))
+			assert.Equal(t, c.want, WordOf(h, n.now).Answered, "others are told")
+		})
+	}
+}
+
+func TestAProbeThatReachedNoEndpointIsLeftToTheNextCall(t *testing.T) {
+	n, h := holding(t)
+	n.Arm(h)
+	require.True(t, n.probes())
+	n.Unsent(h.Print)
+	assert.True(t, n.probes())
+}
+
+// A request under which endpoints end now and then is probed later in each round.
+func TestProbesComeLaterInEachRound(t *testing.T) {
+	rule := DefaultRule()
+	assert.Equal(t, 2*rule.Probe, rule.probeAfter(2))
+	assert.Equal(t, 4*rule.Probe, rule.probeAfter(3))
+	assert.LessOrEqual(t, rule.probeAfter(100), rule.MostHold)
+}
--- a/fleet/relay/quarantine/rule.go
+++ b/fleet/relay/quarantine/rule.go
@@ -10,17 +10,19 @@
 	Hold     time.Duration // how long a request is held back at first; twice as long each further time
 	MostHold time.Duration // and at the most
 	Doubted  time.Duration // how long a cut call waits for word on whether its endpoint ended
+	Probe    time.Duration // after which a request that is held back is probed; twice as long each further time
 }
 
 // DefaultRule is the rule in force: the users allow three ends and three sends more. An
 // end is believed by a refused connection within some 20 ms, and else by the endpoint's
 // entry, which lapses some 2.5 s after a crash. A request that comes every few minutes is
 // still told again, and one that the next version of an engine bears is tried once each
-// hold's end.
+// hold's end. A request that was cut by chance is probed once the word on a third end has
+// reached all nodes.
 func DefaultRule() Rule {
 	return Rule{
 		Ends: 3, Apart: 200 * time.Millisecond, Memory: 15 * time.Minute,
-		Hold: 10 * time.Minute, MostHold: 24 * time.Hour, Doubted: 5 * time.Second,
+		Hold: 10 * time.Minute, MostHold: 24 * time.Hour, Doubted: 5 * time.Second, Probe: 5 * time.Second,
 	}
 }
 
--- a/fleet/relay/quarantine/words.go
+++ b/fleet/relay/quarantine/words.go
@@ -48,6 +48,8 @@
 	Released bool     `json:"free,omitempty"`
 	Why      string   `json:"why,omitempty"`
 	Stored   bool     `json:"kept,omitempty"`
+	Answered bool     `json:"answered,omitempty"` // before endpoints ended under it
+	Probes   int      `json:"probes,omitempty"`   // that were claimed in this round
 	AgeMs    int64    `json:"ms"`
 	ForMs    int64    `json:"for"`
 	Customer string   `json:"c,omitempty"`
@@ -58,7 +60,7 @@
 // WordOf is a request as it is told, and kept by the store.
 func WordOf(h Held, now time.Time) HeldWord {
 	return HeldWord{
-		Print: h.Print, Round: h.Round, Released: h.Released, Why: h.Why, Stored: h.Stored, AgeMs: now.Sub(h.Since).Milliseconds(),
+		Print: h.Print, Round: h.Round, Released: h.Released, Why: h.Why, Stored: h.Stored, Answered: h.Answered, Probes: h.Probes, AgeMs: now.Sub(h.Since).Milliseconds(),
 		ForMs: h.For.Milliseconds(), Customer: h.Customer, Route: h.Route, Ends: h.Ends,
 	}
 }
@@ -232,7 +234,7 @@
 func (b *Book) learn(w HeldWord, now time.Time) (Held, bool) {
 	known, ok := b.held[w.Print]
 	h := Held{
-		Print: w.Print, Round: w.Round, Released: w.Released, Why: w.Why, Stored: w.Stored, Since: now.Add(-time.Duration(max(w.AgeMs, 0)) * time.Millisecond),
+		Print: w.Print, Round: w.Round, Released: w.Released, Why: w.Why, Stored: w.Stored, Answered: w.Answered, Probes: w.Probes, Since: now.Add(-time.Duration(max(w.AgeMs, 0)) * time.Millisecond),
 		For: min(time.Duration(w.ForMs)*time.Millisecond, b.rule.MostHold), Customer: w.Customer, Route: w.Route, Ends: w.Ends[:min(len(w.Ends), mostNamed)],
 	}
 	if w.Round < 1 || w.ForMs < 0 || w.AgeMs > 2*b.rule.MostHold.Milliseconds() {
--- /dev/null
+++ b/fleet/relay/quarantine_probe_test.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+func (s *keptStore) Get(_ context.Context, _, name string) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost {
+		return store.Object{}, store.ErrRefused
+	}
+	o, known := s.objects[name]
+	if !known {
+		return store.Object{}, store.ErrNotFound
+	}
+	return o, nil
+}
+
+func (q *quarantined) probes() bool { return q.Probe(deadlyPrint, clock.Now()) }
+
+// Guards against more sends of a deadly request than are allowed: whoever probes, nodes that
+// are cut off from each other and those that start anew among them.
+func TestProbesOfARequestAreBoundedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &keptStore{objects: map[string]store.Object{}}
+		sent := 0
+		for range 5 {
+			q := keeping(s) // each one believes that it is the first
+			h := q.heldBack(t, 1)
+			q.keep(h)
+			q.probe(h)
+			for q.probes() {
+				sent++
+			}
+		}
+		assert.Equal(t, quarantine.MostProbes, sent)
+		later := keeping(s)
+		h := later.heldBack(t, 2)
+		later.keep(h)
+		later.probe(h)
+		assert.True(t, later.probes(), "each round has its own")
+	})
+}
+
+func TestANodeThatFindsARequestInTheStoreProbesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &keptStore{objects: map[string]store.Object{}}
+		q := keeping(s)
+		q.keep(q.heldBack(t, 1))
+		started := keeping(s)
+		require.True(t, started.loadOnce(t.Context()))
+		assert.False(t, started.probes())
+		time.Sleep(quarantine.DefaultRule().Probe)
+		synctest.Wait()
+		assert.True(t, started.probes())
+	})
+}
+
+func TestNodesProbeInTheirTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &keptStore{objects: map[string]store.Object{}}
+		for _, c := range []struct {
+			turn  int
+			after time.Duration
+			want  bool
+		}{{1, probeTurn - time.Second, false}, {1, probeTurn, true}, {2, time.Minute / 2, false}} {
+			q := keeping(s)
+			q.turn = func(string) int { return c.turn }
+			h := q.heldBack(t, 1)
+			q.keep(h)
+			q.probeLater(h)
+			time.Sleep(quarantine.DefaultRule().Probe + c.after)
+			synctest.Wait()
+			assert.Equal(t, c.want, q.probes(), "turn %d after %s", c.turn, c.after)
+		}
+	})
+}
+
+func TestNoProbeIsSentThatTheStoreDidNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &keptStore{objects: map[string]store.Object{}, lost: true}
+		q := keeping(s)
+		h := q.heldBack(t, 1)
+		go q.keep(h)
+		go q.probe(h)
+		time.Sleep(2 * time.Second)
+		assert.False(t, q.probes())
+		s.mu.Lock()
+		s.lost = false
+		s.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		assert.True(t, q.probes(), "the store is back")
+	})
+}
+
+// Guards against a request that is held back again by nodes that start, since a probe of it
+// was claimed while it was let go.
+func TestAProbeKeepsNoRequestThatWasLetGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &keptStore{objects: map[string]store.Object{}}
+		q := keeping(s)
+		q.probe(q.heldBack(t, 1))
+		assert.Empty(t, s.objects)
+		assert.False(t, q.probes())
+	})
+}
--- a/fleet/relay/quarantine_test.go
+++ b/fleet/relay/quarantine_test.go
@@ -80,7 +80,7 @@
 // heldBack has a node learn of a request that is held back.
 func (q *quarantined) heldBack(t *testing.T, round int) quarantine.Held {
 	t.Helper()
-	w := quarantine.HeldWord{Print: deadlyPrint, Round: round, ForMs: time.Minute.Milliseconds(), Customer: "customer", Ends: []string{"e1"}}
+	w := quarantine.HeldWord{Print: deadlyPrint, Round: round, ForMs: time.Minute.Milliseconds(), Answered: true, Customer: "customer", Ends: []string{"e1"}}
 	require.Len(t, q.Book.Heard(quarantine.Words{Held: []quarantine.HeldWord{w}}, clock.Now()), 1)
 	h, _ := q.Of(deadlyPrint)
 	return h
@@ -194,12 +194,12 @@
 		started := keeping(s)
 		require.True(t, started.loadOnce(t.Context()))
 		assert.True(t, started.Holds(deadlyPrint, clock.Now()))
-		behind := keeping(s)
+		others := &keptStore{objects: map[string]store.Object{}} // the nodes before probe it in theirs
+		behind := keeping(others)
 		behind.heldBack(t, 1)
 		behind.turn = func(string) int { return 7 }
-		s.writes = 0
 		behind.writeBack()
 		time.Sleep(time.Minute)
-		assert.Zero(t, s.writes, "others do so")
+		assert.Zero(t, others.writes, "others do so")
 	})
 }
