A word that names any round is timed at once

A word from a peer or the store may name a round of any size. The time of a probe, worked out as each word comes in, and that of a hold counted the rounds one by one: a node stood still over one word, and told it on.

--- a/fleet/relay/quarantine/held.go
+++ b/fleet/relay/quarantine/held.go
@@ -40,21 +40,19 @@
 }
 
 // holdFor is how long a request is held back in a round.
-func (r Rule) holdFor(round int) time.Duration {
-	hold := r.Hold
-	for range round - 1 {
-		hold = min(2*hold, r.MostHold)
-	}
-	return hold
-}
+func (r Rule) holdFor(round int) time.Duration { return r.doubled(r.Hold, round) }
 
 // probeAfter is how long a request is held back in a round until it is probed.
-func (r Rule) probeAfter(round int) time.Duration {
-	after := r.Probe
-	for range round - 1 {
-		after = min(2*after, r.MostHold)
+func (r Rule) probeAfter(round int) time.Duration { return r.doubled(r.Probe, round) }
+
+// doubled is a time that doubles with each round after the first, up to the longest hold. It
+// stops there: a word may name any round.
+func (r Rule) doubled(first time.Duration, round int) time.Duration {
+	d := first
+	for i := 1; i < round && d < r.MostHold; i++ {
+		d = min(2*d, r.MostHold)
 	}
-	return after
+	return d
 }
 
 // mostNamed is how many of the endpoints that ended are named with a request.
--- a/fleet/relay/quarantine/probe_test.go
+++ b/fleet/relay/quarantine/probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -125,3 +126,19 @@
 	assert.Equal(t, 4*rule.Probe, rule.probeAfter(3))
 	assert.LessOrEqual(t, rule.probeAfter(100), rule.MostHold)
 }
+
+// Guards against a node that stands still over a word of a round that no request reaches.
+func TestARoundOfAnySizeIsTimedAtOnce(t *testing.T) {
+	for name, after := range map[string]func(Rule, int) time.Duration{"probe": Rule.probeAfter, "hold": Rule.holdFor} {
+		t.Run(name, func(t *testing.T) {
+			done := make(chan time.Duration, 1)
+			go func() { done <- after(DefaultRule(), math.MaxInt) }()
+			select {
+			case d := <-done:
+				assert.Equal(t, DefaultRule().MostHold, d)
+			case <-time.After(time.Second):
+				t.Fatal("still counting rounds")
+			}
+		})
+	}
+}
