A claimed probe ends with its round, and once an endpoint ended

A probe that reached no endpoint was given back to whatever round the request was held back in by then, where it had not been counted. And a node whose claimed probe no call had taken yet sent one on after an endpoint had ended under another node's probe: that was looked at only as probes were claimed.

--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -70,7 +70,7 @@
 	limit    call.Limit       // that the last answer named
 	notices  []call.Notice    // of the last answer
 	printed  quarantine.Print // of its request; zero: not worked out yet
-	probe    bool             // of a request that is held back
+	probe    int              // round of a request that is held back, which this call probes; 0 is none
 	pace     pace             // of the last stream
 }
 
--- a/fleet/relay/forward/suspects.go
+++ b/fleet/relay/forward/suspects.go
@@ -50,19 +50,21 @@
 
 // probes is whether this call shows whether endpoints bear a request that is held back.
 func (j *job) probes() bool {
-	if j.probe {
+	if j.probe > 0 {
 		return true
 	}
-	if j.probe = j.Quarantine.Probe(j.print(), clock.Now()); j.probe {
+	round, ok := j.Quarantine.Probe(j.print(), clock.Now())
+	if ok {
+		j.probe = round
 		j.Log.WithFields(log.Fields{"request": j.call.ID, "print": j.print().String(), "customer": j.tenant.Name}).Info("request held back is probed: this call is sent on")
 	}
-	return j.probe
+	return ok
 }
 
 // returnProbe lets another call be the probe where this one reached no endpoint.
 func (j *job) returnProbe() {
-	if j.probe && j.attempts == 0 {
-		j.Quarantine.Unsent(j.print())
+	if j.probe > 0 && j.attempts == 0 {
+		j.Quarantine.Unsent(j.print(), j.probe)
 	}
 }
 
--- a/fleet/relay/quarantine/probe.go
+++ b/fleet/relay/quarantine/probe.go
@@ -47,28 +47,32 @@
 func (b *Book) Armed(p Print, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h := b.held[p]
-	return h.armed && h.inForce(now)
+	return b.armed(b.held[p], now)
+}
+
+// armed is false where an endpoint ended since the claim, under another node's probe.
+func (b *Book) armed(h Held, now time.Time) bool {
+	return h.armed && h.inForce(now) && !b.endedSince(h.Print, b.ProbeAt(h))
 }
 
-// Probe is whether a call is a probe; no other one is then.
-func (b *Book) Probe(p Print, now time.Time) bool {
+// Probe is whether a call is a probe, and of which round; no other one is then.
+func (b *Book) Probe(p Print, now time.Time) (round int, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.held[p]
-	if !h.armed || !h.inForce(now) {
-		return false
+	if !b.armed(h, now) {
+		return 0, false
 	}
 	h.armed = false
 	b.held[p] = h
-	return true
+	return h.Round, true
 }
 
-// Unsent gives a probe back that reached no endpoint.
-func (b *Book) Unsent(p Print) {
+// Unsent gives a probe back that reached no endpoint. It was claimed for one round.
+func (b *Book) Unsent(p Print, round int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h, ok := b.held[p]; ok {
+	if h, ok := b.held[p]; ok && h.Round == round {
 		h.armed = true
 		b.held[p] = h
 	}
--- a/fleet/relay/quarantine/probe_test.go
+++ b/fleet/relay/quarantine/probe_test.go
@@ -22,7 +22,10 @@
 	return n, h
 }
 
-func (n *node) probes() bool { return n.Probe(printed("popular"), n.now) }
+func (n *node) probes() bool {
+	_, ok := n.Probe(printed("popular"), n.now)
+	return ok
+}
 
 func TestWhetherARequestMayBeProbed(t *testing.T) {
 	cases := []struct {
@@ -114,11 +117,60 @@
 func TestAProbeThatReachedNoEndpointIsLeftToTheNextCall(t *testing.T) {
 	n, h := holding(t)
 	n.Arm(h)
-	require.True(t, n.probes())
-	n.Unsent(h.Print)
+	n.Unsent(h.Print, n.take(t))
 	assert.True(t, n.probes())
 }
 
+// Guards against a probe more than was counted: a claim holds for one round, and while no
+// endpoint has ended under another node's probe.
+func TestAClaimThatNoLongerHoldsSendsNothing(t *testing.T) {
+	again := func(n *node, h Held) {
+		h.Round++
+		n.Heard(Words{Held: []HeldWord{WordOf(h, n.now)}}, n.now)
+	}
+	ended := func(n *node, h Held) {
+		n.now = n.ProbeAt(h)
+		n.endNow(9, suspects(Nothing, "popular")...)
+	}
+	cases := []struct {
+		name   string
+		unsent bool // the probe was taken, and is given back after that
+		do     func(n *node, h Held)
+		want   bool
+	}{
+		{"nothing happened since", false, func(*node, Held) {}, true},
+		{"nothing happened since it was taken", true, func(*node, Held) {}, true},
+		{"a later round", false, again, false},
+		{"a later round since it was taken", true, again, false},
+		{"an endpoint ended", false, ended, false},
+		{"an endpoint ended since it was taken", true, ended, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n, h := holding(t)
+			n.Arm(h)
+			var round int
+			if c.unsent {
+				round = n.take(t)
+			}
+			c.do(n, h)
+			if c.unsent {
+				n.Unsent(h.Print, round)
+			}
+			assert.Equal(t, c.want, n.Armed(h.Print, n.now))
+			assert.Equal(t, c.want, n.probes())
+		})
+	}
+}
+
+// take has the next call be the probe; it returns the round of the claim.
+func (n *node) take(t *testing.T) int {
+	t.Helper()
+	round, ok := n.Probe(printed("popular"), n.now)
+	require.True(t, ok)
+	return round
+}
+
 // A request under which endpoints end now and then is probed later in each round.
 func TestProbesComeLaterInEachRound(t *testing.T) {
 	rule := DefaultRule()
--- a/fleet/relay/quarantine_probe_test.go
+++ b/fleet/relay/quarantine_probe_test.go
@@ -27,7 +27,10 @@
 	return o, nil
 }
 
-func (q *quarantined) probes() bool { return q.Probe(deadlyPrint, clock.Now()) }
+func (q *quarantined) probes() bool {
+	_, ok := q.Probe(deadlyPrint, clock.Now())
+	return ok
+}
 
 // Guards against more sends of a deadly request than are allowed: whoever probes, nodes that
 // are cut off from each other and those that start anew among them.
