--- a/fleet/relay/quarantine/words.go
+++ b/fleet/relay/quarantine/words.go
@@ -234,7 +234,7 @@
 func (b *Book) learn(w HeldWord, now time.Time) (Held, bool) {
 	known, ok := b.held[w.Print]
 	h := Held{
-		Print: w.Print, Round: w.Round, Released: w.Released, Why: w.Why, Stored: w.Stored, Answered: w.Answered, Probes: w.Probes, Since: now.Add(-time.Duration(max(w.AgeMs, 0)) * time.Millisecond),
+		Print: w.Print, Round: w.Round, Released: w.Released, Why: w.Why, Stored: w.Stored, Answered: w.Answered, Probes: max(w.Probes, 0), Since: now.Add(-time.Duration(max(w.AgeMs, 0)) * time.Millisecond),
 		For: min(time.Duration(w.ForMs)*time.Millisecond, b.rule.MostHold), Customer: w.Customer, Route: w.Route, Ends: w.Ends[:min(len(w.Ends), mostNamed)],
 	}
 	if w.Round < 1 || w.ForMs < 0 || w.AgeMs > 2*b.rule.MostHold.Milliseconds() {
--- a/fleet/relay/quarantine_probe_test.go
+++ b/fleet/relay/quarantine_probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,3 +119,24 @@
 		assert.False(t, q.probes())
 	})
 }
+
+// Guards against probes without end by a word of fewer than none.
+func TestAWordOfFewerProbesThanNoneIsOfNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &keptStore{objects: map[string]store.Object{}}
+		data, err := json.Marshal(quarantine.HeldWord{Print: deadlyPrint, Round: 1, ForMs: time.Minute.Milliseconds(), Answered: true, Probes: -9, Customer: "customer"})
+		require.NoError(t, err)
+		s.objects[deadlyPrint.String()] = store.Object{Kind: quarantineKind, Name: deadlyPrint.String(), Data: data, Revision: 1}
+		q := keeping(s)
+		require.True(t, q.loadOnce(t.Context()))
+		h, _ := q.Of(deadlyPrint)
+		sent := 0
+		for range 2 * quarantine.MostProbes {
+			q.probe(h)
+			if q.probes() {
+				sent++
+			}
+		}
+		assert.Equal(t, quarantine.MostProbes, sent)
+	})
+}
