Probes stay counted where the store is back from an older copy

The count of a round was the store's alone: nodes told each other theirs, and none took it in, and what was written back after the store had come from an older copy left its lower count there. Nodes that started then probed anew.

--- a/fleet/relay/quarantine.go
+++ b/fleet/relay/quarantine.go
@@ -179,9 +179,9 @@
 		if !known || now.Round != h.Round || now.Released != h.Released || done(now) {
 			return
 		}
-		err := q.write(h)
+		err := q.write(now)
 		if err == nil {
-			q.Stored(h)
+			q.Stored(now)
 			return
 		}
 		q.log.WithField("print", h.Print.String()).WithField("dependency", "store").WithError(err).Warn("request that is held back, or let go, not kept yet")
@@ -205,7 +205,7 @@
 	if !errors.Is(err, store.ErrConflict) {
 		return err
 	}
-	if w, err := keptOf(there); err == nil && w.Round >= h.Round {
+	if w, err := keptOf(there); err == nil && (w.Round > h.Round || w.Round == h.Round && w.Probes >= h.Probes) {
 		return nil // another node has written it
 	}
 	o.Revision = there.Revision
--- a/fleet/relay/quarantine/words.go
+++ b/fleet/relay/quarantine/words.go
@@ -241,8 +241,8 @@
 		return Held{}, false
 	}
 	if ok && !h.newer(known) {
-		if known.says(h) && h.Stored && !known.Stored {
-			known.Stored = true
+		if known.says(h) {
+			known.Stored, known.Probes = known.Stored || h.Stored, max(known.Probes, h.Probes)
 			b.held[w.Print] = known
 		}
 		if known.newer(h) && b.role() != Witness {
--- a/fleet/relay/quarantine_probe.go
+++ b/fleet/relay/quarantine_probe.go
@@ -68,6 +68,9 @@
 	if err != nil {
 		return h, false, err
 	}
+	if now, known := q.Of(h.Print); known && now.Round == h.Round {
+		h.Probes = max(h.Probes, now.Probes) // the store may be back from a copy of before
+	}
 	if there.Round == h.Round {
 		h.Probes = max(h.Probes, there.Probes)
 	}
--- a/fleet/relay/quarantine_probe_test.go
+++ b/fleet/relay/quarantine_probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,6 +121,50 @@
 	})
 }
 
+// Guards against probes that are sent once more since the store forgot that they were claimed.
+func TestProbesStayCountedWhereTheStoreIsAnOlderCopy(t *testing.T) {
+	cases := []struct {
+		name string
+		then func(t *testing.T, s *keptStore, q *quarantined) *quarantined // who probes next
+	}{
+		{"it is written back, and a node starts", func(t *testing.T, s *keptStore, q *quarantined) *quarantined {
+			q.writeBack()
+			synctest.Wait()
+			started := keeping(s)
+			require.True(t, started.loadOnce(t.Context()))
+			return started
+		}},
+		{"another node was told of them", func(t *testing.T, s *keptStore, q *quarantined) *quarantined {
+			other := keeping(s)
+			other.heldBack(t, 1)
+			other.Book.Heard(q.Digest(clock.Now()), clock.Now())
+			return other
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &keptStore{objects: map[string]store.Object{}}
+				q := keeping(s)
+				h := q.heldBack(t, 1)
+				q.keep(h)
+				older := maps.Clone(s.objects)
+				for range quarantine.MostProbes {
+					q.probe(h)
+					require.True(t, q.probes())
+				}
+				s.mu.Lock()
+				s.objects = older
+				s.mu.Unlock()
+				next := c.then(t, s, q)
+				h, _ = next.Of(deadlyPrint)
+				next.probe(h)
+				assert.False(t, next.probes())
+			})
+		})
+	}
+}
+
 // Guards against probes without end by a word of fewer than none.
 func TestAWordOfFewerProbesThanNoneIsOfNone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
