A request is probed whoever knows that it was answered

Whether a request was answered before was taken from the first word on it only: where that came from a node that had started of late, or of an earlier build, it was held back for all of its time, whatever others and the ends told.

--- a/fleet/relay/quarantine/probe.go
+++ b/fleet/relay/quarantine/probe.go
@@ -21,7 +21,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known := b.held[h.Print]
-	return known.Answered && known.Round == h.Round && known.inForce(now) && !b.endedSince(h.Print, b.ProbeAt(known))
+	return b.answered(known) && known.Round == h.Round && known.inForce(now) && !b.endedSince(h.Print, b.ProbeAt(known))
+}
+
+// answered is whether any node told that endpoints had answered a request: with it, or with an
+// end that who held it back did not know of.
+func (b *Book) answered(h Held) bool {
+	return h.Answered || lo.SomeBy(b.ends, func(e *end) bool { return e.suspects[h.Print].Answered })
 }
 
 func (b *Book) endedSince(p Print, at time.Time) bool {
--- a/fleet/relay/quarantine/words.go
+++ b/fleet/relay/quarantine/words.go
@@ -243,6 +243,7 @@
 	if ok && !h.newer(known) {
 		if known.says(h) {
 			known.Stored, known.Probes = known.Stored || h.Stored, max(known.Probes, h.Probes)
+			known.Answered = known.Answered || h.Answered
 			b.held[w.Print] = known
 		}
 		if known.newer(h) && b.role() != Witness {
--- a/fleet/relay/quarantine_probe.go
+++ b/fleet/relay/quarantine_probe.go
@@ -19,11 +19,9 @@
 	probeTries = 10               // to claim one
 )
 
-// probeLater has this node probe a request that is held back, in its turn.
+// probeLater has this node probe a request that is held back, in its turn. Whether it was
+// answered before may be known only by then.
 func (q *quarantined) probeLater(h quarantine.Held) {
-	if !h.Answered {
-		return
-	}
 	time.AfterFunc(clock.Until(q.ProbeAt(h)), func() {
 		turn := q.turn(h.Print.String())
 		if turn >= quarantine.MostProbes {
--- a/fleet/relay/quarantine_probe_test.go
+++ b/fleet/relay/quarantine_probe_test.go
@@ -185,3 +185,39 @@
 		assert.Equal(t, quarantine.MostProbes, sent)
 	})
 }
+
+// Guards against a request that is held back for all of its time since the first node to tell of
+// it did not know that it was answered: one that started of late, or of an earlier build.
+func TestWhoeverKnowsThatARequestWasAnsweredItIsProbed(t *testing.T) {
+	cases := []struct {
+		name string
+		then func(q *quarantined, told quarantine.HeldWord)
+		want bool
+	}{
+		{"nobody", func(*quarantined, quarantine.HeldWord) {}, false},
+		{"a node that tells of it later", func(q *quarantined, told quarantine.HeldWord) {
+			told.Answered = true
+			q.Heard("another", quarantine.Words{Held: []quarantine.HeldWord{told}}, clock.Now())
+		}, true},
+		{"this node, by an end", func(q *quarantined, told quarantine.HeldWord) {
+			s := quarantine.Suspect{Print: told.Print, Customer: told.Customer, Answered: true}
+			q.Heard("another", quarantine.Words{Ends: []quarantine.EndWord{{Endpoint: "e1", Suspects: []quarantine.Suspect{s}}}}, clock.Now())
+		}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &keptStore{objects: map[string]store.Object{}}
+				q := keeping(s)
+				told := quarantine.HeldWord{Print: deadlyPrint, Round: 1, ForMs: time.Minute.Milliseconds(), Customer: "customer"}
+				q.Heard("first", quarantine.Words{Held: []quarantine.HeldWord{told}}, clock.Now())
+				h, _ := q.Of(deadlyPrint)
+				q.keep(h)
+				c.then(q, told)
+				time.Sleep(quarantine.DefaultRule().Probe)
+				synctest.Wait()
+				assert.Equal(t, c.want, q.probes())
+			})
+		})
+	}
+}
