A request that is held back is kept and probed once the store is back

Both were given up after some 20 tries: where the store was out of reach for longer, the request was held back for all of its time. Later tries come more slowly, and end with the hold.

--- a/fleet/relay/quarantine.go
+++ b/fleet/relay/quarantine.go
@@ -33,8 +33,9 @@
 // Bounds of keeping requests in the store.
 const (
 	keepTurn    = 500 * time.Millisecond // after which the next node writes where the one before did not
-	keepPause   = time.Second            // between tries
-	keepTries   = 20
+	keepPause   = time.Second            // between the first tries
+	keepTries   = 20                     // that are the first ones
+	keepSlowly  = 8 * time.Second        // between the later ones
 	keepTimeout = time.Second
 	loadMost    = 8 * time.Second // between tries to read them at the start, at the most
 )
@@ -174,9 +175,10 @@
 // or it is no longer so.
 func (q *quarantined) keepInTurn(h quarantine.Held, turn int, done func(now quarantine.Held) bool) {
 	time.Sleep(time.Duration(turn) * keepTurn)
-	for range keepTries {
+	for try := 0; ; try++ {
 		now, known := q.Of(h.Print)
-		if !known || now.Round != h.Round || now.Released != h.Released || done(now) {
+		over := !now.Released && clock.Since(now.Since) >= now.For
+		if !known || now.Round != h.Round || now.Released != h.Released || over || done(now) {
 			return
 		}
 		err := q.write(now)
@@ -185,10 +187,19 @@
 			return
 		}
 		q.log.WithField("print", h.Print.String()).WithField("dependency", "store").WithError(err).Warn("request that is held back, or let go, not kept yet")
-		time.Sleep(store.Jittered(keepPause))
+		time.Sleep(store.Jittered(pauseAfter(try)))
 	}
 }
 
+// pauseAfter is the pause after a try that the store did not answer. It is asked again as long as
+// the request is held back: what it does not keep is neither known to nodes that start nor probed.
+func pauseAfter(try int) time.Duration {
+	if try < keepTries {
+		return keepPause
+	}
+	return keepSlowly
+}
+
 // write keeps a request that is held back, and takes one away that was let go.
 func (q *quarantined) write(h quarantine.Held) error {
 	ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
--- a/fleet/relay/quarantine_probe.go
+++ b/fleet/relay/quarantine_probe.go
@@ -13,11 +13,9 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
-// Bounds of probing requests that are held back.
-const (
-	probeTurn  = 10 * time.Second // after which the next node probes: an end under the first probe is known by then
-	probeTries = 10               // to claim one
-)
+// probeTurn is the time after which the next node probes: an end under the first probe is known
+// by then.
+const probeTurn = 10 * time.Second
 
 // probeLater has this node probe a request that is held back, in its turn. Whether it was
 // answered before may be known only by then.
@@ -33,10 +31,11 @@
 }
 
 // probe claims one of the probes of a round in the store, so that nodes that are cut off from
-// each other, or start anew, send no more of them together than one would.
+// each other, or start anew, send no more of them together than one would. It waits for the store
+// as long as the request is held back.
 func (q *quarantined) probe(h quarantine.Held) {
 	entry := q.log.WithFields(log.Fields{"print": h.Print.String(), "customer": h.Customer, "round": h.Round})
-	for range probeTries {
+	for try := 0; ; try++ {
 		if !q.MayProbe(h, clock.Now()) {
 			return
 		}
@@ -49,7 +48,7 @@
 			return
 		}
 		entry.WithField("dependency", "store").WithError(err).Warn("probe of a request that is held back not claimed yet")
-		time.Sleep(store.Jittered(keepPause))
+		time.Sleep(store.Jittered(pauseAfter(try)))
 	}
 }
 
--- a/fleet/relay/quarantine_probe_test.go
+++ b/fleet/relay/quarantine_probe_test.go
@@ -221,3 +221,28 @@
 		})
 	}
 }
+
+// Guards against a request that is held back for all of its time since the store was out of reach
+// as its probes were due.
+func TestAProbeWaitsForTheStore(t *testing.T) {
+	for _, out := range []time.Duration{2 * time.Second, time.Minute, 5 * time.Minute} {
+		t.Run(out.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &keptStore{objects: map[string]store.Object{}, lost: true}
+				q := keeping(s)
+				w := quarantine.HeldWord{Print: deadlyPrint, Round: 1, ForMs: (10 * time.Minute).Milliseconds(), Answered: true, Customer: "customer"}
+				q.Heard("another", quarantine.Words{Held: []quarantine.HeldWord{w}}, clock.Now())
+				h, _ := q.Of(deadlyPrint)
+				go q.keep(h)
+				time.Sleep(out)
+				s.mu.Lock()
+				s.lost = false
+				s.mu.Unlock()
+				time.Sleep(4 * keepSlowly)
+				synctest.Wait()
+				assert.True(t, q.probes())
+				time.Sleep(10 * time.Minute) // what waits ends with the hold
+			})
+		})
+	}
+}
