A request that is served once its time is over starts anew

A request whose hold had ended was held back again by one end, since a later version of an engine may bear it; that stayed so where it had been served since, any number of times. An end beside it by chance held it back for twice as long.

--- a/fleet/relay/quarantine/book.go
+++ b/fleet/relay/quarantine/book.go
@@ -229,8 +229,8 @@
 		_, in := e.suspects[p]
 		return in && b.served[p].Before(e.at) && !at.Before(e.at)
 	})
-	h := b.held[p]
-	releases := h.inForce(now) && at.After(h.Since)
+	h, known := b.held[p]
+	releases := known && !h.Released && at.After(h.Since) // once its time is over, too: else one end more would be enough
 	_, near := b.near[p]
 	delete(b.near, p)
 	if !suspected && !releases && !near {
--- a/fleet/relay/quarantine/probe_test.go
+++ b/fleet/relay/quarantine/probe_test.go
@@ -194,3 +194,23 @@
 		})
 	}
 }
+
+// Guards against a request that endpoints bear and that one end is enough to hold back, since it
+// was served only after its time was over.
+func TestARequestThatIsServedAfterItsTimeStartsAnew(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		served bool
+		want   bool
+	}{{"it was served", true, false}, {"it was not", false, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			n, h := holding(t)
+			n.now = h.Since.Add(h.For)
+			if c.served {
+				n.serve("popular")
+			}
+			n.endUnder(9, suspects(Nothing, "popular")...)
+			assert.Equal(t, c.want, n.holds("popular"))
+		})
+	}
+}
