A request that ended an endpoint after its time is not probed

One that was answered once and ends endpoints since was probed in each round, beside the call that holds it back again when its time is over: five sends in the hour after the third end, where three are allowed. That call is a probe; the round that follows has none.

--- a/fleet/relay/quarantine/book.go
+++ b/fleet/relay/quarantine/book.go
@@ -336,11 +336,13 @@
 
 func (b *Book) hold(p Print, ends []*end, now time.Time) {
 	s := ends[len(ends)-1].suspects[p]
-	round := b.held[p].Round + 1
+	before := b.held[p]
+	round := before.Round + 1
 	h := Held{
 		Print: p, Round: round, Since: now, For: b.rule.holdFor(round), Customer: s.Customer, Route: s.Route,
 		Ends:     lo.Map(ends[max(len(ends)-mostNamed, 0):], func(e *end, _ int) string { return e.life.ID }),
 		Answered: lo.SomeBy(ends, func(e *end) bool { return e.suspects[p].Answered }),
+		Tried:    before.Round > 0 && !before.Released,
 	}
 	b.keep(h, now)
 	b.outbox.addHeld(p)
--- a/fleet/relay/quarantine/held.go
+++ b/fleet/relay/quarantine/held.go
@@ -14,6 +14,7 @@
 	Route    string
 	Ends     []string // ids of the endpoints that ended under it, the last ones
 	Answered bool     // endpoints had answered it before: it may have been under way by chance where they ended
+	Tried    bool     // an endpoint ended under it once its time before was over: that was a send like a probe
 	Probes   int      // that nodes claimed in this round, as far as this one knows
 	armed    bool     // this node's next call of it is a probe
 	Why      string   // it was released
--- a/fleet/relay/quarantine/probe.go
+++ b/fleet/relay/quarantine/probe.go
@@ -16,12 +16,13 @@
 
 // MayProbe is whether a request that endpoints had answered before is still held back in a
 // round, and no endpoint has ended under it since its first probe was due. One that was never
-// answered is not worth an endpoint more.
+// answered is not worth an endpoint more, nor is one that ended one when it was sent again at the
+// end of its time.
 func (b *Book) MayProbe(h Held, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known := b.held[h.Print]
-	return b.answered(known) && known.Round == h.Round && known.inForce(now) && !b.endedSince(h.Print, b.ProbeAt(known))
+	return b.answered(known) && !known.Tried && known.Round == h.Round && known.inForce(now) && !b.endedSince(h.Print, b.ProbeAt(known))
 }
 
 // answered is whether any node told that endpoints had answered a request: with it, or with an
--- a/fleet/relay/quarantine/probe_test.go
+++ b/fleet/relay/quarantine/probe_test.go
@@ -214,3 +214,24 @@
 		})
 	}
 }
+
+// Guards against more sends of a deadly request than are allowed where it was answered once: the
+// call that holds it back again when its time is over is one, too.
+func TestADeadlyRequestThatWasAnsweredOnceIsSentNoMoreThanAllowed(t *testing.T) {
+	n, h := holding(t)
+	sent := 0
+	const step = 700 * time.Millisecond // no call comes as the time is over to the moment
+	due := 0                            // the round whose probe was claimed
+	for at := 10; n.now.Sub(h.Since) < time.Hour; n.now = n.now.Add(step) {
+		if now, _ := n.Of(h.Print); now.Round > due && n.now.After(n.ProbeAt(now)) && n.MayProbe(now, n.now) {
+			n.Arm(now)
+			due = now.Round
+		}
+		if !n.holds("popular") || n.probes() {
+			sent++
+			n.endNow(at, suspects(Nothing, "popular")...)
+			at++
+		}
+	}
+	assert.LessOrEqual(t, sent, 3)
+}
--- a/fleet/relay/quarantine/words.go
+++ b/fleet/relay/quarantine/words.go
@@ -49,6 +49,7 @@
 	Why      string   `json:"why,omitempty"`
 	Stored   bool     `json:"kept,omitempty"`
 	Answered bool     `json:"answered,omitempty"` // before endpoints ended under it
+	Tried    bool     `json:"tried,omitempty"`    // once its time before was over
 	Probes   int      `json:"probes,omitempty"`   // that were claimed in this round
 	AgeMs    int64    `json:"ms"`
 	ForMs    int64    `json:"for"`
@@ -60,7 +61,7 @@
 // WordOf is a request as it is told, and kept by the store.
 func WordOf(h Held, now time.Time) HeldWord {
 	return HeldWord{
-		Print: h.Print, Round: h.Round, Released: h.Released, Why: h.Why, Stored: h.Stored, Answered: h.Answered, Probes: h.Probes, AgeMs: now.Sub(h.Since).Milliseconds(),
+		Print: h.Print, Round: h.Round, Released: h.Released, Why: h.Why, Stored: h.Stored, Answered: h.Answered, Tried: h.Tried, Probes: h.Probes, AgeMs: now.Sub(h.Since).Milliseconds(),
 		ForMs: h.For.Milliseconds(), Customer: h.Customer, Route: h.Route, Ends: h.Ends,
 	}
 }
@@ -234,7 +235,7 @@
 func (b *Book) learn(w HeldWord, now time.Time) (Held, bool) {
 	known, ok := b.held[w.Print]
 	h := Held{
-		Print: w.Print, Round: w.Round, Released: w.Released, Why: w.Why, Stored: w.Stored, Answered: w.Answered, Probes: max(w.Probes, 0), Since: now.Add(-time.Duration(max(w.AgeMs, 0)) * time.Millisecond),
+		Print: w.Print, Round: w.Round, Released: w.Released, Why: w.Why, Stored: w.Stored, Answered: w.Answered, Tried: w.Tried, Probes: max(w.Probes, 0), Since: now.Add(-time.Duration(max(w.AgeMs, 0)) * time.Millisecond),
 		For: min(time.Duration(w.ForMs)*time.Millisecond, b.rule.MostHold), Customer: w.Customer, Route: w.Route, Ends: w.Ends[:min(len(w.Ends), mostNamed)],
 	}
 	if w.Round < 1 || w.ForMs < 0 || w.AgeMs > 2*b.rule.MostHold.Milliseconds() {
@@ -243,7 +244,7 @@
 	if ok && !h.newer(known) {
 		if known.says(h) {
 			known.Stored, known.Probes = known.Stored || h.Stored, max(known.Probes, h.Probes)
-			known.Answered = known.Answered || h.Answered
+			known.Answered, known.Tried = known.Answered || h.Answered, known.Tried || h.Tried
 			b.held[w.Print] = known
 		}
 		if known.newer(h) && b.role() != Witness {
