A claimed probe tells nodes that start that the request was answered

A claim wrote what was known of the request as it was held back: nodes that started did not send the second probe where it was known to be answered later.

--- a/fleet/relay/quarantine_probe.go
+++ b/fleet/relay/quarantine_probe.go
@@ -74,7 +74,7 @@
 	if there.Round > h.Round || h.Probes >= quarantine.MostProbes {
 		return h, false, nil
 	}
-	h.Probes++
+	h.Probes, h.Answered = h.Probes+1, true // else it would not be probed
 	if o.Data, err = kept(h); err != nil {
 		return h, false, err
 	}
--- a/fleet/relay/quarantine_probe_test.go
+++ b/fleet/relay/quarantine_probe_test.go
@@ -217,6 +217,10 @@
 				time.Sleep(quarantine.DefaultRule().Probe)
 				synctest.Wait()
 				assert.Equal(t, c.want, q.probes())
+				started := keeping(s)
+				require.True(t, started.loadOnce(t.Context()))
+				h, _ = started.Of(deadlyPrint)
+				assert.Equal(t, c.want, h.Answered, "nodes that start know it")
 			})
 		})
 	}
