A probe's one attempt, and the nodes that probe, are held by tests

No test failed where a probe was sent again within its call, or where a call of a request that is armed was refused as it came in. The third node's turn passed since the others' claims had used up what the cases shared.

--- a/fleet/relay/forward/suspects_test.go
+++ b/fleet/relay/forward/suspects_test.go
@@ -129,30 +129,32 @@
 // Guards against a probe that reaches endpoints more than once, whatever they say.
 func TestAProbeReachesOneEndpoint(t *testing.T) {
 	cases := []struct {
-		name      string
-		script    script
-		heldAfter bool
+		name, path string
+		script     script
+		heldAfter  bool
 	}{
-		{"turned away as not run", status(503, true), true},
-		{"an answer that says that it failed", status(500, false), true},
-		{"cut", reset, true},
-		{"answered", good("x"), false},
+		{"turned away as not run", "/single/", status(503, true), true},
+		{"an answer that says that it failed", "/single/", status(500, false), true},
+		{"cut", "/single/", reset, true},
+		{"cut, of a route whose calls may run again", "/repeat/", reset, true},
+		{"turned away, of a route whose calls may run again", "/repeat/", status(503, true), true},
+		{"answered", "/single/", good("x"), false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(t, 1000, reset, reset)
 			book, _ := f.withQuarantine(2)
-			print := quarantine.PrintOf("t", "GET", "h", "/single/", nil)
+			print := quarantine.PrintOf("t", "GET", "h", c.path, nil)
 			for _, id := range []string{"c1", "c2"} {
-				f.do(t, f.request(t, "GET", "/single/", "", "Call", id))
+				f.do(t, f.request(t, "GET", c.path, "", "Call", id))
 			}
 			require.Eventually(t, func() bool { return book.Holds(print, time.Now()) }, time.Second, time.Millisecond)
-			f.engines = []engine.Engine{f.startEngine(t, "probed", c.script)}
+			f.engines = []engine.Engine{f.startEngine(t, "probed", c.script), f.startEngine(t, "another", c.script)}
 			f.directory.Store(engine.NewDirectory(2, f.engines))
 			h, _ := book.Of(print)
 			book.Arm(h)
 			ran := len(f.seen())
-			f.do(t, f.request(t, "GET", "/single/", "", "Call", "c3"))
+			f.do(t, f.request(t, "GET", c.path, "", "Call", "c3"))
 			assert.Len(t, f.seen(), ran+1)
 			assert.False(t, book.Armed(print, time.Now()))
 			assert.Equal(t, c.heldAfter, book.Holds(print, time.Now()))
--- a/fleet/relay/quarantine_probe_test.go
+++ b/fleet/relay/quarantine_probe_test.go
@@ -74,16 +74,15 @@
 
 func TestNodesProbeInTheirTurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &keptStore{objects: map[string]store.Object{}}
 		for _, c := range []struct {
 			turn  int
 			after time.Duration
 			want  bool
 		}{{1, probeTurn - time.Second, false}, {1, probeTurn, true}, {2, time.Minute / 2, false}} {
-			q := keeping(s)
+			q := keeping(&keptStore{objects: map[string]store.Object{}}) // none was claimed by others
 			q.turn = func(string) int { return c.turn }
 			h := q.heldBack(t, 1)
-			q.keep(h)
+			require.NoError(t, q.write(h))
 			q.probeLater(h)
 			time.Sleep(quarantine.DefaultRule().Probe + c.after)
 			synctest.Wait()
