A judge goes on judging where more of the old version's calls turn out late than it got of late

Cause, by its log ("evidence NaN of 5.7"): a call counts when it is sent and as bad when it is late. Where many turn out late at once, after a time in which few were sent, the fading count of bad answers exceeds that of answers; a share over one makes the root of a negative number. NaN is over no limit: the judge finds nothing bad, and has no doubt, from then on until its end.

Change: a share is one at the most. The count itself stays, so that it fades as before.

--- a/fleet/relay/rollout/usual.go
+++ b/fleet/relay/rollout/usual.go
@@ -34,8 +34,10 @@
 
 func (f fading) minus(o fading) fading { return fading{f.answers - o.answers, f.bad - o.bad} }
 
+// share is the part of the answers that is bad. Calls count when they are sent, so that
+// more may turn out bad at once than were sent of late: a share over one has no deviation.
 func (f fading) share(prior float64) float64 {
-	return (f.bad + usualPrior*prior) / (f.answers + usualPrior)
+	return min((f.bad+usualPrior*prior)/(f.answers+usualPrior), 1)
 }
 
 // usual is what the old version shows of late on one route, by cohort.
