--- a/fleet/relay/rollout/drawn_test.go
+++ b/fleet/relay/rollout/drawn_test.go
@@ -52,9 +52,9 @@
 
 // account counts what roll-outs came to.
 type account struct {
-	good, completed, bad, reverted, exposed, late int
-	dropped                                       []time.Duration
-	writes, cut                                   int
+	good, completed, bad, reverted, exposed, sent, late int
+	dropped                                             []time.Duration
+	writes, cut                                         int
 }
 
 func (o outcome) completedInTime() bool { return o.state == Completed && o.endedAt <= o.duration }
@@ -78,6 +78,7 @@
 		a.bad++
 		a.reverted += lo.Ternary(o.state == Reverted, 1, 0)
 		a.exposed += lo.Ternary(o.overExposed(rule), 1, 0)
+		a.sent += lo.Ternary(o.overSent(rule), 1, 0)
 		a.late += lo.Ternary(o.afterBad > 0, 1, 0)
 		if o.badAnswers >= 50 {
 			a.dropped = append(a.dropped, o.dropped)
@@ -92,8 +93,8 @@
 	if len(a.dropped) > 0 {
 		p99 = a.dropped[len(a.dropped)*99/100]
 	}
-	return fmt.Sprintf("good %d, completed in time %d; bad %d, reverted %d, over the share %d, over the time %d; from the 50th bad answer p99 %s, most %s; writes at most %d, calls cut %d",
-		a.good, a.completed, a.bad, a.reverted, a.exposed, a.late, p99, lo.LastOr(a.dropped, 0), a.writes, a.cut)
+	return fmt.Sprintf("good %d, completed in time %d; bad %d, reverted %d, over the share %d (%d with nodes just started), over the time %d; from the 50th bad answer p99 %s, most %s; writes at most %d, calls cut %d",
+		a.good, a.completed, a.bad, a.reverted, a.exposed, a.sent, a.late, p99, lo.LastOr(a.dropped, 0), a.writes, a.cut)
 }
 
 func TestDrawn(t *testing.T) {
--- a/fleet/relay/rollout/lost_test.go
+++ b/fleet/relay/rollout/lost_test.go
@@ -47,3 +47,36 @@
 	t.Logf("%d met the loss: %s", len(lost), a)
 	assert.Positive(t, a.completed, "a loss is no reason to revert whatever was ordered")
 }
+
+// underLoad is how a version is bad at endpoints that are about as full as old ones.
+func underLoad(r *rand.Rand) fault {
+	f := illness(r)
+	f.load = within(r, 0.5, 0.9)
+	return f
+}
+
+// TestABadVersionGetsNoMoreThanItsShareWhereAllNodesEndWhileCallsMove guards against nodes
+// that send all calls to a version because they found a move under way.
+func TestABadVersionGetsNoMoreThanItsShareWhereAllNodesEndWhileCallsMove(t *testing.T) {
+	fromStart := func(p *play) {
+		losing(func(*rand.Rand) fault { return fault{} })(p)
+		p.version, p.form = underLoad(rand.New(rand.NewPCG(p.seed, 38))), "under load"
+		p.out.drawn = p.drawn
+	}
+	for _, c := range []struct {
+		name string
+		vary func(*play)
+	}{
+		{"it turns bad shortly before", losing(illness)},
+		{"it turns bad under load shortly before", losing(underLoad)},
+		{"it is bad under load from its start", fromStart},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			all := playAll(rollouts(), sheetRule, c.vary)
+			lost := lo.Filter(all, func(o outcome, _ int) bool { return o.lost })
+			a := accountOf(lost, sheetRule)
+			t.Logf("%d met the loss: %s", len(lost), a)
+			assert.Zero(t, a.sent, "bad versions over the share")
+		})
+	}
+}
--- a/fleet/relay/rollout/model_test.go
+++ b/fleet/relay/rollout/model_test.go
@@ -31,6 +31,7 @@
 	endedAt    time.Duration // when the state that lasts was written
 	calls      int           // that reached the service until the deadline
 	exposed    int           // of them to the target from nodes in touch
+	sent       int           // of them to the target from any node, also one that has just started
 	badAnswers int
 	afterBad   int           // calls to the target later than the rollback after the 50th bad answer
 	dropped    time.Duration // from the 50th bad answer to the last call to the target
@@ -46,9 +47,15 @@
 	return float64(o.exposed) > rule.Share*float64(o.calls)+float64(rule.Tolerance)
 }
 
+// overSent is overExposed with no node left out: callers get what nodes send that have just
+// started, too.
+func (o outcome) overSent(rule Rule) bool {
+	return float64(o.sent) > rule.Share*float64(o.calls)+float64(rule.Tolerance)
+}
+
 func (o outcome) String() string {
-	return fmt.Sprintf("%s: state %d at %s, moved at %s, exposed %d of %d, %d bad answers, %d after, dropped %s, cut %d, writes %d, why %s", o.drawn,
-		o.state, o.endedAt.Round(step), o.moved.Round(step), o.exposed, o.calls, o.badAnswers, o.afterBad, o.dropped.Round(step), o.cutCalls, o.writes, o.why)
+	return fmt.Sprintf("%s: state %d at %s, moved at %s, exposed %d (%d with nodes just started) of %d, %d bad answers, %d after, dropped %s, cut %d, writes %d, why %s", o.drawn,
+		o.state, o.endedAt.Round(step), o.moved.Round(step), o.exposed, o.sent, o.calls, o.badAnswers, o.afterBad, o.dropped.Round(step), o.cutCalls, o.writes, o.why)
 }
 
 // seen is a status that a node comes to know.
@@ -116,9 +123,11 @@
 		return
 	}
 	p.lost.over, p.out.lost = true, true
-	p.version = p.lost.version
-	p.version.since = p.now - turnsBefore
-	p.out.drawn = p.drawn
+	if p.lost.version != (fault{}) {
+		p.version = p.lost.version
+		p.version.since = p.now - turnsBefore
+		p.out.drawn = p.drawn
+	}
 	p.endAll()
 }
 
@@ -345,6 +354,9 @@
 }
 
 func (p *play) expose(n *modelNode) {
+	if p.now < p.duration {
+		p.out.sent++
+	}
 	if !p.inTouch(n) {
 		return
 	}
