A node that stood still takes its own silence for the store's no more

Callers' calls went to an endpoint for up to 1.4 s and more after a node that had stood still for seconds went on, though the store had said meanwhile that the endpoint was gone.

Cause: calls to the store that were under way had their time over while the process stood still. When it goes on their timers come before their answers are read, so the node counted the store as lost, doubted what it lists, and kept the endpoint that went ("endpoint's entry went while the store was in doubt, kept"; before it "lost", "context deadline exceeded"). Also a watch that was answered with the first of many changes rested before it asked for the others.

clock.Standstills knows when the process went on: whoever acts looks, too, so that the order in which goroutines go on does not matter. Followers and the syncer of budgets don't count a call that failed over a standstill as the store's silence: a follower lists anew, the syncer asks again. A call that begins afterwards counts as ever, so a store that is lost is found by the next one. No connection is closed for it, and nothing is asked for unless a call failed.

--- a/fleet/relay/account/syncer.go
+++ b/fleet/relay/account/syncer.go
@@ -256,6 +256,9 @@
 		k.answered = now
 		return lo.Ternary(unreadable, unreadablePause, 0)
 	}
+	if k.health.Stood(now) {
+		return urgentPace // the round's time was over while the process stood still: the store is asked again first
+	}
 	k.tell(true, err)
 	return min(max(2*backoff, urgentPace), backoffMax)
 }
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -110,6 +110,7 @@
 	metrics          *Metrics
 	leaving          atomic.Bool
 	confirming       confirming
+	standstills      *clock.Standstills
 	dropAllIdle      func() int // connections to endpoints, that rest
 }
 
@@ -126,7 +127,8 @@
 // New builds a node.
 func New(s Settings, a Adapter, l log.Interface) (*Node, error) {
 	limitMemory(s.MemoryMB)
-	n := &Node{settings: s, adapter: a, places: s.Places(), health: store.NewHealth(), log: l}
+	n := &Node{settings: s, adapter: a, places: s.Places(), standstills: clock.NewStandstills(), log: l}
+	n.health = store.NewHealth().WithStandstills(n.standstills.Since)
 	if err := n.measure(); err != nil {
 		return nil, err
 	}
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -95,10 +95,17 @@
 		f.Health = NewHealth()
 	}
 	for ctx.Err() == nil {
+		sent := clock.Now()
 		err := f.step(ctx)
 		if errors.Is(err, errRenewed) {
 			continue
 		}
+		if err != nil && f.Health.Stood(sent) {
+			// The call's time was over while the process stood still, which is no silence of the
+			// store. A list tells soon whether it is silent, too; a watch might wait for long.
+			f.listed = false
+			continue
+		}
 		if err != nil && ctx.Err() == nil {
 			f.failed(ctx, err)
 			continue
@@ -177,7 +184,7 @@
 }
 
 func (f *follower) watch(parent context.Context) error {
-	wait := f.wait()
+	wait, sent := f.wait(), clock.Now()
 	renew, again := f.Health.renewed(), f.Again.Asked()
 	ctx, cancel := context.WithTimeout(parent, wait+watchSlack)
 	defer cancel()
@@ -199,7 +206,9 @@
 	}
 	f.at = at
 	f.apply(Update{Events: events, Revision: at})
-	if len(events) > 0 {
+	// An answer that lay unread while the process stood still tells the first of the changes
+	// since, and what came after it has waited long enough.
+	if len(events) > 0 && !f.Health.Stood(sent) {
 		pause(parent, f.Rest())
 	}
 	return nil
--- a/fleet/relay/store/follow_test.go
+++ b/fleet/relay/store/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,7 @@
 	events  []store.Event
 	at      store.Revision
 	err     error
+	after   time.Duration // that it comes
 }
 
 func (s *scripted) next(call string) answer {
@@ -38,6 +40,7 @@
 	s.calls = append(s.calls, call)
 	a := s.steps[0]
 	s.steps = s.steps[1:]
+	time.Sleep(a.after)
 	return a
 }
 
@@ -103,6 +106,69 @@
 	}
 }
 
+// An answer that lay unread while the process stood still is followed by a watch at once:
+// another rest would keep what changed meanwhile out of force for longer than is promised.
+func TestNoRestAfterAStandstill(t *testing.T) {
+	const rest, standsFor = 600 * time.Millisecond, 3 * time.Second
+	events := []store.Event{{Object: store.Object{Name: "n"}}}
+	for _, c := range []struct {
+		name  string
+		stood bool
+		takes time.Duration
+	}{
+		{"it ran", false, standsFor + rest},
+		{"it stood still", true, standsFor},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				s := &scripted{steps: []answer{{at: 5}, {at: 6, events: events, after: standsFor}, {at: 7}}, done: cancel}
+				began := time.Now()
+				stood := func(since time.Time) bool { return c.stood && !since.After(began) }
+				var at time.Duration
+				w := store.Watching{Kind: "kind", Rest: store.Always(rest), Health: store.NewHealth().WithStandstills(stood)}
+				store.Follow(ctx, s, w, func(change store.Change) {
+					if describe(change) == "update 7" {
+						at = time.Since(began)
+					}
+				})
+				assert.Equal(t, c.takes, at)
+			})
+		})
+	}
+}
+
+// A call whose time was over while this process stood still says nothing of the store: it
+// would be doubted, and an endpoint that went meanwhile be kept in use.
+func TestAStandstillIsNoLostStore(t *testing.T) {
+	lost := errors.New("lost")
+	for _, c := range []struct {
+		name    string
+		stands  []bool // while each of the calls is under way
+		steps   []answer
+		calls   []string
+		doubted bool
+	}{
+		{"a watch, and it ran", nil, []answer{{at: 5}, {err: lost}, {at: 6}}, []string{"list", "watch", "list"}, true},
+		{"a watch", []bool{false, true}, []answer{{at: 5}, {err: lost}, {at: 6}}, []string{"list", "watch", "list"}, false},
+		{"a list", []bool{true}, []answer{{err: lost}, {at: 5}, {at: 6}}, []string{"list", "list", "watch"}, false},
+		{"the store is lost beside it", []bool{true}, []answer{{err: lost}, {err: lost}, {at: 6}}, []string{"list", "list", "list"}, true},
+		{"the history is gone beside it", []bool{false, true}, []answer{{at: 5}, {err: store.ErrCompacted}, {at: 6}}, []string{"list", "watch", "list"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &scripted{steps: c.steps, done: cancel}
+			health := store.NewHealth().WithStandstills(func(time.Time) bool {
+				done := len(s.calls) - 1
+				return done < len(c.stands) && c.stands[done]
+			})
+			store.Follow(ctx, s, store.Watching{Kind: "kind", Rest: store.Always(time.Millisecond), Health: health}, func(store.Change) {})
+			assert.Equal(t, c.calls, s.calls)
+			assert.Equal(t, c.doubted, health.Doubted())
+		})
+	}
+}
+
 func describe(c store.Change) string {
 	switch c := c.(type) {
 	case store.Snapshot:
--- a/fleet/relay/store/health.go
+++ b/fleet/relay/store/health.go
@@ -23,6 +23,7 @@
 	reconnects uint64
 	away       map[string]bool // parts of the node that get no answer
 	backAt     time.Time       // when one of them last had an answer again
+	stood      func(since time.Time) bool
 }
 
 // doubtAfter is how long after the store's return what it lists may still lack
@@ -60,6 +61,17 @@
 // NewHealth returns the health of a store that answers as far as is known.
 func NewHealth() *Health { return &Health{renew: make(chan struct{}), away: map[string]bool{}} }
 
+// WithStandstills has calls that fail after the process stood still say nothing of the
+// store; stood is whether it did since a moment. It is to be set before anybody asks.
+func (h *Health) WithStandstills(stood func(since time.Time) bool) *Health {
+	h.stood = stood
+	return h
+}
+
+// Stood is whether the process stood still since a moment: what waited in between was not
+// read, and what failed failed for want of it.
+func (h *Health) Stood(since time.Time) bool { return h.stood != nil && h.stood(since) }
+
 // Reconnected notes that a part of this node found the store back.
 func (h *Health) Reconnected(part string) {
 	h.found(part)
--- a/fleet/relay/suspended.go
+++ b/fleet/relay/suspended.go
@@ -24,6 +24,7 @@
 func (n *Node) watchSuspensions(ctx context.Context) {
 	known := clock.Suspended()
 	every(ctx, wakeEvery, func() {
+		n.standstills.Look()
 		if d := clock.Suspended() - known; d >= leastSuspension {
 			known += d
 			n.woke(d)
