Calls found after a standstill wait until what came beside them is read

Calls that lay in the sockets of a node that stood still were decided by what it knew before: 2 to 5 of them reached an endpoint that had left seconds ago, 3 to 36 ms after the node went on (2 plays of TestANodeThatStoodStillKeepsNoEndpointThatLeft, one node and all nodes).

The store's answer lies beside them and is read within that time. Nothing is closed or asked for; a node that runs waits for nothing.

--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -83,6 +84,7 @@
 	defer h.open.Add(-1)
 	r, end := h.traced(r)
 	defer end()
+	h.awaitRead(r.Context())
 	j := &job{Handler: h, w: w, r: r, start: clock.Now(), awake: newAwake(), policy: h.Policy.Load()}
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
@@ -100,6 +102,24 @@
 	j.run()
 }
 
+// awaitRead holds a call that is found when the process goes on after it stood still: what
+// it would be decided by may lie beside it in the sockets, unread.
+func (h *Handler) awaitRead(ctx context.Context) {
+	if h.Unread == nil {
+		return
+	}
+	wait := h.Unread()
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // admit reads the call and decides whether it may run at all.
 func (j *job) admit() (refusal, bool) {
 	c, err := j.Wire.Parse(j.r)
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -46,6 +46,7 @@
 	Nodes       func() int      // how many nodes share the endpoints' connections
 	Places      distance.Places // where the availability zones lie
 	Transport   *Transport
+	Unread      func() time.Duration // how much longer what came while the process stood still may lie unread; nil: it never stands still
 	Log         log.Interface
 	Metrics     Metrics
 	Tracer      trace.Tracer // nil: nothing is traced
