An answer that lay unread while the process stood still is not a slow one

As the move goes on meanwhile, those are the last answers of the old version. Late answers of sound versions were held against the target.

Change: of an answer that came without a failure, and whose call or reading overlaps a standstill that the look at the orders shows, it is not known how long it took. Failures count as before.

Evidence: TestAnAnswerThatLayUnreadIsNotSlow; both cases of a late answer failed before. Package tests of fleet/relay pass with the race detector.

--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -24,12 +24,13 @@
 	life  string
 	fleet delegation
 
-	mu     sync.Mutex
-	open   map[string]*trial // by service
-	bad    []rollout.Warn    // that were heard, also of orders that this node does not know yet
-	ticked time.Time         // when orders were looked at last
-	hears  time.Time         // until then others are heard before anything is decided
-	fail   time.Time         // until then this node counts as one that does not reach the store
+	mu      sync.Mutex
+	open    map[string]*trial // by service
+	bad     []rollout.Warn    // that were heard, also of orders that this node does not know yet
+	ticked  time.Time         // when orders were looked at last
+	hears   time.Time         // until then others are heard before anything is decided
+	resumed time.Time         // when a look was late, since the process had stood still
+	fail    time.Time         // until then this node counts as one that does not reach the store
 }
 
 // delegation is this node's part among the delegates, and how it tells all nodes.
@@ -184,9 +185,22 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o, ok := t.open[s.Service]
+	if ok && !s.Failed && t.layUnread(s, clock.Now()) {
+		s.Slowness, s.Took = 0, 0
+	}
 	return ok && o.recorder.Add(s)
 }
 
+// layUnread is whether an answer may have waited in a socket of this process, which stood
+// still meanwhile: how long it took is not known. What is read first after a standstill
+// comes before the next look at the orders.
+func (t *trials) layUnread(s rollout.Sample, now time.Time) bool {
+	if !t.ticked.IsZero() && now.Sub(t.ticked)-judgeEvery >= heldUp {
+		return true
+	}
+	return now.Before(t.hears) || now.Add(-s.Took).Before(t.resumed)
+}
+
 // SlowFrom implements forward.Samples.
 func (t *trials) SlowFrom(service, route string) (times float64, after time.Duration) {
 	t.mu.Lock()
--- a/fleet/relay/trials_found_test.go
+++ b/fleet/relay/trials_found_test.go
@@ -146,3 +146,37 @@
 		assert.Equal(t, rollout.InProgress, j.state(), "6 s of 12 are over")
 	})
 }
+
+// An answer that lay in a socket while the process stood still is no slow one: what the old
+// version shows must not excuse the target.
+func TestAnAnswerThatLayUnreadIsNotSlow(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		looked bool          // at the orders, since the standstill
+		after  time.Duration // the standstill
+		failed bool
+		bad    bool
+	}{
+		{"before the next look", false, 0, false, false},
+		{"after the next look", true, 100 * time.Millisecond, false, false},
+		{"a failure is one", false, 0, true, true},
+		{"a slow answer to a call that was sent later", true, 4 * time.Second, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inJudging(t, func(ctx context.Context, j *judging) {
+				j.play(ctx, 3*time.Second)
+				time.Sleep(2 * time.Second)
+				if c.looked {
+					j.trials.tick(ctx, clock.Now())
+				}
+				for end := time.Now().Add(c.after); time.Now().Before(end); {
+					time.Sleep(min(judgeEvery, time.Until(end)))
+					j.trials.tick(ctx, clock.Now())
+				}
+				late := rollout.Sample{Service: "s", Route: "r", Endpoint: 1, Slowness: 20, Took: 2 * time.Second, Failed: c.failed, Now: clock.Now()}
+				assert.Equal(t, c.bad, j.trials.Sample(late))
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/fleet/relay/trials_judge.go
+++ b/fleet/relay/trials_judge.go
@@ -68,7 +68,7 @@
 	first := t.ticked.IsZero()
 	t.ticked = now
 	if !first && late >= heldUp {
-		t.hears = now.Add(hearsFor)
+		t.hears, t.resumed = now.Add(hearsFor), now
 	}
 	hears := now.Before(t.hears)
 	t.mu.Unlock()
