Time in which nobody saw answers is no proof of a target

Cause: in the move the proof and the stop of old endpoints are times only. A decider that stood still waits 0.4 s for others, and one whose others stand still does not know of it: it completed in the midst of their standstill, or right after, on what had been told before.

Change: the decider follows how many answers come in. Where a quarter of the usual ones are missing by more than chance, or evidence was held up, the proof begins anew. 0.7 s before the deadline only what the decider itself missed is waited for, until it is heard, so that a node that is silent for good holds up nothing.

--- a/fleet/relay/rollout/decider.go
+++ b/fleet/relay/rollout/decider.go
@@ -31,6 +31,7 @@
 	first   Evidence // at the first word of nodes, for the rates
 	firstAt time.Time
 	metAt   time.Time // of the first answer of the target that it heard of
+	pace    pace
 	latest  Evidence
 	at      time.Time // of the latest evidence
 	tick    Tick
@@ -136,6 +137,9 @@
 	if _, target := m.Evidence.Answers(); d.metAt.IsZero() && target.Answers > 0 {
 		d.metAt = m.Now
 	}
+	all, _ := m.Evidence.Answers()
+	before, _ := d.latest.Answers()
+	d.pace = d.pace.with(all.Answers-before.Answers, d.rates().sum(), m.Now)
 	d.latest, d.at = m.Evidence, m.Now
 	d.judge = d.judge.With(m.Evidence, m.Now)
 	if d.bad || !d.open() || d.judge.Verdict() != Bad {
--- a/fleet/relay/rollout/model_answers_test.go
+++ b/fleet/relay/rollout/model_answers_test.go
@@ -16,6 +16,7 @@
 	first   bool  // it is the first event, and the end comes later
 	badOnes bool  // the version made it bad
 	told    *bool // as bad already, when it was late
+	timer   bool  // it is the node's own, and not an answer
 }
 
 func (p *play) send(i, k int, route *modelRoute, e *engine.Engine) {
@@ -81,7 +82,7 @@
 	if after <= 0 || a.sample.Cold || slow*float64(shows) <= float64(after) {
 		return
 	}
-	a.first, a.old, a.sample.Slowness, a.sample.Took = true, false, lateMargin*times, after
+	a.first, a.timer, a.old, a.sample.Slowness, a.sample.Took = true, true, false, lateMargin*times, after
 	p.put(i, after, a)
 }
 
@@ -114,6 +115,9 @@
 func (p *play) answered(i int) {
 	at := i % len(p.ends)
 	for _, a := range p.ends[at] {
+		if p.unread(i, a) {
+			continue
+		}
 		if a.old {
 			p.inFlight--
 		}
--- a/fleet/relay/rollout/model_decider_test.go
+++ b/fleet/relay/rollout/model_decider_test.go
@@ -9,9 +9,12 @@
 
 // round lets nodes tell what they have seen, and the decider tick.
 func (p *play) round() {
+	if p.stands(0) {
+		return
+	}
 	for i := range p.nodes {
 		n := &p.nodes[i]
-		if p.now < n.upAt || p.cutNow(n.zone) {
+		if p.now < n.upAt || p.cutNow(n.zone) || p.unheard(i) {
 			continue
 		}
 		p.gathered.Take(fmt.Sprintf("%d.%d", i, n.life), n.recorder.Evidence())
@@ -31,7 +34,7 @@
 	for _, r := range p.service.routes {
 		most = max(most, r.most)
 	}
-	p.handle(Tick{Now: p.time(), Old: p.service.old, Target: p.targets, Cohorts: p.cohorts, Cold: lo.Ternary(p.now < p.cold, p.targets, 0), OldInFlight: p.before[max(len(p.before)-2, 0)], Lasts: most, Decides: true})
+	p.handle(Tick{Now: p.time(), Old: p.service.old, Target: p.targets, Cohorts: p.cohorts, Cold: lo.Ternary(p.now < p.cold, p.targets, 0), OldInFlight: p.before[max(len(p.before)-2, 0)], Lasts: most, Decides: !p.hearing()})
 }
 
 func (p *play) handle(m Message) {
@@ -95,5 +98,5 @@
 		at := p.now + time.Duration(p.rand.Float64()*float64(learnLatest))
 		p.nodes[i].coming = append(p.nodes[i].coming, seen{at: at, status: w.Status, rev: p.revision})
 	}
-	p.handle(Learned{p.rollout(p.status, p.revision, false), p.time()})
+	p.wrote(Learned{p.rollout(p.status, p.revision, false), p.time()})
 }
--- a/fleet/relay/rollout/model_test.go
+++ b/fleet/relay/rollout/model_test.go
@@ -41,6 +41,7 @@
 	stored     int
 	why        string
 	lost       bool // all nodes ended while calls moved
+	stood      bool // nodes stood still while calls moved
 }
 
 func (o outcome) overExposed(rule Rule) bool {
@@ -76,6 +77,8 @@
 	coming   []seen
 	warnAt   time.Duration // when it hears that the target is bad; 0: not
 	recorder *Recorder
+	stands   span     // in which its process stands still
+	held     []func() // calls that wait in its sockets meanwhile
 }
 
 // play is one roll-out as it goes.
@@ -102,10 +105,11 @@
 	fiftieth time.Duration
 	out      outcome
 	judging  test
-	cohorts  int      // of the target's endpoints
-	windows  *windows // judge in place of the decider
-	early    bool     // the move begins as soon as rates are known
-	lost     *loss    // nil: none that depends on how far the order has come
+	cohorts  int       // of the target's endpoints
+	windows  *windows  // judge in place of the decider
+	early    bool      // the move begins as soon as rates are known
+	lost     *loss     // nil: none that depends on how far the order has come
+	standing *standing // nil: none
 }
 
 // loss is the end of all nodes while calls move; the version turns bad shortly before.
@@ -239,6 +243,8 @@
 		p.endAll()
 	}
 	p.lose()
+	p.standStill()
+	p.wake()
 	for i := range p.nodes {
 		if p.cutNow(p.nodes[i].zone) {
 			p.nodes[i].touch = p.now
@@ -266,7 +272,7 @@
 func (p *play) arrive() {
 	for i := range p.nodes {
 		n := &p.nodes[i]
-		if p.cutNow(n.zone) {
+		if p.cutNow(n.zone) || p.stands(i) {
 			continue
 		}
 		for len(n.coming) > 0 && n.coming[0].at <= p.now {
@@ -316,6 +322,16 @@
 	if p.now < p.duration {
 		p.out.calls++
 	}
+	if p.stands(k) {
+		n.held = append(n.held, func() { p.place(i, k, route) })
+		return
+	}
+	p.place(i, k, route)
+}
+
+// place sends a call that a node has got.
+func (p *play) place(i, k int, route *modelRoute) {
+	n := &p.nodes[k]
 	c := Call{Hash: p.rand.Uint64(), Route: route.name, Once: route.once, Lasts: route.most, Now: p.time()}
 	from := n.stage.For(&n.plan, c)
 	if len(from) == 0 {
--- a/fleet/relay/rollout/move.go
+++ b/fleet/relay/rollout/move.go
@@ -26,6 +26,8 @@
 	spareMost = 5 * time.Second
 	// mostMove is the part of the duration that the move may take.
 	mostMove = 0.22
+	// leastTold is how long before the deadline nodes that are silent are waited for no more.
+	leastTold = writeTakes / 2
 	// leastMove is what it takes at least: the ramp, and the target's proof.
 	leastMove = ramp + leastProof + learnedLater
 	// manyWatched is from how many answers on a decider needs no time of its own: others
@@ -196,10 +198,22 @@
 		return d.write(Status{State: Reverted}, "too little is known of both versions by the end", t.Now)
 	case d.judge.Over(doubtPart) || d.judge.Suspect():
 		return d.doubtful(t, over)
+	case d.unborne(t.Now):
+		return d, nil
 	}
 	return d.write(Status{State: Completed}, fmt.Sprintf("%d calls run at old endpoints", t.OldInFlight), t.Now)
 }
 
+// unborne is whether nodes stood still, or were silent, so shortly before that the target has
+// not borne all calls since for as long as its proof: the time that passed shows nothing.
+// Near the deadline only what this decider itself missed is waited for, until it is heard.
+func (d Decider) unborne(now time.Time) bool {
+	if d.used(now) >= d.rollout.Duration-leastTold {
+		return now.Sub(d.pace.resumed) < leastProof/2
+	}
+	return now.Sub(d.pace.missing) < d.slowShows()+leastProof
+}
+
 // stops is when old endpoints may stop. Nodes that found the status when they started
 // send nothing there.
 func (d Decider) stops() time.Time {
