A status that was decided on before a standstill is not written after it

What callers would see: a version completed on evidence from before a standstill, where the process stands still between the decision and its write. The write is made as soon as the process goes on, before others are heard, and the condition on the revision still holds, since nobody wrote meanwhile.

Cause: only a target that this node knows to be bad overtakes a write. Change: a write asked for half a second ago or more is not made, but for one that takes the target back; the decider asks again, once it has heard others.

Test: TestAWriteThatAStandstillHeldUp; two of its cases failed before.

--- a/fleet/relay/trials_found_test.go
+++ b/fleet/relay/trials_found_test.go
@@ -180,3 +180,36 @@
 		})
 	}
 }
+
+// A status that was decided on before the process stood still is not written after it: what
+// others saw meanwhile was not heard.
+func TestAWriteThatAStandstillHeldUp(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		state rollout.State
+		stood time.Duration // between the decision and the write
+		made  bool
+	}{
+		{"at once", rollout.Completed, 0, true},
+		{"a little later", rollout.Completed, 200 * time.Millisecond, true},
+		{"completed", rollout.Completed, 2 * time.Second, false},
+		{"calls move on", rollout.InProgress, 2 * time.Second, false},
+		{"taken back", rollout.Reverted, 2 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inJudging(t, func(ctx context.Context, j *judging) {
+				j.play(ctx, time.Second)
+				before := j.store.calls
+				o := j.trials.open["s"]
+				o.writing = true
+				w := rollout.Write{Status: rollout.Status{State: c.state, Target: "v2", Made: 5}, Revision: j.store.object.Revision}
+				decided := clock.Now()
+				time.Sleep(c.stood)
+				j.trials.write(ctx, o, w, nil, decided)
+				assert.Equal(t, c.made, j.store.calls > before)
+				assert.False(t, o.writing, "the decider asks again")
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/fleet/relay/trials_judge.go
+++ b/fleet/relay/trials_judge.go
@@ -174,8 +174,8 @@
 func (t *trials) write(ctx context.Context, o *trial, w rollout.Write, inputs log.Fields, began time.Time) {
 	entry := t.log.WithFields(inputs).WithField("toState", w.Status.State.String()).WithField("toStage", w.Status.Stage.String()).
 		WithField("toShare", w.Status.Share).WithField("toLeftMs", w.Status.Left.Milliseconds()).WithField("atMs", w.Status.Used.Milliseconds()).WithField("why", w.Why)
-	if t.overtaken(o, w) {
-		entry.Info("status of a rollout not written: the version was found bad meanwhile")
+	if t.overtaken(o, w, began) {
+		entry.Info("status of a rollout not written: the version was found bad meanwhile, or the process stood still")
 		return
 	}
 	after, err := t.put(ctx, o.name, w)
@@ -199,12 +199,14 @@
 	t.wrote(o, r, now)
 }
 
-// overtaken is whether another node found the target bad since a write was asked for
-// that lets it get calls; the decider is told so at its next tick.
-func (t *trials) overtaken(o *trial, w rollout.Write) bool {
+// overtaken is whether, since a write was asked for that lets the target get calls, another
+// node found it bad or this process stood still, so that what others found is not heard
+// yet. The decider is told so at its next tick.
+func (t *trials) overtaken(o *trial, w rollout.Write, asked time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !o.bad || w.Status.State == rollout.Reverted {
+	stoodStill := clock.Since(asked) >= heldUp
+	if w.Status.State == rollout.Reverted || !o.bad && !stoodStill {
 		return false
 	}
 	o.writing = false
