Versions that turn bad as nodes stand still are held to the aim for all bad ones

The test allowed a tenth of them to be completed, by what it found. The aim is 99 of 100 bad ones taken back.

--- a/fleet/relay/rollout/standing_test.go
+++ b/fleet/relay/rollout/standing_test.go
@@ -138,10 +138,6 @@
 	}
 }
 
-// mostUnseen is the part of versions that turn bad as processes stand still, late in the
-// move, that may be completed: what few calls show until the deadline is no verdict.
-const mostUnseen = 0.1
-
 // TestABadVersionIsNotCompletedWhereNodesStandStillWhileCallsMove guards against time that
 // counts as a target's proof though nobody saw answers meanwhile.
 func TestABadVersionIsNotCompletedWhereNodesStandStillWhileCallsMove(t *testing.T) {
@@ -155,7 +151,7 @@
 					t.Log(o)
 				}
 			}
-			assert.LessOrEqual(t, float64(a.bad-a.reverted), mostUnseen*float64(a.bad), "bad ones that were not reverted")
+			assert.LessOrEqual(t, float64(a.bad-a.reverted), most(0.01, a.bad), "bad ones that were not reverted")
 		})
 	}
 }
