A node tells that its process stood still

Nodes other than the delegate that decides roll-outs said nothing of a standstill, though calls to the store that failed over one count for nothing since then: an operator could not tell why. One line says for how long.

--- a/fleet/clock/standstill.go
+++ b/fleet/clock/standstill.go
@@ -18,7 +18,9 @@
 
 	mu     sync.Mutex
 	looked time.Time
-	over   time.Time // zero: it never stood still
+	over   time.Time     // zero: it never stood still
+	lasted time.Duration // the last time
+	told   bool
 }
 
 // NewStandstills returns one that counts from now on. Look has to be called at intervals.
@@ -26,15 +28,25 @@
 
 func newStandstills(now func() time.Time) *Standstills { return &Standstills{now: now, looked: now()} }
 
-// Look takes note of a standstill that is just over.
-func (s *Standstills) Look() { s.look() }
+// Look takes note of a standstill that is just over, and returns how long it lasted; zero
+// where there was none since the last time that it told of one.
+func (s *Standstills) Look() time.Duration {
+	s.look()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.told || s.over.IsZero() {
+		return 0
+	}
+	s.told = true
+	return s.lasted
+}
 
 func (s *Standstills) look() (now, over time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now = s.now()
-	if now.Sub(s.looked) >= leastStandstill {
-		s.over = now
+	if passed := now.Sub(s.looked); passed >= leastStandstill {
+		s.over, s.lasted, s.told = now, passed, false
 	}
 	s.looked = now
 	return now, s.over
--- a/fleet/clock/standstill_test.go
+++ b/fleet/clock/standstill_test.go
@@ -34,6 +34,8 @@
 			assert.Equal(t, c.unread, s.Unread())
 			assert.Equal(t, c.since, s.Since(before))
 			assert.False(t, s.Since(now), "what began since is not old")
+			assert.Equal(t, c.since, s.Look() > 0, "it is told, whoever found it")
+			assert.Zero(t, s.Look(), "once")
 			now = now.Add(readsFor)
 			assert.Zero(t, s.Unread(), "it is read")
 		})
--- a/fleet/relay/suspended.go
+++ b/fleet/relay/suspended.go
@@ -24,7 +24,9 @@
 func (n *Node) watchSuspensions(ctx context.Context) {
 	known := clock.Suspended()
 	every(ctx, wakeEvery, func() {
-		n.standstills.Look()
+		if d := n.standstills.Look(); d > 0 {
+			n.log.WithField("ms", d.Milliseconds()).Warn("the process stood still: calls to the store that failed meanwhile say nothing of it")
+		}
 		if d := clock.Suspended() - known; d >= leastSuspension {
 			known += d
 			n.woke(d)
