A decider that takes over doesn't take what others saw before for calls that usually come

What callers would see: after another node takes over an order while calls move, or starts anew, or its VM was suspended, a good version is completed 0.7 s before its deadline, whatever time there was; where the store is slow then, or away, too late.

Cause: the pace compares answers of late with the mean since the first evidence. Of a decider that has just begun that is its own node's alone; the others' words, with all that they saw since the order began, follow within some looks and count as calls of these. The mean stays above what can come for three times as long as the order had run before, and answers count as missing for as long.

Change: until others were heard, for a second, no pace is known, and no time proves anything. Then the usual rate is the mean of the whole order, which others' counts are of, or that since then, whichever is greater: nodes that were lost take their counts with them.

--- a/fleet/relay/rollout/decider.go
+++ b/fleet/relay/rollout/decider.go
@@ -138,8 +138,7 @@
 		d.metAt = m.Now
 	}
 	all, _ := m.Evidence.Answers()
-	before, _ := d.latest.Answers()
-	d.pace = d.pace.with(all.Answers-before.Answers, d.rates().sum(), m.Now)
+	d.pace = d.pace.with(all.Answers, max(d.used(m.Now), foundAfter), m.Now)
 	d.latest, d.at = m.Evidence, m.Now
 	d.judge = d.judge.With(m.Evidence, m.Now)
 	if d.bad || !d.open() || d.judge.Verdict() != Bad {
