A last status is asked for before a slow store takes its order over the deadline

What callers would see: a good version not completed by its deadline, where nodes stay silent at the end and the store takes 0.7 s or more a write.

Cause: a decider that finds answers missing waits until 0.7 s before the deadline, whatever its writes took, though the last one is asked for earlier else where they took longer.

Change: it waits no longer than the slowest write took, with some looks beside, and never beyond the time at which the last write is asked for anyway.

--- a/fleet/relay/rollout/move.go
+++ b/fleet/relay/rollout/move.go
@@ -26,7 +26,8 @@
 	spareMost = 5 * time.Second
 	// mostMove is the part of the duration that the move may take.
 	mostMove = 0.22
-	// leastTold is how long before the deadline nodes that are silent are waited for no more.
+	// leastTold is how long before the deadline nodes that are silent are waited for no more,
+	// at least.
 	leastTold = writeTakes / 2
 	// leastMove is what it takes at least: the ramp, and the target's proof.
 	leastMove = ramp + leastProof + learnedLater
@@ -208,7 +209,7 @@
 // not borne all calls since for as long as its proof: the time that passed shows nothing.
 // Near the deadline only what this decider itself missed is waited for, until it is heard.
 func (d Decider) unborne(now time.Time) bool {
-	if d.used(now) >= d.rollout.Duration-leastTold {
+	if d.used(now) >= d.rollout.Duration-max(leastTold, min(d.took+settled, d.writeTakes())) {
 		return now.Sub(d.pace.resumed) < leastProof/2
 	}
 	return now.Sub(d.pace.missing) < d.slowShows()+leastProof
--- a/fleet/relay/rollout/pace_takeover_test.go
+++ b/fleet/relay/rollout/pace_takeover_test.go
@@ -63,3 +63,59 @@
 		})
 	}
 }
+
+// A store that takes long gets the last status early enough, also where nodes stay silent.
+func TestASlowStoreGetsTheLastStatusInTime(t *testing.T) {
+	const every = 200 * time.Millisecond
+	for _, c := range []struct {
+		name  string
+		takes time.Duration // a write
+	}{
+		{"fast", 100 * time.Millisecond},
+		{"slow", 1500 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			order := rollout.Order{Service: "s", Target: "v2", Duration: 18 * time.Second, Made: 7}
+			d := rollout.NewDecider(rollout.Rule{Share: 0.1, Tolerance: 50, Rollback: 5 * time.Second})
+			r := rollout.Rollout{Order: order, Revision: 8, Learned: now}
+			d, _ = d.Handle(rollout.Learned{Now: now, Rollout: r})
+			var learns time.Time
+			seen, began := 0, now
+			for at := time.Duration(0); at < 20*time.Second; at += every {
+				now = began.Add(at)
+				if !learns.IsZero() && !now.Before(learns) {
+					r.Learned, learns = now.Add(-c.takes), time.Time{}
+					r.Revision++
+					d, _ = d.Handle(rollout.Learned{Now: now, Rollout: r})
+				}
+				moving := r.Status.Stage == rollout.Moving
+				if moving {
+					seen += 20 // the others are silent for good
+				} else {
+					seen += 80
+				}
+				all := rollout.RouteEvidence{Route: "r", UsualMs: 25}
+				for cohort := range 8 {
+					all.Target[cohort].Answers, all.Old[cohort].Answers = seen/80, (seen-seen/10)/8
+				}
+				d, _ = d.Handle(rollout.Told{Evidence: rollout.Evidence{Service: "s", Made: 7, Routes: []rollout.RouteEvidence{all}}, Now: now})
+				var effects []rollout.Effect
+				d, effects = d.Handle(rollout.Tick{Now: now, Old: 10, Target: 10, Cohorts: 8, Decides: true})
+				for _, e := range effects {
+					w, ok := e.(rollout.Write)
+					if !ok {
+						continue
+					}
+					if w.Status.State == rollout.Completed {
+						assert.True(t, moving)
+						assert.LessOrEqual(t, at+c.takes, order.Duration)
+						return
+					}
+					r.Status, learns = w.Status, now.Add(c.takes)
+				}
+			}
+			assert.Fail(t, "nothing was decided")
+		})
+	}
+}
