A stream whose first event lay unread while the process stood still is not slow at its end

What callers would see: after a standstill streams that were under way count as slow ones at their end, by the time until their first event; of the old version, that hides a bad target, and of a good target, that speaks against it.

Cause: whether an answer lay unread was worked out from when it was told and how long it took. A stream is told of twice, and at its end with the time until its first event, so that the attempt seemed to have begun that long before the end.

Change: a sample says when its attempt was sent.

Evidence: TestAStreamWhoseFirstEventLayUnreadIsNotSlow; the case of a stream that began before the standstill failed before. The tests of forward look at the time that samples say.

--- a/fleet/relay/forward/answer.go
+++ b/fleet/relay/forward/answer.go
@@ -51,7 +51,7 @@
 	if !j.awake.still() {
 		return took{}
 	}
-	return took{whole: clock.Since(sent)}
+	return took{whole: clock.Since(sent), sent: sent}
 }
 
 func resultOfStatus(status int) choice.Result {
--- a/fleet/relay/forward/pace.go
+++ b/fleet/relay/forward/pace.go
@@ -29,7 +29,7 @@
 	if !p.awake.still() {
 		return took{}
 	}
-	t := took{whole: p.first}
+	t := took{whole: p.first, sent: p.sent}
 	if p.events > 0 {
 		t.gap = p.last.Sub(p.sent.Add(p.first)) / time.Duration(p.events)
 	}
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -181,7 +181,7 @@
 	s.count(whole)
 	s.pace.passed(int(s.events-before), clock.Now())
 	if first && s.pace.first > 0 {
-		s.tellFirst(s.pace.placement, s.pace.first)
+		s.tellFirst(s.pace.placement, s.pace.sent, s.pace.first)
 	}
 	if _, err := s.w.Write(whole); err != nil {
 		return err
--- a/fleet/relay/forward/trial.go
+++ b/fleet/relay/forward/trial.go
@@ -127,6 +127,7 @@
 type took struct {
 	whole time.Duration // until the first event, or all of a plain call
 	gap   time.Duration // between two events, on average
+	sent  time.Time     // when the attempt began
 }
 
 // told is what was told of the attempt under way, where two versions are compared.
@@ -191,7 +192,7 @@
 	s := j.sampleOf(trial, t, now)
 	switch r {
 	case choice.Good:
-		s.Slowness, s.Took = t.Slowness(k.whole, k.gap, now), k.whole
+		s.Slowness, s.Took, s.Since = t.Slowness(k.whole, k.gap, now), k.whole, k.sent
 	case choice.Bad, choice.Cut:
 		s.Failed, s.Unreached = true, !j.told.heard
 	case choice.Unreached:
@@ -227,7 +228,7 @@
 		return
 	}
 	j.told.late = newLate(after, func() bool {
-		s.Sent, s.Slowness, s.Took, s.Now = true, lateMargin*times, after, clock.Now()
+		s.Sent, s.Slowness, s.Took, s.Since, s.Now = true, lateMargin*times, after, s.Now, clock.Now()
 		return j.Samples.Sample(s)
 	})
 }
@@ -237,9 +238,9 @@
 const lateMargin = 1.1
 
 // tellFirst tells of a stream by its first event, long before its end.
-func (j *job) tellFirst(t *choice.Placement, first time.Duration) {
+func (j *job) tellFirst(t *choice.Placement, sent time.Time, first time.Duration) {
 	j.told.settle()
 	if trial := j.trial(); trial != nil && !j.told.bad {
-		j.sample(trial, t, choice.Good, took{whole: first}, clock.Now())
+		j.sample(trial, t, choice.Good, took{whole: first, sent: sent}, clock.Now())
 	}
 }
--- a/fleet/relay/forward/trial_test.go
+++ b/fleet/relay/forward/trial_test.go
@@ -192,10 +192,11 @@
 			last := &got[len(got)-1]
 			assert.Equal(t, c.timed, last.Slowness > 0)
 			assert.Equal(t, c.timed, last.Took > 0)
+			assert.Equal(t, c.timed, !last.Since.IsZero())
 			for i := range got {
 				assert.NotZero(t, got[i].Endpoint)
 				assert.NotZero(t, got[i].Now)
-				got[i].Endpoint, got[i].Slowness, got[i].Took, got[i].Now = 0, 0, 0, time.Time{}
+				got[i].Endpoint, got[i].Slowness, got[i].Took, got[i].Since, got[i].Now = 0, 0, 0, time.Time{}, time.Time{}
 			}
 			assert.Equal(t, c.want, got)
 			assert.Equal(t, c.sent, f.samples.sent)
--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -198,7 +198,11 @@
 	if !t.ticked.IsZero() && now.Sub(t.ticked)-judgeEvery >= heldUp {
 		return true
 	}
-	return now.Before(t.hears) || now.Add(-s.Took).Before(t.resumed)
+	since := s.Since // a stream tells at its end how long its first event took
+	if since.IsZero() {
+		since = now.Add(-s.Took)
+	}
+	return now.Before(t.hears) || since.Before(t.resumed)
 }
 
 // SlowFrom implements forward.Samples.
--- a/fleet/relay/trials_found_test.go
+++ b/fleet/relay/trials_found_test.go
@@ -213,3 +213,30 @@
 		})
 	}
 }
+
+// The end of a stream tells how long its first event took, long after a standstill that the
+// event lay unread in: it is no slow one by then either.
+func TestAStreamWhoseFirstEventLayUnreadIsNotSlow(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		began time.Duration // of the stream, before the standstill was over
+		first time.Duration // until its first event
+		bad   bool
+	}{
+		{"it began before the standstill", 2200 * time.Millisecond, 2200 * time.Millisecond, false},
+		{"it began after the standstill", -time.Second, 2200 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inJudging(t, func(ctx context.Context, j *judging) {
+				j.play(ctx, 3*time.Second)
+				time.Sleep(2 * time.Second)
+				over := clock.Now()
+				j.trials.tick(ctx, over)
+				j.play(ctx, 3*time.Second)
+				ended := rollout.Sample{Service: "s", Route: "r", Endpoint: 1, Slowness: 20, Took: c.first, Since: over.Add(-c.began), Now: clock.Now()}
+				assert.Equal(t, c.bad, j.trials.Sample(ended))
+				synctest.Wait()
+			})
+		})
+	}
+}
