A process that stands still again and again excuses no answer that is slow without that

What callers would see: a version that is several times slower is completed where the delegate's and other nodes' processes stand still for 0.5 s or more every few seconds, as on a busy host: no answer that overlaps one of these counts as slow, however long it took, and slow answers overlap one more likely than good ones, which go on speaking for the version.

Cause: an answer that may have lain unread was taken as of unknown time.

Change: it took at least what is left without the standstills, and the time in which they are caught up with, that the call overlaps. It counts as slow where that is; else nothing is known, as before. Such an answer teaches nothing of what is usual. A stream's end tells of no time then, since it is not known which of its events waited. Of 16 standstills the times are remembered; a call that was sent before these tells of no time.

Evidence: TestAnAnswerThatIsSlowBesideStandstillsIsSlow; an answer of 6 s beside three standstills of 1.2 s counted for nothing before, of either version. The tests of answers that lay unread pass as they were. Not played with processes.

--- a/fleet/relay/rollout/evidence.go
+++ b/fleet/relay/rollout/evidence.go
@@ -20,6 +20,7 @@
 	Slowness  float64       // time taken over time expected for its prompt and the load; 0 is not known
 	Took      time.Duration // until the first event, or all of a plain call; 0 is not known
 	Since     time.Time     // when the attempt was sent; zero is not known
+	AtLeast   bool          // it may have taken longer than Slowness and Took say: it may be slow, and teaches nothing
 }
 
 // Cohorts is how many groups the endpoints of a version are counted in, by the hash of
--- a/fleet/relay/rollout/recorder.go
+++ b/fleet/relay/rollout/recorder.go
@@ -184,8 +184,12 @@
 	if s.Slowness <= 0 || s.Target && !r.compared {
 		return false // with nothing to hold it against
 	}
-	lies := r.usual[route].lies(math.Log(s.Slowness)-r.common, s.Target)
-	if !s.Target {
+	teaches := !s.Target && !s.AtLeast
+	if s.AtLeast && r.usual[route].answers == 0 {
+		return false
+	}
+	lies := r.usual[route].lies(math.Log(s.Slowness)-r.common, !teaches)
+	if teaches {
 		r.compared = true
 		r.common += max(min(lies, commonStep), -commonStep)
 		r.evidence.Routes[route].UsualMs = r.usual[route].took(r.evidence.Routes[route].UsualMs, s.Took)
--- a/fleet/relay/trials.go
+++ b/fleet/relay/trials.go
@@ -24,13 +24,13 @@
 	life  string
 	fleet delegation
 
-	mu      sync.Mutex
-	open    map[string]*trial // by service
-	bad     []rollout.Warn    // that were heard, also of orders that this node does not know yet
-	ticked  time.Time         // when orders were looked at last
-	hears   time.Time         // until then others are heard before anything is decided
-	resumed time.Time         // when a look was late, since the process had stood still
-	fail    time.Time         // until then this node counts as one that does not reach the store
+	mu     sync.Mutex
+	open   map[string]*trial // by service
+	bad    []rollout.Warn    // that were heard, also of orders that this node does not know yet
+	ticked time.Time         // when orders were looked at last
+	hears  time.Time         // until then others are heard before anything is decided
+	stood  []span            // around the latest standstills: what was read in one may have lain unread
+	fail   time.Time         // until then this node counts as one that does not reach the store
 }
 
 // delegation is this node's part among the delegates, and how it tells all nodes.
@@ -185,24 +185,64 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o, ok := t.open[s.Service]
-	if ok && !s.Failed && t.layUnread(s, clock.Now()) {
-		s.Slowness, s.Took = 0, 0
+	if ok && !s.Failed {
+		s = t.withoutUnread(s, clock.Now())
 	}
 	return ok && o.recorder.Add(s)
 }
 
-// layUnread is whether an answer may have waited in a socket of this process, which stood
-// still meanwhile: how long it took is not known. What is read first after a standstill
-// comes before the next look at the orders.
-func (t *trials) layUnread(s rollout.Sample, now time.Time) bool {
-	if !t.ticked.IsZero() && now.Sub(t.ticked)-judgeEvery >= heldUp {
-		return true
-	}
-	since := s.Since // a stream tells at its end how long its first event took
+// span is the time from one moment until another.
+type span struct{ from, until time.Time }
+
+// mostStood bounds the standstills that are remembered.
+const mostStood = 16
+
+// withoutUnread is an answer with the least that it took: it may have waited in a socket of
+// this process, which stood still meanwhile. What is read first after a standstill comes
+// before the next look at the orders. Of a stream that ends it is not known which of its
+// events waited.
+func (t *trials) withoutUnread(s rollout.Sample, now time.Time) rollout.Sample {
+	since := s.Since
 	if since.IsZero() {
 		since = now.Add(-s.Took)
 	}
-	return now.Before(t.hears) || since.Before(t.resumed)
+	unread := t.unread(since, now)
+	if unread == 0 {
+		return s
+	}
+	least := max(s.Took-unread, 0)
+	if now.Sub(since)-s.Took >= judgeEvery {
+		least = 0
+	}
+	s.Slowness *= least.Seconds() / max(s.Took, time.Nanosecond).Seconds()
+	s.Took, s.AtLeast = least, true
+	return s
+}
+
+// unread is for how much of the time since a moment what arrived may have waited.
+func (t *trials) unread(since, now time.Time) time.Duration {
+	if len(t.stood) == mostStood && since.Before(t.stood[0].from) {
+		return now.Sub(since) // earlier ones are forgotten
+	}
+	sum := time.Duration(0)
+	for _, s := range t.stood {
+		sum += s.within(since, now)
+	}
+	if !t.ticked.IsZero() && now.Sub(t.ticked)-judgeEvery >= heldUp {
+		sum += span{t.ticked, now}.within(since, now)
+	}
+	return sum
+}
+
+// within is how much of it lies between two moments.
+func (s span) within(since, until time.Time) time.Duration {
+	if s.from.After(since) {
+		since = s.from
+	}
+	if s.until.Before(until) {
+		until = s.until
+	}
+	return max(until.Sub(since), 0)
 }
 
 // SlowFrom implements forward.Samples.
--- a/fleet/relay/trials_found_test.go
+++ b/fleet/relay/trials_found_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -240,3 +241,35 @@
 		})
 	}
 }
+
+// A process that stands still again and again excuses its own time, and no more: an answer
+// that is slow whatever lay unread is a slow one.
+func TestAnAnswerThatIsSlowBesideStandstillsIsSlow(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		took time.Duration
+		bad  bool
+	}{
+		{"it may have lain unread", 2 * time.Second, false},
+		{"it took longer than that", 6 * time.Second, true},
+	} {
+		for _, target := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, target %t", c.name, target), func(t *testing.T) {
+				inJudging(t, func(ctx context.Context, j *judging) {
+					j.play(ctx, 2*time.Second)
+					for range 3 {
+						time.Sleep(time.Second)
+						j.trials.tick(ctx, clock.Now())
+						j.play(ctx, time.Second)
+					}
+					late := rollout.Sample{Service: "s", Route: "r", Target: target, Endpoint: 1, Slowness: 5 * c.took.Seconds(), Took: c.took, Since: clock.Now().Add(-c.took), Now: clock.Now()}
+					if !c.bad {
+						late.Slowness = 6
+					}
+					assert.Equal(t, c.bad, j.trials.Sample(late))
+					synctest.Wait()
+				})
+			})
+		}
+	}
+}
--- a/fleet/relay/trials_judge.go
+++ b/fleet/relay/trials_judge.go
@@ -66,10 +66,11 @@
 	t.mu.Lock()
 	late := now.Sub(t.ticked) - judgeEvery
 	first := t.ticked.IsZero()
-	t.ticked = now
 	if !first && late >= heldUp {
-		t.hears, t.resumed = now.Add(hearsFor), now
+		t.hears = now.Add(hearsFor)
+		t.stood = append(t.stood[max(len(t.stood)-mostStood+1, 0):], span{t.ticked, t.hears})
 	}
+	t.ticked = now
 	hears := now.Before(t.hears)
 	t.mu.Unlock()
 	if !first && late >= heldUp {
