A store that is lost is found lost beside standstills that come again and again

What callers would see: a node whose process stands still for a second or more in each of its calls to the store, as on a busy host, never counts a store that is silent as lost. Once that answers again the node doesn't doubt what it lists, and drops sound endpoints whose entries lapsed while the store was away.

Cause: each failed call that met a standstill was put down to it, without a bound.

One standstill fails one call of a follower.

Evidence: a case of TestAStandstillIsNoLostStore, which failed before; another one, that an answer between them begins the count anew. Tests of the package about standstills and followers pass.

--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -23,6 +23,7 @@
 	backoffMax  = 500 * time.Millisecond // a store that refuses is only pinged: who watches it is to be back before those who wait for it ask themselves
 	aloneTries  = 2                      // failures in a row after which a follower leaves asking to the leader
 	leaderWait  = 3 * time.Second        // for the leader, before a follower asks again by itself
+	mostExcused = 2                      // failures without an answer between them that are put down to standstills: a store may be lost beside these
 	unnamedRest = 500 * time.Millisecond // after a list that a change without a name asked for, which may come time and again
 	peersPause  = 200 * time.Millisecond // before peers are asked again: it costs the store nothing
 )
@@ -100,10 +101,11 @@
 		if errors.Is(err, errRenewed) {
 			continue
 		}
-		if err != nil && f.Health.Stood(sent) {
+		if err != nil && f.excused < mostExcused && f.Health.Stood(sent) {
 			// The call's time was over while the process stood still, which is no silence of the
 			// store. A list tells soon whether it is silent, too; a watch might wait for long.
 			f.listed = false
+			f.excused++
 			continue
 		}
 		if err != nil && ctx.Err() == nil {
@@ -123,12 +125,13 @@
 	unnamed  bool // it is listed anew since a change had no name
 	lost     bool
 	failures int // in a row
+	excused  int // failures since the last answer that a standstill may have caused
 	dropped  Dropped
 	backoff  time.Duration
 }
 
 func (f *follower) succeeded() {
-	f.backoff, f.failures = backoffMin, 0
+	f.backoff, f.failures, f.excused = backoffMin, 0, 0
 	if f.Leads {
 		f.Health.leaderAnswered()
 		return
--- a/fleet/relay/store/follow_test.go
+++ b/fleet/relay/store/follow_test.go
@@ -153,6 +153,8 @@
 		{"a watch", []bool{false, true}, []answer{{at: 5}, {err: lost}, {at: 6}}, []string{"list", "watch", "list"}, false},
 		{"a list", []bool{true}, []answer{{err: lost}, {at: 5}, {at: 6}}, []string{"list", "list", "watch"}, false},
 		{"the store is lost beside it", []bool{true}, []answer{{err: lost}, {err: lost}, {at: 6}}, []string{"list", "list", "list"}, true},
+		{"the store is lost while it stands still again and again", []bool{true, true, true, true}, []answer{{err: lost}, {err: lost}, {err: lost}, {at: 6}}, []string{"list", "list", "list", "list"}, true},
+		{"it stands still again once the store answered", []bool{true, false, true}, []answer{{err: lost}, {at: 5}, {err: lost}, {at: 6}}, []string{"list", "list", "watch", "list"}, false},
 		{"the history is gone beside it", []bool{false, true}, []answer{{at: 5}, {err: store.ErrCompacted}, {at: 6}}, []string{"list", "watch", "list"}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
