A call during which the process stood still teaches nothing of its endpoint

What callers would see: after a standstill calls avoid the endpoints at which this node's calls ran, which look slow, and crowd others; and a limit that lay unread is told to all nodes as named just now, though a newer one may be known.

Cause: the time until an answer is read counts as the endpoint's. Calls during which the VM was suspended were left out already; no clock tells of a process that stood still.

Change: the same is left out where the process did, as the standstills that the node knows say, from the moment on that is measured: of a stream, later events teach again. Roll-outs see the same times as before, and know of standstills by themselves.

Evidence: TestACallDuringWhichTheProcessStoodStillTeachesNothing; its two cases of a standstill failed before (what is expected of the endpoint changed). That limits are left out has no test of its own. Tests of forward pass with the race detector.

--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -85,7 +85,7 @@
 	r, end := h.traced(r)
 	defer end()
 	h.awaitRead(r.Context())
-	j := &job{Handler: h, w: w, r: r, start: clock.Now(), awake: newAwake(), policy: h.Policy.Load()}
+	j := &job{Handler: h, w: w, r: r, start: clock.Now(), awake: newAwake(h.Stood), policy: h.Policy.Load()}
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -117,6 +117,7 @@
 	trials      atomic.Pointer[forward.Trials]
 	samples     samples
 	servers     []*httptest.Server // of the endpoints, in their order
+	stood       atomic.Bool        // the process did, since whenever
 	memory      *memory.Budget     // nil: no bound
 	network     *pipes             // nil: the machine's own
 	engines     []engine.Engine
@@ -205,6 +206,7 @@
 	f.handler = forward.New(forward.Options{
 		Wire: plainWire{}, Policy: &f.inForce, Engines: &f.directory, Trials: &f.trials, Samples: &f.samples, Allowance: f.allowance, TokenSource: noSource{},
 		Picker:  f.picker,
+		Stood:   func(time.Time) bool { return f.stood.Load() },
 		Returns: limit.NewReturns(),
 		Retries: retry.NewBudget(retry.Rule{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one),
 		Gate:    &f.gate, Intake: &f.intake, Memory: f.memory, Nodes: func() int { return max(f.nodes, 1) }, Places: f.places, Transport: f.connections, Log: quiet, Metrics: noMetrics{},
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -46,7 +46,8 @@
 	Nodes       func() int      // how many nodes share the endpoints' connections
 	Places      distance.Places // where the availability zones lie
 	Transport   *Transport
-	Unread      func() time.Duration // how much longer what came while the process stood still may lie unread; nil: it never stands still
+	Unread      func() time.Duration       // how much longer what came while the process stood still may lie unread; nil: it never stands still
+	Stood       func(since time.Time) bool // whether the process stood still since a moment; nil: it never does
 	Log         log.Interface
 	Metrics     Metrics
 	Tracer      trace.Tracer // nil: nothing is traced
--- a/fleet/relay/forward/overdue.go
+++ b/fleet/relay/forward/overdue.go
@@ -70,9 +70,18 @@
 
 // awake is since when the VM was not suspended. What a call takes during which it was says
 // nothing of an endpoint, and is not learned from.
-type awake struct{ slept time.Duration }
+type awake struct {
+	slept time.Duration
+	stood func(since time.Time) bool // nil: the process never stands still
+}
 
-func newAwake() awake { return awake{clock.Suspended()} }
+func newAwake(stood func(since time.Time) bool) awake { return awake{clock.Suspended(), stood} }
 
 // still is whether the VM was not suspended since.
 func (a awake) still() bool { return clock.Suspended() == a.slept }
+
+// teaches is whether the time since a moment of the call says something of an endpoint: the
+// VM was not suspended, nor did the process stand still, so that answers lay unread.
+func (a awake) teaches(since time.Time) bool {
+	return a.still() && (a.stood == nil || !a.stood(since))
+}
--- a/fleet/relay/forward/pace.go
+++ b/fleet/relay/forward/pace.go
@@ -51,7 +51,7 @@
 	}
 	if p.last.IsZero() {
 		p.first = now.Sub(p.sent)
-		if p.awake.still() {
+		if p.awake.teaches(p.sent) {
 			p.placement.First(p.first, now)
 		}
 		p.last, p.since = now, now
@@ -62,7 +62,7 @@
 	p.untold += events
 	p.events += events
 	if p.untold >= paceEvery {
-		if !p.awake.still() {
+		if !p.awake.teaches(p.since) {
 			p.since, p.untold = now, 0
 			return
 		}
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -109,7 +109,7 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		ConnectStart: func(string, string) { began = clock.Now() },
 		ConnectDone: func(_, _ string, err error) {
-			if now := clock.Now(); err == nil && j.awake.still() {
+			if now := clock.Now(); err == nil && j.awake.teaches(began) {
 				j.Places.Measured(zone, now.Sub(began), now)
 			}
 		},
@@ -167,7 +167,7 @@
 			t.Notice(n, now)
 		}
 	}
-	if !v.Moved && j.awake.still() { // not another endpoint's word, nor one of before a suspension
+	if !v.Moved && j.awake.teaches(started) { // not another endpoint's word, nor one of before a suspension or a standstill
 		j.limit = v.Limit
 		t.Limit(v.Limit, resp.StatusCode < http.StatusMultipleChoices, started, now)
 	}
@@ -178,7 +178,7 @@
 		finishSmall(resp)
 		return rejected{status: resp.StatusCode, moved: v.Moved}
 	}
-	if !isStream(resp) && resp.StatusCode < http.StatusInternalServerError && j.awake.still() {
+	if !isStream(resp) && resp.StatusCode < http.StatusInternalServerError && j.awake.teaches(started) {
 		t.First(now.Sub(started), now)
 	}
 	return answered{resp: resp, sent: started}
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -24,7 +24,7 @@
 		err := s.copy(ctx, o.resp.Body)
 		drop(o.resp)
 		if err == nil {
-			if j.awake.still() {
+			if j.awake.teaches(o.sent) {
 				t.Paused(s.pace.longest)
 			}
 			j.close(t, choice.Good, s.pace.took())
