What a probe still needs is asked in one place

MayProbe and armed each asked whether a request is held back and whether an endpoint has ended under it since its first probe was due. Behaviour as it was; tests of quarantine, relay and forward passed, unchanged, with the race detector.

--- a/fleet/relay/quarantine/probe.go
+++ b/fleet/relay/quarantine/probe.go
@@ -22,7 +22,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known := b.held[h.Print]
-	return b.answered(known) && !known.Tried && known.Round == h.Round && known.inForce(now) && !b.endedSince(h.Print, b.ProbeAt(known))
+	return b.answered(known) && !known.Tried && known.Round == h.Round && b.probeOpen(known, now)
 }
 
 // answered is whether any node told that endpoints had answered a request: with it, or with an
@@ -31,10 +31,13 @@
 	return h.Answered || lo.SomeBy(b.ends, func(e *end) bool { return e.suspects[h.Print].Answered })
 }
 
-func (b *Book) endedSince(p Print, at time.Time) bool {
-	return lo.SomeBy(b.ends, func(e *end) bool {
-		_, in := e.suspects[p]
-		return in && !e.at.Before(at)
+// probeOpen is whether a request is held back, and no endpoint has ended under it since its
+// first probe was due.
+func (b *Book) probeOpen(h Held, now time.Time) bool {
+	due := b.ProbeAt(h)
+	return h.inForce(now) && lo.NoneBy(b.ends, func(e *end) bool {
+		_, in := e.suspects[h.Print]
+		return in && !e.at.Before(due)
 	})
 }
 
@@ -59,7 +62,7 @@
 
 // armed is false where an endpoint ended since the claim, under another node's probe.
 func (b *Book) armed(h Held, now time.Time) bool {
-	return h.armed && h.inForce(now) && !b.endedSince(h.Print, b.ProbeAt(h))
+	return h.armed && b.probeOpen(h, now)
 }
 
 // Probe is whether a call is a probe, and of which round; no other one is then.
