--- a/fleet/relay/rollout/move.go
+++ b/fleet/relay/rollout/move.go
@@ -199,16 +199,16 @@
 		return d.write(Status{State: Reverted}, "too little is known of both versions by the end", t.Now)
 	case d.judge.Over(doubtPart) || d.judge.Suspect():
 		return d.doubtful(t, over)
-	case d.unborne(t.Now):
+	case d.awaitsProof(t.Now):
 		return d, nil
 	}
 	return d.write(Status{State: Completed}, fmt.Sprintf("%d calls run at old endpoints", t.OldInFlight), t.Now)
 }
 
-// unborne is whether nodes stood still, or were silent, so shortly before that the target has
+// awaitsProof is whether nodes stood still, or were silent, so shortly before that the target has
 // not borne all calls since for as long as its proof: the time that passed shows nothing.
 // Near the deadline only what this decider itself missed is waited for, until it is heard.
-func (d Decider) unborne(now time.Time) bool {
+func (d Decider) awaitsProof(now time.Time) bool {
 	if d.used(now) >= d.rollout.Duration-max(leastTold, min(d.took+settled, d.writeTakes())) {
 		return now.Sub(d.pace.resumed) < leastProof/2
 	}
