A wait that ends with its context stands once

store, peer and, since calls wait after a standstill, forward each had the same few lines; peer's left its timer to run on after its context had ended. clock.Pause serves all three. Behaviour as it was but for that; tests of clock, store, peer, forward and relay passed, unchanged.

--- /dev/null
+++ b/fleet/clock/pause.go
@@ -0,0 +1,16 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for a time, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -108,15 +108,8 @@
 	if h.Unread == nil {
 		return
 	}
-	wait := h.Unread()
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+	if wait := h.Unread(); wait > 0 {
+		clock.Pause(ctx, wait)
 	}
 }
 
--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
@@ -100,7 +101,7 @@
 // change too.
 func (r *Registry) Run(ctx context.Context, seen func(store.Change)) {
 	go r.register(ctx)
-	sleep(ctx, r.starts)
+	clock.Pause(ctx, r.starts)
 	store.Follow(ctx, r.store, store.Watching{Kind: Kind, Rest: r.rest, History: r.history, Health: r.health, Log: r.log}, func(c store.Change) {
 		seen(c)
 		r.apply(c)
@@ -139,25 +140,18 @@
 		default:
 		}
 		if err := r.write(ctx); err != nil {
-			sleep(ctx, registerPause)
+			clock.Pause(ctx, registerPause)
 			continue
 		}
 		r.log.WithField("life", r.self.Life).Info("registered")
 		select {
 		case <-ctx.Done():
 		case <-r.spoiled:
-			sleep(ctx, store.Jittered(spoiledPause))
+			clock.Pause(ctx, store.Jittered(spoiledPause))
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (r *Registry) write(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
--- a/fleet/relay/store/follow.go
+++ b/fleet/relay/store/follow.go
@@ -150,7 +150,7 @@
 	}
 	if f.unnamed {
 		f.unnamed = false
-		pause(ctx, unnamedRest)
+		clock.Pause(ctx, unnamedRest)
 	}
 	return nil
 }
@@ -212,7 +212,7 @@
 	// An answer that lay unread while the process stood still tells the first of the changes
 	// since, and what came after it has waited long enough.
 	if len(events) > 0 && !f.Health.Stood(sent) {
-		pause(parent, f.Rest())
+		clock.Pause(parent, f.Rest())
 	}
 	return nil
 }
@@ -254,12 +254,12 @@
 	f.lost = true
 	f.tellLost(errors.Is(err, ErrAlone) || errors.Is(err, errBehind))
 	if errors.Is(err, ErrSourcesOut) || errors.Is(err, errBehind) {
-		pause(ctx, Jittered(peersPause))
+		clock.Pause(ctx, Jittered(peersPause))
 		return
 	}
 	f.failures++
 	if !f.Leads && f.failures > aloneTries && f.Health.wait(ctx, leaderWait) {
-		pause(ctx, rand.N(backoffMin))
+		clock.Pause(ctx, rand.N(backoffMin))
 		return
 	}
 	f.rest(ctx, f.backoff/2+rand.N(f.backoff/2))
@@ -286,12 +286,3 @@
 		f.Health.Lost(f.Kind)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/fleet/relay/store/heartbeat.go
+++ b/fleet/relay/store/heartbeat.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/lynxshed/lynxshed/fleet/clock"
 )
 
 // Heartbeat pings the store for a node that watches it for others, so that it feels within
@@ -23,7 +25,7 @@
 // Run pings until ctx ends.
 func (h Heartbeat) Run(ctx context.Context) {
 	lost := false
-	for pause(ctx, Jittered(h.Every)); ctx.Err() == nil; pause(ctx, h.Every) {
+	for clock.Pause(ctx, Jittered(h.Every)); ctx.Err() == nil; clock.Pause(ctx, h.Every) {
 		if !h.Serves() {
 			lost = false
 			continue
