--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -221,6 +221,9 @@
 	}
 	d := t.byVersion(engine.NewDirectory(t.revision, all))
 	t.engines.Store(d)
+	if t.reachability != nil {
+		t.reachability.Engines(d.All(), clock.Now())
+	}
 	if t.suspicions != nil {
 		t.suspicions.Engines(d.All())
 	}
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -24,6 +24,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
+	"github.com/lynxshed/lynxshed/fleet/relay/reachability"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
 )
 
@@ -46,6 +47,7 @@
 	Nodes         func() int      // number of nodes that share the endpoints' connections
 	Places        distance.Places // regions of the availability zones and round trips to them
 	Transport     *Transport
+	Reachability  *reachability.Tracker      // nil: this node's paths to endpoints are not tracked
 	Backlog       func() time.Duration       // how long until what arrived during a stall of the process is read; nil: no stalls
 	Stalled       func(since time.Time) bool // reports whether the process has stalled since a time; nil: no stalls
 	Log           log.Interface
--- a/fleet/relay/forward/pool.go
+++ b/fleet/relay/forward/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
 )
 
@@ -24,6 +25,7 @@
 	net.Conn
 	pool        *pool
 	address     string
+	opened      time.Time
 	user        atomic.Pointer[connUse] // nil: idle; changed under the pool's lock
 	dropped     bool                    // closed while idle; guarded by the pool's lock
 	metered     *link.Conn              // nil: not metered
@@ -49,7 +51,7 @@
 
 // add adds a new connection, which a call is about to use.
 func (p *pool) add(c net.Conn, address string) net.Conn {
-	one := &pooledConn{Conn: c, pool: p, address: address}
+	one := &pooledConn{Conn: c, pool: p, address: address, opened: clock.Now()}
 	one.user.Store(&connUse{conn: one})
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -75,12 +75,14 @@
 	fields := log.Fields{"request": j.call.ID, "endpoint": t.Engine.ID, "address": t.Engine.Address, "attempt": j.attempts, "again": retry, "expectedMs": int64(t.FirstMs)}
 	switch o := out.(type) {
 	case neverSent:
+		j.describePath(fields)
 		j.Log.WithFields(fields).WithField("error", o.err.Error()).Info("attempt not sent")
 	case rejected:
 		j.describeNotices(fields)
 		j.Log.WithFields(fields).WithField("status", o.status).Info("attempt refused as not run")
 	case failed:
 		fields["print"] = j.print().String()
+		j.describePath(fields)
 		j.Log.WithFields(fields).WithField("error", o.err.Error()).Info("attempt failed")
 	case answered:
 	}
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -47,6 +47,7 @@
 	stopTimer := func() {}
 	var used *connUse
 	twice := false
+	callContext := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -62,7 +63,7 @@
 			}
 			j.reportSent(t)
 			classify(info.Conn, j.class())
-			stopTimer = startHeadTimer(j.headTimeout(t), cancel)
+			stopTimer = j.startHeadTimer(t, cancel)
 		},
 		PutIdleConn: func(err error) {
 			if err == nil {
@@ -75,12 +76,16 @@
 	resp, err := j.Transport.RoundTrip(j.request(ctx, t, lastEventID))
 	stopTimer()
 	if err != nil && !twice && (used == nil || used.block()) {
+		if used == nil {
+			j.recordUnconnected(callContext, t, started)
+		}
 		cancel(nil)
 		return neverSent{err: wrapStep("connect", t, err), connected: used != nil}
 	}
 	j.attempts++
 	if err != nil {
 		err = j.dropSilent(ctx, t, err)
+		j.recordBroken(callContext, t, err, started)
 		cancel(nil)
 		return failed{err: wrapStep("send", t, err)}
 	}
@@ -154,6 +159,7 @@
 	v := j.Wire.ParseAnswer(resp)
 	used.setIdleTimeout(v.IdleTimeout)
 	now := clock.Now()
+	j.recordReached(t, used, now)
 	if v.HasLoad {
 		t.Report(v.Load, now)
 	}
--- a/fleet/relay/forward/silence.go
+++ b/fleet/relay/forward/silence.go
@@ -8,6 +8,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/reachability"
 )
 
 // A repeatable call goes to another endpoint if the head of its answer takes longer than
@@ -22,21 +23,25 @@
 // errSilent ends an attempt whose endpoint sent nothing for too long.
 var errSilent = errors.New("the endpoint was silent for longer than expected")
 
-// headTimeout returns how long this attempt waits for the head of an answer; 0 means until the
-// call's deadline. A call that may not be sent again waits until then, since silence does not
-// show whether it ran.
-func (j *job) headTimeout(t *choice.Placement) time.Duration {
-	if !j.route.MayRepeat() || j.attempts+1 >= max(j.route.Attempts, 1) {
-		return 0
-	}
+// headTimeout returns after what time without the head of an answer an endpoint is silent for
+// longer than expected.
+func headTimeout(t *choice.Placement) time.Duration {
 	expected := time.Duration(t.FirstMs * float64(time.Millisecond))
 	return max(silentFactor*expected, minSilence)
 }
 
-// startHeadTimer cancels an attempt after the timeout, unless stop is called first.
-func startHeadTimer(timeout time.Duration, cancel context.CancelCauseFunc) (stop func()) {
-	if timeout <= 0 {
-		return func() {}
+// mayAbandon reports whether an attempt that was sent may be given up before the call's deadline.
+// A call that may not be sent again waits until then, since silence does not show whether it ran.
+func (j *job) mayAbandon() bool {
+	return j.route.MayRepeat() && j.attempts+1 < max(j.route.Attempts, 1)
+}
+
+// startHeadTimer acts on a silent endpoint, unless stop is called first: it cancels the attempt if
+// the call may go elsewhere.
+func (j *job) startHeadTimer(t *choice.Placement, cancel context.CancelCauseFunc) (stop func()) {
+	onSilence := func() { cancel(errSilent) }
+	if !j.mayAbandon() {
+		onSilence = func() { j.recordUnreached(t, reachability.NoAnswer) }
 	}
-	return clock.StartTimeout(timeout, func() { cancel(errSilent) }).Stop
+	return clock.StartTimeout(headTimeout(t), onSilence).Stop
 }
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -33,6 +33,7 @@
 	stage, answers, badAnswers metric.Int64Gauge // of rollouts
 	share                      metric.Float64Gauge
 	pacedWrites                metric.Int64Gauge
+	partitioned                metric.Int64Gauge
 	heldBytes                  metric.Int64Gauge
 	peakHeldBytes              metric.Int64Gauge
 	outOfMemory                metric.Int64Gauge
@@ -73,6 +74,7 @@
 		{&metrics.answers, "lynxshed.relay.rollout_answers", "answers that this node had since the open order, by version"},
 		{&metrics.badAnswers, "lynxshed.relay.rollout_bad_answers", "those of them that failed, or took several times what is usual"},
 		{&metrics.pacedWrites, "lynxshed.relay.paced_writes", "writes that have had to wait for the way out"},
+		{&metrics.partitioned, "lynxshed.relay.partitioned", "1 while the endpoints of a service are not reached over the node's own connections"},
 		{&metrics.heldBytes, "lynxshed.relay.calls_held", "bytes that calls in progress hold"},
 		{&metrics.peakHeldBytes, "lynxshed.relay.calls_held_peak", "the most bytes that calls in progress have held"},
 		{&metrics.outOfMemory, "lynxshed.relay.calls_no_memory", "calls that were refused since they did not fit into the memory for calls"},
@@ -153,6 +155,11 @@
 	m.suspendedMs.Add(context.Background(), d.Milliseconds())
 }
 
+// Partitioned records whether this node lost its path to a service.
+func (m *Metrics) Partitioned(service string, lost bool) {
+	m.partitioned.Record(context.Background(), lo.Ternary[int64](lost, 1, 0), metric.WithAttributes(attribute.String("service", service)))
+}
+
 // Evacuated records how many zones are to get no new work.
 func (m *Metrics) Evacuated(zones int) {
 	m.evacuated.Record(context.Background(), int64(zones))
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -36,6 +36,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/overload"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
+	"github.com/lynxshed/lynxshed/fleet/relay/reachability"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
 	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
@@ -94,6 +95,7 @@
 	allowance          *account.Allowance
 	syncer             *account.Syncer
 	picker             *choice.Picker
+	reachability       *reachability.Tracker
 	suspicions         *suspicion.Tracker // nil: failures that other nodes report are ignored
 	quarantine         *quarantineManager // nil: no request is quarantined
 	places             distance.Places
@@ -143,6 +145,7 @@
 	n.allowance = account.NewAllowance(s.Node, incarnation, s.Budget.Tuning())
 	n.bounds = bound.NewGate(s.Node).WithPartitioned(func() bool { return n.syncer.Unavailable() })
 	n.picker = choice.NewPicker(s.Zone, s.Choice()).WithColdGate(n.bounds, cold.Rule{Overrun: s.Cold.Overrun, Tolerance: s.Cold.Tolerance}).WithPlaces(n.places)
+	n.reachability = reachability.NewTracker(reachability.DefaultRule(), n.logReachability)
 	n.engineTable, n.trials = newEngineTable(n), newTrials(n, incarnation)
 	n.registry = peer.NewRegistry(n.store, self, n.health, s.History(), l).WithFaults(n.faults)
 	if s.Bootstrap && s.Enabled(delegatesMechanism) {
@@ -173,7 +176,7 @@
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Trials: &n.moves, Samples: n.trials, Allowance: n.allowance, Picker: n.picker,
 		Retries:       retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Sharers),
 		RetrySchedule: limit.NewRetrySchedule(),
-		Quarantine:    n.quarantineTracker(), Gate: n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: transport, TokenSource: tokenSource{n}, Backlog: n.stalls.Backlog, Stalled: n.stalls.StalledSince, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Quarantine:    n.quarantineTracker(), Gate: n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: transport, Reachability: n.reachability, TokenSource: tokenSource{n}, Backlog: n.stalls.Backlog, Stalled: n.stalls.StalledSince, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler, l); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
