--- a/fleet/relay/follow.go
+++ b/fleet/relay/follow.go
@@ -62,6 +62,9 @@
 		go overload.Watch(ctx, n.gate, n.log)
 	}
 	go n.watchLink(ctx)
+	if n.tunnels != nil {
+		go n.tunnels.probe(ctx)
+	}
 }
 
 // storeRestored handles a restore of the store from a backup.
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -63,6 +63,7 @@
 	used              int64 // tokens of the reservation that the caller received
 	attempts          int   // number of endpoints that the call was sent to
 	engine            string
+	via               string // node that the last attempt's connection leads through; "": direct
 	note              string // what decided the outcome, for the log
 	notResumed        string // why a broken stream was not resumed, for the log
 	placed            *choice.Placement
@@ -316,6 +317,9 @@
 	if j.note != "" {
 		fields["note"] = j.note
 	}
+	if j.via != "" {
+		fields["via"] = j.via
+	}
 	if j.notResumed != "" {
 		fields["notResumed"] = j.notResumed
 	}
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -7,16 +7,15 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
 	"go.opentelemetry.io/otel/trace"
-	"golang.org/x/sys/unix"
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/dial"
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
@@ -79,41 +78,35 @@
 	FirstEvent(route string, took time.Duration)
 }
 
-// Timeouts and limits of connections to endpoints. Each wait is bounded, so that a network
-// partition that drops packets silently is detected.
+// Limits of connections to endpoints.
 const (
-	dialTimeout    = 300 * time.Millisecond
 	idleConnection = 20 * time.Second
-	probeAfter     = time.Second // of silence on a connection
-	probeEvery     = time.Second
-	probeCount     = 2
-	unackedTimeout = 2 * time.Second
 	idlePerHost    = 64
 )
 
 // Transport sends calls to endpoints and keeps track of its connections.
 type Transport struct {
 	*http.Transport
-	pool *pool
+	pool    *pool
+	tunnels Tunnels // nil: none
 }
 
 // NewTransport returns a transport that neither compresses nor, thanks to onceBody, resends calls.
 func NewTransport() *Transport {
-	dialer := &net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount},
-		Control:         limitUnacked,
-	}
-	connections := newPool()
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, address)
+	t := &Transport{pool: newPool()}
+	direct := dial.New(dial.Timeout)
+	connect := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if c, err := t.dialTunnel(ctx); c != nil || err != nil {
+			return c, err
+		}
+		c, err := direct.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return connections.add(c, address), nil
+		return t.pool.add(c, address), nil
 	}
-	return &Transport{pool: connections, Transport: &http.Transport{
-		DialContext:           dial,
+	t.Transport = &http.Transport{
+		DialContext:           connect,
 		DisableCompression:    true,
 		MaxIdleConns:          0,
 		MaxIdleConnsPerHost:   idlePerHost,
@@ -121,7 +114,8 @@
 		ExpectContinueTimeout: 0,
 		WriteBufferSize:       16 << 10,
 		ReadBufferSize:        4 << 10,
-	}}
+	}
+	return t
 }
 
 // WithMeter makes the meter count and pace the bytes of new connections.
@@ -139,15 +133,3 @@
 	}
 	return t
 }
-
-// limitUnacked sets the time after which a connection with unacknowledged data fails.
-func limitUnacked(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
--- a/fleet/relay/forward/pool.go
+++ b/fleet/relay/forward/pool.go
@@ -6,9 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/samber/lo"
-
 	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
 )
 
@@ -16,6 +15,8 @@
 // to the same address are closed, too: they are as old, and each would cost a call if it is silent.
 // It is safe for concurrent use.
 type pool struct {
+	tunnels Tunnels // nil: none
+
 	mu   sync.Mutex
 	open map[string]map[*pooledConn]bool // by address
 }
@@ -26,6 +27,8 @@
 	pool        *pool
 	address     string
 	opened      time.Time
+	via         string                  // the node that a tunnel leads through; "": direct
+	endpoint    engine.Engine           // of a tunnel
 	user        atomic.Pointer[connUse] // nil: idle; changed under the pool's lock
 	dropped     bool                    // closed while idle; guarded by the pool's lock
 	metered     *link.Conn              // nil: not metered
@@ -49,16 +52,25 @@
 
 func newPool() *pool { return &pool{open: map[string]map[*pooledConn]bool{}} }
 
-// add adds a new connection, which a call is about to use.
+// add adds a new direct connection, which a call is about to use.
 func (p *pool) add(c net.Conn, address string) net.Conn {
-	one := &pooledConn{Conn: c, pool: p, address: address, opened: clock.Now()}
+	return p.track(&pooledConn{Conn: c, address: address})
+}
+
+// addTunnel adds a new connection to an endpoint through another node.
+func (p *pool) addTunnel(c net.Conn, e engine.Engine, via string) net.Conn {
+	return p.track(&pooledConn{Conn: c, address: e.Address, endpoint: e, via: via})
+}
+
+func (p *pool) track(one *pooledConn) net.Conn {
+	one.pool, one.opened = p, clock.Now()
 	one.user.Store(&connUse{conn: one})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open[address] == nil {
-		p.open[address] = map[*pooledConn]bool{}
+	if p.open[one.address] == nil {
+		p.open[one.address] = map[*pooledConn]bool{}
 	}
-	p.open[address][one] = true
+	p.open[one.address][one] = true
 	return one
 }
 
@@ -129,13 +141,29 @@
 }
 
 // release records that the call no longer uses its connection, which another call may use by now.
+// A tunnel that is no longer needed is closed: it costs another node and takes longer.
 func (u *connUse) release() {
 	if u.conn == nil {
 		return
 	}
 	u.conn.pool.mu.Lock()
-	defer u.conn.pool.mu.Unlock()
-	u.conn.user.CompareAndSwap(u, nil)
+	idle := u.conn.user.CompareAndSwap(u, nil)
+	surplus := idle && u.conn.isSurplus()
+	if surplus {
+		u.conn.dropped = true
+	}
+	u.conn.pool.mu.Unlock()
+	if surplus {
+		_ = u.conn.Close()
+	}
+}
+
+// via returns the node that the call's connection leads through; "" means that it is direct.
+func (u *connUse) via() string {
+	if u == nil || u.conn == nil {
+		return ""
+	}
+	return u.conn.via
 }
 
 // block prevents any byte of the call from being written to its connection. It returns false if
@@ -165,25 +193,43 @@
 
 // DropAllIdle closes all idle connections to endpoints and returns how many.
 func (t *Transport) DropAllIdle() int {
-	t.pool.mu.Lock()
-	addresses := lo.Keys(t.pool.open)
-	t.pool.mu.Unlock()
-	return lo.SumBy(addresses, t.pool.dropIdle)
+	return t.pool.dropIdleWhere(func(*pooledConn) bool { return true })
 }
 
 // dropIdle closes the idle connections to an address and returns how many.
 func (p *pool) dropIdle(address string) int {
+	p.mu.Lock()
+	idle := dropFrom(nil, p.open[address], func(*pooledConn) bool { return true })
+	p.mu.Unlock()
+	return closeAll(idle)
+}
+
+// dropIdleWhere closes the idle connections that match and returns how many.
+func (p *pool) dropIdleWhere(matches func(*pooledConn) bool) int {
 	p.mu.Lock()
 	var idle []*pooledConn
-	for one := range p.open[address] {
-		if one.user.Load() == nil {
-			one.dropped = true // set under the lock: a call that gets it from now on never writes to it
-			idle = append(idle, one)
-		}
+	for _, open := range p.open {
+		idle = dropFrom(idle, open, matches)
 	}
 	p.mu.Unlock()
-	for _, one := range idle {
+	return closeAll(idle)
+}
+
+// dropFrom marks the idle connections that match, and appends them to a list. The pool's lock is
+// held: a call that gets one from now on never writes to it.
+func dropFrom(dropped []*pooledConn, open map[*pooledConn]bool, matches func(*pooledConn) bool) []*pooledConn {
+	for one := range open {
+		if one.user.Load() == nil && matches(one) {
+			one.dropped = true
+			dropped = append(dropped, one)
+		}
+	}
+	return dropped
+}
+
+func closeAll(connections []*pooledConn) int {
+	for _, one := range connections {
 		_ = one.Close()
 	}
-	return len(idle)
+	return len(connections)
 }
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -48,6 +48,7 @@
 	var used *connUse
 	twice := false
 	callContext := ctx
+	j.via = ""
 	ctx, cancel := context.WithCancelCause(ctx)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -57,13 +58,14 @@
 			}
 			stopTimer()
 			used = startUse(info.Conn)
+			j.via = used.via()
 			if why := j.whyNotSend(t, used, info); why != nil && used.block() {
 				cancel(why)
 				return
 			}
 			j.reportSent(t)
 			classify(info.Conn, j.class())
-			stopTimer = j.startHeadTimer(t, cancel)
+			stopTimer = j.startHeadTimer(t, used, cancel)
 		},
 		PutIdleConn: func(err error) {
 			if err == nil {
@@ -71,13 +73,13 @@
 			}
 		},
 	})
-	ctx = j.measureConnect(ctx, t.Engine.Zone)
+	ctx = withEndpoint(j.measureConnect(ctx, t.Engine.Zone), t.Engine)
 	started := clock.Now()
 	resp, err := j.Transport.RoundTrip(j.request(ctx, t, lastEventID))
 	stopTimer()
 	if err != nil && !twice && (used == nil || used.block()) {
 		if used == nil {
-			j.recordUnconnected(callContext, t, started)
+			j.recordUnconnected(callContext, t, err, started)
 		}
 		cancel(nil)
 		return neverSent{err: wrapStep("connect", t, err), connected: used != nil}
@@ -85,7 +87,7 @@
 	j.attempts++
 	if err != nil {
 		err = j.dropSilent(ctx, t, err)
-		j.recordBroken(callContext, t, err, started)
+		j.recordBroken(callContext, t, used, err, started)
 		cancel(nil)
 		return failed{err: wrapStep("send", t, err)}
 	}
--- a/fleet/relay/forward/silence.go
+++ b/fleet/relay/forward/silence.go
@@ -8,7 +8,6 @@
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
-	"github.com/lynxshed/lynxshed/fleet/relay/reachability"
 )
 
 // A repeatable call goes to another endpoint if the head of its answer takes longer than
@@ -38,10 +37,10 @@
 
 // startHeadTimer acts on a silent endpoint, unless stop is called first: it cancels the attempt if
 // the call may go elsewhere.
-func (j *job) startHeadTimer(t *choice.Placement, cancel context.CancelCauseFunc) (stop func()) {
+func (j *job) startHeadTimer(t *choice.Placement, used *connUse, cancel context.CancelCauseFunc) (stop func()) {
 	onSilence := func() { cancel(errSilent) }
 	if !j.mayAbandon() {
-		onSilence = func() { j.recordUnreached(t, reachability.NoAnswer) }
+		onSilence = func() { j.recordNoAnswer(t, used) }
 	}
 	return clock.StartTimeout(headTimeout(t), onSilence).Stop
 }
--- a/fleet/relay/forward/trace.go
+++ b/fleet/relay/forward/trace.go
@@ -42,6 +42,9 @@
 	ctx, span := j.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
 		attribute.String("endpoint", t.Engine.ID), attribute.String("address", t.Engine.Address), attribute.String("zone", t.Engine.Zone)))
 	return ctx, func(o outcome) {
+		if j.via != "" {
+			span.SetAttributes(attribute.String("via", j.via))
+		}
 		endAttempt(span, o)
 		span.End()
 	}
--- a/fleet/relay/forward/trial.go
+++ b/fleet/relay/forward/trial.go
@@ -180,6 +180,9 @@
 func (j *job) close(t *choice.Placement, r choice.Result, d timing) {
 	now := clock.Now()
 	j.reported.settle()
+	if j.ownPathFailed(r) {
+		r = choice.Neutral
+	}
 	if trial := j.trial(); trial != nil && !j.reported.bad {
 		j.reportSample(trial, t, r, d, now)
 	}
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -59,6 +59,7 @@
 	limits      *limit.Tracker     // nil: no reports on limits that endpoints name
 	notices     *notice.Tracker    // nil: no reports on signals of endpoints in answers
 	eras        *store.Eras        // known to this node
+	noTunnels   func() []string    // services to which this node opens no tunnels now
 
 	chooseMu  sync.Mutex // guards the choice of writers and what follows from it
 	delegates *delegates
@@ -78,6 +79,7 @@
 	elsewhere   bool
 	reconnects  uint64
 	writeFailed bool // it recently failed to write the status of a rollout
+	noTunnels   []string
 	ageUnknown  bool // it found the status of a rollout without observing the write, so it can't tell the age
 }
 
@@ -88,7 +90,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	g := &Gossip{registry: r, picker: p, socket: socket, peers: map[string]peerRecord{}, transfers: newTransfers(allowance), ledgers: newLedgers(), address: address, storeLost: storeLost, delegates: newDelegates(r.self), busy: func() bool { return false }, places: distance.From(r.self.Zone, nil, distance.DefaultCosts()), eras: store.NewEras()}
+	g := &Gossip{registry: r, picker: p, socket: socket, peers: map[string]peerRecord{}, transfers: newTransfers(allowance), ledgers: newLedgers(), address: address, storeLost: storeLost, delegates: newDelegates(r.self), busy: func() bool { return false }, noTunnels: func() []string { return nil }, places: distance.From(r.self.Zone, nil, distance.DefaultCosts()), eras: store.NewEras()}
 	g.client = sourceClient(func() bool { return g.busy() })
 	r.OnChange(func([]Member) { g.choose() })
 	return g, nil
@@ -169,7 +171,7 @@
 	m := g.withSender(message{
 		Number: g.number, Digests: g.picker.Digests(), StoreLost: g.storeLost(),
 		Reconnects: g.registry.health.Reconnects(), Elsewhere: g.elsewhere.Load(), Outage: g.transfers.allowance.Expected(now), Rollouts: g.badTargets(), Suspicions: g.suspicionReports(now),
-		Era: g.eras.Newest(), Quarantine: g.quarantineDigest(now), Limits: g.limitReports(), Notices: g.noticeReports(),
+		Era: g.eras.Newest(), Quarantine: g.quarantineDigest(now), Limits: g.limitReports(), Notices: g.noticeReports(), NoTunnels: g.noTunnels(),
 	})
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, reports
@@ -304,7 +306,7 @@
 	before := g.peers[m.Node]
 	old := before.incarnation == m.Incarnation && m.Number <= before.number
 	if !old {
-		g.peers[m.Node] = peerRecord{incarnation: m.Incarnation, number: m.Number, at: now, storeLost: m.StoreLost, elsewhere: m.Elsewhere, reconnects: m.Reconnects, writeFailed: before.writeFailed, ageUnknown: before.ageUnknown}
+		g.peers[m.Node] = peerRecord{incarnation: m.Incarnation, number: m.Number, at: now, storeLost: m.StoreLost, elsewhere: m.Elsewhere, reconnects: m.Reconnects, noTunnels: m.NoTunnels, writeFailed: before.writeFailed, ageUnknown: before.ageUnknown}
 	}
 	g.mu.Unlock()
 	if old {
--- a/fleet/relay/peer/message.go
+++ b/fleet/relay/peer/message.go
@@ -34,6 +34,7 @@
 	Quarantine    *quarantine.Report              `json:"quarantine,omitempty"` // requests under which endpoints end
 	Limits        []limit.Report                  `json:"limits,omitempty"`     // limits that endpoints name
 	Notices       []notice.Report                 `json:"notices,omitempty"`    // signals of endpoints in their answers
+	NoTunnels     []string                        `json:"noTunnels,omitempty"`  // services to which the node opens no tunnels now; allServices stands for all
 	Ledger        int64                           `json:"ledger,omitempty"`     // revision number of a ledger that the node wrote
 	Era           int64                           `json:"era,omitempty"`        // newest era that the node knows of; with Ledger, the era of its revision
 }
--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -30,6 +30,7 @@
 	Address     string  `json:"address"`            // for datagrams, lists and watches, IP:PORT
 	LinkMbps    float64 `json:"linkMbps,omitempty"` // link speed of its VM; 0 if unknown
 	Build       string  `json:"build,omitempty"`    // build of its program; "" if not reported
+	Tunnels     bool    `json:"tunnels,omitempty"`  // it opens tunnels to endpoints for other nodes
 }
 
 // Registry tracks the nodes that the store lists.
--- a/fleet/relay/peer/source.go
+++ b/fleet/relay/peer/source.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/relay/dial"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
@@ -178,16 +179,14 @@
 
 // sourceClient returns the HTTP client for peers' caches. Calls set their own timeouts.
 func sourceClient(busy func() bool) *http.Client {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
-	busyDialer := dialer
-	busyDialer.Timeout = busySlack
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer, busyDialer := dial.New(dial.Timeout), dial.New(busySlack)
+	connect := func(ctx context.Context, network, address string) (net.Conn, error) {
 		if busy() {
 			return busyDialer.DialContext(ctx, network, address)
 		}
 		return dialer.DialContext(ctx, network, address)
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}}
+	return &http.Client{Transport: &http.Transport{DialContext: connect, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}}
 }
 
 // errSilent cancels a call whose answer does not begin in time.
@@ -202,7 +201,6 @@
 }
 
 const (
-	dialTimeout = 300 * time.Millisecond
 	// busySlack is the timeout for connecting, and until an answer begins, while this node's
 	// link is busy: a delay of 0.4 s there is no evidence against the source, and otherwise all
 	// sources would count as silent at once.
--- a/fleet/relay/policy/policy.go
+++ b/fleet/relay/policy/policy.go
@@ -67,6 +67,7 @@
 	MaxConnections int     // to one endpoint, from all nodes together
 	TokensPerEvent int64   // tokens per event of a stream; 0 if it has no tokens
 	Slots          int     // calls that an endpoint runs at a time
+	HealthPath     string  // of the endpoints' health check; "": unknown
 	KVCapacity     int64   // tokens in an endpoint's cache
 	TokenBytes     int64   // size of a cached token in transfers between endpoints
 	LinkMbps       float64 // bandwidth between two endpoints
--- a/fleet/relay/reachability.go
+++ b/fleet/relay/reachability.go
@@ -6,10 +6,14 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/reachability"
 )
 
-// logReachability logs that this node lost its path to a service, or has it back.
-func (n *Node) logReachability(c reachability.Change) {
+// reachabilityChanged logs that this node lost its path to a service, or has it back, and closes the
+// connections that no longer serve.
+func (n *Node) reachabilityChanged(c reachability.Change) {
 	n.metrics.Partitioned(c.Service, c.Partitioned)
 	fields := log.Fields{"service": c.Service, "endpoints": c.Failed, "sinceMs": c.Since.Milliseconds()}
+	if n.tunnels != nil {
+		fields["connections"] = n.tunnels.changed(c)
+	}
 	if c.Answered >= 0 {
 		fields["answeredMsAgo"] = c.Answered.Milliseconds()
 	}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -25,6 +25,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/cold"
+	"github.com/lynxshed/lynxshed/fleet/relay/dial"
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/evacuation"
@@ -41,6 +42,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 	"github.com/lynxshed/lynxshed/fleet/relay/suspicion"
+	"github.com/lynxshed/lynxshed/fleet/relay/tunnel"
 	"github.com/lynxshed/lynxshed/fleet/telemetry"
 	"github.com/lynxshed/lynxshed/fleet/version"
 )
@@ -96,6 +98,9 @@
 	syncer             *account.Syncer
 	picker             *choice.Picker
 	reachability       *reachability.Tracker
+	tunnels            *tunnels       // nil: no connections through other nodes
+	tunnelServer       *tunnel.Server // nil: none for other nodes
+	transport          *forward.Transport
 	suspicions         *suspicion.Tracker // nil: failures that other nodes report are ignored
 	quarantine         *quarantineManager // nil: no request is quarantined
 	places             distance.Places
@@ -141,11 +146,11 @@
 	n.eras.OnRise(n.storeRestored)
 	n.store = store.NewSourced(store.Probed(store.Counted(a.Store(), n.metrics)), n.sources).WithEras(n.eras)
 	incarnation := uuid.NewString()
-	self := peer.Member{Name: s.Node, Incarnation: incarnation, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps, Build: version.Build()}
+	self := peer.Member{Name: s.Node, Incarnation: incarnation, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps, Build: version.Build(), Tunnels: s.Enabled(tunnelsMechanism)}
 	n.allowance = account.NewAllowance(s.Node, incarnation, s.Budget.Tuning())
 	n.bounds = bound.NewGate(s.Node).WithPartitioned(func() bool { return n.syncer.Unavailable() })
 	n.picker = choice.NewPicker(s.Zone, s.Choice()).WithColdGate(n.bounds, cold.Rule{Overrun: s.Cold.Overrun, Tolerance: s.Cold.Tolerance}).WithPlaces(n.places)
-	n.reachability = reachability.NewTracker(reachability.DefaultRule(), n.logReachability)
+	n.reachability = reachability.NewTracker(reachability.DefaultRule(), n.reachabilityChanged)
 	n.engineTable, n.trials = newEngineTable(n), newTrials(n, incarnation)
 	n.registry = peer.NewRegistry(n.store, self, n.health, s.History(), l).WithFaults(n.faults)
 	if s.Bootstrap && s.Enabled(delegatesMechanism) {
@@ -170,13 +175,13 @@
 	n.intake = overload.NewIntake(overload.DefaultIntakeRule())
 	n.meter = link.NewMeter(s.LinkMbps)
 	n.memory = memory.NewBudget(int64(callsShare * s.MemoryMB * (1 << 20)))
-	transport := forward.NewTransport().WithMeter(n.meter)
-	n.dropIdle, n.dropAllIdle = transport.DropIdle, transport.DropAllIdle
+	n.enableTunnels(tunnel.Identity{Name: s.Node, Incarnation: incarnation})
+	n.dropIdle, n.dropAllIdle = n.transport.DropIdle, n.transport.DropAllIdle
 	n.handler = forward.New(forward.Options{
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Trials: &n.moves, Samples: n.trials, Allowance: n.allowance, Picker: n.picker,
 		Retries:       retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Sharers),
 		RetrySchedule: limit.NewRetrySchedule(),
-		Quarantine:    n.quarantineTracker(), Gate: n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: transport, Reachability: n.reachability, TokenSource: tokenSource{n}, Backlog: n.stalls.Backlog, Stalled: n.stalls.StalledSince, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Quarantine:    n.quarantineTracker(), Gate: n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: n.transport, Reachability: n.reachability, TokenSource: tokenSource{n}, Backlog: n.stalls.Backlog, Stalled: n.stalls.StalledSince, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler, l); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
@@ -220,13 +225,13 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for the balancer at %s", n.settings.Ready.Address)
 	}
-	peerListener, err := net.Listen("tcp4", n.settings.Peer)
+	peerListener, err := dial.ListenConfig().Listen(ctx, "tcp4", n.settings.Peer)
 	if err != nil {
 		_ = readyListener.Close()
 		return errors.Wrapf(err, "listen for peers at %s", n.settings.Peer)
 	}
 	n.follow(ctx)
-	peerServer := &http.Server{Handler: peer.CacheHandler(n.caches), ReadHeaderTimeout: headerTimeout}
+	peerServer := &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout}
 	readyServer := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 3)
 	go func() { failed <- n.ingress.Serve() }()
@@ -285,7 +290,7 @@
 	n.returnBudgets(ctx)
 	// A call is over when its answer was sent. Its handler may return long before, as its output
 	// waits for its slot on a full link.
-	for clock.Since(started) < n.settings.Drain()-n.returnTime() && n.ingress.Busy() > 0 {
+	for clock.Since(started) < n.settings.Drain()-n.returnTime() && (n.ingress.Busy() > 0 || n.openTunnels() > 0) {
 		time.Sleep(drainPoll)
 	}
 	n.returnBudgets(ctx)
