--- a/fleet/relay/reachability/tracker.go
+++ b/fleet/relay/reachability/tracker.go
@@ -46,9 +46,13 @@
 // Evidence is what a node knows of its path to a service.
 type Evidence struct {
 	Failed   int           // endpoints that failed since a new connection brought an answer
+	Since    time.Duration // since the first of these failures
 	Answered time.Duration // since the last answer over any connection of this node; negative: never
 }
 
+// Silent reports whether no connection of the node has brought an answer since the first failure.
+func (e Evidence) Silent() bool { return e.Failed > 0 && (e.Answered < 0 || e.Answered > e.Since) }
+
 // Tracker tracks the failures and answers of a node's own connections. It is safe for concurrent
 // use.
 type Tracker struct {
@@ -148,7 +152,7 @@
 
 // review decides whether a service is partitioned. The lock is held.
 func (t *Tracker) review(name string, s *service, now time.Time) []Change {
-	partitioned := len(s.failed) > 0 && len(s.failed) >= t.needed(name)
+	partitioned := len(s.failed) > 0 && len(s.failed) >= t.needed(name, s)
 	if partitioned == s.partitioned {
 		return nil
 	}
@@ -158,16 +162,27 @@
 }
 
 // needed returns how many endpoints of a service have to fail. One is enough where it is the only
-// one, or where another service is partitioned already. The lock is held.
-func (t *Tracker) needed(name string) int {
-	for other, s := range t.services {
-		if other != name && s.partitioned {
+// one, or where no connection to it could be established while another service is partitioned
+// already. The lock is held.
+func (t *Tracker) needed(name string, s *service) int {
+	for other, o := range t.services {
+		if other != name && o.partitioned && s.notConnected() {
 			return 1
 		}
 	}
 	return min(t.rule.MinEndpoints, max(len(t.listed[name]), 1))
 }
 
+// notConnected reports whether a connection to one of the endpoints could not be established.
+func (s *service) notConnected() bool {
+	for _, f := range s.failed {
+		if f.kind == NotConnected {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Tracker) notify(changes []Change) {
 	for _, c := range changes {
 		t.changed(c)
@@ -212,7 +227,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(service)
-	return Evidence{Failed: len(s.failed), Answered: s.age(now)}
+	return Evidence{Failed: len(s.failed), Since: now.Sub(s.since), Answered: s.age(now)}
 }
 
 // service returns the state of a service. The lock is held.
--- a/fleet/relay/reachability/tracker_test.go
+++ b/fleet/relay/reachability/tracker_test.go
@@ -91,6 +91,11 @@
 			r.Failed(e2, reachability.NotConnected, at(100))
 			r.Failed(p1, reachability.NotConnected, at(200))
 		}, "p", true},
+		{"one endpoint of another service was silent", func(r *reachability.Tracker) {
+			r.Failed(e1, reachability.NotConnected, at(0))
+			r.Failed(e2, reachability.NotConnected, at(100))
+			r.Failed(p1, reachability.NoAnswer, at(200))
+		}, "p", false},
 		{"the only endpoint of a service", func(r *reachability.Tracker) { r.Failed(o1, reachability.NotConnected, at(0)) }, "only", true},
 	}
 	for _, c := range cases {
@@ -112,7 +117,7 @@
 	assert.Equal(t, []reachability.Change{{Service: "s", Partitioned: true, Failed: []string{"e1", "e2"}, Since: 300 * time.Millisecond, Answered: 800 * time.Millisecond}}, changes)
 	assert.Equal(t, []string{"s"}, r.Services())
 	assert.Equal(t, []string{"e1", "e2", "e3"}, r.FailedEndpoints("s"))
-	assert.Equal(t, reachability.Evidence{Failed: 3, Answered: 900 * time.Millisecond}, r.Evidence("s", at(400)))
+	assert.Equal(t, reachability.Evidence{Failed: 3, Since: 400 * time.Millisecond, Answered: 900 * time.Millisecond}, r.Evidence("s", at(400)))
 	changes = nil
 	r.Answered(e1, at(2000), at(2100))
 	r.Answered(e2, at(2000), at(2200))
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -284,6 +284,7 @@
 	m.FirstEvent("route", 20*time.Millisecond)
 	m.StoreCall("kind", "put", "conflict")
 	m.Evacuated(1)
+	m.Partitioned("s", true)
 	m.BadEntry("kind")
 	m.Restarted("later")
 	m.Quarantined(false)
@@ -301,7 +302,7 @@
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	listed := regexp.MustCompile(`\| (lynxshed_relay_\w+) \|`).FindAllStringSubmatch(string(page), -1)
-	require.Len(t, listed, 22)
+	require.Len(t, listed, 23)
 	for _, name := range listed {
 		assert.Contains(t, answer.Body.String(), "# TYPE "+name[1]+" ")
 	}
--- a/fleet/relay/tunnels.go
+++ b/fleet/relay/tunnels.go
@@ -73,19 +73,15 @@
 	return !t.verified[e.Incarnation()]
 }
 
-// changed closes the connections that a change of reachability makes useless: silent direct ones as
-// a partition begins, and tunnels as it ends.
+// changed closes the tunnels that the end of a partition makes useless, and returns how many.
 func (t *tunnels) changed(c reachability.Change) (closed int) {
 	t.mu.Lock()
 	clear(t.verified)
 	t.mu.Unlock()
-	if !c.Partitioned {
-		return t.transport.DropIdleTunnels()
-	}
-	if engines := t.engines.Load(); engines != nil && (c.Answered < 0 || c.Answered > c.Since) {
-		return t.transport.DropIdleDirect(engines.Of(c.Service))
+	if c.Partitioned {
+		return 0
 	}
-	return 0 // connections from before the partition go on
+	return t.transport.DropIdleTunnels()
 }
 
 // probeInterval is the time between two probes of a service's paths during a partition.
@@ -125,6 +121,7 @@
 		t.reachability.Answered(e, began, clock.Now())
 		return
 	}
+	t.dropSilent(e.Service)
 	if !t.needsVerification(e) {
 		return
 	}
@@ -138,6 +135,19 @@
 	}
 }
 
+// dropSilent closes the idle direct connections to a service's endpoints if none has brought an
+// answer since the partition began: calls that get one would wait in vain. Those that go on working
+// are kept.
+func (t *tunnels) dropSilent(service string) {
+	engines := t.engines.Load()
+	if engines == nil || !t.reachability.Evidence(service, clock.Now()).Silent() {
+		return
+	}
+	if closed := t.transport.DropIdleDirect(engines.Of(service)); closed > 0 {
+		t.log.WithField("service", service).WithField("connections", closed).Info("idle connections closed: none has brought an answer since endpoints were not reached")
+	}
+}
+
 func (t *tunnels) healthPath(service string) string {
 	p := t.policy.Load()
 	if p == nil {
