--- a/fleet/relay/bound/gate.go
+++ b/fleet/relay/bound/gate.go
@@ -109,6 +109,17 @@
 	return g.sentWithin(e.ID, b.Window, now) < g.share(e, b, partitioned, now)
 }
 
+// Slots returns how many of an endpoint's slots this node may use at a time: the shares of all nodes
+// add up to them.
+func (g *Gate) Slots(e engine.Engine) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.left {
+		return 0
+	}
+	return g.fleet.Share(e.Hash, e.Slots)
+}
+
 // Share returns how many calls in any window this node may send to an endpoint, and how many it
 // sent in the last one.
 func (g *Gate) Share(e engine.Engine, b Bound, now time.Time) (share, sent int) {
--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -18,6 +18,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/cold"
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/fragile"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 	"github.com/lynxshed/lynxshed/fleet/relay/suspicion"
@@ -32,6 +33,7 @@
 	limits     *limit.Tracker     // nil: limits that endpoints name are ignored
 	notices    *notice.Tracker    // nil: notices in answers are ignored
 	suspicions *suspicion.Tracker // nil: failures that peers report are ignored
+	fragile    *fragile.Tracker   // nil: endpoints that crash when they reject calls are treated as others
 
 	mu            sync.Mutex
 	endpoints     map[string]*endpoint
@@ -88,6 +90,12 @@
 	return p
 }
 
+// WithFragile makes the picker spare the endpoints of fragile services.
+func (p *Picker) WithFragile(t *fragile.Tracker) *Picker {
+	p.fragile = t
+	return p
+}
+
 // Profile holds the policy's settings for a service's endpoints.
 type Profile struct {
 	Service    string
--- a/fleet/relay/choice/endpoint.go
+++ b/fleet/relay/choice/endpoint.go
@@ -23,6 +23,7 @@
 	loadAt         time.Time
 	failures       int
 	suspectedUntil time.Time // avoided until then
+	rejected       time.Time // when it last rejected a call as full
 	gone           bool      // its incarnation has ended, as its successor reported to this node or a peer
 	speed          speed
 	pauses         average // share of recent streams that paused for too long
--- a/fleet/relay/choice/notices.go
+++ b/fleet/relay/choice/notices.go
@@ -72,7 +72,14 @@
 
 // Notice records a notice in an answer of the endpoint to this node.
 func (t *Placement) Notice(n call.Notice, now time.Time) {
-	if t.picker.notices != nil {
-		t.picker.notices.Observe(t.Engine, n, now)
+	switch n := n.(type) {
+	case call.Fragile:
+		if t.picker.fragile != nil {
+			t.picker.fragile.Observe(t.Engine.Service, n.MaxRejections, now)
+		}
+	case call.Leaving, call.Rest:
+		if t.picker.notices != nil {
+			t.picker.notices.Observe(t.Engine, n, now)
+		}
 	}
 }
--- a/fleet/relay/choice/placement.go
+++ b/fleet/relay/choice/placement.go
@@ -191,7 +191,7 @@
 			t.model.duration = t.model.duration.with(now.Sub(t.request.Now).Seconds())
 		}
 	case Rejected:
-		e.suspectedUntil = now.Add(suspect / rejectedDivisor)
+		e.suspectedUntil, e.rejected = now.Add(suspect/rejectedDivisor), now
 	case Bad, Interrupted, Unreached:
 		e.failures++
 		e.suspectedUntil = now.Add(suspect * time.Duration(min(e.failures, maxFailures)))
--- a/fleet/relay/choice/reason.go
+++ b/fleet/relay/choice/reason.go
@@ -25,12 +25,13 @@
 	Resting                  // it asked for no calls for a while
 	SuspectedByOthers        // several nodes report failures there
 	Bounded                  // this node's share of a bound is used: the endpoint is cold or names a limit
+	NoRoom                   // all of this node's share of its slots is used, and it would crash by rejections
 	reasons
 )
 
 // String returns the reason as shown to operators.
 func (r Reason) String() string {
-	return [reasons]string{"usable", "ending", "emptied", "tried", "replaced", "busy", "suspected", "zone-unreachable", "resting", "doubted", "bounded"}[r]
+	return [reasons]string{"usable", "ending", "emptied", "tried", "replaced", "busy", "suspected", "zone-unreachable", "resting", "doubted", "bounded", "no-room"}[r]
 }
 
 // usable decides whether an endpoint may get a call, and why not. All such rules are combined
@@ -56,6 +57,8 @@
 		return s, SuspectedByOthers
 	case !p.withinBounds(*r, *e):
 		return s, Bounded
+	case !p.hasRoom(r, e, s):
+		return s, NoRoom
 	}
 	return s, Usable
 }
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -345,6 +345,8 @@
 			fields["leaving"] = true
 		case call.Rest:
 			fields["restMs"] = n.For.Milliseconds()
+		case call.Fragile:
+			fields["maxRejections"] = n.MaxRejections
 		}
 	}
 }
--- a/fleet/relay/mechanisms.go
+++ b/fleet/relay/mechanisms.go
@@ -34,11 +34,12 @@
 	limitsMechanism         = "limits"        // limits that endpoints name are kept
 	noticesMechanism        = "notices"       // notices that endpoints give in their answers are followed
 	tunnelsMechanism        = "tunnels"       // connections to endpoints lead through other nodes where this node's own paths are cut
+	fragileMechanism        = "fragile"       // endpoints that crash when they reject too many calls are spared
 	steerMechanism          = "steer"         // a node whose link one customer fills gets no new connections
 )
 
 func mechanismNames() []string {
-	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, redirectMechanism, steerMechanism, failureReportsMechanism, quarantineMechanism, limitsMechanism, noticesMechanism, tunnelsMechanism)
+	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, redirectMechanism, steerMechanism, failureReportsMechanism, quarantineMechanism, limitsMechanism, noticesMechanism, tunnelsMechanism, fragileMechanism)
 }
 
 // Enabled reports whether a mechanism is not disabled.
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -19,6 +19,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/distance"
+	"github.com/lynxshed/lynxshed/fleet/relay/fragile"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
@@ -58,8 +59,9 @@
 	quarantine  Quarantine         // nil: no reports on requests under which endpoints end
 	limits      *limit.Tracker     // nil: no reports on limits that endpoints name
 	notices     *notice.Tracker    // nil: no reports on signals of endpoints in answers
+	fragile     *fragile.Tracker   // nil: no reports on fragile services
 	eras        *store.Eras        // known to this node
-	noTunnels   func() []string    // services to which this node opens no tunnels now
+	noTunnels   func() []string    // services to which this node opens no tunnels now; nil: none
 
 	chooseMu  sync.Mutex // guards the choice of writers and what follows from it
 	delegates *delegates
@@ -90,7 +92,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	g := &Gossip{registry: r, picker: p, socket: socket, peers: map[string]peerRecord{}, transfers: newTransfers(allowance), ledgers: newLedgers(), address: address, storeLost: storeLost, delegates: newDelegates(r.self), busy: func() bool { return false }, noTunnels: func() []string { return nil }, places: distance.From(r.self.Zone, nil, distance.DefaultCosts()), eras: store.NewEras()}
+	g := &Gossip{registry: r, picker: p, socket: socket, peers: map[string]peerRecord{}, transfers: newTransfers(allowance), ledgers: newLedgers(), address: address, storeLost: storeLost, delegates: newDelegates(r.self), busy: func() bool { return false }, places: distance.From(r.self.Zone, nil, distance.DefaultCosts()), eras: store.NewEras()}
 	g.client = sourceClient(func() bool { return g.busy() })
 	r.OnChange(func([]Member) { g.choose() })
 	return g, nil
@@ -171,7 +173,7 @@
 	m := g.withSender(message{
 		Number: g.number, Digests: g.picker.Digests(), StoreLost: g.storeLost(),
 		Reconnects: g.registry.health.Reconnects(), Elsewhere: g.elsewhere.Load(), Outage: g.transfers.allowance.Expected(now), Rollouts: g.badTargets(), Suspicions: g.suspicionReports(now),
-		Era: g.eras.Newest(), Quarantine: g.quarantineDigest(now), Limits: g.limitReports(), Notices: g.noticeReports(), NoTunnels: g.noTunnels(),
+		Era: g.eras.Newest(), Quarantine: g.quarantineDigest(now), Limits: g.limitReports(), Notices: g.noticeReports(), NoTunnels: g.servicesWithoutTunnels(), Fragile: g.fragileReports(now),
 	})
 	if budgets {
 		m.HasBudgets, m.BudgetReports = true, reports
@@ -325,6 +327,7 @@
 	g.receiveQuarantine(m)
 	g.receiveLimits(m)
 	g.receiveNotices(m)
+	g.receiveFragile(m, now)
 	g.picker.ReceiveDigests(m.Node, m.Digests, now)
 	g.picker.ReceiveReads(m.Reads, g.passesOn(), now)
 	if m.HasBudgets {
--- a/fleet/relay/peer/message.go
+++ b/fleet/relay/peer/message.go
@@ -8,6 +8,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/fragile"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
@@ -35,6 +36,7 @@
 	Limits        []limit.Report                  `json:"limits,omitempty"`     // limits that endpoints name
 	Notices       []notice.Report                 `json:"notices,omitempty"`    // signals of endpoints in their answers
 	NoTunnels     []string                        `json:"noTunnels,omitempty"`  // services to which the node opens no tunnels now; allServices stands for all
+	Fragile       []fragile.Report                `json:"fragile,omitempty"`    // services whose endpoints crash when they reject too many calls
 	Ledger        int64                           `json:"ledger,omitempty"`     // revision number of a ledger that the node wrote
 	Era           int64                           `json:"era,omitempty"`        // newest era that the node knows of; with Ledger, the era of its revision
 }
--- a/fleet/relay/peer/tunnels.go
+++ b/fleet/relay/peer/tunnels.go
@@ -26,6 +26,13 @@
 	return g
 }
 
+func (g *Gossip) servicesWithoutTunnels() []string {
+	if g.noTunnels == nil {
+		return nil
+	}
+	return g.noTunnels()
+}
+
 // IsMember reports whether a node of the fleet has this name and incarnation.
 func (g *Gossip) IsMember(name, incarnation string) bool {
 	m, listed := find(g.registry.Members(), name)
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -164,6 +164,7 @@
 	n.enableQuarantine(gossip)
 	n.enableLimits(gossip)
 	n.enableNotices(gossip)
+	n.enableFragile(gossip)
 	n.gossip = gossip.WithRollouts(n.trials).WithPlaces(n.places).WithEras(n.eras).WithLink(func() bool { return n.intake.Share() > busyLink })
 	n.trials.fleet = gossip
 	n.registry.OnChange(func(members []peer.Member) {
--- a/fleet/relay/tunnel/dialer.go
+++ b/fleet/relay/tunnel/dialer.go
@@ -88,13 +88,19 @@
 }
 
 func (d *Dialer) open(ctx context.Context, n Node, e engine.Engine) (net.Conn, error) {
-	plain, cancel := withoutTrace(ctx)
-	defer cancel()
+	plain, end := withoutTrace(ctx)
+	defer end()
 	c, err := dial.New(dial.Timeout).DialContext(plain, "tcp4", n.Address)
 	if err != nil {
 		return nil, err
 	}
+	limited, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	inTime := context.AfterFunc(limited, func() { _ = c.Close() })
 	answers, err := d.handshake(ctx, c, e)
+	if !inTime() {
+		err = errors.CombineErrors(limited.Err(), err)
+	}
 	if err != nil {
 		_ = c.Close()
 		return nil, err
@@ -112,7 +118,6 @@
 
 // handshake requests the tunnel and returns a reader of what follows the answer.
 func (d *Dialer) handshake(ctx context.Context, c net.Conn, e engine.Engine) (*bufio.Reader, error) {
-	_ = c.SetDeadline(time.Now().Add(openTimeout))
 	req := &http.Request{Method: http.MethodConnect, URL: &url.URL{Opaque: e.Address}, Host: e.Address, Header: http.Header{}}
 	req.SetBasicAuth(d.self.Name, d.self.Incarnation)
 	req.Header.Set(headerEndpoint, e.ID)
@@ -128,7 +133,6 @@
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		_ = c.SetDeadline(time.Time{})
 		return answers, nil
 	case http.StatusBadGateway:
 		return nil, ErrUnreachable
