--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -92,9 +92,11 @@
 }
 
 // NewTransport returns a transport that neither compresses nor, thanks to onceBody, resends calls.
-func NewTransport() *Transport {
+func NewTransport() *Transport { return NewTransportWith(dial.New(dial.Timeout)) }
+
+// NewTransportWith returns a transport as NewTransport does, with its own dialer.
+func NewTransportWith(direct *net.Dialer) *Transport {
 	t := &Transport{pool: newPool()}
-	direct := dial.New(dial.Timeout)
 	connect := func(ctx context.Context, network, address string) (net.Conn, error) {
 		if c, err := t.dialTunnel(ctx); c != nil || err != nil {
 			return c, err
