--- /dev/null
+++ b/fleet/relay/forward/tunnel_test.go
@@ -0,0 +1,109 @@
+package forward_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/tunnel"
+)
+
+// fakeTunnels are tunnels through a node that connects at once.
+type fakeTunnels struct {
+	needed  atomic.Bool
+	dialed  atomic.Int32
+	failure func(e engine.Engine) error
+}
+
+func (f *fakeTunnels) Needed(string) bool        { return f.needed.Load() }
+func (f *fakeTunnels) Keeps(string, string) bool { return f.needed.Load() }
+func (f *fakeTunnels) Dial(ctx context.Context, e engine.Engine) (net.Conn, string, error) {
+	f.dialed.Add(1)
+	if f.failure != nil {
+		if err := f.failure(e); err != nil {
+			return nil, "n2", err
+		}
+	}
+	c, err := (&net.Dialer{}).DialContext(context.Background(), "tcp4", e.Address)
+	return c, "n2", err
+}
+
+func newTunnelFleet(t *testing.T, f *fakeTunnels) *fleet {
+	t.Helper()
+	fleet := newFleet(t, 1000, good("one"), good("two"))
+	f.needed.Store(true)
+	fleet.connections.WithTunnels(f)
+	return fleet
+}
+
+func TestCallsGoThroughTunnelsWhileTheyAreNeeded(t *testing.T) {
+	tunnels := &fakeTunnels{}
+	f := newTunnelFleet(t, tunnels)
+	for range 3 {
+		assert.Equal(t, http.StatusOK, f.do(t, f.request(t, "POST", "/once/x", "b")).status)
+	}
+	through := tunnels.dialed.Load()
+	assert.Positive(t, through)
+	tunnels.needed.Store(false)
+	assert.Positive(t, f.connections.DropIdleTunnels())
+	assert.Equal(t, http.StatusOK, f.do(t, f.request(t, "POST", "/once/x", "b")).status)
+	assert.Equal(t, through, tunnels.dialed.Load(), "direct again")
+	assert.Len(t, f.received(), 4, "each call ran once")
+}
+
+// Guards against a call that is lost, or that runs twice, where a tunnel is not opened.
+func TestACallGoesElsewhereWhereNoTunnelOpens(t *testing.T) {
+	cases := []struct {
+		name    string
+		failure func(e engine.Engine) error
+	}{
+		{"one endpoint is not reached from there either", func(e engine.Engine) error {
+			if e.ID == "e0" {
+				return errors.Wrap(tunnel.ErrUnreachable, "test")
+			}
+			return nil
+		}},
+		{"no node opens any: directly", func(engine.Engine) error { return errors.Mark(errors.New("test"), tunnel.ErrNoNode) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newTunnelFleet(t, &fakeTunnels{failure: c.failure})
+			for range 4 {
+				assert.Equal(t, http.StatusOK, f.do(t, f.request(t, "POST", "/once/x", "b")).status)
+			}
+			assert.Len(t, f.received(), 4)
+		})
+	}
+}
+
+// Guards against a probe that takes an open port for an endpoint that answers.
+func TestAProbeAwaitsAnAnswer(t *testing.T) {
+	f := newFleet(t, 1000, good("one"))
+	require.NoError(t, f.connections.Probe(t.Context(), f.engines[0].Address, "/health"))
+	silent, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	go func() {
+		for {
+			c, err := silent.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	require.Error(t, f.connections.Probe(t.Context(), silent.Addr().String(), "/health"))
+	require.NoError(t, f.connections.Probe(t.Context(), silent.Addr().String(), ""), "without the path of a health check a connection is enough")
+	down, cancel := context.WithTimeout(t.Context(), time.Nanosecond)
+	defer cancel()
+	require.Error(t, f.connections.Probe(down, f.engines[0].Address, ""))
+}
