--- a/fleet/relay/choice/placement.go
+++ b/fleet/relay/choice/placement.go
@@ -169,6 +169,12 @@
 // Close ends an attempt.
 func (t *Placement) Close(r Result, now time.Time) {
 	t.recordOutcome(r, now)
+	t.CloseUnreported(r, now)
+}
+
+// CloseUnreported ends an attempt whose result is not reported to other nodes: it is probably the
+// fault of this node's own path.
+func (t *Placement) CloseUnreported(r Result, now time.Time) {
 	t.picker.mu.Lock()
 	defer t.picker.mu.Unlock()
 	e, ok := t.current()
--- a/fleet/relay/forward/reach.go
+++ b/fleet/relay/forward/reach.go
@@ -22,6 +22,7 @@
 	case j.Reachability == nil || ctx.Err() != nil || !j.stalls.usable(started):
 	case errors.Is(err, tunnel.ErrUnreachable):
 		j.Reachability.FailedElsewhere(t.Engine, clock.Now())
+	case errors.Is(err, tunnel.ErrNotReached): // shows nothing about this node's own path
 	default:
 		j.Reachability.Failed(t.Engine, reachability.NotConnected, clock.Now())
 	}
--- a/fleet/relay/forward/trial.go
+++ b/fleet/relay/forward/trial.go
@@ -181,7 +181,8 @@
 	now := clock.Now()
 	j.reported.settle()
 	if j.ownPathFailed(r) {
-		r = choice.Neutral
+		t.CloseUnreported(r, now)
+		return
 	}
 	if trial := j.trial(); trial != nil && !j.reported.bad {
 		j.reportSample(trial, t, r, d, now)
--- a/fleet/relay/tunnel/dialer.go
+++ b/fleet/relay/tunnel/dialer.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -43,8 +44,8 @@
 }
 
 // Dial connects to an endpoint through another node, whose name it returns. It fails with
-// ErrUnreachable if the endpoint was not reached from there, and with ErrNoNode if no node opened a
-// tunnel.
+// ErrUnreachable or ErrNotReached if the endpoint was not reached from there, and with ErrNoNode if no
+// node opened a tunnel. Only one node tries to reach the endpoint, since each may take its timeout.
 func (d *Dialer) Dial(ctx context.Context, e engine.Engine) (net.Conn, string, error) {
 	failed := ErrNoNode
 	for _, n := range d.candidates(e) {
@@ -57,6 +58,9 @@
 			return nil, n.Name, err
 		}
 		d.avoid(n.Name, clock.Now())
+		if errors.Is(err, ErrNotReached) {
+			return nil, n.Name, err
+		}
 		failed = errors.Mark(err, ErrNoNode)
 	}
 	return nil, "", failed
@@ -68,11 +72,8 @@
 	defer d.mu.Unlock()
 	candidates := make([]Node, 0, maxNodes)
 	for _, n := range d.nodes(e) {
-		if until, ok := d.avoided[n.Name]; ok {
-			if now.Before(until) {
-				continue
-			}
-			delete(d.avoided, n.Name)
+		if now.Before(d.avoided[n.Name]) {
+			continue
 		}
 		if candidates = append(candidates, n); len(candidates) == maxNodes {
 			break
@@ -84,6 +85,7 @@
 func (d *Dialer) avoid(node string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	maps.DeleteFunc(d.avoided, func(_ string, until time.Time) bool { return !now.Before(until) })
 	d.avoided[node] = now.Add(avoidFor)
 }
 
@@ -136,6 +138,8 @@
 		return answers, nil
 	case http.StatusBadGateway:
 		return nil, ErrUnreachable
+	case http.StatusGatewayTimeout:
+		return nil, ErrNotReached
 	default:
 		return nil, errors.Newf("status %d", resp.StatusCode)
 	}
--- a/fleet/relay/tunnel/server.go
+++ b/fleet/relay/tunnel/server.go
@@ -36,9 +36,9 @@
 	Endpoint(id string) (engine.Engine, bool)
 	// Declines returns why this node opens no tunnel to a service now; "" means that it does.
 	Declines(service string) string
-	// Unreachable records that this node could not connect to an endpoint. It reports whether that
-	// is certainly the endpoint's fault.
-	Unreachable(e engine.Engine, now time.Time) bool
+	// Vouches reports whether an endpoint of a service that this node can't connect to is certainly
+	// at fault itself.
+	Vouches(service string) bool
 	// Meter wraps a connection to count and pace its bytes.
 	Meter(c net.Conn) net.Conn
 }
@@ -115,10 +115,10 @@
 		return c, refusal{}
 	}
 	s.memory.Release(tunnelBytes)
-	if s.host.Unreachable(e, clock.Now()) {
+	if s.host.Vouches(e.Service) {
 		return nil, refusal{http.StatusBadGateway, err.Error()}
 	}
-	return nil, refusal{http.StatusServiceUnavailable, "this node's own path may be cut: " + err.Error()}
+	return nil, refusal{http.StatusGatewayTimeout, "this node's own path may be cut: " + err.Error()}
 }
 
 func (s *Server) dial(r *http.Request, e engine.Engine) (net.Conn, error) {
--- a/fleet/relay/tunnel/tunnel.go
+++ b/fleet/relay/tunnel/tunnel.go
@@ -27,6 +27,8 @@
 var (
 	// ErrUnreachable means that the endpoint could not be reached from the other node either.
 	ErrUnreachable = errors.New("the endpoint was not reached from another node either")
+	// ErrNotReached means the same, but the other node's own path may be at fault.
+	ErrNotReached = errors.New("the endpoint was not reached from another node, whose path may be cut, too")
 	// ErrNoNode means that no other node opened a tunnel, which shows nothing about the endpoint.
 	ErrNoNode = errors.New("no other node opened a tunnel")
 )
--- a/fleet/relay/tunnels.go
+++ b/fleet/relay/tunnels.go
@@ -179,7 +179,7 @@
 	switch {
 	case h.leaving.Load():
 		return "planned stop"
-	case h.reachability.Partitioned(service):
+	case !h.mayOpenTunnels(service):
 		return "this node does not reach the service either"
 	case h.intake.Share() > busyLink:
 		return "busy link"
@@ -187,17 +187,26 @@
 	return ""
 }
 
-// ownAnswerAge is how old the last answer of a service may be for a failed connect to count as the
-// endpoint's fault.
+// Vouches implements tunnel.Host.
+func (h tunnelHost) Vouches(service string) bool {
+	return !h.reachability.Partitioned(service) && h.answeredLately(service)
+}
+
+// ownAnswerAge is how old the last answer of a service may be for this node to count on its path.
 const ownAnswerAge = time.Second
 
-// Unreachable implements tunnel.Host.
-func (h tunnelHost) Unreachable(e engine.Engine, now time.Time) bool {
-	h.reachability.Failed(e, reachability.NotConnected, now)
-	last := h.reachability.Evidence(e.Service, now).Answered
+// answeredLately reports whether a service has just answered over a connection of this node.
+func (n *Node) answeredLately(service string) bool {
+	last := n.reachability.Evidence(service, clock.Now()).Answered
 	return last >= 0 && last < ownAnswerAge
 }
 
+// mayOpenTunnels reports whether this node reaches a service. One that suspects a partition may: some
+// of the endpoints may be down, while the others answer.
+func (n *Node) mayOpenTunnels(service string) bool {
+	return !n.reachability.Partitioned(service) || n.answeredLately(service)
+}
+
 // Meter implements tunnel.Host.
 func (h tunnelHost) Meter(c net.Conn) net.Conn { return h.meter.Conn(c) }
 
@@ -206,7 +215,7 @@
 	if n.leaving.Load() {
 		return []string{peer.AllServices}
 	}
-	return n.reachability.Services()
+	return lo.Reject(n.reachability.Services(), func(service string, _ int) bool { return n.mayOpenTunnels(service) })
 }
 
 // openTunnels returns the number of tunnels that this node holds for others.
