--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -173,6 +173,7 @@
 		j.notices = v.Notices
 		for _, n := range v.Notices {
 			t.Notice(n, now)
+			j.passRest(t, n)
 		}
 	}
 	if !v.Moved && j.stalls.usable(started) { // not from another endpoint, nor from before a suspension or a stall
--- a/fleet/relay/forward/tunnel.go
+++ b/fleet/relay/forward/tunnel.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/dial"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/tunnel"
@@ -23,6 +25,8 @@
 	// Dial connects to an endpoint through a node, whose name it returns. Its errors are those of
 	// tunnel.Dialer.
 	Dial(ctx context.Context, e engine.Engine) (c net.Conn, via string, err error)
+	// Rest tells a node that an endpoint asked for rest over a tunnel through it.
+	Rest(node string, e engine.Engine, r call.Rest)
 }
 
 // WithTunnels makes the transport connect through other nodes where that is needed. It must be
@@ -84,6 +88,14 @@
 	return resp.Body.Close()
 }
 
+// passRest tells the node between of a rest that the endpoint asked for: the endpoint sees that node's
+// calls as those of one that it has asked.
+func (j *job) passRest(t *choice.Placement, n call.Notice) {
+	if r, ok := n.(call.Rest); ok && j.via != "" && j.Transport.tunnels != nil {
+		j.Transport.tunnels.Rest(j.via, t.Engine, r)
+	}
+}
+
 // DropIdleTunnels closes the idle tunnels that are no longer of use, and returns how many.
 func (t *Transport) DropIdleTunnels() int {
 	return t.pool.dropIdleWhere(func(c *pooledConn) bool { return c.isSurplus() })
--- a/fleet/relay/forward/tunnel_test.go
+++ b/fleet/relay/forward/tunnel_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/tunnel"
 )
@@ -21,10 +22,12 @@
 	needed  atomic.Bool
 	dialed  atomic.Int32
 	failure func(e engine.Engine) error
+	rests   atomic.Int32 // passed on
 }
 
-func (f *fakeTunnels) Needed(string) bool        { return f.needed.Load() }
-func (f *fakeTunnels) Keeps(string, string) bool { return f.needed.Load() }
+func (f *fakeTunnels) Needed(string) bool                    { return f.needed.Load() }
+func (f *fakeTunnels) Keeps(string, string) bool             { return f.needed.Load() }
+func (f *fakeTunnels) Rest(string, engine.Engine, call.Rest) { f.rests.Add(1) }
 func (f *fakeTunnels) Dial(ctx context.Context, e engine.Engine) (net.Conn, string, error) {
 	f.dialed.Add(1)
 	if f.failure != nil {
@@ -59,6 +62,22 @@
 	assert.Len(t, f.received(), 4, "each call ran once")
 }
 
+// Guards against calls of the node between to an endpoint that asked it for rest.
+func TestARestIsPassedOnToTheNodeBetween(t *testing.T) {
+	tunnels := &fakeTunnels{}
+	resting := func(_ *fleet, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Call", r.Header.Get("Call"))
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Rest", "3s")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	f := newFleet(t, 1000, resting)
+	tunnels.needed.Store(true)
+	f.connections.WithTunnels(tunnels)
+	assert.Equal(t, http.StatusServiceUnavailable, f.do(t, f.request(t, "POST", "/once/x", "b")).status)
+	assert.Equal(t, int32(1), tunnels.rests.Load())
+}
+
 // Guards against a call that is lost, or that runs twice, where a tunnel is not opened.
 func TestACallGoesElsewhereWhereNoTunnelOpens(t *testing.T) {
 	cases := []struct {
--- a/fleet/relay/notice/reports.go
+++ b/fleet/relay/notice/reports.go
@@ -112,6 +112,19 @@
 	}
 }
 
+// ReceiveOwn records rests that endpoints asked of this node over connections that it carries for
+// another one.
+func (t *Tracker) ReceiveOwn(reports []Report, now time.Time) {
+	for _, w := range reports[:min(len(reports), maxReports)] {
+		t.mu.Lock()
+		e, listed := t.listed[w.incarnation()]
+		t.mu.Unlock()
+		if listed && w.valid() && w.RestMs > 0 {
+			t.Observe(e, call.Rest{For: time.Duration(w.RestMs) * time.Millisecond}, now)
+		}
+	}
+}
+
 // valid reports whether the report is plausible. Other nodes' reports are not trusted.
 func (r Report) valid() bool {
 	leaving := r.LeavingMs == nil || *r.LeavingMs >= 0 && *r.LeavingMs < ReportLifetime.Milliseconds()
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -282,6 +282,8 @@
 		g.receiveQuarantine(m)
 	case len(m.Limits) > 0 && m.Number == 0:
 		g.receiveLimits(m)
+	case len(m.Rests) > 0 && m.Number == 0:
+		g.receiveRests(m)
 	case len(m.Notices) > 0 && m.Number == 0:
 		g.receiveNotices(m)
 	case m.Ledger > 0:
--- a/fleet/relay/peer/limits_test.go
+++ b/fleet/relay/peer/limits_test.go
@@ -27,7 +27,7 @@
 }
 
 func (p limitPort) WriteTo(data []byte, to net.Addr) (int, error) {
-	if !bytes.Contains(data, []byte(`"limits"`)) && !bytes.Contains(data, []byte(`"notices"`)) {
+	if !bytes.Contains(data, []byte(`"limits"`)) && !bytes.Contains(data, []byte(`"notices"`)) && !bytes.Contains(data, []byte(`"rests"`)) {
 		return len(data), nil // not under test
 	}
 	m := decoded(data)
--- a/fleet/relay/peer/message.go
+++ b/fleet/relay/peer/message.go
@@ -37,6 +37,7 @@
 	Notices       []notice.Report                 `json:"notices,omitempty"`    // signals of endpoints in their answers
 	NoTunnels     []string                        `json:"noTunnels,omitempty"`  // services to which the node opens no tunnels now; allServices stands for all
 	Fragile       []fragile.Report                `json:"fragile,omitempty"`    // services whose endpoints crash when they reject too many calls
+	Rests         []notice.Report                 `json:"rests,omitempty"`      // rests that endpoints asked of the receiver, over tunnels through it
 	Ledger        int64                           `json:"ledger,omitempty"`     // revision number of a ledger that the node wrote
 	Era           int64                           `json:"era,omitempty"`        // newest era that the node knows of; with Ledger, the era of its revision
 }
--- a/fleet/relay/peer/notices.go
+++ b/fleet/relay/peer/notices.go
@@ -1,7 +1,10 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 )
 
@@ -37,6 +40,27 @@
 	return g.notices.Reports(g.passesOn(), clock.Now())
 }
 
+// restCopies is how often a rest is sent to its node: a datagram may be lost.
+const restCopies = 2
+
+// SendRest tells a node that an endpoint asked for rest over a tunnel through it.
+func (g *Gossip) SendRest(node string, e engine.Engine, length time.Duration) {
+	m, listed := find(g.registry.Members(), node)
+	if !listed {
+		return
+	}
+	rests := []notice.Report{{Endpoint: e.ID, Born: e.Born, RestMs: length.Milliseconds()}}
+	for range restCopies {
+		g.send(g.withSender(message{Rests: rests}), m.Address)
+	}
+}
+
+func (g *Gossip) receiveRests(m message) {
+	if g.notices != nil {
+		g.notices.ReceiveOwn(m.Rests, clock.Now())
+	}
+}
+
 // receiveNotices processes a peer's reports on signals.
 func (g *Gossip) receiveNotices(m message) {
 	if g.notices != nil && len(m.Notices) > 0 {
--- a/fleet/relay/peer/notices_test.go
+++ b/fleet/relay/peer/notices_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -38,3 +39,22 @@
 		})
 	}
 }
+
+// Guards against calls of a node to an endpoint that asked it for rest, over a tunnel that it carries
+// for another one.
+func TestARestOverATunnelBindsTheNodeBetween(t *testing.T) {
+	e := engine.Engine{ID: "i-0123456789", Born: 1_764_722_185_123, Service: "s"}
+	synctest.Test(t, func(t *testing.T) {
+		gossips, _, _ := limitFleet(4, []engine.Engine{e})
+		between := gossips[1].registry.self.Name
+		gossips[0].SendRest(between, e, 3*time.Second)
+		gossips[0].SendRest("unknown", e, 3*time.Second)
+		for i, g := range gossips {
+			until, _, resting := g.notices.Resting(e.Incarnation(), clock.Now())
+			assert.Equal(t, i == 1, resting, "node %d", i)
+			if resting {
+				assert.Equal(t, 3*time.Second, until.Sub(clock.Now()))
+			}
+		}
+	})
+}
--- a/fleet/relay/tunnels.go
+++ b/fleet/relay/tunnels.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
@@ -66,6 +67,9 @@
 	return c, via, err
 }
 
+// Rest implements forward.Tunnels.
+func (t *tunnels) Rest(node string, e engine.Engine, r call.Rest) { t.gossip.SendRest(node, e, r.For) }
+
 // needsVerification reports whether an endpoint was not reached through another node yet.
 func (t *tunnels) needsVerification(e engine.Engine) bool {
 	t.mu.Lock()
