--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -87,8 +87,7 @@
 // Transport sends calls to endpoints and keeps track of its connections.
 type Transport struct {
 	*http.Transport
-	pool    *pool
-	tunnels Tunnels // nil: none
+	pool *pool
 }
 
 // NewTransport returns a transport that neither compresses nor, thanks to onceBody, resends calls.
--- a/fleet/relay/forward/pool.go
+++ b/fleet/relay/forward/pool.go
@@ -28,7 +28,7 @@
 	address     string
 	opened      time.Time
 	via         string                  // the node that a tunnel leads through; "": direct
-	endpoint    engine.Engine           // of a tunnel
+	service     string                  // of the endpoint of a tunnel
 	user        atomic.Pointer[connUse] // nil: idle; changed under the pool's lock
 	dropped     bool                    // closed while idle; guarded by the pool's lock
 	metered     *link.Conn              // nil: not metered
@@ -59,7 +59,7 @@
 
 // addTunnel adds a new connection to an endpoint through another node.
 func (p *pool) addTunnel(c net.Conn, e engine.Engine, via string) net.Conn {
-	return p.track(&pooledConn{Conn: c, address: e.Address, endpoint: e, via: via})
+	return p.track(&pooledConn{Conn: c, address: e.Address, service: e.Service, via: via})
 }
 
 func (p *pool) track(one *pooledConn) net.Conn {
--- a/fleet/relay/forward/tunnel.go
+++ b/fleet/relay/forward/tunnel.go
@@ -32,7 +32,7 @@
 // WithTunnels makes the transport connect through other nodes where that is needed. It must be
 // called before WithMeter.
 func (t *Transport) WithTunnels(d Tunnels) *Transport {
-	t.tunnels, t.pool.tunnels = d, d
+	t.pool.tunnels = d
 	return t
 }
 
@@ -47,10 +47,10 @@
 // direct one is to be tried: none is needed, or no other node opens any.
 func (t *Transport) dialTunnel(ctx context.Context) (net.Conn, error) {
 	e, ok := ctx.Value(endpointKey{}).(engine.Engine)
-	if !ok || t.tunnels == nil || !t.tunnels.Needed(e.Service) {
+	if !ok || t.pool.tunnels == nil || !t.pool.tunnels.Needed(e.Service) {
 		return nil, nil
 	}
-	c, via, err := t.tunnels.Dial(ctx, e)
+	c, via, err := t.pool.tunnels.Dial(ctx, e)
 	switch {
 	case err == nil:
 		return t.pool.addTunnel(c, e, via), nil
@@ -91,8 +91,8 @@
 // passRest tells the node between of a rest that the endpoint asked for: the endpoint sees that node's
 // calls as those of one that it has asked.
 func (j *job) passRest(t *choice.Placement, n call.Notice) {
-	if r, ok := n.(call.Rest); ok && j.via != "" && j.Transport.tunnels != nil {
-		j.Transport.tunnels.Rest(j.via, t.Engine, r)
+	if r, ok := n.(call.Rest); ok && j.via != "" && j.Transport.pool.tunnels != nil {
+		j.Transport.pool.tunnels.Rest(j.via, t.Engine, r)
 	}
 }
 
@@ -104,7 +104,7 @@
 // isSurplus reports whether the connection is a tunnel that is no longer of use. The pool's lock is
 // held.
 func (c *pooledConn) isSurplus() bool {
-	return c.via != "" && c.pool.tunnels != nil && !c.pool.tunnels.Keeps(c.endpoint.Service, c.via)
+	return c.via != "" && c.pool.tunnels != nil && !c.pool.tunnels.Keeps(c.service, c.via)
 }
 
 // DropIdleDirect closes the idle direct connections to some endpoints, and returns how many.
--- a/fleet/relay/tunnel/dialer.go
+++ b/fleet/relay/tunnel/dialer.go
@@ -30,8 +30,9 @@
 
 // Dialer opens tunnels. It is safe for concurrent use.
 type Dialer struct {
-	self  Identity
-	nodes func(e engine.Engine) []Node
+	self   Identity
+	nodes  func(e engine.Engine) []Node
+	dialer *net.Dialer
 
 	mu      sync.Mutex
 	avoided map[string]time.Time // until when, by node
@@ -40,7 +41,7 @@
 // NewDialer returns a dialer. Nodes lists those that may reach an endpoint, in the order in which
 // they are to be asked.
 func NewDialer(self Identity, nodes func(e engine.Engine) []Node) *Dialer {
-	return &Dialer{self: self, nodes: nodes, avoided: map[string]time.Time{}}
+	return &Dialer{self: self, nodes: nodes, dialer: dial.New(dial.Timeout), avoided: map[string]time.Time{}}
 }
 
 // Dial connects to an endpoint through another node, whose name it returns. It fails with
@@ -92,7 +93,7 @@
 func (d *Dialer) open(ctx context.Context, n Node, e engine.Engine) (net.Conn, error) {
 	plain, end := withoutTrace(ctx)
 	defer end()
-	c, err := dial.New(dial.Timeout).DialContext(plain, "tcp4", n.Address)
+	c, err := d.dialer.DialContext(plain, "tcp4", n.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/relay/tunnel/tunnel.go
+++ b/fleet/relay/tunnel/tunnel.go
@@ -33,10 +33,6 @@
 	ErrNoNode = errors.New("no other node opened a tunnel")
 )
 
-// IsUnreachable reports whether an error of Dialer.Dial means that the endpoint was not reached from
-// another node.
-func IsUnreachable(err error) bool { return errors.Is(err, ErrUnreachable) }
-
 // openTimeout bounds the wait for an open tunnel after the other node was connected: it may use all
 // of its own timeout to reach the endpoint.
 const openTimeout = 500 * time.Millisecond
--- a/fleet/relay/tunnels.go
+++ b/fleet/relay/tunnels.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
@@ -134,7 +135,7 @@
 		_ = c.Close()
 		return
 	}
-	if tunnel.IsUnreachable(err) {
+	if errors.Is(err, tunnel.ErrUnreachable) {
 		t.reachability.FailedElsewhere(e, clock.Now())
 	}
 }
