Versions of endpoints, and the stream that a call resumes, in the lines of calls

Whether a stream had gone on at another software version, and whether in its own answer or by a new call of its caller, could not be told from the lines: none named the version of an endpoint or the call that is resumed. No decision uses either yet.

--- a/fleet/relay/call/call.go
+++ b/fleet/relay/call/call.go
@@ -22,6 +22,7 @@
 	OutputMax   int64         // maximum generated tokens
 	Parts       []Part        // in the prompt's order
 	LastEventID string        // last event that a caller received of a stream that it resumes
+	Resumes     string        // id of the call that brought the first event of that stream; "": not stated
 }
 
 // Shared returns the parts that other calls may share: all but the last, which belongs to the call or
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -311,6 +311,7 @@
 	if j.policy != nil {
 		fields["policy"] = j.policy.Version
 	}
+	j.describeResumed(fields)
 	j.describePlacement(fields)
 	j.describeLimit(fields)
 	j.describeNotices(fields)
@@ -351,9 +352,27 @@
 	}
 }
 
+// describeResumed adds to the log fields which stream the caller resumes, and after which event.
+func (j *job) describeResumed(fields log.Fields) {
+	if j.call.LastEventID != "" {
+		fields["lastEvent"] = j.call.LastEventID
+	}
+	if j.call.Resumes != "" {
+		fields["resumes"] = j.call.Resumes
+	}
+}
+
+// describeVersion adds the software version of an endpoint to the log fields.
+func describeVersion(fields log.Fields, t *choice.Placement) {
+	if t != nil && t.Engine.Version != "" {
+		fields["version"] = t.Engine.Version
+	}
+}
+
 // describePlacement adds to the log fields why the last endpoint was chosen, and its measured times.
 func (j *job) describePlacement(fields log.Fields) {
 	t := j.placed
+	describeVersion(fields, t)
 	if t == nil || !t.Tokens() {
 		return
 	}
--- a/fleet/relay/forward/quarantine.go
+++ b/fleet/relay/forward/quarantine.go
@@ -103,8 +103,10 @@
 // logBroken logs a broken stream. The lines of one endpoint show which calls were interrupted
 // together, and those of one fingerprint whether the same request was interrupted before.
 func (j *job) logBroken(t *choice.Placement, events int64, err error) {
-	j.Log.WithFields(log.Fields{
+	fields := log.Fields{
 		"request": j.call.ID, "print": j.print().String(), "endpoint": t.Engine.ID, "address": t.Engine.Address, "attempt": j.attempts,
 		"events": events, "left": j.r.Context().Err() != nil, "error": err.Error(),
-	}).Info("stream broke off")
+	}
+	describeVersion(fields, t)
+	j.Log.WithFields(fields).Info("stream broke off")
 }
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -73,6 +73,7 @@
 // logAttempt logs an attempt without an answer, and whether the call is sent again.
 func (j *job) logAttempt(t *choice.Placement, out outcome, retry bool) {
 	fields := log.Fields{"request": j.call.ID, "endpoint": t.Engine.ID, "address": t.Engine.Address, "attempt": j.attempts, "again": retry, "expectedMs": int64(t.FirstMs)}
+	describeVersion(fields, t)
 	switch o := out.(type) {
 	case neverSent:
 		j.describePath(fields)
