Streams are resumed only at the software version that began them

Cause: a broken stream was resumed at any endpoint of its service but the broken one, and a caller's call that resumes a stream was placed as a new one. No node kept the version.

Now a node records the version with the first event of each stream that may be resumed. While a service has, or lately had, several versions, records go to a few nodes chosen by the stream, one of each zone (20 ms of records a datagram); a node that does not know a stream asks these. Known: only endpoints of that version may get the call, whatever an open order says but that its target was found bad. Unknown, and any node asked has seen several versions: refused as not run. Unknown with one version: as before. A split and the side of an open order follow the call that began the stream, too.

--- a/fleet/relay/call/call.go
+++ b/fleet/relay/call/call.go
@@ -34,6 +34,14 @@
 	return c.Parts[:len(c.Parts)-1]
 }
 
+// StreamID returns the id of the call that began the stream: the one that the caller resumes, or this one.
+func (c Call) StreamID() string {
+	if c.LastEventID != "" && c.Resumes != "" {
+		return c.Resumes
+	}
+	return c.ID
+}
+
 // Cost returns the maximum number of tokens that the call can be charged.
 func (c Call) Cost() int64 { return c.PromptMax + c.OutputMax }
 
--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -233,6 +233,9 @@
 	if t.notices != nil {
 		t.notices.Engines(d.All(), clock.Now())
 	}
+	if t.origins != nil {
+		t.origins.tracker.Engines(d.All(), clock.Now())
+	}
 	if t.quarantine != nil {
 		t.quarantine.Engines(d.All(), clock.Now())
 	}
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -17,6 +17,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/origin"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
@@ -63,9 +64,11 @@
 	used              int64 // tokens of the reservation that the caller received
 	attempts          int   // number of endpoints that the call was sent to
 	engine            string
-	via               string // node that the last attempt's connection leads through; "": direct
-	note              string // what decided the outcome, for the log
-	notResumed        string // why a broken stream was not resumed, for the log
+	via               string        // node that the last attempt's connection leads through; "": direct
+	note              string        // what decided the outcome, for the log
+	notResumed        string        // why a broken stream was not resumed, for the log
+	began             *origin.Known // the version that began the stream that the call resumes; nil: it may run at any
+	originFrom        string        // node that knew the version; "": this one
 	placed            *choice.Placement
 	reported          reported               // what was reported of the last attempt
 	limit             call.Limit             // in the last answer
@@ -150,6 +153,10 @@
 	if j.refusedOnArrival() {
 		return refuseQuarantined, false
 	}
+	j.service, _ = j.policy.Service(j.route.Pick(xxhash.Sum64String(j.call.StreamID())))
+	if refused, ok := j.findOrigin(); !ok {
+		return refused, false
+	}
 	return j.reserve()
 }
 
@@ -244,7 +251,6 @@
 
 // reserve reserves the maximum cost of the call from the customer's allowance.
 func (j *job) reserve() (refusal, bool) {
-	j.service, _ = j.policy.Service(j.route.Pick(xxhash.Sum64String(j.call.ID)))
 	if !j.tenant.HasPrepaid || j.call.Cost() == 0 {
 		return refusal{}, true
 	}
@@ -360,6 +366,12 @@
 	if j.call.Resumes != "" {
 		fields["resumes"] = j.call.Resumes
 	}
+	if j.began != nil {
+		fields["began"] = j.began.Version
+	}
+	if j.originFrom != "" {
+		fields["beganFrom"] = j.originFrom
+	}
 }
 
 // describeVersion adds the software version of an endpoint to the log fields.
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -34,7 +34,7 @@
 type plainWire struct{}
 
 func (plainWire) Parse(r *http.Request) (call.Call, error) {
-	c := call.Call{ID: r.Header.Get("Call"), Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last")}
+	c := call.Call{ID: r.Header.Get("Call"), Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last"), Resumes: r.Header.Get("Resumes")}
 	deadline, _ := strconv.Atoi(r.Header.Get("Deadline"))
 	c.Deadline = time.Duration(deadline) * time.Millisecond
 	c.PromptMax, _ = strconv.ParseInt(r.Header.Get("Prompt"), 10, 64)
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -40,6 +40,7 @@
 	Retries       *retry.Budget
 	RetrySchedule *limit.RetrySchedule // schedules the return of callers refused by limits
 	Quarantine    *quarantine.Tracker  // nil: no request is quarantined
+	Origins       Origins              // nil: streams are resumed at any version
 	Gate          Gate
 	Intake        Intake
 	Memory        *memory.Budget  // for calls in progress
--- /dev/null
+++ b/fleet/relay/forward/origin.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"context"
+
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/choice"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/origin"
+)
+
+// Origins knows which software version began each stream.
+type Origins interface {
+	// Began records that an endpoint of a version has brought an event of a stream.
+	Began(s origin.Stream, service, version string)
+	// Find returns what is known of a stream, by this node or others, and the node that knew it; ""
+	// is this one.
+	Find(ctx context.Context, s origin.Stream, service string) (f origin.Finding, from string)
+	// Several reports whether a service has several versions, as far as this node knows.
+	Several(service string) bool
+}
+
+// stream identifies the stream that the call begins or resumes.
+func (j *job) stream() origin.Stream {
+	return origin.StreamOf(j.tenant.Name, j.service.Name, j.call.StreamID())
+}
+
+// findOrigin binds a call that resumes a stream to the version that began it. If that can't be
+// known it returns the refusal: a guess could join the output of two versions.
+func (j *job) findOrigin() (refusal, bool) {
+	if j.Origins == nil || j.call.LastEventID == "" || !j.route.Resumable {
+		return refusal{}, true
+	}
+	if j.call.Resumes == "" {
+		j.note = "the call names no stream that it resumes"
+		return refuseNoOrigin, !j.Origins.Several(j.service.Name)
+	}
+	f, from := j.Origins.Find(j.r.Context(), j.stream(), j.service.Name)
+	switch f := f.(type) {
+	case origin.Known:
+		j.began, j.originFrom = &f, from
+		if j.versionGone() {
+			return refuseVersionGone, false
+		}
+	case origin.Several:
+		return refuseNoOrigin, false
+	case origin.Unanswered:
+		return refuseUnanswered, false
+	case origin.Sole:
+	}
+	return refusal{}, true
+}
+
+// recordOrigin records the version that brings events of the call's stream, before the first of them
+// is passed on.
+func (j *job) recordOrigin(t *choice.Placement) {
+	if j.Origins != nil && j.route.Resumable {
+		j.Origins.Began(j.stream(), j.service.Name, t.Engine.Version)
+	}
+}
+
+// candidates returns the endpoints at which the call may run, by their regions and versions.
+func (j *job) candidates(engines *engine.Directory) []engine.Engine {
+	of := engines.Of(j.service.Name)
+	if j.began != nil {
+		of = ofVersion(of, j.began.Version)
+	}
+	return j.inAllowedRegions(of)
+}
+
+// versionGone reports whether the call resumes a stream that a version began of which no endpoint may
+// get calls.
+func (j *job) versionGone() bool {
+	engines := j.Engines.Load()
+	if j.began == nil || engines == nil {
+		return false
+	}
+	if t := j.trial(); t != nil {
+		return len(t.ofVersion(j.began.Version)) == 0
+	}
+	return len(ofVersion(engines.Of(j.service.Name), j.began.Version)) == 0
+}
+
+func ofVersion(engines []engine.Engine, version string) []engine.Engine {
+	return lo.Filter(engines, func(e engine.Engine, _ int) bool { return e.Version == version })
+}
--- /dev/null
+++ b/fleet/relay/forward/origin_test.go
@@ -0,0 +1,160 @@
+package forward_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/forward"
+	"github.com/lynxshed/lynxshed/fleet/relay/origin"
+	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
+)
+
+// knownOrigins knows the origins of some streams, and records those that began.
+type knownOrigins struct {
+	known   map[origin.Stream]origin.Finding
+	several bool
+	began   map[origin.Stream]string
+	asked   int
+}
+
+func (k *knownOrigins) Began(s origin.Stream, _, version string) { k.began[s] = version }
+
+func (k *knownOrigins) Find(_ context.Context, s origin.Stream, _ string) (origin.Finding, string) {
+	k.asked++
+	if f, ok := k.known[s]; ok {
+		return f, "n2"
+	}
+	return lo.Ternary[origin.Finding](k.several, origin.Several{}, origin.Sole{}), ""
+}
+
+func (k *knownOrigins) Several(string) bool { return k.several }
+
+// withVersions sets the versions of the endpoints, in order.
+func (f *fleet) withVersions(k *knownOrigins, versions ...string) {
+	k.began = map[origin.Stream]string{}
+	for i := range f.engines {
+		f.engines[i].Version = versions[i]
+	}
+	f.directory.Store(engine.NewDirectory(1, f.engines))
+	f.handler.Origins = k
+}
+
+func streamOf(call string) origin.Stream { return origin.StreamOf("t", "s", call) }
+
+// Guards against a stream that goes on at another version within its answer.
+func TestABrokenStreamGoesOnAtItsVersionOnly(t *testing.T) {
+	tests := []struct {
+		name     string
+		versions []string
+		goesOn   bool
+	}{
+		{"another endpoint of its version", []string{"1", "1"}, true},
+		{"endpoints of another version only", []string{"1", "2"}, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			for range 10 { // until the endpoint that breaks off is chosen first
+				f := newFleet(t, 1000, events(0, 3, false), events(3, 6, true))
+				k := &knownOrigins{several: true}
+				f.withVersions(k, c.versions...)
+				got := f.do(t, f.request(t, "POST", "/resume/", ""))
+				if f.received()[0].engine != "e0" {
+					continue
+				}
+				assert.Equal(t, "1", k.began[streamOf("c1")])
+				if c.goesOn {
+					assert.NoError(t, got.err)
+					assert.Contains(t, got.body, "id: 5\n")
+					return
+				}
+				assert.Error(t, got.err, "a partial stream never looks complete")
+				assert.Len(t, f.received(), 1)
+				return
+			}
+			assert.Fail(t, "no stream broke off")
+		})
+	}
+}
+
+// Guards against calls that resume a stream at a version that did not begin it, or that are refused although it is plain where they may run.
+func TestAResumedStreamRunsAtTheVersionThatBeganIt(t *testing.T) {
+	known := map[origin.Stream]origin.Finding{streamOf("first"): origin.Known{Version: "2"}, streamOf("old"): origin.Known{Version: "0"}, streamOf("lost"): origin.Unanswered{}}
+	tests := []struct {
+		name    string
+		several bool
+		header  []string
+		status  int
+		engines []string // that may get it; none: it is refused
+		asked   int
+	}{
+		{"a new stream", true, nil, 200, []string{"e0", "e1", "e2"}, 0},
+		{"its version is known", true, []string{"Last", "2", "Resumes", "first"}, 200, []string{"e1", "e2"}, 1},
+		{"its version is gone", true, []string{"Last", "2", "Resumes", "old"}, 503, nil, 1},
+		{"nobody knows it, several versions", true, []string{"Last", "2", "Resumes", "other"}, 503, nil, 1},
+		{"nobody knows it, one version", false, []string{"Last", "2", "Resumes", "other"}, 200, []string{"e0", "e1", "e2"}, 1},
+		{"nobody answers", true, []string{"Last", "2", "Resumes", "lost"}, 503, nil, 1},
+		{"no stream is named, several versions", true, []string{"Last", "2"}, 503, nil, 0},
+		{"no stream is named, one version", false, []string{"Last", "2"}, 200, []string{"e0", "e1", "e2"}, 0},
+		{"no event is named: it starts over", true, []string{"Resumes", "first"}, 200, []string{"e0", "e1", "e2"}, 0},
+		{"it names itself", true, []string{"Last", "2", "Resumes", "c1"}, 503, nil, 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 1000, events(3, 6, true), events(3, 6, true), events(3, 6, true))
+			k := &knownOrigins{known: known, several: c.several}
+			f.withVersions(k, "1", "2", "2")
+			got := f.do(t, f.request(t, "POST", "/resume/", "", c.header...))
+			assert.Equal(t, c.status, got.status, got.body)
+			assert.Equal(t, c.asked, k.asked)
+			ran := lo.Map(f.received(), func(r run, _ int) string { return r.engine })
+			assert.Len(t, ran, min(len(c.engines), 1))
+			assert.Subset(t, c.engines, ran)
+		})
+	}
+}
+
+// Guards against a chain of attempts whose later ones are recorded under another name than the caller uses.
+func TestAResumedStreamKeepsTheNameOfItsFirstCall(t *testing.T) {
+	f := newFleet(t, 1000, events(3, 6, true))
+	k := &knownOrigins{known: map[origin.Stream]origin.Finding{streamOf("first"): origin.Known{Version: "2"}}, several: true}
+	f.withVersions(k, "2")
+	got := f.do(t, f.request(t, "POST", "/resume/", "", "Last", "2", "Resumes", "first"))
+	assert.Equal(t, 200, got.status)
+	assert.Equal(t, map[origin.Stream]string{streamOf("first"): "2"}, k.began)
+}
+
+// Guards against streams that change their version because an order moves their service.
+func TestAResumedStreamStaysAtItsVersionWhileItsServiceMoves(t *testing.T) {
+	tests := []struct {
+		name   string
+		began  string
+		stage  rollout.Stage
+		bad    bool
+		status int
+		engine string
+	}{
+		{"begun at the old version, sampling", "1", rollout.Sampling, false, 200, "e0"},
+		{"begun at the old version, moving", "1", rollout.Moving, false, 200, "e0"},
+		{"begun at the target, sampling", "2", rollout.Sampling, false, 200, "e1"},
+		{"begun at the target, moving", "2", rollout.Moving, false, 200, "e1"},
+		{"begun at a target that was found bad", "2", rollout.Moving, true, 503, ""},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 1000, events(3, 6, true), events(3, 6, true))
+			k := &knownOrigins{known: map[origin.Stream]origin.Finding{streamOf("first"): origin.Known{Version: c.began}}, several: true}
+			f.withVersions(k, "1", "2")
+			r := rollout.Rollout{Order: rollout.Order{Service: "s", Target: "2"}, Status: rollout.Status{State: rollout.InProgress, Target: "2", Stage: c.stage}}
+			lists := rollout.Lists{Rollout: r, HasOrder: true, Old: f.engines[:1], Target: f.engines[1:], All: f.engines}
+			f.trials.Store(&forward.Trials{"s": forward.NewTrial(lists, c.bad)})
+			got := f.do(t, f.request(t, "POST", "/resume/", "", "Last", "2", "Resumes", "first"))
+			assert.Equal(t, c.status, got.status, got.body)
+			ran := lo.Map(f.received(), func(r run, _ int) string { return r.engine })
+			assert.Equal(t, lo.Ternary(c.engine == "", []string{}, []string{c.engine}), ran)
+		})
+	}
+}
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -59,9 +59,12 @@
 	refuseNoEngine     = refusal{http.StatusServiceUnavailable, "no-endpoint", 300 * time.Millisecond}
 	refuseNoRegion     = refusal{http.StatusServiceUnavailable, "no-allowed-region", 5 * time.Second} // lasts until the policy changes
 	refuseFull         = refusal{http.StatusServiceUnavailable, "endpoints-full", 200 * time.Millisecond}
-	refuseLimited      = refusal{http.StatusServiceUnavailable, "endpoints-limited", 0}                        // after depends on the limits and on the callers that wait
-	refuseTurnedAway   = refusal{http.StatusServiceUnavailable, "endpoint-turned-away", 50 * time.Millisecond} // other endpoints of the service may take the retry
-	refuseResting      = refusal{http.StatusServiceUnavailable, "endpoints-resting", 0}                        // after depends on what the endpoints asked for
+	refuseLimited      = refusal{http.StatusServiceUnavailable, "endpoints-limited", 0}                            // after depends on the limits and on the callers that wait
+	refuseTurnedAway   = refusal{http.StatusServiceUnavailable, "endpoint-turned-away", 50 * time.Millisecond}     // other endpoints of the service may take the retry
+	refuseResting      = refusal{http.StatusServiceUnavailable, "endpoints-resting", 0}                            // after depends on what the endpoints asked for
+	refuseVersionGone  = refusal{http.StatusServiceUnavailable, "stream-version-gone", 0}                          // no endpoint of the version that began the stream is left
+	refuseNoOrigin     = refusal{http.StatusServiceUnavailable, "stream-origin-unknown", 0}                        // no node knows which of several versions began the stream
+	refuseUnanswered   = refusal{http.StatusServiceUnavailable, "stream-origin-unanswered", 50 * time.Millisecond} // no other node answered this one; they may know
 	refuseUnknown      = refusal{http.StatusBadGateway, "endpoint-failed", 0}
 	refuseLeft         = refusal{http.StatusBadGateway, "caller-left", 0} // the caller is gone: nobody reads it
 	refuseTimedOut     = refusal{http.StatusGatewayTimeout, "timed-out", 0}
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -97,11 +97,16 @@
 	j.refreshRegions()
 	r := j.choiceRequest(tried, clock.Now())
 	j.reported = reported{}
-	if t := j.trial(); t != nil {
-		return j.pickByVersion(t, r)
+	t := j.trial()
+	if t == nil {
+		r.Engines = j.candidates(engines)
+		return j.Picker.Pick(r)
 	}
-	r.Engines = j.inAllowedRegions(engines.Of(j.service.Name))
-	return j.Picker.Pick(r)
+	if j.began != nil {
+		r.Trial = j.began.Version == t.lists.Rollout.Target
+		return j.pickAmong(t, t.ofVersion(j.began.Version), r)
+	}
+	return j.pickByVersion(t, r)
 }
 
 // choiceRequest returns the input for the choice of an endpoint, without the candidates.
@@ -138,6 +143,8 @@
 	switch {
 	case j.noAllowedRegion():
 		return refuseNoRegion
+	case j.versionGone():
+		return refuseVersionGone
 	}
 	j.noteExcluded(tried)
 	if f, limited := j.allLimited(); limited {
@@ -159,7 +166,7 @@
 		return
 	}
 	r := j.choiceRequest(tried, clock.Now())
-	r.Engines = j.inAllowedRegions(engines.Of(j.service.Name))
+	r.Engines = j.candidates(engines)
 	why := "endpoints: " + j.Picker.LeftOut(r).String()
 	if j.note != "" {
 		why = j.note + "; " + why // keep the result of the last attempt
@@ -174,7 +181,7 @@
 	if engines == nil {
 		return refusal{}, false
 	}
-	perSecond, all := j.Picker.Limits(j.inAllowedRegions(engines.Of(j.service.Name)))
+	perSecond, all := j.Picker.Limits(j.candidates(engines))
 	if !all {
 		return refusal{}, false
 	}
@@ -191,7 +198,7 @@
 	if engines == nil {
 		return refusal{}, false
 	}
-	wait, all := j.Picker.Resting(j.inAllowedRegions(engines.Of(j.service.Name)), clock.Now())
+	wait, all := j.Picker.Resting(j.candidates(engines), clock.Now())
 	f := refuseResting
 	f.after = wait
 	return f, all
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -6,9 +6,12 @@
 	"io"
 	"net/http"
 
+	"github.com/samber/lo"
+
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/origin"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
@@ -68,13 +71,16 @@
 		return j.abandonResume(why)
 	}
 	tried := map[engine.Incarnation]bool{broken.Engine.Incarnation(): true}
+	if s.lastID != "" && j.Origins != nil {
+		j.began = &origin.Known{Version: broken.Engine.Version} // the caller has events of that version
+	}
 	for range maxUnreached {
 		if j.quarantined() {
 			return j.abandonResume("the request is quarantined")
 		}
 		t, ok := j.pick(tried)
 		if !ok {
-			return j.abandonResume("no other endpoint is usable")
+			return j.abandonResume(lo.Ternary(j.versionGone(), "no endpoint of its version is left", "no other endpoint is usable"))
 		}
 		j.engine, j.placed = t.Engine.ID, t
 		switch o := j.send(ctx, t, s.lastID).(type) {
@@ -179,6 +185,9 @@
 		s.Metrics.FirstEvent(s.route.Name, clock.Since(s.start))
 	}
 	before, first := s.events, s.pace.last.IsZero()
+	if first {
+		s.recordOrigin(s.pace.placement)
+	}
 	s.count(complete)
 	s.pace.observe(int(s.events-before), clock.Now())
 	if first && s.pace.first > 0 {
--- a/fleet/relay/forward/trial.go
+++ b/fleet/relay/forward/trial.go
@@ -40,6 +40,14 @@
 	return &Trial{plan: plan, lists: l, sampled: begun && stage == rollout.Sampling, moving: begun && stage == rollout.Moving && !bad}
 }
 
+// ofVersion returns the endpoints of a version that may get calls, for a stream that began there.
+func (t *Trial) ofVersion(version string) []engine.Engine {
+	if version == t.lists.Rollout.Target && !t.plan.AllowsTarget() {
+		return nil
+	}
+	return ofVersion(t.lists.All, version)
+}
+
 // Lists returns the endpoints by version.
 func (t *Trial) Lists() rollout.Lists { return t.lists }
 
@@ -79,7 +87,7 @@
 // pickByVersion chooses among the endpoints of the version that the plan selects.
 func (j *job) pickByVersion(t *Trial, r choice.Request) (*choice.Placement, bool) {
 	c := rollout.Call{
-		Hash: xxhash.Sum64String(j.call.ID), Route: j.route.Name, Once: j.route.Kind == policy.Once,
+		Hash: xxhash.Sum64String(j.call.StreamID()), Route: j.route.Name, Once: j.route.Kind == policy.Once,
 		MaxDuration: j.maxDuration(r), Attempt: len(r.Exclude), Now: r.Now,
 	}
 	j.Samples.RecordExpected(j.service.Name, c.MaxDuration)
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -22,6 +22,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/fragile"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/notice"
+	"github.com/lynxshed/lynxshed/fleet/relay/origin"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 	"github.com/lynxshed/lynxshed/fleet/relay/suspicion"
 )
@@ -60,6 +61,8 @@
 	limits      *limit.Tracker     // nil: no reports on limits that endpoints name
 	notices     *notice.Tracker    // nil: no reports on signals of endpoints in answers
 	fragile     *fragile.Tracker   // nil: no reports on fragile services
+	origins     *origin.Tracker    // nil: no exchange of the versions that began streams
+	lookups     *lookups           // of origins
 	eras        *store.Eras        // known to this node
 	noTunnels   func() []string    // services to which this node opens no tunnels now; nil: none
 
@@ -92,7 +95,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
-	g := &Gossip{registry: r, picker: p, socket: socket, peers: map[string]peerRecord{}, transfers: newTransfers(allowance), ledgers: newLedgers(), address: address, storeLost: storeLost, delegates: newDelegates(r.self), busy: func() bool { return false }, places: distance.From(r.self.Zone, nil, distance.DefaultCosts()), eras: store.NewEras()}
+	g := &Gossip{registry: r, picker: p, socket: socket, peers: map[string]peerRecord{}, transfers: newTransfers(allowance), ledgers: newLedgers(), lookups: newLookups(), address: address, storeLost: storeLost, delegates: newDelegates(r.self), busy: func() bool { return false }, places: distance.From(r.self.Zone, nil, distance.DefaultCosts()), eras: store.NewEras()}
 	g.client = sourceClient(func() bool { return g.busy() })
 	r.OnChange(func([]Member) { g.choose() })
 	return g, nil
@@ -149,6 +152,8 @@
 		case <-g.urgentNotices():
 			writers, _ := g.currentChoice()
 			g.sendNotices(writers)
+		case <-g.urgentOrigins():
+			g.sendOrigins()
 		}
 	}
 }
@@ -286,6 +291,8 @@
 		g.receiveRests(m)
 	case len(m.Notices) > 0 && m.Number == 0:
 		g.receiveNotices(m)
+	case len(m.Origins)+len(m.OriginQueries)+len(m.OriginAnswers) > 0 && m.Number == 0:
+		g.receiveOrigins(m, from)
 	case m.Ledger > 0:
 		at := store.At(g.eraOf(m), m.Ledger)
 		g.ledgers.recordAnnounced(at, from)
--- a/fleet/relay/peer/message.go
+++ b/fleet/relay/peer/message.go
@@ -11,6 +11,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/fragile"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/notice"
+	"github.com/lynxshed/lynxshed/fleet/relay/origin"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 	"github.com/lynxshed/lynxshed/fleet/relay/suspicion"
 )
@@ -38,8 +39,11 @@
 	NoTunnels     []string                        `json:"noTunnels,omitempty"`  // services to which the node opens no tunnels now; allServices stands for all
 	Fragile       []fragile.Report                `json:"fragile,omitempty"`    // services whose endpoints crash when they reject too many calls
 	Rests         []notice.Report                 `json:"rests,omitempty"`      // rests that endpoints asked of the receiver, over tunnels through it
-	Ledger        int64                           `json:"ledger,omitempty"`     // revision number of a ledger that the node wrote
-	Era           int64                           `json:"era,omitempty"`        // newest era that the node knows of; with Ledger, the era of its revision
+	Origins       []origin.Record                 `json:"origins,omitempty"`    // versions that began streams
+	OriginQueries []originQuery                   `json:"originQueries,omitempty"`
+	OriginAnswers []originAnswer                  `json:"originAnswers,omitempty"`
+	Ledger        int64                           `json:"ledger,omitempty"` // revision number of a ledger that the node wrote
+	Era           int64                           `json:"era,omitempty"`    // newest era that the node knows of; with Ledger, the era of its revision
 }
 
 // withSender fills in the sender of a message.
--- /dev/null
+++ b/fleet/relay/peer/origins_test.go
@@ -0,0 +1,182 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/origin"
+)
+
+// originNetwork delivers datagrams on origins between nodes.
+type originNetwork struct {
+	at        map[string]*Gossip // by address
+	datagrams int
+	lose      func(from, to string) bool // by name; nil: none
+}
+
+// originPort is a node's socket.
+type originPort struct {
+	net.PacketConn
+	network *originNetwork
+	self    Member
+}
+
+func (p originPort) WriteTo(data []byte, to net.Addr) (int, error) {
+	p.network.datagrams++
+	g, ok := p.network.at[to.String()]
+	if ok && (p.network.lose == nil || !p.network.lose(p.self.Name, g.registry.self.Name)) {
+		g.receive(decoded(data), p.self.Address)
+	}
+	return len(data), nil
+}
+
+// originFleet returns a fleet of nodes in some zones, and the trackers of all.
+func originFleet(size, zones int, versions ...string) (*originNetwork, []*Gossip, []*origin.Tracker) {
+	all := members(size)
+	for i := range all {
+		all[i].Zone, all[i].Address, all[i].Origins = fmt.Sprint("z", i%zones), fmt.Sprint("10.0.0.1:", 1000+i), true
+	}
+	network := &originNetwork{at: map[string]*Gossip{}}
+	var nodes []*Gossip
+	var trackers []*origin.Tracker
+	for _, m := range all {
+		g, _ := trafficGossipOf(all, nil, m)
+		g.socket, g.lookups = originPort{network: network, self: m}, newLookups()
+		t := origin.NewTracker(func(origin.Change) {})
+		t.Engines(lo.Map(versions, func(v string, i int) engine.Engine {
+			return engine.Engine{ID: fmt.Sprint("e", i), Service: "s", Version: v}
+		}), clock.Now())
+		g.WithOrigins(t)
+		network.at[m.Address] = g
+		nodes, trackers = append(nodes, g), append(trackers, t)
+	}
+	return network, nodes, trackers
+}
+
+// begin has a node record the start of a stream and report it.
+func begin(g *Gossip, t *origin.Tracker, s origin.Stream, version string) {
+	t.Began(s, "s", version, clock.Now())
+	g.sendOrigins()
+}
+
+// Guards against a stream whose version is lost with the node that began it, with a zone, or with datagrams.
+func TestAnOriginIsFoundWhereverItsStreamIsResumed(t *testing.T) {
+	tests := []struct {
+		name        string
+		size, zones int
+		lose        func(from, to string) bool
+	}{
+		{"four nodes of one zone", 4, 1, nil},
+		{"seven nodes of four zones", 7, 4, nil},
+		{"three hundred nodes of eight zones", 300, 8, nil},
+		{"the node that began it is gone", 7, 4, func(from, to string) bool { return to == "n0" || from == "n0" }},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			network, nodes, trackers := originFleet(c.size, c.zones, "1", "2")
+			for i := range 20 {
+				s := origin.StreamOf("t", "s", fmt.Sprint("call", i))
+				network.lose = nil
+				begin(nodes[0], trackers[0], s, "2")
+				network.lose = c.lose
+				for _, at := range []int{1, c.size - 1} {
+					found, _ := nodes[at].FindOrigin(context.Background(), s, "s")
+					own := trackers[at].Find(s, "s", clock.Now())
+					assert.Contains(t, []origin.Finding{found, own}, origin.Finding(origin.Known{Version: "2"}))
+				}
+			}
+		})
+	}
+}
+
+// Guards against a zone that can't resume its streams while it is cut off from all others.
+func TestACutOffZoneKnowsTheOriginsOfBefore(t *testing.T) {
+	network, nodes, trackers := originFleet(12, 4, "1", "2")
+	for i := range 40 {
+		s := origin.StreamOf("t", "s", fmt.Sprint("call", i))
+		network.lose = nil
+		begin(nodes[0], trackers[0], s, "2")
+		network.lose = func(from, to string) bool { // by zone; the node that began the stream is killed
+			return network.zoneOf(from) != network.zoneOf(to) || to == nodes[0].registry.self.Name
+		}
+		at := 1 // in another zone
+		found, _ := nodes[at].FindOrigin(context.Background(), s, "s")
+		own := trackers[at].Find(s, "s", clock.Now())
+		assert.Contains(t, []origin.Finding{found, own}, origin.Finding(origin.Known{Version: "2"}))
+	}
+}
+
+func (n *originNetwork) zoneOf(name string) string {
+	for _, g := range n.at {
+		if g.registry.self.Name == name {
+			return g.registry.self.Zone
+		}
+	}
+	return ""
+}
+
+// Guards against a guess where nobody knows a stream, and against a refusal where one version serves.
+func TestWhatIsSaidOfAnUnknownStream(t *testing.T) {
+	all := func(string, string) bool { return true }
+	tests := []struct {
+		name     string
+		size     int
+		versions []string
+		lose     func(from, to string) bool
+		found    origin.Finding
+	}{
+		{"one version", 7, []string{"1", "1"}, nil, origin.Sole{}},
+		{"several versions", 7, []string{"1", "2"}, nil, origin.Several{}},
+		{"one version, nobody answers", 7, []string{"1"}, all, origin.Unanswered{}},
+		{"several versions, nobody answers", 7, []string{"1", "2"}, all, origin.Unanswered{}},
+		{"this node is alone", 1, []string{"1"}, nil, origin.Sole{}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			network, nodes, _ := originFleet(c.size, 2, c.versions...)
+			network.lose = c.lose
+			found, from := nodes[0].FindOrigin(context.Background(), origin.StreamOf("t", "s", "c"), "s")
+			assert.Equal(t, c.found, found)
+			assert.Empty(t, from)
+		})
+	}
+}
+
+// Guards against a node that has not seen the second version yet and takes a stream of it for one of the first.
+func TestANodeThatKnowsOneVersionAsksOthers(t *testing.T) {
+	_, nodes, trackers := originFleet(7, 4, "1", "2")
+	trackers[6].Engines([]engine.Engine{{ID: "e0", Service: "s", Version: "1"}}, clock.Now())
+	found, _ := nodes[6].FindOrigin(context.Background(), origin.StreamOf("t", "s", "c"), "s")
+	assert.Equal(t, origin.Several{}, found)
+}
+
+// Guards against records that go to all nodes.
+func TestTrafficOfOriginsPerStream(t *testing.T) {
+	for _, size := range []int{4, 60, 300} {
+		network, nodes, trackers := originFleet(size, 4, "1", "2")
+		begin(nodes[0], trackers[0], origin.StreamOf("t", "s", "c"), "1")
+		assert.LessOrEqual(t, network.datagrams, 4, "%d nodes", size)
+		network.datagrams = 0
+		_, _ = nodes[1].FindOrigin(context.Background(), origin.StreamOf("t", "s", "c"), "s")
+		assert.LessOrEqual(t, network.datagrams, 2*4, "%d nodes", size)
+	}
+}
+
+// Guards against nodes of an earlier build that are taken for replicas.
+func TestNodesOfAnEarlierBuildKeepNoOrigins(t *testing.T) {
+	_, nodes, _ := originFleet(4, 1, "1")
+	old := lo.Map(nodes[0].registry.Members(), func(m Member, i int) Member { m.Origins = i < 2; return m })
+	nodes[0].registry.members.Store(&old)
+	for i := range 20 {
+		for _, m := range nodes[0].replicasOf(origin.Stream(i)) {
+			assert.True(t, m.Origins)
+		}
+	}
+}
--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -31,6 +31,7 @@
 	LinkMbps    float64 `json:"linkMbps,omitempty"` // link speed of its VM; 0 if unknown
 	Build       string  `json:"build,omitempty"`    // build of its program; "" if not reported
 	Tunnels     bool    `json:"tunnels,omitempty"`  // it opens tunnels to endpoints for other nodes
+	Origins     bool    `json:"origins,omitempty"`  // it keeps for other nodes which versions began their streams
 }
 
 // Registry tracks the nodes that the store lists.
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -103,6 +103,7 @@
 	transport          *forward.Transport
 	suspicions         *suspicion.Tracker // nil: failures that other nodes report are ignored
 	quarantine         *quarantineManager // nil: no request is quarantined
+	origins            *origins           // nil: streams are resumed at any version
 	places             distance.Places
 	registry           *peer.Registry
 	gossip             *peer.Gossip
@@ -146,7 +147,7 @@
 	n.eras.OnRise(n.storeRestored)
 	n.store = store.NewSourced(store.Probed(store.Counted(a.Store(), n.metrics)), n.sources).WithEras(n.eras)
 	incarnation := uuid.NewString()
-	self := peer.Member{Name: s.Node, Incarnation: incarnation, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps, Build: version.Build(), Tunnels: s.Enabled(tunnelsMechanism)}
+	self := peer.Member{Name: s.Node, Incarnation: incarnation, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps, Build: version.Build(), Tunnels: s.Enabled(tunnelsMechanism), Origins: s.Enabled(originsMechanism)}
 	n.allowance = account.NewAllowance(s.Node, incarnation, s.Budget.Tuning())
 	n.bounds = bound.NewGate(s.Node).WithPartitioned(func() bool { return n.syncer.Unavailable() })
 	n.picker = choice.NewPicker(s.Zone, s.Choice()).WithColdGate(n.bounds, cold.Rule{Overrun: s.Cold.Overrun, Tolerance: s.Cold.Tolerance}).WithPlaces(n.places)
@@ -165,6 +166,7 @@
 	n.enableLimits(gossip)
 	n.enableNotices(gossip)
 	n.enableFragile(gossip)
+	n.enableOrigins(gossip)
 	n.gossip = gossip.WithRollouts(n.trials).WithPlaces(n.places).WithEras(n.eras).WithLink(func() bool { return n.intake.Share() > busyLink })
 	n.trials.fleet = gossip
 	n.registry.OnChange(func(members []peer.Member) {
@@ -182,7 +184,7 @@
 		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Trials: &n.moves, Samples: n.trials, Allowance: n.allowance, Picker: n.picker,
 		Retries:       retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Sharers),
 		RetrySchedule: limit.NewRetrySchedule(),
-		Quarantine:    n.quarantineTracker(), Gate: n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: n.transport, Reachability: n.reachability, TokenSource: tokenSource{n}, Backlog: n.stalls.Backlog, Stalled: n.stalls.StalledSince, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Quarantine:    n.quarantineTracker(), Origins: n.streamOrigins(), Gate: n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: n.transport, Reachability: n.reachability, TokenSource: tokenSource{n}, Backlog: n.stalls.Backlog, Stalled: n.stalls.StalledSince, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler, l); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -249,7 +249,7 @@
 		s, err := ParseSettings([]byte(`{"disable":["` + name + `"],` + rest + `}`))
 		require.NoError(t, err)
 		assert.False(t, s.Enabled(name))
-		inChoice := name != delegatesMechanism && name != redirectMechanism && name != steerMechanism && name != failureReportsMechanism && name != quarantineMechanism && name != limitsMechanism && name != noticesMechanism && name != tunnelsMechanism && name != fragileMechanism
+		inChoice := name != delegatesMechanism && name != redirectMechanism && name != steerMechanism && name != failureReportsMechanism && name != quarantineMechanism && name != limitsMechanism && name != noticesMechanism && name != tunnelsMechanism && name != fragileMechanism && name != originsMechanism
 		assert.Equal(t, !inChoice, s.Choice() == choice.DefaultTuning(), name)
 	}
 	_, err := ParseSettings([]byte(`{"disable":["luck"],` + rest + `}`))
--- a/fleet/relay/rollout/plan.go
+++ b/fleet/relay/rollout/plan.go
@@ -76,6 +76,9 @@
 	return Old
 }
 
+// AllowsTarget reports whether the target may get calls.
+func (p *Plan) AllowsTarget() bool { return p.state == Completed || p.state == InProgress && !p.bad }
+
 // moving sends a call to old endpoints only if it ends before they may stop, and sends a rising
 // share of such calls to the target.
 func (p *Plan) moving(c Call) Side {
