--- a/fleet/relay/forward/quarantine.go
+++ b/fleet/relay/forward/quarantine.go
@@ -5,8 +5,10 @@
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
@@ -108,5 +110,18 @@
 		"events": events, "left": j.r.Context().Err() != nil, "error": err.Error(),
 	}
 	describeVersion(fields, t)
+	j.describeParts(fields)
 	j.Log.WithFields(fields).Info("stream broke off")
 }
+
+// maxLoggedParts is how many parts of a prompt a log line names.
+const maxLoggedParts = 8
+
+// describeParts adds to the log fields the parts of the prompt that other calls may share: those of
+// the calls that are interrupted at several endpoints tell what these calls have in common.
+func (j *job) describeParts(fields log.Fields) {
+	shared := j.call.Shared()
+	if len(shared) > 0 {
+		fields["parts"] = lo.Map(shared[:min(len(shared), maxLoggedParts)], func(p call.Part, _ int) string { return p.ID })
+	}
+}
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -83,6 +83,7 @@
 		j.Log.WithFields(fields).WithField("status", o.status).Info("attempt refused as not run")
 	case failed:
 		fields["print"] = j.print().String()
+		j.describeParts(fields)
 		j.describePath(fields)
 		j.Log.WithFields(fields).WithField("error", o.err.Error()).Info("attempt failed")
 	case answered:
