An overloaded node closes new connections of a flood unread

While the balancer hands most new connections to one node, callers there were served a third as often as before: the node read each call over its full link and refused the excess as node-overloaded, though other nodes had room. Cause: the only thing that the gate could decline was a call. Now it declines new connections before, while it is overloaded and gets more than twice the usual ones, most of them not one customer's: their callers may send the call again at once, and the next connection is another node's.

--- a/fleet/ingress/ingress.go
+++ b/fleet/ingress/ingress.go
@@ -51,6 +51,7 @@
 	closeTimeout time.Duration // how long Close waits for answers that are being sent
 	log          log.Interface
 	meter        *link.Meter // nil if traffic is not counted
+	admit        func() bool // decides on each new connection; nil: all are served
 	closing      atomic.Bool // answers carry "Connection: close"
 	draining     atomic.Bool // idle connections are closed as well
 
@@ -91,6 +92,13 @@
 	return l
 }
 
+// WithAdmission makes the listener close new connections that admit declines, with nothing read. It
+// must be called before Serve.
+func (l *Listener) WithAdmission(admit func() bool) *Listener {
+	l.admit = admit
+	return l
+}
+
 // track wraps a connection to count its traffic and track the progress of its call.
 func (l *Listener) track(c net.Conn) net.Conn {
 	if l.meter != nil {
@@ -149,6 +157,10 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		if l.admit != nil && !l.admit() {
+			_ = conn.Close()
+			continue
+		}
 		l.mu.Lock()
 		s := l.current
 		l.mu.Unlock()
--- a/fleet/relay/overload/watch.go
+++ b/fleet/relay/overload/watch.go
@@ -23,9 +23,13 @@
 			return
 		case <-ticker.C:
 		}
-		if s := g.Read(waits.Mean()); s.Changed {
+		s := g.Read(waits.Mean())
+		if s.Changed {
 			logChange(s, l)
 		}
+		if s.Closed > 0 {
+			l.WithFields(log.Fields{"closed": s.Closed, "accepted": s.Accepted, "kept": s.Kept}).Warn("overloaded by new connections: some are closed unread")
+		}
 	}
 }
 
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -190,6 +191,9 @@
 		return nil, errors.CombineErrors(err, gossip.Close())
 	}
 	n.ingress.WithMeter(n.meter)
+	if s.Enabled(redirectMechanism) {
+		n.ingress.WithAdmission(func() bool { return n.gate.TakeConnection(rand.Uint64()) || n.registry.Count() <= 1 })
+	}
 	return n, nil
 }
 
