Calls that wait with a quarantined part are ended

Calls in progress whose callers have got nothing are ended now as their part is quarantined, and answered as quarantined; the endpoint sees its caller leave.

--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -76,6 +76,7 @@
 	cachedFingerprint quarantine.Fingerprint   // of the request; zero until computed
 	cachedParts       []quarantine.Fingerprint // of the parts of its prompt; nil until computed
 	partsSurvived     bool                     // the parts were recorded as survived by an endpoint
+	answeredPart      atomic.Bool              // the caller has got part of an answer
 	probes            []probe                  // what this call probes
 	pace              pace                     // of the last stream
 }
--- a/fleet/relay/forward/overdue.go
+++ b/fleet/relay/forward/overdue.go
@@ -2,32 +2,47 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 )
 
 // errOverdue ends a call whose deadline passed while the VM was suspended: the timer that
 // would have ended it did not run.
 var errOverdue = errors.New("the call's deadline passed while the VM was suspended")
 
+// errQuarantined ends a call that waits for an endpoint with a part of a prompt that has been
+// quarantined since it was sent.
+var errQuarantined = errors.New("a part of the call's prompt was quarantined")
+
 // callSet holds the calls in progress and the functions that cancel them. It is safe for
 // concurrent use.
 type callSet struct {
 	mu    sync.Mutex
-	calls map[*job]context.CancelCauseFunc
+	calls map[*job]openCall
+}
+
+// openCall is what is read of a call in progress while its goroutine works on it.
+type openCall struct {
+	end      context.CancelCauseFunc
+	deadline time.Time
+	parts    []quarantine.Fingerprint // of its prompt
+	answered *atomic.Bool             // its caller has got part of an answer
 }
 
-func (s *callSet) add(j *job, end context.CancelCauseFunc) {
+func (s *callSet) add(j *job, c openCall) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.calls == nil {
-		s.calls = map[*job]context.CancelCauseFunc{}
+		s.calls = map[*job]openCall{}
 	}
-	s.calls[j] = end
+	s.calls[j] = c
 }
 
 func (s *callSet) remove(j *job) {
@@ -42,9 +57,25 @@
 	h.inProgress.mu.Lock()
 	defer h.inProgress.mu.Unlock()
 	now, ended := clock.Now(), 0
-	for j, end := range h.inProgress.calls {
-		if !now.Before(j.end) {
-			end(errOverdue)
+	for _, c := range h.inProgress.calls {
+		if !now.Before(c.deadline) {
+			c.end(errOverdue)
+			ended++
+		}
+	}
+	return ended
+}
+
+// EndQuarantined ends the calls with a part in their prompts that wait for their answers, and returns
+// how many: an endpoint where one waits would crash as it begins it, with all calls there. They are
+// answered as quarantined, since they may have run.
+func (h *Handler) EndQuarantined(part quarantine.Fingerprint) int {
+	h.inProgress.mu.Lock()
+	defer h.inProgress.mu.Unlock()
+	ended := 0
+	for _, c := range h.inProgress.calls {
+		if slices.Contains(c.parts, part) && !c.answered.Load() {
+			c.end(errQuarantined)
 			ended++
 		}
 	}
@@ -55,7 +86,7 @@
 func (j *job) context() (context.Context, context.CancelFunc) {
 	ctx, end := context.WithCancelCause(j.r.Context())
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(j.end))
-	j.inProgress.add(j, end)
+	j.inProgress.add(j, openCall{end: end, deadline: j.end, parts: j.partPrints(), answered: &j.answeredPart})
 	return ctx, func() {
 		j.inProgress.remove(j)
 		cancel()
--- a/fleet/relay/forward/part_test.go
+++ b/fleet/relay/forward/part_test.go
@@ -77,3 +77,37 @@
 	go f.do(t, f.request(t, "POST", "/stream/", "y", "Parts", "a own2", "Call", "c2", "Deadline", "3000"))
 	assert.Eventually(t, func() bool { return !tracker.ForbidsRetry(part, time.Now()) }, 2*time.Second, 10*time.Millisecond)
 }
+
+// Guards against calls that wait at an endpoint with a part that is known to crash it.
+func TestCallsThatWaitWithAQuarantinedPartAreEnded(t *testing.T) {
+	tests := []struct {
+		name, path, parts string
+		script            script
+		ended             bool
+	}{
+		{"with the part", "/single/", "a bad own", hang, true},
+		{"without it", "/single/", "a b own", hang, false},
+		{"its answer has begun", "/stream/", "a bad own", eventsThenHang(1), false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 1000, c.script)
+			f.withQuarantine(3)
+			answers := make(chan answer, 1)
+			go func() { answers <- f.do(t, f.request(t, "POST", c.path, "x", "Parts", c.parts, "Deadline", "700")) }()
+			require.Eventually(t, func() bool { return len(f.received()) == 1 }, time.Second, time.Millisecond)
+			time.Sleep(100 * time.Millisecond) // the first event, if any, has passed
+			ended := f.handler.EndQuarantined(quarantine.FingerprintOfPart("t", "s", "bad"))
+			if !c.ended {
+				assert.Zero(t, ended)
+				<-answers
+				return
+			}
+			assert.Equal(t, 1, ended)
+			got := <-answers
+			assert.Equal(t, http.StatusBadGateway, got.status)
+			assert.Equal(t, `{"reason":"request-quarantined"}`, got.body)
+			assert.Eventually(t, func() bool { return f.left.Load() == 1 }, time.Second, time.Millisecond, "the endpoint sees the caller leave")
+		})
+	}
+}
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -296,6 +296,9 @@
 	if j.r.Context().Err() != nil {
 		return &refuseLeft
 	}
+	if errors.Is(context.Cause(ctx), errQuarantined) {
+		return &refuseQuarantined
+	}
 	if isOverdue(ctx) {
 		return &refuseTimedOut
 	}
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -186,6 +186,7 @@
 	}
 	before, first := s.events, s.pace.last.IsZero()
 	if first {
+		s.answeredPart.Store(true)
 		s.recordOrigin(s.pace.placement)
 	}
 	s.count(complete)
--- a/fleet/relay/quarantine.go
+++ b/fleet/relay/quarantine.go
@@ -130,6 +130,9 @@
 		q.log.WithFields(fields).WithField("why", h.Why).Warn("request released from quarantine")
 		return
 	}
+	if h.Part != "" && q.handler != nil {
+		fields["endedCalls"] = q.handler.EndQuarantined(h.Fingerprint)
+	}
 	q.log.WithFields(fields).Warn("request quarantined: endpoints ended while running it")
 	time.AfterFunc(clock.Until(h.Since.Add(h.For)), func() { q.expire(h) })
 	q.scheduleProbe(h)
