A call waits shortly for its node's share of fragile endpoints' slots

Callers who fit into the slots of fragile endpoints were refused at once, 160 of 1,496, while slots were free at other nodes: a node that gets more calls than its share for a moment had no other answer.

--- a/fleet/relay/choice/fragile.go
+++ b/fleet/relay/choice/fragile.go
@@ -27,3 +27,21 @@
 	}
 	return s.inFlight < room
 }
+
+// AwaitsRoom returns how many calls may wait at this node for its share of the slots of a fragile
+// service's endpoints: as many as this share, so that each of them gets one once the calls there
+// end. It returns 0 unless that is all that keeps the call from an endpoint.
+func (p *Picker) AwaitsRoom(r Request) int {
+	if p.fragile == nil || !p.fragile.Is(r.Profile.Service, r.Now) || p.LeftOut(r)[NoRoom] == 0 {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	share := 0
+	for i := range r.Engines {
+		if r.Engines[i].State == engine.Ready {
+			share += p.gate.Slots(r.Engines[i])
+		}
+	}
+	return share
+}
--- a/fleet/relay/choice/fragile_test.go
+++ b/fleet/relay/choice/fragile_test.go
@@ -85,3 +85,24 @@
 	_, ok = p.Pick(fragileRequest(3, engines, now.Add(1100*time.Millisecond)))
 	assert.True(t, ok)
 }
+
+// Guards against calls that wait in vain: no more than this node's share can take, and none that lacks something else.
+func TestAsManyCallsWaitForRoomAsThisNodeHasSlots(t *testing.T) {
+	now := time.Unix(1000, 0)
+	engines := engine.NewDirectory(1, lo.Times(6, func(i int) engine.Engine {
+		return engine.Engine{ID: fmt.Sprint("e", i), Service: "s", Slots: 2}
+	})).Of("s")
+	p := fragileNodes(4, now)[0]
+	taken := 0
+	for ; ; taken++ {
+		if _, ok := p.Pick(fragileRequest(taken, engines, now)); !ok {
+			break
+		}
+	}
+	assert.Equal(t, taken, p.AwaitsRoom(fragileRequest(99, engines, now)))
+	leaving := lo.Map(engines, func(e engine.Engine, _ int) engine.Engine { e.State = engine.Draining; return e })
+	assert.Zero(t, p.AwaitsRoom(fragileRequest(99, leaving, now)))
+	assert.Zero(t, p.AwaitsRoom(fragileRequest(99, nil, now)))
+	later := now.Add(time.Minute) // the endpoints say no more that they are fragile
+	assert.Zero(t, p.AwaitsRoom(fragileRequest(99, engines, later)))
+}
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -29,6 +29,7 @@
 	refusing   atomic.Bool
 	open       atomic.Int64
 	inProgress callSet
+	waiting    waiters
 }
 
 // New returns a handler.
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -39,7 +39,7 @@
 			j.refuse(refuseQuarantined)
 			return
 		}
-		placement, ok := j.pick(tried)
+		placement, ok := j.pickOrWait(ctx, tried)
 		if !ok {
 			j.refuse(j.refusalWithoutEndpoint(tried))
 			return
