A rest of the last moment passes to the endpoint's next incarnation

Answers name no incarnation. A rest that an answer requested less than a second before the entry of the next incarnation is read passes to it now.

--- a/fleet/relay/notice/rest.go
+++ b/fleet/relay/notice/rest.go
@@ -31,6 +31,9 @@
 	// probePeriod is how long after its slot a node leaves the first call to those that can go
 	// elsewhere if the endpoint still turns them away.
 	probePeriod = time.Second
+	// carryOver is how long before the entry of a new incarnation an answer may have come from it:
+	// answers don't name the incarnation, and may be read before its entry.
+	carryOver = time.Second
 	// restRetention is how long after its end a rest is kept that no call showed to be over.
 	restRetention = 10 * time.Second
 )
@@ -38,6 +41,7 @@
 // rest is the state of the rests of one incarnation. The zero value means there was none.
 type rest struct {
 	since, until time.Time // requested from this node
+	requestedAt  time.Time // when an answer to this node last requested it
 	peerUntil    time.Time // end of the rest requested from another node
 	by           string    // that node
 	probed       time.Time // when the first call after the rest was sent
@@ -48,6 +52,7 @@
 // was in effect. The latest end holds, since answers can overtake each other.
 func (r *rest) requested(length time.Duration, now time.Time) (began bool) {
 	began = !now.Before(r.until)
+	r.requestedAt = now
 	if began {
 		r.since = now
 	}
--- a/fleet/relay/notice/rest_test.go
+++ b/fleet/relay/notice/rest_test.go
@@ -114,3 +114,21 @@
 	assert.GreaterOrEqual(t, waiting[0], nodes*8/10, "few return at once")
 	assert.LessOrEqual(t, waiting[19], nodes/10, "nearly all have returned after two seconds")
 }
+
+// Guards against a rest that a new incarnation requested before its entry was read, and that is dropped with the ended one.
+func TestARestOfTheLastMomentPassesToTheNextIncarnation(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		asked  int // ms before the entry of the next incarnation is read
+		closed bool
+	}{{"just before its entry", 3, true}, {"long before", 1_500, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTracker(nil)
+			b.Engines([]engine.Engine{first, other}, at(0))
+			askForRest(b, 3*time.Second, 2_000-c.asked)
+			b.Engines([]engine.Engine{later, other}, at(2_000))
+			assert.Equal(t, c.closed, b.Use(later.Incarnation(), at(2_100)) == notice.Closed)
+			assert.Equal(t, notice.Free, b.Use(other.Incarnation(), at(2_100)))
+		})
+	}
+}
--- a/fleet/relay/notice/tracker.go
+++ b/fleet/relay/notice/tracker.go
@@ -58,12 +58,14 @@
 	return &Tracker{rule: r, self: xxhash.Sum64String(self), changed: changed, urgent: announce.NewUrgent(), listed: map[engine.Incarnation]engine.Engine{}, known: map[engine.Incarnation]*known{}}
 }
 
-// Engines sets the listed endpoints. The state of others is dropped after entryRetention.
+// Engines sets the listed endpoints. The state of others is dropped after entryRetention. A rest that
+// was requested just before an endpoint is listed in a new incarnation may be that one's request.
 func (t *Tracker) Engines(all []engine.Engine, now time.Time) {
 	listed := lo.KeyBy(all, engine.Engine.Incarnation)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.listed = listed
+	byID := lo.KeyBy(all, func(e engine.Engine) string { return e.ID })
 	for incarnation, k := range t.known {
 		_, stays := listed[incarnation]
 		switch {
@@ -71,6 +73,9 @@
 			k.gone = time.Time{}
 		case k.gone.IsZero():
 			k.gone = now
+			if next, ok := byID[incarnation.ID]; ok && now.Sub(k.rest.requestedAt) < carryOver {
+				t.carryOver(next, k.rest)
+			}
 		case now.Sub(k.gone) > entryRetention:
 			delete(t.known, incarnation)
 		}
@@ -78,6 +83,13 @@
 	t.count.Store(int64(len(t.known)))
 }
 
+// carryOver hands a rest on to the next incarnation of an endpoint.
+func (t *Tracker) carryOver(next engine.Engine, r rest) {
+	if _, exists := t.known[next.Incarnation()]; !exists {
+		t.known[next.Incarnation()] = &known{engine: next, rest: r}
+	}
+}
+
 // Observe records a notice in an answer to this node.
 func (t *Tracker) Observe(e engine.Engine, n call.Notice, now time.Time) {
 	t.mu.Lock()
