--- a/fleet/relay/forward/origin.go
+++ b/fleet/relay/forward/origin.go
@@ -33,8 +33,7 @@
 		return refusal{}, true
 	}
 	if j.call.Resumes == "" {
-		j.note = "the call names no stream that it resumes"
-		return refuseNoOrigin, !j.Origins.Several(j.service.Name)
+		return j.resumeUnnamed()
 	}
 	f, from := j.Origins.Find(j.r.Context(), j.stream(), j.service.Name)
 	switch f := f.(type) {
@@ -52,6 +51,16 @@
 	return refusal{}, true
 }
 
+// resumeUnnamed decides on a call that does not name the stream that it resumes: with one version it
+// may run at any endpoint.
+func (j *job) resumeUnnamed() (refusal, bool) {
+	if !j.Origins.Several(j.service.Name) {
+		return refusal{}, true
+	}
+	j.note = "the call does not name the stream that it resumes"
+	return refuseNoOrigin, false
+}
+
 // recordOrigin records the version that brings events of the call's stream, before the first of them
 // is passed on.
 func (j *job) recordOrigin(t *choice.Placement) {
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -192,7 +192,7 @@
 	}
 	n.ingress.WithMeter(n.meter)
 	if s.Enabled(redirectMechanism) {
-		n.ingress.WithAdmission(func() bool { return n.gate.TakeConnection(rand.Uint64()) || n.registry.Count() <= 1 })
+		n.ingress.WithAdmission(func() bool { return n.registry.Count() <= 1 || n.gate.TakeConnection(rand.Uint64()) })
 	}
 	return n, nil
 }
