A probe's test lets its endpoint reset connections that are up

TestAProbeAwaitsAnAnswer failed 4 of 22 runs of the package beside load 23 to 31: the listener reset each connection as it accepted it, and the kernel reported that as the connect's own error (dial: connection reset by peer), where a connect was to be enough. It reads first now, and resets after that.

--- a/fleet/relay/forward/tunnel_test.go
+++ b/fleet/relay/forward/tunnel_test.go
@@ -116,8 +116,11 @@
 			if err != nil {
 				return
 			}
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
+			go func() {
+				_, _ = c.Read(make([]byte, 1)) // a reset before that could end the connect itself
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}()
 		}
 	}()
 	require.Error(t, f.connections.Probe(t.Context(), silent.Addr().String(), "/health"))
