Any node's answer lets a quarantined request be probed

Only the nodes whose calls were interrupted say with an end whether they had answered the request; these had just started. And since parts are suspects, an answer of a call that was interrupted beside earlier ones of its request was dropped. Now the node that judges adds what it has answered itself, any node that has answered it may claim a probe, and answers of calls interrupted together add up. Tests failing before.

--- a/fleet/relay/quarantine/probe.go
+++ b/fleet/relay/quarantine/probe.go
@@ -25,10 +25,11 @@
 	return t.answered(known) && !known.Tried && known.Round == h.Round && t.probeOpen(known, now)
 }
 
-// answered reports whether any node stated that endpoints had answered a request: with its
-// quarantine, or with an end that the node which quarantined it did not know.
+// answered reports whether this node has had an answer to a request, or any node stated that
+// endpoints had answered it: with its quarantine, or with an end that the node which quarantined
+// it did not know.
 func (t *Tracker) answered(h Held) bool {
-	return h.Answered || lo.SomeBy(t.ends, func(e *end) bool { return e.suspects[h.Fingerprint].Answered })
+	return h.Answered || t.wasAnswered(Suspect{Fingerprint: h.Fingerprint, Part: h.Part}) || lo.SomeBy(t.ends, func(e *end) bool { return e.suspects[h.Fingerprint].Answered })
 }
 
 // probeOpen reports whether a request is quarantined and no endpoint has ended under it since
--- a/fleet/relay/quarantine/probe_test.go
+++ b/fleet/relay/quarantine/probe_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -235,3 +236,35 @@
 	}
 	assert.LessOrEqual(t, sent, 3)
 }
+
+// Guards against a request that is held back without a probe because the nodes whose calls were
+// interrupted had just started, though others have had answers to it.
+func TestAnyNodeThatHadAnAnswerLetsARequestBeProbed(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		n := newNode(Peer)
+		if answered {
+			n.Answered(fingerprintOf("popular"), n.now)
+		}
+		reports := lo.Times(3, func(i int) EndReport {
+			e := endpointOf(i, 1)
+			return EndReport{Endpoint: e.ID, Born: e.Born, AgeMs: int64(1000 * (3 - i)), Suspects: suspects(Nothing, "popular")}
+		})
+		n.Receive(Report{Ends: reports}, n.now)
+		h, _ := n.Lookup(fingerprintOf("popular"))
+		assert.True(t, h.inForce(n.now))
+		assert.Equal(t, answered, h.Answered)
+		assert.Equal(t, answered, n.MayProbe(h, n.ProbeAt(h)))
+	}
+}
+
+// Guards against an answer that is forgotten where several calls of a request are interrupted together.
+func TestAnswersOfCallsInterruptedTogetherCount(t *testing.T) {
+	n := newNode(Peer)
+	e := endpointOf(0, 1)
+	n.Interrupted(e, suspects(Nothing, "popular"), n.now)
+	n.Answered(fingerprintOf("popular"), n.now)
+	n.Interrupted(e, suspects(Nothing, "popular"), n.now)
+	n.Ended(e.Incarnation(), n.now)
+	judges, _ := n.Updates(n.now)
+	assert.True(t, judges.Ends[0].Suspects[0].Answered)
+}
--- a/fleet/relay/quarantine/tracker.go
+++ b/fleet/relay/quarantine/tracker.go
@@ -144,6 +144,7 @@
 		switch {
 		case known >= 0:
 			c.suspects[known].Progress = min(c.suspects[known].Progress, s.Progress)
+			c.suspects[known].Answered = c.suspects[known].Answered || s.Answered
 		case len(c.suspects) < maxSuspects:
 			c.suspects = append(c.suspects, s)
 		}
@@ -391,7 +392,7 @@
 	h := Held{
 		Fingerprint: p, Part: s.Part, Round: round, Since: now, For: t.rule.holdFor(round), Customer: s.Customer, Route: s.Route,
 		Ends:     lo.Map(ends[max(len(ends)-maxNamedEnds, 0):], func(e *end, _ int) string { return e.incarnation.ID }),
-		Answered: lo.SomeBy(ends, func(e *end) bool { return e.suspects[p].Answered }),
+		Answered: t.wasAnswered(s) || lo.SomeBy(ends, func(e *end) bool { return e.suspects[p].Answered }),
 		Tried:    before.Round > 0 && !before.Released,
 	}
 	t.put(h, now)
