recent: one map of the latest entries for answered requests and streams

Cause: origin.Tracker wrote the two generations of quarantine's answer history again, and the signal that announce.Urgent already is. Change: recent.Map serves both, announce.Urgent the signal.

--- a/fleet/relay/origin/tracker.go
+++ b/fleet/relay/origin/tracker.go
@@ -8,7 +8,9 @@
 
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/relay/announce"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
+	"github.com/lynxshed/lynxshed/fleet/relay/recent"
 )
 
 // Bounds of what a node remembers and reports.
@@ -30,13 +32,11 @@
 // Tracker tracks the origins of streams that a node knows. It is safe for concurrent use.
 type Tracker struct {
 	changed func(Change)
-	urgent  chan struct{}
+	urgent  announce.Urgent
 
 	mu       sync.Mutex
 	services map[string]versions
-	current  map[Stream]entry
-	previous map[Stream]entry
-	since    time.Time // start of the current generation
+	streams  *recent.Map[Stream, entry]
 	unsent   []Record
 	signaled bool // a signal for unsent is due
 }
@@ -52,7 +52,7 @@
 
 // NewTracker returns an empty tracker, which calls changed on each change.
 func NewTracker(changed func(Change)) *Tracker {
-	return &Tracker{changed: changed, urgent: make(chan struct{}, 1), services: map[string]versions{}, current: map[Stream]entry{}}
+	return &Tracker{changed: changed, urgent: announce.NewUrgent(), services: map[string]versions{}, streams: recent.New[Stream, entry](maxRecords, Retention)}
 }
 
 // Engines sets the listed endpoints. Once a service has several versions, the origins of its streams
@@ -106,13 +106,11 @@
 
 // sendKnown queues the origins of a service's streams that began here while it had one version.
 func (t *Tracker) sendKnown(service string) {
-	for _, generation := range []map[Stream]entry{t.current, t.previous} {
-		for s, e := range generation {
-			if e.service == service {
-				t.queue(Record{Stream: s, Version: e.version})
-			}
+	t.streams.All(func(s Stream, e entry) {
+		if e.service == service {
+			t.queue(Record{Stream: s, Version: e.version})
 		}
-	}
+	})
 }
 
 // Several reports whether a service has, or has had within Retention, several versions.
@@ -131,20 +129,12 @@
 func (t *Tracker) Began(s Stream, service, version string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.remember(s, entry{version: version, service: service}, now)
+	t.streams.Put(s, entry{version: version, service: service}, now)
 	if len(t.services[service]) > 1 {
 		t.queue(Record{Stream: s, Version: version})
 	}
 }
 
-// remember records a stream in the current generation.
-func (t *Tracker) remember(s Stream, e entry, now time.Time) {
-	if len(t.current) >= maxRecords || now.Sub(t.since) >= Retention {
-		t.previous, t.current, t.since = t.current, map[Stream]entry{}, now
-	}
-	t.current[s] = e
-}
-
 // queue queues a record to be sent after SendDelay.
 func (t *Tracker) queue(r Record) {
 	if len(t.unsent) >= maxUnsent {
@@ -155,12 +145,7 @@
 		return
 	}
 	t.signaled = true
-	time.AfterFunc(SendDelay, func() {
-		select {
-		case t.urgent <- struct{}{}:
-		default: // already signaled
-		}
-	})
+	time.AfterFunc(SendDelay, t.urgent.Notify)
 }
 
 // Urgent signals records that are due to be sent.
@@ -180,27 +165,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range records {
-		e, known := t.find(r.Stream)
+		e, known := t.streams.Get(r.Stream)
 		if !known {
 			e = entry{version: r.Version}
 		}
-		t.remember(r.Stream, e, now)
-	}
-}
-
-func (t *Tracker) find(s Stream) (entry, bool) {
-	if e, ok := t.current[s]; ok {
-		return e, true
+		t.streams.Put(r.Stream, e, now)
 	}
-	e, ok := t.previous[s]
-	return e, ok
 }
 
 // Find returns what this node alone knows of a stream of the service.
 func (t *Tracker) Find(s Stream, service string, now time.Time) Finding {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e, ok := t.find(s); ok {
+	if e, ok := t.streams.Get(s); ok {
 		return Known{Version: e.version}
 	}
 	if t.several(service, now) {
--- a/fleet/relay/quarantine/tracker.go
+++ b/fleet/relay/quarantine/tracker.go
@@ -30,8 +30,8 @@
 	observer Observer
 	role     func() Role
 	watched  atomic.Pointer[map[string]bool]
-	history  answerHistory // of requests
-	parts    answerHistory // of parts of prompts
+	history  *answerHistory // of requests
+	parts    *answerHistory // of parts of prompts
 	urgent   chan struct{}
 
 	mu           sync.Mutex
@@ -70,7 +70,7 @@
 // NewTracker returns an empty Tracker. It calls role whenever it needs the node's current role.
 func NewTracker(r Rule, observer Observer, role func() Role) *Tracker {
 	t := &Tracker{
-		rule: r, observer: observer, role: role, urgent: make(chan struct{}, 1),
+		rule: r, observer: observer, role: role, urgent: make(chan struct{}, 1), history: newAnswerHistory(r.Memory), parts: newAnswerHistory(r.Memory),
 		registered: map[engine.Incarnation]bool{}, pending: map[engine.Incarnation]*interruption{}, near: map[Fingerprint]nearSuspect{}, served: map[Fingerprint]time.Time{}, servedLately: map[Fingerprint]time.Time{}, held: map[Fingerprint]Held{}, outbox: newOutbox(),
 	}
 	t.watched.Store(&map[string]bool{})
@@ -238,10 +238,10 @@
 
 // Answered records that a request, suspect or not, was answered completely, in case endpoints
 // end under it later.
-func (t *Tracker) Answered(p Fingerprint, now time.Time) { t.history.add(p, now, t.rule.Memory) }
+func (t *Tracker) Answered(p Fingerprint, now time.Time) { t.history.add(p, now) }
 
 // PartAnswered records the same of a part of its prompt.
-func (t *Tracker) PartAnswered(p Fingerprint, now time.Time) { t.parts.add(p, now, t.rule.Memory) }
+func (t *Tracker) PartAnswered(p Fingerprint, now time.Time) { t.parts.add(p, now) }
 
 // Served records that a request of a watched customer was answered completely. Such a request
 // does not end endpoints by itself, whatever ended while it ran.
