forward, notice: no work for events and lists that need none

Cause: each event of a stream read the clock twice and asked how far the stream had come, after its parts were cleared, too; each list of endpoints was indexed by id for a rest that passes to another incarnation, which hardly ever happens. Change: one reading of the clock, asked until the parts are cleared; the list is searched where a rest passes on.

--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -190,11 +190,12 @@
 		s.recordOrigin(s.pace.placement)
 	}
 	s.count(complete)
-	s.pace.observe(int(s.events-before), clock.Now())
+	now := clock.Now()
+	s.pace.observe(int(s.events-before), now)
 	if first && s.pace.first > 0 {
 		s.reportFirstEvent(s.pace.placement, s.pace.sent, s.pace.first)
 	}
-	if now := clock.Now(); s.pace.progress(now) == quarantine.Underway {
+	if !s.partsSurvived && s.pace.progress(now) == quarantine.Underway {
 		s.recordPartsSurvived(now)
 	}
 	if _, err := s.w.Write(complete); err != nil {
--- a/fleet/relay/notice/tracker.go
+++ b/fleet/relay/notice/tracker.go
@@ -65,7 +65,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.listed = listed
-	byID := lo.KeyBy(all, func(e engine.Engine) string { return e.ID })
 	for incarnation, k := range t.known {
 		_, stays := listed[incarnation]
 		switch {
@@ -73,8 +72,8 @@
 			k.gone = time.Time{}
 		case k.gone.IsZero():
 			k.gone = now
-			if next, ok := byID[incarnation.ID]; ok && now.Sub(k.rest.requestedAt) < carryOver {
-				t.carryOver(next, k.rest)
+			if now.Sub(k.rest.requestedAt) < carryOver {
+				t.carryOver(all, incarnation.ID, k.rest)
 			}
 		case now.Sub(k.gone) > entryRetention:
 			delete(t.known, incarnation)
@@ -83,9 +82,10 @@
 	t.count.Store(int64(len(t.known)))
 }
 
-// carryOver hands a rest on to the next incarnation of an endpoint.
-func (t *Tracker) carryOver(next engine.Engine, r rest) {
-	if _, exists := t.known[next.Incarnation()]; !exists {
+// carryOver hands a rest on to the next incarnation of an endpoint, if one is listed.
+func (t *Tracker) carryOver(listed []engine.Engine, id string, r rest) {
+	next, ok := lo.Find(listed, func(e engine.Engine) bool { return e.ID == id })
+	if _, exists := t.known[next.Incarnation()]; ok && !exists {
 		t.known[next.Incarnation()] = &known{engine: next, rest: r}
 	}
 }
