forward: one place for the request of a choice among all candidates

Cause: the wait for room built it as the note on left-out endpoints did. Change: openRequest serves both. Behaviour as it was: 0 of 1,328 calls of callers who fit refused, no crash (TestFragileEndpointsAreNotOverrun).

--- a/fleet/relay/forward/room.go
+++ b/fleet/relay/forward/room.go
@@ -61,12 +61,10 @@
 
 // enterWait reports whether the call waits for room, and counts it if so.
 func (j *job) enterWait(tried map[engine.Incarnation]bool) bool {
-	engines := j.Engines.Load()
-	if engines == nil || j.trial() != nil {
+	r, ok := j.openRequest(tried)
+	if !ok || j.trial() != nil {
 		return false
 	}
-	r := j.choiceRequest(tried, clock.Now())
-	r.Engines = j.candidates(engines)
 	most := j.Picker.AwaitsRoom(r)
 	return most > 0 && j.waiting.enter(j.service.Name, most)
 }
--- a/fleet/relay/forward/run.go
+++ b/fleet/relay/forward/run.go
@@ -118,6 +118,18 @@
 	}
 }
 
+// openRequest returns the input for the choice among all candidates, whatever an order says; false if
+// no endpoint is known yet.
+func (j *job) openRequest(tried map[engine.Incarnation]bool) (choice.Request, bool) {
+	engines := j.Engines.Load()
+	if engines == nil {
+		return choice.Request{}, false
+	}
+	r := j.choiceRequest(tried, clock.Now())
+	r.Engines = j.candidates(engines)
+	return r, true
+}
+
 // bytesPerToken is the minimum size of a generated token in an answer: its text alone.
 const bytesPerToken = 4
 
@@ -162,12 +174,10 @@
 
 // noteExcluded notes why no endpoint may take the call, for the log.
 func (j *job) noteExcluded(tried map[engine.Incarnation]bool) {
-	engines := j.Engines.Load()
-	if engines == nil {
+	r, ok := j.openRequest(tried)
+	if !ok {
 		return
 	}
-	r := j.choiceRequest(tried, clock.Now())
-	r.Engines = j.candidates(engines)
 	why := "endpoints: " + j.Picker.LeftOut(r).String()
 	if j.note != "" {
 		why = j.note + "; " + why // keep the result of the last attempt
