Lines of calls tell which node confirmed the policy last, and how long before

Callers saw calls decided by a policy that had been replaced for longer than the limit. Neither a call's line nor `policy in force` told from whom the policy had come and when the node last knew that it was the newest, so that a source that lags behind could not be told from waits that add up.

Sourced keeps the provenance of the last answer for each kind in place of its origin alone; lines of calls have policyFrom and policyAgeMs, `policy in force` has from and source, and lynxshed_relay_answer_age is there by kind. No logic changes. Tests of fleet/relay and its folders pass (the listed metrics are 24).

--- a/fleet/relay/apply.go
+++ b/fleet/relay/apply.go
@@ -41,7 +41,8 @@
 	n.policy.Store(p.Indexed())
 	n.allowance.Budget(budgets(p))
 	n.applyBounds(p.Limits)
-	n.log.WithField("policy", p.Version).WithField("revision", o.Revision.Number()).WithField("routes", len(p.Routes)).WithField("prepaid", budgets(p)).Info("policy in force")
+	from := n.store.Provenance(o.Kind)
+	n.log.WithField("policy", p.Version).WithField("revision", o.Revision.Number()).WithField("routes", len(p.Routes)).WithField("prepaid", budgets(p)).WithField("from", from.Origin.String()).WithField("source", from.Source).Info("policy in force")
 }
 
 // applyBounds applies the bounds of the policy to new connections of callers.
--- a/fleet/relay/follow.go
+++ b/fleet/relay/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/evacuation"
 	"github.com/lynxshed/lynxshed/fleet/relay/overload"
@@ -27,6 +28,8 @@
 // list.
 const heartbeatShare = 0.15
 
+const answerAgeInterval = time.Second
+
 // relayedRest is how long a node pauses that receives changes from others: the node that watches
 // the store has already batched them during its own pause.
 const relayedRest = 50 * time.Millisecond
@@ -62,6 +65,7 @@
 		go overload.Watch(ctx, n.gate, n.log)
 	}
 	go n.watchLink(ctx)
+	go n.recordAnswerAges(ctx)
 	if n.tunnels != nil {
 		go n.tunnels.probe(ctx)
 	}
@@ -76,6 +80,23 @@
 	}
 }
 
+// policySource returns a function that tells where the last answer on the policy came from.
+func (n *Node) policySource() func() store.Provenance {
+	kind, _ := n.adapter.PolicyAt()
+	return func() store.Provenance { return n.store.Provenance(kind) }
+}
+
+// recordAnswerAges records the ages of the last answers until ctx ends.
+func (n *Node) recordAnswerAges(ctx context.Context) {
+	every(ctx, answerAgeInterval, func() {
+		for kind := range n.caches {
+			if at := n.store.Provenance(kind).Answered; !at.IsZero() {
+				n.metrics.AnswerAge(kind, clock.Since(at))
+			}
+		}
+	})
+}
+
 // rest returns how long the follower of a kind pauses after events.
 func (n *Node) rest(kind string, atStore time.Duration) func() time.Duration {
 	return func() time.Duration { return restAfter(n.store.Origin(kind), atStore) }
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -20,6 +20,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/origin"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
 // Handler is the HTTP handler that relays callers' calls to endpoints.
@@ -47,19 +48,20 @@
 // job is one call in progress.
 type job struct {
 	*Handler
-	w       http.ResponseWriter
-	r       *http.Request
-	call    call.Call
-	policy  *policy.Policy
-	route   policy.Route
-	service policy.Service
-	tenant  policy.Tenant
-	regions allowedRegions
-	body    []byte
-	memory  int64 // bytes reserved for the call
-	start   time.Time
-	stalls  stallCheck // since the start
-	end     time.Time  // the caller's deadline or the route's timeout, whichever is earlier
+	w          http.ResponseWriter
+	r          *http.Request
+	call       call.Call
+	policy     *policy.Policy
+	policyFrom store.Provenance // as of the start
+	route      policy.Route
+	service    policy.Service
+	tenant     policy.Tenant
+	regions    allowedRegions
+	body       []byte
+	memory     int64 // bytes reserved for the call
+	start      time.Time
+	stalls     stallCheck // since the start
+	end        time.Time  // the caller's deadline or the route's timeout, whichever is earlier
 
 	reserved          int64 // tokens
 	used              int64 // tokens of the reservation that the caller received
@@ -93,6 +95,9 @@
 	defer end()
 	h.awaitBacklog(r.Context())
 	j := &job{Handler: h, w: w, r: r, start: clock.Now(), stalls: newStallCheck(h.Stalled), policy: h.Policy.Load()}
+	if h.PolicySource != nil {
+		j.policyFrom = h.PolicySource()
+	}
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -318,9 +323,7 @@
 		"request": j.call.ID, "route": j.route.Name, "tenant": j.tenant.Name, "reason": reason, "status": status,
 		"ms": took.Milliseconds(), "attempts": j.attempts, "endpoint": j.engine, "reserved": j.call.Cost(), "used": j.used,
 	}
-	if j.policy != nil {
-		fields["policy"] = j.policy.Version
-	}
+	j.describePolicy(fields)
 	j.describeResumed(fields)
 	j.describePlacement(fields)
 	j.describeLimit(fields)
@@ -337,6 +340,22 @@
 	j.Log.WithFields(fields).Info("call ended")
 }
 
+// describePolicy adds to the log fields by which policy the call was decided, which node had
+// confirmed it last, and how long before the call.
+func (j *job) describePolicy(fields log.Fields) {
+	if j.policy == nil {
+		return
+	}
+	fields["policy"] = j.policy.Version
+	if j.PolicySource == nil {
+		return
+	}
+	fields["policyAgeMs"] = j.start.Sub(j.policyFrom.Answered).Milliseconds()
+	if j.policyFrom.Source != "" {
+		fields["policyFrom"] = j.policyFrom.Source
+	}
+}
+
 // describeLimit adds the rate limit in the endpoint's answer to the log fields.
 func (j *job) describeLimit(fields log.Fields) {
 	switch j.limit.Kind {
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -25,12 +25,14 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 	"github.com/lynxshed/lynxshed/fleet/relay/reachability"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
 // Options are the dependencies of a handler.
 type Options struct {
 	Wire          call.Wire
 	Policy        *atomic.Pointer[policy.Policy]
+	PolicySource  func() store.Provenance // where the last answer on the policy came from; nil: not logged
 	Engines       *atomic.Pointer[engine.Directory]
 	Trials        *atomic.Pointer[Trials] // nil: no service moves between versions
 	Samples       Samples                 // evidence on the services in Trials
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -182,7 +182,7 @@
 	n.enableTunnels(tunnel.Identity{Name: s.Node, Incarnation: incarnation})
 	n.dropIdle, n.dropAllIdle = n.transport.DropIdle, n.transport.DropAllIdle
 	n.handler = forward.New(forward.Options{
-		Wire: a.Wire(), Policy: &n.policy, Engines: &n.engines, Trials: &n.moves, Samples: n.trials, Allowance: n.allowance, Picker: n.picker,
+		Wire: a.Wire(), Policy: &n.policy, PolicySource: n.policySource(), Engines: &n.engines, Trials: &n.moves, Samples: n.trials, Allowance: n.allowance, Picker: n.picker,
 		Retries:       retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Sharers),
 		RetrySchedule: limit.NewRetrySchedule(),
 		Quarantine:    n.quarantineTracker(), Origins: n.streamOrigins(), Gate: n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: n.transport, Reachability: n.reachability, TokenSource: tokenSource{n}, Backlog: n.stalls.Backlog, Stalled: n.stalls.StalledSince, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -71,6 +71,7 @@
 	n := &Node{
 		adapter: revisionAdapter{}, log: quiet, settings: DefaultSettings(), health: store.NewHealth(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning()),
 		picker: choice.NewPicker("z", choice.DefaultTuning()), intake: overload.NewIntake(overload.DefaultIntakeRule()),
+		store: store.NewSourced(nil, func() []store.Source { return nil }),
 	}
 	n.bounds, n.dropIdle = bound.NewGate("n"), func(string) int { return 0 }
 	n.metrics, _ = NewMetrics(noop.Meter{})
@@ -284,6 +285,7 @@
 	m.FirstEvent("route", 20*time.Millisecond)
 	m.StoreCall("kind", "put", "conflict")
 	m.Evacuated(1)
+	m.AnswerAge("kind", time.Second)
 	m.Partitioned("s", true)
 	m.BadEntry("kind")
 	m.Restarted("later")
@@ -302,7 +304,7 @@
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	listed := regexp.MustCompile(`\| (lynxshed_relay_\w+) \|`).FindAllStringSubmatch(string(page), -1)
-	require.Len(t, listed, 23)
+	require.Len(t, listed, 24)
 	for _, name := range listed {
 		assert.Contains(t, answer.Body.String(), "# TYPE "+name[1]+" ")
 	}
--- a/fleet/relay/store/cache.go
+++ b/fleet/relay/store/cache.go
@@ -29,6 +29,25 @@
 	FromStore                 // from the store itself
 )
 
+// String implements fmt.Stringer.
+func (o Origin) String() string {
+	switch o {
+	case FromStore:
+		return "store"
+	case FromWatcher:
+		return "watcher"
+	default:
+		return "other"
+	}
+}
+
+// Provenance is where an answer for a kind came from.
+type Provenance struct {
+	Origin   Origin
+	Source   string // name of the node that answered; "" is the store itself
+	Answered time.Time
+}
+
 // Cache holds the objects of one kind that a follower delivered, and answers lists and
 // watches from them, so that nodes which do not watch the store receive changes from one
 // that does. It is safe for concurrent use.
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -76,7 +76,7 @@
 	mu           sync.Mutex
 	silentUntil  map[string]time.Time            // by source name: when a silent source is asked again
 	unfitUntil   map[string]map[string]time.Time // by kind and source name: when a source that lost the store is asked again
-	origins      map[string]Origin               // by kind: of the last answer
+	answers      map[string]Provenance           // by kind: of the last answer
 	eras         *Eras                           // known to this node
 	newest       map[string]Revision             // by kind: revision of the newest list
 	lost         map[string]bool                 // kinds for which no source had the store when last asked
@@ -84,8 +84,7 @@
 	unavailable  bool                            // the last ping failed
 	reachedUntil time.Time                       // until then the store, which the sources lost, counts as reached
 
-	delays     map[string]func() time.Duration // by kind: how long after an answer the store is not asked in place of silent sources
-	answeredAt map[string]time.Time            // by kind: when a source or the store last answered
+	delays map[string]func() time.Duration // by kind: how long after an answer the store is not asked in place of silent sources
 }
 
 // AnswerTimeout is how long a source may take, beyond the wait of a watch, until its answer
@@ -94,8 +93,8 @@
 
 // NewSourced returns a store that asks the sources first.
 func NewSourced(s Store, sources func() []Source) *Sourced {
-	return &Sourced{Store: s, sources: sources, silentUntil: map[string]time.Time{}, unfitUntil: map[string]map[string]time.Time{}, lost: map[string]bool{}, origins: map[string]Origin{}, newest: map[string]Revision{}, eras: NewEras(),
-		delays: map[string]func() time.Duration{}, answeredAt: map[string]time.Time{}}
+	return &Sourced{Store: s, sources: sources, silentUntil: map[string]time.Time{}, unfitUntil: map[string]map[string]time.Time{}, lost: map[string]bool{}, answers: map[string]Provenance{}, newest: map[string]Revision{}, eras: NewEras(),
+		delays: map[string]func() time.Duration{}}
 }
 
 // WithEras sets the known eras: sources that answer from an earlier era, since they don't
@@ -121,16 +120,19 @@
 		return false
 	}
 	s.mu.Lock()
-	delay, at := s.delays[kind], s.answeredAt[kind]
+	delay, at := s.delays[kind], s.answers[kind].Answered
 	s.mu.Unlock()
 	return delay != nil && !at.IsZero() && clock.Since(at) < delay()
 }
 
-// Origin returns where the last answer for a kind came from.
-func (s *Sourced) Origin(kind string) Origin {
+// Origin returns how near to the store the last answer for a kind came from.
+func (s *Sourced) Origin(kind string) Origin { return s.Provenance(kind).Origin }
+
+// Provenance returns where the last answer for a kind came from, and when.
+func (s *Sourced) Provenance(kind string) Provenance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.origins[kind]
+	return s.answers[kind]
 }
 
 // available lists, in order, the sources to ask for a kind: those that did not fail
@@ -188,11 +190,11 @@
 func (s *Sourced) recordAnswer(source Source, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.origins[kind] = FromOther
+	p := Provenance{Origin: FromOther, Source: source.Name, Answered: clock.Now()}
 	if source.Watches {
-		s.origins[kind] = FromWatcher
+		p.Origin = FromWatcher
 	}
-	s.answeredAt[kind] = clock.Now()
+	s.answers[kind] = p
 	delete(s.silentUntil, source.Name)
 	delete(s.unfitUntil[kind], source.Name)
 	delete(s.lost, kind)
@@ -281,8 +283,7 @@
 		s.reachedUntil = time.Time{}
 		return
 	}
-	s.origins[kind] = FromStore
-	s.answeredAt[kind] = clock.Now()
+	s.answers[kind] = Provenance{Origin: FromStore, Answered: clock.Now()}
 }
 
 // List implements Store.
