Nodes answer others only with what the store confirmed recently

Callers saw calls handled by a policy that had been replaced for longer than the limit, at nodes that worked as usual. Cause: a watch that waits proves nothing until it is answered, and what a watcher believed was believed by all that asked it: where its connections to the store fell silent, it told 'nothing new' for a pause, a watch and a list on the next silent connection, up to 5.9 s at itself and 3.6 s at nine nodes, while another watcher and the rest of their zones had the change.

Now each answer carries when the store confirmed its content, at the latest, and the age adds up over the nodes that pass it on. A cache answers only with content confirmed within 0.6 of the limit of its kind and otherwise as one that lost the store, so that the next source is asked, and then the store. The steps have shares of the limit: 0.2 for the pause after events (0.3 before), 0.2 for one watch of a node that others ask, for every kind with a limit (the policy: half of the contact time before; endpoints, evacuations and orders: 16 s). A confirmation ends the watches of those that wait for one, so that it passes to all nodes as fast as a change. "disable": ["confirmations"] switches it off.

Chains of nodes whose watchers' connections fall silent: TestUpdatesArriveInTimeWhenANodeFails. TestAReconnectingRegionDoesNotFloodTheStore keeps its bounds for kinds without a limit and has the same for kinds with one beside the watches that confirm.

--- a/fleet/relay/follow.go
+++ b/fleet/relay/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/evacuation"
 	"github.com/lynxshed/lynxshed/fleet/relay/overload"
@@ -12,15 +11,6 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
-// How long a follower pauses after events of the store, as a share of the time within which a
-// change must be in force: a burst of changes then costs few calls. A change that arrives during the pause
-// waits for its end and for an answer of the store. An entry that goes while the store is
-// suspected is kept for lapseShare of that time from then on.
-const (
-	policyRestShare = 0.3
-	engineRestShare = 1 - lapseShare
-)
-
 // heartbeatShare is the interval between two pings of a node that watches the store for others, as
 // a share of the time limit for leaving endpoints. With the time that two pings may take, an
 // outage is detected within at most 1.4 s of the 3 s that Settings.Contact allows by default.
@@ -28,8 +18,6 @@
 // list.
 const heartbeatShare = 0.15
 
-const answerAgeInterval = time.Second
-
 // relayedRest is how long a node pauses that receives changes from others: the node that watches
 // the store has already batched them during its own pause.
 const relayedRest = 50 * time.Millisecond
@@ -37,13 +25,13 @@
 // follow starts to follow the store and the other nodes.
 func (n *Node) follow(ctx context.Context) {
 	kind, name := n.adapter.PolicyAt()
-	n.caches = map[string]*store.Cache{kind: store.NewCache(), n.adapter.EngineKind(): store.NewCache(), peer.Kind: store.NewCache(), n.adapter.EvacuationKind(): store.NewCache(), n.adapter.RolloutKind(): store.NewCache(), account.Kind: n.gossip.Ledgers()}
-	policies := store.FollowOptions{Kind: kind, Rest: n.rest(kind, fraction(policyRestShare, n.settings.Apply())), History: n.settings.History(), Health: n.health, Log: n.log, Leads: true, MaxWait: n.longestWatch}
+	n.initCaches()
+	policies := store.FollowOptions{Kind: kind, Rest: n.rest(kind, fraction(restShare, n.settings.Apply())), History: n.settings.History(), Health: n.health, Log: n.log, Leads: true, MaxWait: n.longestLeadingWatch}
 	go func() {
 		n.awaitPeers(ctx)
 		store.Follow(ctx, n.store, policies, n.cached(kind, func(c store.Change) { n.applyPolicy(name, c) }))
 	}()
-	engines := store.FollowOptions{Kind: n.adapter.EngineKind(), Rest: n.rest(n.adapter.EngineKind(), fraction(engineRestShare, n.settings.LeavingLimit())), History: n.settings.History(), Health: n.health, Log: n.log}
+	engines := store.FollowOptions{Kind: n.adapter.EngineKind(), Rest: n.rest(n.adapter.EngineKind(), fraction(restShare, n.settings.LeavingLimit())), History: n.settings.History(), Health: n.health, Log: n.log, MaxWait: n.longestWatch(n.adapter.EngineKind())}
 	go func() {
 		n.awaitPeers(ctx)
 		store.Follow(ctx, n.store, engines, n.cached(n.adapter.EngineKind(), n.engineTable.apply))
@@ -65,7 +53,7 @@
 		go overload.Watch(ctx, n.gate, n.log)
 	}
 	go n.watchLink(ctx)
-	go n.recordAnswerAges(ctx)
+	go n.watchContentAges(ctx)
 	if n.tunnels != nil {
 		go n.tunnels.probe(ctx)
 	}
@@ -86,17 +74,6 @@
 	return func() store.Provenance { return n.store.Provenance(kind) }
 }
 
-// recordAnswerAges records the ages of the last answers until ctx ends.
-func (n *Node) recordAnswerAges(ctx context.Context) {
-	every(ctx, answerAgeInterval, func() {
-		for kind := range n.caches {
-			if at := n.store.Provenance(kind).Answered; !at.IsZero() {
-				n.metrics.AnswerAge(kind, clock.Since(at))
-			}
-		}
-	})
-}
-
 // rest returns how long the follower of a kind pauses after events.
 func (n *Node) rest(kind string, atStore time.Duration) func() time.Duration {
 	return func() time.Duration { return restAfter(n.store.Origin(kind), atStore) }
@@ -117,7 +94,7 @@
 		return
 	}
 	kind := n.adapter.EvacuationKind()
-	options := store.FollowOptions{Kind: kind, Rest: store.FixedRest(0), History: n.settings.History(), Health: n.health, Log: n.log, Relist: &n.evacuationsRefresh}
+	options := store.FollowOptions{Kind: kind, Rest: store.FixedRest(0), History: n.settings.History(), Health: n.health, Log: n.log, Relist: &n.evacuationsRefresh, MaxWait: n.longestWatch(kind)}
 	go func() {
 		n.awaitPeers(ctx)
 		store.Follow(ctx, n.store, options, n.cached(kind, n.applyEvacuations))
@@ -129,7 +106,7 @@
 	cache := n.caches[kind]
 	return func(c store.Change) {
 		apply(c)
-		cache.Apply(c, n.store.Origin(kind))
+		cache.ApplyFrom(c, n.store.Provenance(kind))
 	}
 }
 
@@ -175,15 +152,6 @@
 	n.registry.AwaitListed(ctx)
 }
 
-// longestWatch bounds the leading watch on nodes that watch the store for others, so that they
-// detect a silent store in time and notify the others.
-func (n *Node) longestWatch() time.Duration {
-	if !n.gossip.Watches() {
-		return time.Hour // the history of the store bounds it
-	}
-	return n.settings.Contact() / 2
-}
-
 // every calls do at each interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, do func()) {
 	ticker := time.NewTicker(interval)
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -340,8 +340,8 @@
 	j.Log.WithFields(fields).Info("call ended")
 }
 
-// describePolicy adds to the log fields by which policy the call was decided, which node had
-// confirmed it last, and how long before the call.
+// describePolicy adds to the log fields by which policy the call was decided, which node it was
+// received from, and how long before the call the store had confirmed it as the newest.
 func (j *job) describePolicy(fields log.Fields) {
 	if j.policy == nil {
 		return
@@ -350,7 +350,7 @@
 	if j.PolicySource == nil {
 		return
 	}
-	fields["policyAgeMs"] = j.start.Sub(j.policyFrom.Answered).Milliseconds()
+	fields["policyAgeMs"] = j.start.Sub(j.policyFrom.Confirmed).Milliseconds()
 	if j.policyFrom.Source != "" {
 		fields["policyFrom"] = j.policyFrom.Source
 	}
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -32,7 +32,7 @@
 type Options struct {
 	Wire          call.Wire
 	Policy        *atomic.Pointer[policy.Policy]
-	PolicySource  func() store.Provenance // where the last answer on the policy came from; nil: not logged
+	PolicySource  func() store.Provenance // where the policy was last confirmed; nil: not logged
 	Engines       *atomic.Pointer[engine.Directory]
 	Trials        *atomic.Pointer[Trials] // nil: no service moves between versions
 	Samples       Samples                 // evidence on the services in Trials
--- a/fleet/relay/mechanisms.go
+++ b/fleet/relay/mechanisms.go
@@ -36,11 +36,12 @@
 	tunnelsMechanism        = "tunnels"       // connections to endpoints lead through other nodes where this node's own paths are cut
 	fragileMechanism        = "fragile"       // endpoints that crash when they reject too many calls are spared
 	originsMechanism        = "origins"       // streams are resumed at the software version that began them
+	confirmationMechanism   = "confirmations" // nodes answer others only with what the store confirmed recently
 	steerMechanism          = "steer"         // a node whose link one customer fills gets no new connections
 )
 
 func mechanismNames() []string {
-	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, redirectMechanism, steerMechanism, failureReportsMechanism, quarantineMechanism, limitsMechanism, noticesMechanism, tunnelsMechanism, fragileMechanism, originsMechanism)
+	return append(lo.Map(mechanisms, func(m mechanism, _ int) string { return m.name }), delegatesMechanism, redirectMechanism, steerMechanism, failureReportsMechanism, quarantineMechanism, limitsMechanism, noticesMechanism, tunnelsMechanism, fragileMechanism, originsMechanism, confirmationMechanism)
 }
 
 // Enabled reports whether a mechanism is not disabled.
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -25,11 +25,11 @@
 	duration    metric.Float64Histogram
 	firstEvent  metric.Float64Histogram
 
-	evacuated metric.Int64Gauge
-	builds    metric.Int64Gauge
-	link      metric.Float64Gauge
-	answerAge metric.Float64Gauge
-	intake    metric.Int64Gauge
+	evacuated  metric.Int64Gauge
+	builds     metric.Int64Gauge
+	link       metric.Float64Gauge
+	contentAge metric.Float64Gauge
+	intake     metric.Int64Gauge
 
 	stage, answers, badAnswers metric.Int64Gauge // of rollouts
 	share                      metric.Float64Gauge
@@ -89,7 +89,7 @@
 		name, what string
 	}{
 		{&metrics.link, "lynxshed.relay.link_used", "share of the VM's link that is used, the fuller way, smoothed"},
-		{&metrics.answerAge, "lynxshed.relay.answer_age", "seconds since the store, or a node that answers for it, last answered, by kind of object"},
+		{&metrics.contentAge, "lynxshed.relay.content_age", "seconds since the store confirmed what this node knows, at the latest, by kind of object"},
 		{&metrics.share, "lynxshed.relay.rollout_share", "of a service's calls that try the target while it is sampled"},
 	}
 	for _, g := range floats {
@@ -162,9 +162,9 @@
 	m.partitioned.Record(context.Background(), lo.Ternary[int64](lost, 1, 0), metric.WithAttributes(attribute.String("service", service)))
 }
 
-// AnswerAge records how long ago the store, or a node that answers for it, last answered for a kind.
-func (m *Metrics) AnswerAge(kind string, age time.Duration) {
-	m.answerAge.Record(context.Background(), age.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
+// ContentAge records how long ago the store confirmed what this node knows of a kind.
+func (m *Metrics) ContentAge(kind string, age time.Duration) {
+	m.contentAge.Record(context.Background(), age.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
 }
 
 // Evacuated records how many zones are to get no new work.
--- a/fleet/relay/peer/ledger.go
+++ b/fleet/relay/peer/ledger.go
@@ -122,10 +122,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout+2*g.places.OfClass(g.ledgers.class(), clock.Now()).RoundTrip)
 	defer cancel()
-	objects, _, err := Remote{client: g.client, address: from, busy: g.busy, eras: g.eras, anyEra: true}.List(ctx, account.Kind)
-	if err != nil || len(objects) != 1 {
+	list, err := Remote{client: g.client, address: from, busy: g.busy, eras: g.eras, anyEra: true}.List(ctx, account.Kind)
+	if err != nil || len(list.Objects) != 1 {
 		g.ledgers.forget(from)
 		return store.Object{}, false
 	}
-	return objects[0], true
+	return list.Objects[0], true
 }
--- a/fleet/relay/peer/source.go
+++ b/fleet/relay/peer/source.go
@@ -32,6 +32,7 @@
 	Era      int64        `json:"era,omitempty"` // of every revision in the answer; 0 from an earlier build, or if the store reports none
 	Objects  []objectForm `json:"objects,omitempty"`
 	Events   []changeForm `json:"events,omitempty"`
+	AgeMs    int64        `json:"ageMs,omitempty"` // since the store confirmed the content; 0 from an earlier build
 }
 
 type objectForm struct {
@@ -83,7 +84,7 @@
 	case err != nil:
 		w.WriteHeader(http.StatusBadRequest)
 	default:
-		writeAnswer(w, r, answer)
+		writeAnswer(w, r, formOfAnswer(answer))
 	}
 }
 
@@ -112,42 +113,58 @@
 }
 
 // askCache lists, or watches if the query names a revision.
-func askCache(r *http.Request, cache *store.Cache) (objectsAnswer, error) {
-	var answer objectsAnswer
+func askCache(r *http.Request, cache *store.Cache) (store.Answer, error) {
 	query := r.URL.Query()
 	minOrigin := store.FromWatcher
 	if query.Has(firsthand) {
 		minOrigin = store.FromStore
 	}
 	if !query.Has("since") {
-		objects, at, err := cache.ListFrom(minOrigin)
-		answer.Revision, answer.Era = at.Number(), at.Era()
-		for _, o := range objects {
-			answer.Objects = append(answer.Objects, formOf(o))
-		}
-		return answer, err
+		return cache.ListFrom(minOrigin)
 	}
 	since, err := strconv.ParseInt(query.Get("since"), 10, 64)
 	if err != nil {
-		return answer, errors.Wrap(err, "since")
+		return store.Answer{}, errors.Wrap(err, "since")
 	}
 	era, err := sinceEra(query, cache)
 	if err != nil {
-		return answer, err
+		return store.Answer{}, err
 	}
 	ms, err := strconv.ParseInt(query.Get("waitMs"), 10, 64)
 	if err != nil {
-		return answer, errors.Wrap(err, "waitMs")
+		return store.Answer{}, errors.Wrap(err, "waitMs")
 	}
 	wait := min(max(time.Duration(ms)*time.Millisecond, 0), maxWatchWait)
-	events, at, err := cache.WatchFrom(r.Context(), minOrigin, store.At(era, since), wait)
-	answer.Revision, answer.Era = at.Number(), at.Era()
-	for _, e := range events {
-		answer.Events = append(answer.Events, changeForm{Object: formOf(e.Object), Gone: e.Gone})
+	return cache.WatchFrom(r.Context(), minOrigin, store.At(era, since), wait)
+}
+
+func formOfAnswer(a store.Answer) objectsAnswer {
+	form := objectsAnswer{Revision: a.Revision.Number(), Era: a.Revision.Era(), AgeMs: clock.Since(a.Confirmed).Milliseconds()}
+	for _, o := range a.Objects {
+		form.Objects = append(form.Objects, formOf(o))
+	}
+	for _, e := range a.Events {
+		form.Events = append(form.Events, changeForm{Object: formOf(e.Object), Gone: e.Gone})
+	}
+	return form
+}
+
+// answer returns the decoded answer, which began to arrive at a time.
+func (f objectsAnswer) answer(kind string, began time.Time) store.Answer {
+	age := time.Duration(min(max(f.AgeMs, 0), maxAgeMs)) * time.Millisecond
+	a := store.Answer{Revision: store.At(f.Era, f.Revision), Confirmed: began.Add(-age)}
+	for _, o := range f.Objects {
+		a.Objects = append(a.Objects, o.object(kind, f.Era))
+	}
+	for _, e := range f.Events {
+		a.Events = append(a.Events, store.Event{Object: e.Object.object(kind, f.Era), Gone: e.Gone})
 	}
-	return answer, err
+	return a
 }
 
+// maxAgeMs bounds the age in a peer's answer, so that it fits a duration.
+const maxAgeMs = 24 * 3600 * 1000
+
 // sinceEra returns the era of the revision that a watch names. A peer of an earlier build
 // names none, and means the era in which this node answered it.
 func sinceEra(query url.Values, cache *store.Cache) (int64, error) {
@@ -209,33 +226,16 @@
 )
 
 // List implements store.Reader.
-func (r Remote) List(ctx context.Context, kind string) ([]store.Object, store.Revision, error) {
-	answer, err := r.get(ctx, kind, url.Values{}, 0)
-	if err != nil {
-		return nil, 0, err
-	}
-	objects := make([]store.Object, 0, len(answer.Objects))
-	for _, o := range answer.Objects {
-		objects = append(objects, o.object(kind, answer.Era))
-	}
-	return objects, store.At(answer.Era, answer.Revision), nil
+func (r Remote) List(ctx context.Context, kind string) (store.Answer, error) {
+	return r.get(ctx, kind, url.Values{}, 0)
 }
 
 // Watch implements store.Reader.
-func (r Remote) Watch(ctx context.Context, kind string, since store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
-	answer, err := r.get(ctx, kind, url.Values{"since": {strconv.FormatInt(since.Number(), 10)}, eraQuery: {strconv.FormatInt(since.Era(), 10)}, "waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}}, wait)
-	if err != nil {
-		return nil, 0, err
-	}
-	events := make([]store.Event, 0, len(answer.Events))
-	for _, e := range answer.Events {
-		events = append(events, store.Event{Object: e.Object.object(kind, answer.Era), Gone: e.Gone})
-	}
-	return events, store.At(answer.Era, answer.Revision), nil
+func (r Remote) Watch(ctx context.Context, kind string, since store.Revision, wait time.Duration) (store.Answer, error) {
+	return r.get(ctx, kind, url.Values{"since": {strconv.FormatInt(since.Number(), 10)}, eraQuery: {strconv.FormatInt(since.Era(), 10)}, "waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)}}, wait)
 }
 
-func (r Remote) get(ctx context.Context, kind string, query url.Values, wait time.Duration) (objectsAnswer, error) {
-	var answer objectsAnswer
+func (r Remote) get(ctx context.Context, kind string, query url.Values, wait time.Duration) (store.Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := clock.StartTimeout(wait+r.slack(), func() { cancel(errSilent) })
@@ -246,27 +246,38 @@
 	target := url.URL{Scheme: "http", Host: r.address, Path: objectsPath + kind, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
-		return answer, errors.Wrapf(err, "ask peer %s", r.address)
+		return store.Answer{}, errors.Wrapf(err, "ask peer %s", r.address)
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return answer, errors.Wrapf(cmp.Or(context.Cause(ctx), err), "ask peer %s", r.address)
+		return store.Answer{}, errors.Wrapf(cmp.Or(context.Cause(ctx), err), "ask peer %s", r.address)
 	}
 	timer.Stop()
 	defer resp.Body.Close()
+	began := clock.Now()
+	form, err := r.read(resp)
+	if err != nil {
+		return store.Answer{}, err
+	}
+	return form.answer(kind, began), nil
+}
+
+// read decodes a peer's answer.
+func (r Remote) read(resp *http.Response) (objectsAnswer, error) {
+	var form objectsAnswer
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusGone:
-		return answer, store.ErrCompacted
+		return form, store.ErrCompacted
 	case http.StatusServiceUnavailable:
-		return answer, errors.Wrapf(store.ErrUnfit, "peer %s", r.address)
+		return form, errors.Wrapf(store.ErrUnfit, "peer %s", r.address)
 	default:
-		return answer, errors.Newf("peer %s: status %d", r.address, resp.StatusCode)
+		return form, errors.Newf("peer %s: status %d", r.address, resp.StatusCode)
 	}
-	if err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&answer); err != nil {
-		return answer, errors.Wrapf(err, "answer of peer %s", r.address)
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&form); err != nil {
+		return form, errors.Wrapf(err, "answer of peer %s", r.address)
 	}
-	return r.inEra(answer)
+	return r.inEra(form)
 }
 
 // inEra checks an answer's era and fills it in. A peer of an earlier build sends none: its
--- a/fleet/relay/peer/source_test.go
+++ b/fleet/relay/peer/source_test.go
@@ -27,9 +27,9 @@
 			_, _ = w.Write([]byte(`{"revision":7}`))
 		}))
 		isBusy := func() bool { return busy }
-		_, at, err := Remote{client: sourceClient(isBusy), address: strings.TrimPrefix(server.URL, "http://"), busy: isBusy, eras: store.NewEras()}.Watch(t.Context(), "k", 1, 10*time.Millisecond)
+		answer, err := Remote{client: sourceClient(isBusy), address: strings.TrimPrefix(server.URL, "http://"), busy: isBusy, eras: store.NewEras()}.Watch(t.Context(), "k", 1, 10*time.Millisecond)
 		assert.Equal(t, busy, err == nil, "%v", err)
-		assert.Equal(t, busy, at == 7)
+		assert.Equal(t, busy, answer.Revision == 7)
 		server.Close()
 	}
 }
@@ -46,30 +46,30 @@
 	ctx := context.Background()
 	cache := store.NewCache()
 	r := remoteTo(t, cache)
-	_, _, err := r.List(ctx, "k")
+	_, err := r.List(ctx, "k")
 	assert.ErrorIs(t, err, store.ErrUnfit)
-	_, _, err = r.List(ctx, "other")
+	_, err = r.List(ctx, "other")
 	assert.ErrorContains(t, err, "status 404")
 
 	o := store.Object{Kind: "k", Name: "n", Revision: 4, Data: json.RawMessage(`{"a":1}`)}
 	cache.Apply(store.Snapshot{Objects: []store.Object{o}, Revision: 4}, store.FromStore)
-	objects, at, err := r.List(ctx, "k")
+	list, err := r.List(ctx, "k")
 	require.NoError(t, err)
-	assert.Equal(t, []store.Object{o}, objects)
-	assert.Equal(t, store.Revision(4), at)
+	assert.Equal(t, []store.Object{o}, list.Objects)
+	assert.Equal(t, store.Revision(4), list.Revision)
 
 	cache.Apply(store.Update{Events: []store.Event{{Object: store.Object{Name: "n"}, Gone: true}}, Revision: 6}, store.FromStore)
-	events, at, err := r.Watch(ctx, "k", 4, time.Second)
+	events, err := r.Watch(ctx, "k", 4, time.Second)
 	require.NoError(t, err)
-	assert.Equal(t, []store.Event{{Object: store.Object{Kind: "k", Name: "n"}, Gone: true}}, events)
-	assert.Equal(t, store.Revision(6), at)
-	_, at, err = r.Watch(ctx, "k", 6, 10*time.Millisecond)
+	assert.Equal(t, []store.Event{{Object: store.Object{Kind: "k", Name: "n"}, Gone: true}}, events.Events)
+	assert.Equal(t, store.Revision(6), events.Revision)
+	events, err = r.Watch(ctx, "k", 6, 10*time.Millisecond)
 	require.NoError(t, err)
-	assert.Equal(t, store.Revision(6), at)
-	_, _, err = r.Watch(ctx, "k", 3, time.Second)
+	assert.Equal(t, store.Revision(6), events.Revision)
+	_, err = r.Watch(ctx, "k", 3, time.Second)
 	assert.ErrorIs(t, err, store.ErrCompacted)
 	cache.Apply(store.Lost{Err: errors.New("lost")}, store.FromStore)
-	_, _, err = r.Watch(ctx, "k", 6, time.Second)
+	_, err = r.Watch(ctx, "k", 6, time.Second)
 	assert.ErrorIs(t, err, store.ErrUnfit)
 }
 
@@ -93,17 +93,17 @@
 	r := remoteTo(t, cache)
 	cache.Apply(store.Snapshot{Objects: []store.Object{good("x", 4), good("y", 4), good("z", 4)}, Revision: 4}, store.FromStore)
 	cache.Apply(store.Update{Events: []store.Event{{Object: bad("x")}, {Object: unread}, {Object: bad("")}}, Revision: 6}, store.FromStore)
-	objects, at, err := r.List(t.Context(), "k")
+	list, err := r.List(t.Context(), "k")
 	require.NoError(t, err)
-	assert.Equal(t, store.Revision(6), at)
-	assert.ElementsMatch(t, []store.Object{passed("x"), unread, good("z", 4), passed("")}, objects)
-	events, _, err := r.Watch(t.Context(), "k", 4, time.Second)
+	assert.Equal(t, store.Revision(6), list.Revision)
+	assert.ElementsMatch(t, []store.Object{passed("x"), unread, good("z", 4), passed("")}, list.Objects)
+	events, err := r.Watch(t.Context(), "k", 4, time.Second)
 	require.NoError(t, err)
-	assert.Equal(t, []store.Event{{Object: passed("x")}, {Object: unread}, {Object: passed("")}}, events)
+	assert.Equal(t, []store.Event{{Object: passed("x")}, {Object: unread}, {Object: passed("")}}, events.Events)
 	cache.Apply(store.Update{Events: []store.Event{{Object: good("x", 8)}}, Revision: 8}, store.FromStore)
-	events, _, err = r.Watch(t.Context(), "k", 6, time.Second)
+	events, err = r.Watch(t.Context(), "k", 6, time.Second)
 	require.NoError(t, err)
-	assert.Equal(t, []store.Event{{Object: good("x", 8)}}, events)
+	assert.Equal(t, []store.Event{{Object: good("x", 8)}}, events.Events)
 }
 
 // A source that accepts a call and does not answer is detected soon; an answer that has
@@ -135,7 +135,7 @@
 			}))
 			defer server.Close()
 			began := time.Now()
-			_, _, err := Remote{client: sourceClient(notBusy), address: strings.TrimPrefix(server.URL, "http://"), busy: notBusy, eras: store.NewEras()}.Watch(t.Context(), "k", 1, 10*time.Millisecond)
+			_, err := Remote{client: sourceClient(notBusy), address: strings.TrimPrefix(server.URL, "http://"), busy: notBusy, eras: store.NewEras()}.Watch(t.Context(), "k", 1, 10*time.Millisecond)
 			assert.Equal(t, c.fails, err != nil)
 			assert.Less(t, time.Since(began), 3*time.Second)
 		})
@@ -148,10 +148,40 @@
 	CacheHandler(map[string]*store.Cache{"k": cache}).ServeHTTP(answer, req)
 	assert.Equal(t, "gzip", answer.Header().Get("Content-Encoding"))
 	assert.Less(t, answer.Body.Len(), len(big)/10)
-	objects, _, err := remoteTo(t, cache).List(t.Context(), "k")
+	list, err := remoteTo(t, cache).List(t.Context(), "k")
 	require.NoError(t, err)
-	require.Len(t, objects, 1)
-	assert.Greater(t, len(objects[0].Data), 50_000)
+	require.Len(t, list.Objects, 1)
+	assert.Greater(t, len(list.Objects[0].Data), 50_000)
+}
+
+// Guards against content that becomes younger with each node that passes it on.
+func TestTheAgeOfContentIsPassedOn(t *testing.T) {
+	const age, tolerance = 800 * time.Millisecond, 300 * time.Millisecond
+	first, second := store.NewCache(), store.NewCache()
+	first.ApplyFrom(store.Snapshot{Revision: 4}, store.Provenance{Origin: store.FromStore, Confirmed: time.Now().Add(-age)})
+	for _, hop := range []struct{ from, to *store.Cache }{{first, second}, {second, nil}} {
+		a, err := remoteTo(t, hop.from).List(t.Context(), "k")
+		require.NoError(t, err)
+		assert.InDelta(t, age, time.Since(a.Confirmed), float64(tolerance))
+		if hop.to != nil {
+			hop.to.ApplyFrom(store.Snapshot{Revision: 4}, store.Provenance{Origin: store.FromWatcher, Confirmed: a.Confirmed})
+		}
+	}
+	cases := []struct {
+		name, answer string
+		age          time.Duration
+	}{
+		{"an earlier build sends no age", `{"revision":3}`, 0},
+		{"below zero", `{"revision":3,"ageMs":-500}`, 0},
+		{"beyond any time", `{"revision":3,"ageMs":9223372036854775807}`, 24 * time.Hour},
+	}
+	for _, c := range cases {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(c.answer)) }))
+		a, err := Remote{client: sourceClient(notBusy), address: server.Listener.Addr().String(), busy: notBusy, eras: store.NewEras()}.List(t.Context(), "k")
+		require.NoError(t, err, c.name)
+		assert.InDelta(t, c.age, time.Since(a.Confirmed), float64(tolerance), c.name)
+		server.Close()
+	}
 }
 
 func TestInvalidPeerRequestsAreRefused(t *testing.T) {
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -250,7 +250,7 @@
 		s, err := ParseSettings([]byte(`{"disable":["` + name + `"],` + rest + `}`))
 		require.NoError(t, err)
 		assert.False(t, s.Enabled(name))
-		inChoice := name != delegatesMechanism && name != redirectMechanism && name != steerMechanism && name != failureReportsMechanism && name != quarantineMechanism && name != limitsMechanism && name != noticesMechanism && name != tunnelsMechanism && name != fragileMechanism && name != originsMechanism
+		inChoice := name != delegatesMechanism && name != redirectMechanism && name != steerMechanism && name != failureReportsMechanism && name != quarantineMechanism && name != limitsMechanism && name != noticesMechanism && name != tunnelsMechanism && name != fragileMechanism && name != originsMechanism && name != confirmationMechanism
 		assert.Equal(t, !inChoice, s.Choice() == choice.DefaultTuning(), name)
 	}
 	_, err := ParseSettings([]byte(`{"disable":["luck"],` + rest + `}`))
@@ -285,7 +285,7 @@
 	m.FirstEvent("route", 20*time.Millisecond)
 	m.StoreCall("kind", "put", "conflict")
 	m.Evacuated(1)
-	m.AnswerAge("kind", time.Second)
+	m.ContentAge("kind", time.Second)
 	m.Partitioned("s", true)
 	m.BadEntry("kind")
 	m.Restarted("later")
--- a/fleet/relay/rollouts.go
+++ b/fleet/relay/rollouts.go
@@ -22,7 +22,7 @@
 		return
 	}
 	kind := n.adapter.RolloutKind()
-	options := store.FollowOptions{Kind: kind, Rest: store.FixedRest(0), History: n.settings.History(), Health: n.health, Log: n.log, SmallChanges: true, Relist: &n.ordersRefresh}
+	options := store.FollowOptions{Kind: kind, Rest: store.FixedRest(0), History: n.settings.History(), Health: n.health, Log: n.log, SmallChanges: true, Relist: &n.ordersRefresh, MaxWait: n.longestWatch(kind)}
 	n.store.DelayStore(kind, n.ordersDelay)
 	go func() {
 		n.awaitPeers(ctx)
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -243,6 +243,9 @@
 // EvacuationsEnabled reports whether operators may evacuate zones.
 func (s Settings) EvacuationsEnabled() bool { return s.EvacuateMs > 0 }
 
+// EvacuationLimit returns how soon the endpoints of an evacuated zone must get no new work.
+func (s Settings) EvacuationLimit() time.Duration { return seconds(s.EvacuateMs / 1000) }
+
 // RolloutsEnabled reports whether operators may order services to another version.
 func (s Settings) RolloutsEnabled() bool { return s.Rollout.Share > 0 }
 
--- a/fleet/relay/store/ask.go
+++ b/fleet/relay/store/ask.go
@@ -8,11 +8,9 @@
 
 // answer is the result of a list or a watch that a source was asked for.
 type answer struct {
-	from    Source
-	objects []Object
-	events  []Event
-	at      Revision
-	err     error
+	Answer
+	from Source
+	err  error
 }
 
 // valid reports whether the source answered for the store.
@@ -44,7 +42,7 @@
 func (s *Sourced) record(ctx context.Context, kind string, a answer) bool {
 	switch {
 	case a.valid():
-		s.recordAnswer(a.from, kind)
+		s.recordAnswer(a.from, kind, a.Confirmed)
 		return true
 	case errors.Is(ctx.Err(), context.Canceled):
 		return true // the caller canceled, which is no evidence against the source
--- a/fleet/relay/store/ask_test.go
+++ b/fleet/relay/store/ask_test.go
@@ -12,6 +12,26 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 )
 
+// answering makes a source of a fake store: its content is confirmed whenever it answers.
+type answering struct {
+	fake interface {
+		List(ctx context.Context, kind string) ([]store.Object, store.Revision, error)
+		Watch(ctx context.Context, kind string, since store.Revision, wait time.Duration) ([]store.Event, store.Revision, error)
+	}
+}
+
+// List implements store.Reader.
+func (a answering) List(ctx context.Context, kind string) (store.Answer, error) {
+	objects, at, err := a.fake.List(ctx, kind)
+	return store.Answer{Objects: objects, Revision: at, Confirmed: time.Now()}, err
+}
+
+// Watch implements store.Reader.
+func (a answering) Watch(ctx context.Context, kind string, since store.Revision, wait time.Duration) (store.Answer, error) {
+	events, at, err := a.fake.Watch(ctx, kind, since, wait)
+	return store.Answer{Events: events, Revision: at, Confirmed: time.Now()}, err
+}
+
 // silentSource is a source that may become silent. Like any Reader it gives up if no answer
 // begins in time.
 type silentSource struct {
@@ -50,7 +70,7 @@
 				platform := &silence{revision: 1, changed: make(chan struct{})}
 				var all []store.Source
 				for i := range sources {
-					all = append(all, store.Source{Name: string(rune('a' + i)), Reader: silentSource{&silence{revision: 1, changed: make(chan struct{})}}})
+					all = append(all, store.Source{Name: string(rune('a' + i)), Reader: answering{silentSource{&silence{revision: 1, changed: make(chan struct{})}}}})
 				}
 				s := store.NewSourced(platform, func() []store.Source { return all })
 				var mu sync.Mutex
@@ -66,7 +86,7 @@
 				})
 				time.Sleep(begins)
 				for i, one := range all {
-					r := one.Reader.(silentSource).silence
+					r := one.Reader.(answering).fake.(silentSource).silence
 					r.mu.Lock()
 					r.silent, r.revision = i < silent, 2
 					r.mu.Unlock()
--- a/fleet/relay/store/delayed_test.go
+++ b/fleet/relay/store/delayed_test.go
@@ -39,7 +39,7 @@
 				a := &asked{name: "a", calls: &calls, mu: &mu}
 				sources := 1
 				s := store.NewSourced(&asked{name: "store", calls: &calls, mu: &mu}, func() []store.Source {
-					return lo.Slice([]store.Source{{Name: "a", Reader: a}}, 0, sources)
+					return lo.Slice([]store.Source{{Name: "a", Reader: answering{a}}}, 0, sources)
 				})
 				s.DelayStore("kind", func() time.Duration { return c.wait })
 				if c.answered {
--- a/fleet/relay/store/heartbeat_test.go
+++ b/fleet/relay/store/heartbeat_test.go
@@ -67,7 +67,7 @@
 	behind := &silence{revision: 1, changed: make(chan struct{})} // the store as the source observes it
 	reached := &silence{revision: 1, changed: make(chan struct{})}
 	source := source(ctx, behind, leaving)
-	node := store.NewSourced(reached, func() []store.Source { return []store.Source{{Name: "a", Reader: source}} })
+	node := store.NewSourced(reached, func() []store.Source { return []store.Source{{Name: "a", Reader: answering{source}}} })
 	var mu sync.Mutex
 	known := map[string]time.Time{}
 	time.Sleep(time.Second)
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -15,8 +15,8 @@
 // Reader answers lists and watches. It gives up by itself if no answer begins within
 // AnswerTimeout after the wait of a watch.
 type Reader interface {
-	List(ctx context.Context, kind string) ([]Object, Revision, error)
-	Watch(ctx context.Context, kind string, since Revision, wait time.Duration) ([]Event, Revision, error)
+	List(ctx context.Context, kind string) (Answer, error)
+	Watch(ctx context.Context, kind string, since Revision, wait time.Duration) (Answer, error)
 }
 
 // Source is a node that may be asked instead of the store.
@@ -28,7 +28,7 @@
 
 // How sources are asked.
 const (
-	sourceWait     = time.Second            // maximum wait of one watch, so that a silent source is detected
+	maxSourceWait  = time.Second            // maximum wait of one watch, so that a silent source is detected
 	sourceSlack    = 400 * time.Millisecond // beyond that, until an answer begins
 	sourceBody     = 2 * time.Second        // for an answer that has begun, also on a narrow link shared with callers
 	silentBackoff  = 5 * time.Second        // before a silent source is asked again
@@ -85,6 +85,7 @@
 	reachedUntil time.Time                       // until then the store, which the sources lost, counts as reached
 
 	delays map[string]func() time.Duration // by kind: how long after an answer the store is not asked in place of silent sources
+	waits  map[string]time.Duration        // by kind: maximum wait of a source's watch, if shorter than maxSourceWait
 }
 
 // AnswerTimeout is how long a source may take, beyond the wait of a watch, until its answer
@@ -94,7 +95,7 @@
 // NewSourced returns a store that asks the sources first.
 func NewSourced(s Store, sources func() []Source) *Sourced {
 	return &Sourced{Store: s, sources: sources, silentUntil: map[string]time.Time{}, unfitUntil: map[string]map[string]time.Time{}, lost: map[string]bool{}, answers: map[string]Provenance{}, newest: map[string]Revision{}, eras: NewEras(),
-		delays: map[string]func() time.Duration{}}
+		delays: map[string]func() time.Duration{}, waits: map[string]time.Duration{}}
 }
 
 // WithEras sets the known eras: sources that answer from an earlier era, since they don't
@@ -105,6 +106,17 @@
 	return s
 }
 
+// LimitWait bounds the wait of a source's watch for a kind. It must be called before use.
+func (s *Sourced) LimitWait(kind string, wait time.Duration) { s.waits[kind] = wait }
+
+// sourceWait returns the maximum wait of a source's watch for a kind.
+func (s *Sourced) sourceWait(kind string) time.Duration {
+	if wait, limited := s.waits[kind]; limited {
+		return min(wait, maxSourceWait)
+	}
+	return maxSourceWait
+}
+
 // DelayStore sets, for a kind whose changes can wait, how long after the last answer the store
 // itself is not asked while sources are named but silent. A node that is partitioned for
 // seconds then costs the store nothing.
@@ -184,16 +196,20 @@
 	s.unfitUntil[kind][source.Name] = clock.Now().Add(backoff)
 }
 
-// recordAnswer records that a source answered for a kind. The state of the pings is reset
+// recordAnswer records that a source answered for a kind, with content that was confirmed at a
+// time; zero if the answer has no content, since the source's history is compacted. The state of the pings is reset
 // only once no kind needs it: otherwise each answer for one kind would restart the delay of
 // the ping that another kind's follower waits for.
-func (s *Sourced) recordAnswer(source Source, kind string) {
+func (s *Sourced) recordAnswer(source Source, kind string, confirmed time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := Provenance{Origin: FromOther, Source: source.Name, Answered: clock.Now()}
+	p := Provenance{Origin: FromOther, Source: source.Name, Answered: clock.Now(), Confirmed: confirmed}
 	if source.Watches {
 		p.Origin = FromWatcher
 	}
+	if confirmed.IsZero() {
+		p.Confirmed = s.answers[kind].Confirmed
+	}
 	s.answers[kind] = p
 	delete(s.silentUntil, source.Name)
 	delete(s.unfitUntil[kind], source.Name)
@@ -273,7 +289,7 @@
 
 // recordStoreCall records how a call to the store itself ended. A canceled call is no evidence
 // of an outage: watches are restarted once the leader reaches the store again.
-func (s *Sourced) recordStoreCall(ctx context.Context, kind string, err error) {
+func (s *Sourced) recordStoreCall(ctx context.Context, kind string, confirmed time.Time, err error) {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
@@ -283,20 +299,20 @@
 		s.reachedUntil = time.Time{}
 		return
 	}
-	s.answers[kind] = Provenance{Origin: FromStore, Answered: clock.Now()}
+	s.answers[kind] = Provenance{Origin: FromStore, Answered: clock.Now(), Confirmed: confirmed}
 }
 
 // List implements Store.
 func (s *Sourced) List(ctx context.Context, kind string) (objects []Object, at Revision, err error) {
 	a, done := s.ask(ctx, kind, func(ctx context.Context, from Source, _ bool) answer {
-		objects, at, err := listFrom(ctx, from, kind)
+		list, err := listFrom(ctx, from, kind)
 		if err == nil {
-			err = s.checkRevision(kind, at)
+			err = s.checkRevision(kind, list.Revision)
 		}
-		return answer{objects: objects, at: at, err: err}
+		return answer{Answer: list, err: err}
 	})
 	if done {
-		return a.objects, a.at, s.markIsolated(kind, a.err)
+		return a.Objects, a.Revision, s.markIsolated(kind, a.err)
 	}
 	if s.delaysStore(kind) {
 		return nil, 0, s.delayedError(kind)
@@ -304,8 +320,9 @@
 	if !s.reachesStore(ctx, kind) {
 		return nil, 0, s.sourcesLostError()
 	}
+	sent := clock.Now()
 	objects, at, err = s.Store.List(ctx, kind)
-	s.recordStoreCall(ctx, kind, err)
+	s.recordStoreCall(ctx, kind, sent, err)
 	return objects, at, s.markIsolated(kind, err)
 }
 
@@ -336,7 +353,7 @@
 	})
 }
 
-func listFrom(ctx context.Context, from Source, kind string) ([]Object, Revision, error) {
+func listFrom(ctx context.Context, from Source, kind string) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, sourceSlack+sourceBody)
 	defer cancel()
 	return from.Reader.List(ctx, kind)
@@ -347,15 +364,15 @@
 // know, so that several lost together are detected in little more time than one.
 func (s *Sourced) Watch(ctx context.Context, kind string, since Revision, wait time.Duration) (events []Event, at Revision, err error) {
 	a, done := s.ask(ctx, kind, func(ctx context.Context, from Source, immediate bool) answer {
-		maxWait := sourceWait
+		maxWait := s.sourceWait(kind)
 		if immediate {
 			maxWait = 0
 		}
-		events, at, err := s.watchFrom(ctx, from, kind, since, min(wait, maxWait))
-		return answer{events: events, at: at, err: err}
+		events, err := s.watchFrom(ctx, from, kind, since, min(wait, maxWait))
+		return answer{Answer: events, err: err}
 	})
 	if done {
-		return a.events, a.at, s.markIsolated(kind, a.err)
+		return a.Events, a.Revision, s.markIsolated(kind, a.err)
 	}
 	if s.delaysStore(kind) {
 		return nil, 0, s.delayedError(kind)
@@ -370,17 +387,29 @@
 		defer cancel()
 		bounded = short
 	}
+	sent := clock.Now()
 	events, at, err = s.Store.Watch(bounded, kind, since, wait)
-	s.recordStoreCall(ctx, kind, err)
+	s.recordStoreCall(ctx, kind, confirmedByWatch(sent, wait, len(events)), err)
 	return events, at, s.markIsolated(kind, err)
 }
 
-func (s *Sourced) watchFrom(ctx context.Context, from Source, kind string, since Revision, wait time.Duration) ([]Event, Revision, error) {
+// confirmedByWatch returns when the store confirmed the content of a watch that was sent at a time
+// and that just ended. Events are sent as they occur; without any, the answer may have been on its
+// way, or unread, for what it took beyond its wait.
+func confirmedByWatch(sent time.Time, wait time.Duration, events int) time.Time {
+	now := clock.Now()
+	if waited := sent.Add(wait); events == 0 && waited.Before(now) {
+		return waited
+	}
+	return now
+}
+
+func (s *Sourced) watchFrom(ctx context.Context, from Source, kind string, since Revision, wait time.Duration) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+sourceSlack+sourceBody)
 	defer cancel()
-	events, at, err := from.Reader.Watch(ctx, kind, since, wait)
-	if err == nil && at.Era() < s.eras.Newest() {
-		return nil, 0, errors.Wrapf(ErrUnfit, "watch of %s at revision %s, in era %d", kind, at, s.eras.Newest())
+	events, err := from.Reader.Watch(ctx, kind, since, wait)
+	if err == nil && events.Revision.Era() < s.eras.Newest() {
+		return Answer{}, errors.Wrapf(ErrUnfit, "watch of %s at revision %s, in era %d", kind, events.Revision, s.eras.Newest())
 	}
-	return events, at, err
+	return events, err
 }
--- a/fleet/relay/store/sourced_test.go
+++ b/fleet/relay/store/sourced_test.go
@@ -210,7 +210,7 @@
 				readers := []store.Source{}
 				for i, r := range []asked{c.a, c.b} {
 					r.name, r.calls, r.mu = string(rune('a'+i)), &calls, &mu
-					readers = append(readers, store.Source{Name: r.name, Reader: &r})
+					readers = append(readers, store.Source{Name: r.name, Reader: answering{&r}})
 				}
 				s := store.NewSourced(&asked{name: "store", calls: &calls, mu: &mu, hangs: c.hangs}, func() []store.Source { return readers[:c.sources] })
 				began := time.Now()
@@ -250,7 +250,7 @@
 				var mu sync.Mutex
 				source := &asked{name: "a", calls: &calls, mu: &mu, err: errors.Wrap(store.ErrUnfit, "peer")}
 				platform := &asked{name: "store", calls: &calls, mu: &mu, hangs: !c.reached}
-				s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: source}} })
+				s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: answering{source}}} })
 				const length = 2 * time.Minute
 				began, first := time.Now(), time.Duration(0)
 				for time.Since(began) < length {
@@ -291,7 +291,7 @@
 		readers := []store.Source{}
 		for _, r := range []*asked{{name: "a", err: unfit}, {name: "b", err: unfit}, {name: "c", err: unfit}, {name: "behind", at: 2}, {name: "far", at: 9}} {
 			r.calls, r.mu = &calls, &mu
-			readers = append(readers, store.Source{Name: r.name, Reader: r})
+			readers = append(readers, store.Source{Name: r.name, Reader: answering{r}})
 		}
 		s := store.NewSourced(&asked{name: "store", calls: &calls, mu: &mu, hangs: true}, func() []store.Source { return readers })
 		_, at, err := s.List(t.Context(), "kind")
@@ -324,7 +324,7 @@
 			var calls []string
 			var mu sync.Mutex
 			source := &asked{name: "a", calls: &calls, mu: &mu, err: errors.Wrap(store.ErrUnfit, "peer")}
-			s := store.NewSourced(&asked{name: "store", calls: &calls, mu: &mu, err: errDead}, func() []store.Source { return []store.Source{{Name: "a", Reader: source}} })
+			s := store.NewSourced(&asked{name: "store", calls: &calls, mu: &mu, err: errDead}, func() []store.Source { return []store.Source{{Name: "a", Reader: answering{source}}} })
 			health := store.NewHealth()
 			listed := make(chan time.Time, 100)
 			go store.Follow(ctx, s, store.FollowOptions{Kind: "kind", Rest: store.FixedRest(time.Millisecond), Health: health, Leads: leads}, func(c store.Change) {
@@ -347,7 +347,7 @@
 		var mu sync.Mutex
 		source := &asked{name: "a", calls: &calls, mu: &mu, err: errors.Wrap(store.ErrUnfit, "peer")}
 		platform := &asked{name: "store", calls: &calls, mu: &mu}
-		s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: source}} })
+		s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: answering{source}}} })
 		for range 10 {
 			_, _, _ = s.Watch(t.Context(), "kind", 5, time.Second)
 			time.Sleep(100 * time.Millisecond)
@@ -392,7 +392,7 @@
 				source := c.source
 				source.name, source.calls, source.mu = "a", &calls, &mu
 				platform := &asked{name: "store", calls: &calls, mu: &mu, err: c.store}
-				s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: &source}}[:c.sources] })
+				s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: answering{&source}}}[:c.sources] })
 				health := store.NewHealth()
 				ctx, cancel := context.WithCancel(t.Context())
 				var lost atomic.Int32
@@ -434,7 +434,7 @@
 				var mu sync.Mutex
 				source := &asked{name: "a", calls: &calls, mu: &mu, err: errors.Wrap(store.ErrUnfit, "peer")}
 				platform := &asked{name: "store", calls: &calls, mu: &mu, err: errDead}
-				s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: source}} })
+				s := store.NewSourced(platform, func() []store.Source { return []store.Source{{Name: "a", Reader: answering{source}}} })
 				list := func(length time.Duration) (answered bool) {
 					for began := time.Now(); time.Since(began) < length; time.Sleep(50 * time.Millisecond) {
 						_, _, err := s.List(t.Context(), "kind")
@@ -475,16 +475,16 @@
 		for _, c := range cases {
 			cache := store.NewCache()
 			cache.Apply(store.Snapshot{Revision: 5}, c.from)
-			_, _, err := cache.ListFrom(c.least)
+			_, err := cache.ListFrom(c.least)
 			assert.ErrorIs(t, err, c.err)
-			_, _, err = cache.WatchFrom(t.Context(), c.least, 5, time.Second)
+			_, err = cache.WatchFrom(t.Context(), c.least, 5, time.Second)
 			assert.ErrorIs(t, err, c.err)
 		}
 		cache := store.NewCache()
 		cache.Apply(store.Snapshot{Revision: 5}, store.FromStore)
 		time.AfterFunc(time.Second, func() { cache.Apply(store.Update{Revision: 6}, store.FromWatcher) })
 		began := time.Now()
-		_, _, err := cache.WatchFrom(t.Context(), store.FromStore, 5, time.Minute)
+		_, err := cache.WatchFrom(t.Context(), store.FromStore, 5, time.Minute)
 		assert.ErrorIs(t, err, store.ErrUnfit)
 		assert.Equal(t, time.Second, time.Since(began))
 	})
