--- a/fleet/relay/peer/source.go
+++ b/fleet/relay/peer/source.go
@@ -250,7 +250,9 @@
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return store.Answer{}, errors.Wrapf(cmp.Or(context.Cause(ctx), err), "ask peer %s", r.address)
+		err = errors.Wrapf(cmp.Or(context.Cause(ctx), err), "ask peer %s", r.address)
+		r.dropIdleIfSilent(err)
+		return store.Answer{}, err
 	}
 	timer.Stop()
 	defer resp.Body.Close()
@@ -262,6 +264,14 @@
 	return form.answer(kind, began), nil
 }
 
+// dropIdleIfSilent closes the idle connections to peers if a peer did not answer in time: they may be
+// silent too, and each would cost a call, while new ones work.
+func (r Remote) dropIdleIfSilent(err error) {
+	if errors.Is(err, errSilent) || errors.Is(err, context.DeadlineExceeded) {
+		r.client.CloseIdleConnections()
+	}
+}
+
 // read decodes a peer's answer.
 func (r Remote) read(resp *http.Response) (objectsAnswer, error) {
 	var form objectsAnswer
