Answers without end are given up

Callers would have seen calls that wait until their deadline, and nodes that run out of memory: an endpoint in trouble may send bytes that are no answer without end, in a head or a body. Heads were bounded by 10 MB each, a plain answer and an event of a stream by nothing, and an endpoint whose bytes trickle in kept a call to its end.

What comes in too slowly is given up where the call may run elsewhere. Comments alone are no event of a stream.

--- a/fleet/node/network.go
+++ b/fleet/node/network.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/dial"
 )
 
 const (
@@ -42,5 +44,7 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTime,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: dial.MaxHeadBytes,
 	}}
 }
--- a/fleet/relay/dial/dial.go
+++ b/fleet/relay/dial/dial.go
@@ -13,6 +13,10 @@
 // Timeout is how long connecting may take.
 const Timeout = 300 * time.Millisecond
 
+// MaxHeadBytes limits the head of an answer, also with all informational ones before it: a peer in
+// trouble may send lines without end.
+const MaxHeadBytes = 64 << 10
+
 // probing is how a silent connection is detected.
 type probing struct {
 	after time.Duration // of silence
--- a/fleet/relay/forward/answer.go
+++ b/fleet/relay/forward/answer.go
@@ -23,11 +23,17 @@
 // passComplete passes an answer on once all of it has arrived, so that a caller never gets part of one.
 func (j *job) passComplete(ctx context.Context, t *choice.Placement, o answered) (*refusal, bool) {
 	defer closeBody(o.resp)
-	body, err := io.ReadAll(o.resp.Body)
+	if o.resp.ContentLength > j.maxAnswer() {
+		j.passLong(ctx, t, o)
+		return nil, false
+	}
+	body, err := j.readAnswer(o.resp)
 	if err != nil {
 		j.close(t, resultOf(ctx, choice.Bad), timing{})
 		j.note = wrapStep("body", t, err).Error()
-		j.recordInterrupted(ctx, t, quarantine.Begun)
+		if !gaveUp(err) {
+			j.recordInterrupted(ctx, t, quarantine.Begun)
+		}
 		if j.mayRunAgain(ctx) {
 			return nil, true
 		}
@@ -46,6 +52,23 @@
 	return nil, false
 }
 
+// passLong passes on an answer that is too long to be held, as it arrives. If it breaks, the caller's
+// connection is aborted.
+func (j *job) passLong(ctx context.Context, t *choice.Placement, o answered) {
+	j.Wire.Answer(j.w.Header(), o.resp)
+	j.w.Header().Set("Content-Length", strconv.FormatInt(o.resp.ContentLength, 10))
+	j.w.WriteHeader(o.resp.StatusCode)
+	j.used = j.reserved
+	if _, err := io.Copy(j.w, o.resp.Body); err != nil {
+		j.close(t, resultOf(ctx, choice.Bad), timing{})
+		j.note = wrapStep("body", t, err).Error()
+		j.finish("broken-off", o.resp.StatusCode)
+		panic(http.ErrAbortHandler)
+	}
+	j.close(t, resultOfStatus(o.resp.StatusCode), timing{})
+	j.finish("answered", o.resp.StatusCode)
+}
+
 // timing returns how long a plain answer took since the attempt began, or zero if the VM was suspended.
 func (j *job) timing(sent time.Time) timing {
 	if !j.stalls.noSuspension() {
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -46,6 +46,7 @@
 	Gate          Gate
 	Intake        Intake
 	Memory        *memory.Budget  // for calls in progress
+	MaxAnswer     int64           // bytes of an answer that is held until it is complete; 0: the default
 	Nodes         func() int      // number of nodes that share the endpoints' connections
 	Places        distance.Places // regions of the availability zones and round trips to them
 	Transport     *Transport
@@ -118,6 +119,8 @@
 		ExpectContinueTimeout: 0,
 		WriteBufferSize:       16 << 10,
 		ReadBufferSize:        4 << 10,
+
+		MaxResponseHeaderBytes: dial.MaxHeadBytes,
 	}
 	return t
 }
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -184,7 +184,7 @@
 		t.Accepted(started)
 	}
 	if v.NotExecuted || v.Moved {
-		discardSmall(resp)
+		discard(resp)
 		return rejected{status: resp.StatusCode, moved: v.Moved}
 	}
 	if !isStream(resp) && resp.StatusCode < http.StatusInternalServerError && j.stalls.usable(started) {
@@ -227,10 +227,5 @@
 // maxDiscarded is how many bytes of a refused attempt's body are read so that its connection can be reused.
 const maxDiscarded = 4 << 10
 
-func discardSmall(resp *http.Response) {
-	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscarded)
-	_ = resp.Body.Close()
-}
-
 // closeBody abandons an answer and its connection.
 func closeBody(resp *http.Response) { _ = resp.Body.Close() }
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -24,6 +24,7 @@
 	s := &streamRelay{job: j, lastID: j.call.LastEventID}
 	for {
 		s.pace = pace{placement: t, sent: o.sent, stalls: j.stalls}
+		s.watch = j.watchEvents(o.resp)
 		err := s.copy(ctx, o.resp.Body)
 		closeBody(o.resp)
 		if err == nil {
@@ -39,7 +40,7 @@
 		j.close(t, resultOf(ctx, choice.Bad), timing{})
 		j.note = wrapStep("stream", t, err).Error()
 		j.logBroken(t, s.events, err)
-		if s.callerErr == nil {
+		if s.callerErr == nil && !gaveUp(err) {
 			j.recordInterrupted(ctx, t, s.pace.progress(clock.Now()))
 		}
 		next, out, ok := j.resume(ctx, t, s)
@@ -145,6 +146,8 @@
 	lastID    string
 	callerErr error  // from writing to the caller
 	pending   []byte // start of an incomplete event
+	eventless int    // bytes passed on since the last event
+	watch     *eventWatch
 }
 
 const streamBuffer = 8 << 10
@@ -155,19 +158,27 @@
 func (s *streamRelay) copy(ctx context.Context, body io.Reader) error {
 	flusher := http.NewResponseController(s.w)
 	buffer := make([]byte, streamBuffer)
-	s.pending = s.pending[:0]
+	s.pending, s.eventless = s.pending[:0], 0
+	defer s.watch.stop()
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
+			before := s.events
 			if failure := s.pass(flusher, buffer[:n]); failure != nil {
 				s.callerErr = failure
 				return failure
 			}
+			if s.eventless+len(s.pending) > maxEventBytes {
+				return errEventTooLong
+			}
+			s.watch.observe(len(s.pending) > 0, s.events > before)
 		}
-		if err == io.EOF {
+		switch {
+		case err == io.EOF:
 			return s.atEnd(ctx)
-		}
-		if err != nil {
+		case err != nil && s.watch.isStuck():
+			return errStuck
+		case err != nil:
 			return err
 		}
 	}
@@ -190,6 +201,9 @@
 		s.recordOrigin(s.pace.placement)
 	}
 	s.count(complete)
+	if s.eventless += len(complete); s.events > before {
+		s.eventless = 0
+	}
 	now := clock.Now()
 	s.pace.observe(int(s.events-before), now)
 	if first && s.pace.first > 0 {
@@ -208,18 +222,19 @@
 	return nil
 }
 
-// count counts events and records the last event id.
+// count counts events and records the last event id. Comments alone are no event.
 func (s *streamRelay) count(complete []byte) {
 	for event := range bytes.SplitSeq(complete, eventEnd) {
-		if len(bytes.Trim(event, "\n")) == 0 {
-			continue
-		}
-		s.events++
+		isEvent := false
 		for line := range bytes.SplitSeq(event, []byte("\n")) {
+			isEvent = isEvent || len(line) > 0 && line[0] != ':'
 			if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 				s.lastID = string(bytes.TrimSpace(id))
 			}
 		}
+		if isEvent {
+			s.events++
+		}
 	}
 }
 
--- a/fleet/relay/forward/tunnel.go
+++ b/fleet/relay/forward/tunnel.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "probe of %s", address)
 	}
-	once := &http.Transport{DialContext: direct.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	once := &http.Transport{DialContext: direct.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: dial.MaxHeadBytes}
 	resp, err := once.RoundTrip(req)
 	if err != nil {
 		return errors.Wrapf(err, "probe of %s", address)
--- a/fleet/relay/peer/source.go
+++ b/fleet/relay/peer/source.go
@@ -203,7 +203,7 @@
 		}
 		return dialer.DialContext(ctx, network, address)
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: connect, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second}}
+	return &http.Client{Transport: &http.Transport{DialContext: connect, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second, MaxResponseHeaderBytes: dial.MaxHeadBytes}}
 }
 
 // errSilent cancels a call whose answer does not begin in time.
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -185,7 +185,7 @@
 		Wire: a.Wire(), Policy: &n.policy, PolicySource: n.policySource(), Engines: &n.engines, Trials: &n.moves, Samples: n.trials, Allowance: n.allowance, Picker: n.picker,
 		Retries:       retry.NewBudget(retry.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window()}, n.registry.Sharers),
 		RetrySchedule: limit.NewRetrySchedule(),
-		Quarantine:    n.quarantineTracker(), Origins: n.streamOrigins(), Gate: n.gate, Intake: n.intake, Memory: n.memory, Nodes: n.registry.Count, Places: n.places, Transport: n.transport, Reachability: n.reachability, TokenSource: tokenSource{n}, Backlog: n.stalls.Backlog, Stalled: n.stalls.StalledSince, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
+		Quarantine:    n.quarantineTracker(), Origins: n.streamOrigins(), Gate: n.gate, Intake: n.intake, Memory: n.memory, MaxAnswer: int64(s.AnswerMB * (1 << 20)), Nodes: n.registry.Count, Places: n.places, Transport: n.transport, Reachability: n.reachability, TokenSource: tokenSource{n}, Backlog: n.stalls.Backlog, Stalled: n.stalls.StalledSince, Log: l, Metrics: n.metrics, Tracer: n.tracer(),
 	})
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler, l); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -30,6 +30,7 @@
 	EvacuateMs    float64              `json:"evacuateMs"` // ms until the endpoints of an evacuated zone must get no new work; 0: zones are never evacuated
 	LinkMbps      float64              `json:"linkMbps"`   // link capacity of the VM; 0: unknown
 	MemoryMB      float64              `json:"memoryMB"`   // memory bound of the process; 0: none
+	AnswerMB      float64              `json:"answerMB"`   // longest answer that is held until it is complete; a longer one passes as it arrives if it has a length, and fails otherwise
 	DrainS        float64              `json:"drainS"`     // seconds that a planned stop may take
 	Bootstrap     bool                 `json:"bootstrap"`  // the whole fleet starts for the first time
 	Retry         RetrySettings        `json:"retry"`      // bound on the retries of the fleet
@@ -128,7 +129,7 @@
 // DefaultSettings returns the defaults of fields that a file leaves out.
 func DefaultSettings() Settings {
 	return Settings{
-		DrainS: 8, ContactMs: 3000, ApplyMs: 2000, LeavingMs: 2000, LogLevel: "info",
+		AnswerMB: 4, DrainS: 8, ContactMs: 3000, ApplyMs: 2000, LeavingMs: 2000, LogLevel: "info",
 		Ready:   ReadySettings{Path: "/readyz", NoticeS: 2.8}, // two probes at one a second, and the time that the second takes
 		Retry:   RetrySettings{Ratio: 0.2, Slack: 20, WindowS: 10},
 		Cold:    ColdSettings{Overrun: 1},
@@ -188,6 +189,7 @@
 	}},
 	{Name: "linkMbps", Number: schema.Number(0, 1<<20)},
 	{Name: "memoryMB", Number: schema.Number(0, 1<<20)},
+	{Name: "answerMB", Number: schema.Number(0.1, 1024)},
 	{Name: "drainS", Number: schema.Number(0, maxSeconds)},
 	{Name: "disable", List: schema.OneOf(mechanismNames()...)},
 	{Name: "logLevel", Text: schema.OneOf("debug", "info", "warn", "error")},
--- a/fleet/relay/tunnel/dialer.go
+++ b/fleet/relay/tunnel/dialer.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -129,11 +130,13 @@
 	if err := req.Write(c); err != nil {
 		return nil, err
 	}
-	answers := bufio.NewReaderSize(c, bufferSize)
+	limited := &io.LimitedReader{R: c, N: dial.MaxHeadBytes}
+	answers := bufio.NewReaderSize(limited, bufferSize)
 	resp, err := http.ReadResponse(answers, req)
 	if err != nil {
 		return nil, err
 	}
+	limited.N = math.MaxInt64 // what follows is the endpoint's
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return answers, nil
