An endpoint that loses every new connection has ended

Cause: only a refused connection, or the next incarnation's entry some 2 s later, showed that an endpoint had ended; one that was reset after the connect counted as kept.

TestAnEndpointThatLosesConnectionsHasEnded failed before (not watched).

--- a/fleet/relay/quarantine.go
+++ b/fleet/relay/quarantine.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -22,14 +20,6 @@
 // nodes are lost. While nodes run they notify each other, and none of them watches the kind.
 const quarantineKind = "lynxshed-quarantine"
 
-// Intervals of checking whether an endpoint has ended. A process that ends sometimes closes its
-// connections before its port.
-const (
-	firstEndCheck   = 20 * time.Millisecond
-	secondEndCheck  = 200 * time.Millisecond
-	endCheckTimeout = 300 * time.Millisecond
-)
-
 // Intervals of writing quarantined requests to the store and of reading them.
 const (
 	writeSlot         = 500 * time.Millisecond // after which the next node writes if the one before did not
@@ -75,24 +65,6 @@
 	return n.quarantine.Tracker
 }
 
-// Verify implements quarantine.Observer: an endpoint that refuses connections has ended. One that
-// accepts them still runs, or restarted so quickly that only its entry shows it.
-func (q *quarantineManager) Verify(e engine.Engine) {
-	go func() {
-		for _, pause := range []time.Duration{firstEndCheck, secondEndCheck} {
-			time.Sleep(pause)
-			c, err := net.DialTimeout("tcp4", e.Address, endCheckTimeout)
-			switch {
-			case errors.Is(err, syscall.ECONNREFUSED):
-				q.Ended(e.Incarnation(), clock.Now())
-				return
-			case err == nil:
-				_ = c.Close()
-			}
-		}
-	}()
-}
-
 // EndObserved implements quarantine.Observer.
 func (q *quarantineManager) EndObserved(incarnation engine.Incarnation, under []quarantine.Suspect) {
 	some := under[:min(len(under), maxLoggedFingerprints)]
--- a/fleet/relay/quarantine_test.go
+++ b/fleet/relay/quarantine_test.go
@@ -160,10 +160,46 @@
 		q.Interrupted(e, []quarantine.Suspect{{Fingerprint: deadlyFingerprint, Customer: e.ID}}, clock.Now())
 	}
 	assert.Eventually(t, func() bool { return q.Watches("gone") }, time.Second, time.Millisecond)
-	time.Sleep(firstEndCheck + secondEndCheck + 50*time.Millisecond)
+	time.Sleep(firstEndCheck + (endChecks-1)*laterEndCheck + endChecks*(endCheckTimeout+endCheckKept))
 	assert.False(t, q.Watches("alive"))
 }
 
+// Guards against an endpoint whose end is noticed only by its entry, since what is left of it resets
+// connections; and against taking a cut of this node's own path for the end of an endpoint.
+func TestAnEndpointThatLosesConnectionsHasEnded(t *testing.T) {
+	cases := []struct {
+		name     string
+		answered bool // another endpoint of the service has answered this node
+		ended    bool
+	}{{"others answer", true, true}, {"none answers", false, false}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := quarantineNode(&quarantineStore{})
+			resetting := freeListener(t)
+			go func() {
+				for {
+					conn, err := resetting.Accept()
+					if err != nil {
+						return
+					}
+					_ = conn.(*net.TCPConn).SetLinger(0)
+					_ = conn.Close()
+				}
+			}()
+			e := engine.Engine{ID: "e", Address: resetting.Addr().String(), Service: "s"}
+			other := engine.Engine{ID: "other", Address: "127.0.0.1:1", Service: "s"}
+			q.Engines([]engine.Engine{e, other}, clock.Now())
+			q.reachability.Engines([]engine.Engine{e, other}, clock.Now())
+			if c.answered {
+				q.reachability.Answered(other, clock.Now(), clock.Now())
+			}
+			q.Interrupted(e, []quarantine.Suspect{{Fingerprint: deadlyFingerprint, Customer: e.ID}}, clock.Now())
+			time.Sleep(firstEndCheck + endChecks*(laterEndCheck+endCheckKept))
+			assert.Equal(t, c.ended, q.Watches("e"))
+		})
+	}
+}
+
 func freeListener(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -27,6 +27,7 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/overload"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
+	"github.com/lynxshed/lynxshed/fleet/relay/reachability"
 	"github.com/lynxshed/lynxshed/fleet/relay/rollout"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
 	"github.com/lynxshed/lynxshed/fleet/telemetry"
@@ -71,7 +72,7 @@
 	n := &Node{
 		adapter: revisionAdapter{}, log: quiet, settings: DefaultSettings(), health: store.NewHealth(), allowance: account.NewAllowance("n", "n/1", account.DefaultTuning()),
 		picker: choice.NewPicker("z", choice.DefaultTuning()), intake: overload.NewIntake(overload.DefaultIntakeRule()),
-		store: store.NewSourced(nil, func() []store.Source { return nil }),
+		store: store.NewSourced(nil, func() []store.Source { return nil }), reachability: reachability.NewTracker(reachability.DefaultRule(), func(reachability.Change) {}),
 	}
 	n.bounds, n.dropIdle = bound.NewGate("n"), func(string) int { return 0 }
 	n.metrics, _ = NewMetrics(noop.Meter{})
--- a/fleet/relay/tunnels.go
+++ b/fleet/relay/tunnels.go
@@ -201,9 +201,12 @@
 const ownAnswerAge = time.Second
 
 // answeredLately reports whether a service has just answered over a connection of this node.
-func (n *Node) answeredLately(service string) bool {
+func (n *Node) answeredLately(service string) bool { return n.answeredWithin(service, ownAnswerAge) }
+
+// answeredWithin reports whether a service has answered over a connection of this node within a time.
+func (n *Node) answeredWithin(service string, d time.Duration) bool {
 	last := n.reachability.Evidence(service, clock.Now()).Answered
-	return last >= 0 && last < ownAnswerAge
+	return last >= 0 && last < d
 }
 
 // mayOpenTunnels reports whether this node reaches a service. One that suspects a partition may: some
