A request is probed once where nodes that may have answered it have ended

A request of which nobody knows whether it was answered, since a node of the fleet ended, or this one started, within 15 s before its quarantine, has one probe now, claimed in the store as others are; one that was answered has two. A deadly request costs one endpoint more then: within the sends that are allowed.

--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -46,10 +46,11 @@
 	faults  *store.Faults
 	left    atomic.Bool
 
-	rewriteDue  chan struct{}    // holds a value while this node's own entry must be written again
-	onChange    []func([]Member) // called for each change of the members
-	ownRevision atomic.Int64     // store.Revision of this node's entry as last listed; 0 if none
-	listed      chan struct{}    // closed once the nodes of the fleet were listed
+	rewriteDue  chan struct{}             // holds a value while this node's own entry must be written again
+	onChange    []func([]Member)          // called for each change of the members
+	lastEnded   atomic.Pointer[time.Time] // when an incarnation of a node was last found to have ended; nil: never
+	ownRevision atomic.Int64              // store.Revision of this node's entry as last listed; 0 if none
+	listed      chan struct{}             // closed once the nodes of the fleet were listed
 	listedOnce  sync.Once
 
 	// Used only by the follower's goroutine.
@@ -93,6 +94,20 @@
 // assumedNodes is the assumed number of nodes before the first list.
 const assumedNodes = 1000
 
+// LastEnded returns when an incarnation of a node was last found to have ended: its entry went, or
+// another incarnation took its place. It is zero if that never happened.
+func (r *Registry) LastEnded() time.Time {
+	if at := r.lastEnded.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+func (r *Registry) recordEnded() {
+	now := clock.Now()
+	r.lastEnded.Store(&now)
+}
+
 // Sharers returns the number of nodes among which a fleet-wide bound is divided. A node that
 // has just started and knows no other one must not take itself for the only one.
 func (r *Registry) Sharers() int {
@@ -203,10 +218,16 @@
 	case store.Snapshot:
 		fromBackup := r.at.IsOfEraBefore(c.Revision)
 		r.at = c.Revision
+		before := r.byName
 		r.byName = map[string]Member{}
 		for _, o := range c.Objects {
 			r.put(o)
 		}
+		for name, m := range before {
+			if r.byName[name].Incarnation != m.Incarnation {
+				r.recordEnded()
+			}
+		}
 		if fromBackup {
 			r.restoreOwn()
 		}
@@ -244,6 +265,7 @@
 
 func (r *Registry) gone(name string) {
 	if m, known := r.byName[name]; known {
+		r.recordEnded()
 		if len(r.ended) >= maxEnded {
 			clear(r.ended)
 		}
@@ -270,6 +292,9 @@
 	}
 	if err == nil {
 		r.faults.Resolve(o)
+		if before, known := r.byName[o.Name]; known && before.Incarnation != m.Incarnation {
+			r.recordEnded()
+		}
 		r.byName[o.Name] = m
 		return
 	}
--- a/fleet/relay/quarantine.go
+++ b/fleet/relay/quarantine.go
@@ -52,11 +52,18 @@
 			return quarantine.Judge
 		}
 		return quarantine.Peer
-	})
+	}).WithForgetting(n.nodesEnded)
 	n.quarantine = q
 	g.WithQuarantine(q)
 }
 
+// nodesEnded reports whether a node of the fleet ended in a period, or this one started, but for the
+// first start of the whole fleet.
+func (n *Node) nodesEnded(from, to time.Time) bool {
+	within := func(at time.Time) bool { return !at.Before(from) && !at.After(to) }
+	return !n.settings.Bootstrap && within(n.started) || within(n.registry.LastEnded())
+}
+
 // quarantineTracker returns the tracker that calls consult; nil: no request is quarantined.
 func (n *Node) quarantineTracker() *quarantine.Tracker {
 	if n.quarantine == nil {
--- a/fleet/relay/quarantine/part_test.go
+++ b/fleet/relay/quarantine/part_test.go
@@ -176,7 +176,7 @@
 		assert.True(t, h.inForce(n.now))
 		assert.Equal(t, "part", h.Part)
 		n.now = n.ProbeAt(h)
-		assert.Equal(t, answered, n.MayProbe(h, n.now))
+		assert.Equal(t, answered, n.Probes(h, n.now) > 0)
 		n.Served(h.Fingerprint, n.now)
 		assert.False(t, n.IsQuarantined(h.Fingerprint, n.now))
 	}
--- a/fleet/relay/quarantine/probe.go
+++ b/fleet/relay/quarantine/probe.go
@@ -14,15 +14,38 @@
 // ProbeAt returns when a quarantined request is due for a probe.
 func (t *Tracker) ProbeAt(h Held) time.Time { return h.Since.Add(t.rule.probeAfter(h.Round)) }
 
-// MayProbe reports whether a request is still quarantined in a round, was answered before, and
-// no endpoint has ended under it since its first probe was due. A request that was never
-// answered is not worth risking another endpoint, nor is one that ended an endpoint when it was
-// sent again after its hold expired.
-func (t *Tracker) MayProbe(h Held, now time.Time) bool {
+// maxUnknownProbes is MaxProbes for a request of which no node knows whether it was answered.
+const maxUnknownProbes = 1
+
+// forgetWithin is how long before its quarantine a node must have ended, or started, to have taken
+// the knowledge with it that the request was answered: a request that many callers send is
+// answered by each node within that time.
+const forgetWithin = 15 * time.Second
+
+// WithForgetting sets a function that reports whether a node of the fleet ended, or this one
+// started, in a period. It must be called before use.
+func (t *Tracker) WithForgetting(forgot func(from, to time.Time) bool) *Tracker {
+	t.forgot = forgot
+	return t
+}
+
+// Probes returns how many probes a request may have in its round: none if it is no longer
+// quarantined in it, or an endpoint has ended under it since its first probe was due. A request
+// that was never answered is not worth risking another endpoint, nor is one that ended an endpoint
+// when it was sent again after its hold expired.
+func (t *Tracker) Probes(h Held, now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.held[h.Fingerprint]
-	return t.answered(known) && !known.Tried && known.Round == h.Round && t.probeOpen(known, now)
+	switch {
+	case known.Tried || known.Round != h.Round || !t.probeOpen(known, now):
+		return 0
+	case t.answered(known):
+		return MaxProbes
+	case t.forgot != nil && t.forgot(known.Since.Add(-forgetWithin), known.Since):
+		return maxUnknownProbes
+	}
+	return 0
 }
 
 // answered reports whether this node has had an answer to a request, or any node stated that
--- a/fleet/relay/quarantine/probe_test.go
+++ b/fleet/relay/quarantine/probe_test.go
@@ -28,7 +28,7 @@
 	return ok
 }
 
-func TestMayProbe(t *testing.T) {
+func TestWhichRequestsMayBeProbed(t *testing.T) {
 	cases := []struct {
 		name string
 		do   func(n *node, h Held)
@@ -55,7 +55,7 @@
 			n, h := quarantinedNode(t)
 			c.do(n, h)
 			n.now = n.ProbeAt(h).Add(time.Second)
-			assert.Equal(t, c.want, n.MayProbe(h, n.now))
+			assert.Equal(t, c.want, n.Probes(h, n.now) > 0)
 		})
 	}
 }
@@ -80,7 +80,7 @@
 	n.Arm(h)
 	require.True(t, n.takesProbe())
 	n.endNow(9, suspects(Nothing, "popular")...)
-	assert.False(t, n.MayProbe(h, n.now))
+	assert.False(t, n.Probes(h, n.now) > 0)
 	n.now = h.Since.Add(DefaultRule().Hold - time.Second)
 	assert.True(t, n.holds("popular"))
 }
@@ -109,7 +109,7 @@
 			}
 			h, _ := n.Lookup(fingerprintOf("deadly"))
 			assert.Equal(t, c.want, h.Answered)
-			assert.Equal(t, c.want, n.MayProbe(h, n.ProbeAt(h)))
+			assert.Equal(t, c.want, n.Probes(h, n.ProbeAt(h)) > 0)
 			assert.Equal(t, c.want, ReportOf(h, n.now).Answered, "reported to other nodes")
 		})
 	}
@@ -224,7 +224,7 @@
 	const step = 700 * time.Millisecond // so that no call comes exactly when a hold expires
 	due := 0                            // last round with a claimed probe
 	for at := 10; n.now.Sub(h.Since) < time.Hour; n.now = n.now.Add(step) {
-		if now, _ := n.Lookup(h.Fingerprint); now.Round > due && n.now.After(n.ProbeAt(now)) && n.MayProbe(now, n.now) {
+		if now, _ := n.Lookup(h.Fingerprint); now.Round > due && n.now.After(n.ProbeAt(now)) && n.Probes(now, n.now) > 0 {
 			n.Arm(now)
 			due = now.Round
 		}
@@ -253,7 +253,7 @@
 		h, _ := n.Lookup(fingerprintOf("popular"))
 		assert.True(t, h.inForce(n.now))
 		assert.Equal(t, answered, h.Answered)
-		assert.Equal(t, answered, n.MayProbe(h, n.ProbeAt(h)))
+		assert.Equal(t, answered, n.Probes(h, n.ProbeAt(h)) > 0)
 	}
 }
 
@@ -268,3 +268,32 @@
 	judges, _ := n.Updates(n.now)
 	assert.True(t, judges.Ends[0].Suspects[0].Answered)
 }
+
+// Guards against a request that all callers send and that stays quarantined for minutes, since the nodes
+// that had answered it ended before its endpoints did.
+func TestARequestThatMayHaveBeenAnsweredIsProbedOnce(t *testing.T) {
+	cases := []struct {
+		name     string
+		ended    time.Duration // when a node ended, before the quarantine
+		answered bool
+		want     int
+	}{
+		{"a node ended just before", 2 * time.Second, false, 1},
+		{"a node ended long before", 20 * time.Second, false, 0},
+		{"a node ended later", -time.Second, false, 0},
+		{"it was answered", 2 * time.Second, true, MaxProbes},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			ended := now.Add(-c.ended)
+			tracker := NewTracker(DefaultRule(), &notifications{}, func() Role { return Peer }).WithForgetting(func(from, to time.Time) bool {
+				return !ended.Before(from) && !ended.After(to)
+			})
+			p := FingerprintOf("c", "POST", "h", "/", nil)
+			tracker.Receive(Report{Held: []HeldReport{{Fingerprint: p, Round: 1, ForMs: time.Hour.Milliseconds(), Answered: c.answered, Customer: "c"}}}, now)
+			h, _ := tracker.Lookup(p)
+			assert.Equal(t, c.want, tracker.Probes(h, tracker.ProbeAt(h)))
+		})
+	}
+}
--- a/fleet/relay/quarantine/tracker.go
+++ b/fleet/relay/quarantine/tracker.go
@@ -29,6 +29,7 @@
 	rule     Rule
 	observer Observer
 	role     func() Role
+	forgot   func(from, to time.Time) bool // reports whether a node ended, or this one started; nil: none
 	watched  atomic.Pointer[map[string]bool]
 	history  *answerHistory // of requests
 	parts    *answerHistory // of parts of prompts
--- a/fleet/relay/quarantine_probe.go
+++ b/fleet/relay/quarantine_probe.go
@@ -36,10 +36,11 @@
 func (q *quarantineManager) probe(h quarantine.Held) {
 	entry := q.log.WithFields(log.Fields{"print": h.Fingerprint.String(), "customer": h.Customer, "round": h.Round})
 	for attempt := 0; ; attempt++ {
-		if !q.MayProbe(h, clock.Now()) {
+		probes := q.Probes(h, clock.Now())
+		if probes == 0 {
 			return
 		}
-		claimed, ok, err := q.claim(h)
+		claimed, ok, err := q.claim(h, probes)
 		if err == nil {
 			entry.WithField("probes", claimed.Probes).WithField("claimed", ok).Info("probe of a quarantined request: its next call is sent if this node claimed the probe")
 			if ok {
@@ -52,9 +53,9 @@
 	}
 }
 
-// claim counts one more probe of a round in the store, if any is left. A request that is not
+// claim counts one more probe of a round in the store, if any of most is left. A request that is not
 // stored yet, or no longer, is not probed: the claim would store a released request again.
-func (q *quarantineManager) claim(h quarantine.Held) (claimed quarantine.Held, ok bool, err error) {
+func (q *quarantineManager) claim(h quarantine.Held, most int) (claimed quarantine.Held, ok bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), quarantineTimeout)
 	defer cancel()
 	o, err := q.store.Get(ctx, quarantineKind, h.Fingerprint.String())
@@ -71,10 +72,10 @@
 	if there.Round == h.Round {
 		h.Probes = max(h.Probes, there.Probes)
 	}
-	if there.Round > h.Round || h.Probes >= quarantine.MaxProbes {
+	if there.Round > h.Round || h.Probes >= most {
 		return h, false, nil
 	}
-	h.Probes, h.Answered = h.Probes+1, true // otherwise it would not be probed
+	h.Probes, h.Answered = h.Probes+1, h.Answered || most == quarantine.MaxProbes
 	if o.Data, err = encodeHeld(h); err != nil {
 		return h, false, err
 	}
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -118,6 +118,7 @@
 	telemetry          *telemetry.Telemetry
 	metrics            *Metrics
 	leaving            atomic.Bool
+	started            time.Time
 	confirmation       confirmation
 	stalls             *clock.StallDetector
 	dropAllIdle        func() int // closes idle connections to all endpoints
@@ -138,7 +139,7 @@
 // New builds a node.
 func New(s Settings, a Adapter, l log.Interface) (*Node, error) {
 	limitMemory(s.MemoryMB)
-	n := &Node{settings: s, adapter: a, places: s.Places(), stalls: clock.NewStallDetector(), log: l}
+	n := &Node{settings: s, adapter: a, places: s.Places(), stalls: clock.NewStallDetector(), started: clock.Now(), log: l}
 	n.health = store.NewHealth().WithStalls(n.stalls.StalledSince)
 	if err := n.initTelemetry(); err != nil {
 		return nil, err
