A long answer that was passed on counts as served; pauses between checks of an end in one place

Read as a newcomer: a plain answer that is passed on as it arrives did not count as served for quarantine, and a failure that long was passed on in place of failing. Nothing else changes.

--- a/fleet/relay/forward/answer.go
+++ b/fleet/relay/forward/answer.go
@@ -23,7 +23,7 @@
 // passComplete passes an answer on once all of it has arrived, so that a caller never gets part of one.
 func (j *job) passComplete(ctx context.Context, t *choice.Placement, o answered) (*refusal, bool) {
 	defer closeBody(o.resp)
-	if o.resp.ContentLength > j.maxAnswer() {
+	if o.resp.ContentLength > j.maxAnswer() && o.resp.StatusCode < http.StatusBadRequest {
 		j.passLong(ctx, t, o)
 		return nil, false
 	}
@@ -66,6 +66,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	j.close(t, resultOfStatus(o.resp.StatusCode), timing{})
+	j.recordServed()
 	j.finish("answered", o.resp.StatusCode)
 }
 
--- a/fleet/relay/quarantine_verify.go
+++ b/fleet/relay/quarantine_verify.go
@@ -37,13 +37,10 @@
 // loses each of them while others of its service answer this node: calls to it were interrupted just before.
 func (q *quarantineManager) Verify(e engine.Engine) {
 	go func() {
-		lost := 0
-		for check := range endChecks {
-			if check > 0 {
-				time.Sleep(laterEndCheck)
-			} else {
-				time.Sleep(firstEndCheck)
-			}
+		lost, pause := 0, firstEndCheck
+		for range endChecks {
+			time.Sleep(pause)
+			pause = laterEndCheck
 			switch signOf(e.Address) {
 			case refusesConnections:
 				q.Ended(e.Incarnation(), clock.Now())
--- a/fleet/relay/store/sourced.go
+++ b/fleet/relay/store/sourced.go
@@ -197,9 +197,9 @@
 }
 
 // recordAnswer records that a source answered for a kind, with content that was confirmed at a
-// time; zero if the answer has no content, since the source's history is compacted. The state of the pings is reset
-// only once no kind needs it: otherwise each answer for one kind would restart the delay of
-// the ping that another kind's follower waits for.
+// time; zero if the answer has no content, since the source's history is compacted. The state of
+// the pings is reset only once no kind needs it: otherwise each answer for one kind would restart
+// the delay of the ping that another kind's follower waits for.
 func (s *Sourced) recordAnswer(source Source, kind string, confirmed time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
