Tests: an address that refuses connections keeps its port

TestWhoGetsATunnelWhere failed once in some 600 runs (an endpoint that is down answered): the test freed a port and counted on nobody listening there, and a server that it started later got it.

--- a/fleet/relay/quarantine_test.go
+++ b/fleet/relay/quarantine_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/relay/dial/dialtest"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 	"github.com/lynxshed/lynxshed/fleet/relay/store"
@@ -154,7 +155,7 @@
 	q := quarantineNode(&quarantineStore{})
 	listening := freeListener(t)
 	alive := engine.Engine{ID: "alive", Address: listening.Addr().String(), Service: "s"}
-	gone := engine.Engine{ID: "gone", Address: closedAddress(t), Service: "s"}
+	gone := engine.Engine{ID: "gone", Address: dialtest.DownAddress(t), Service: "s"}
 	q.Engines([]engine.Engine{alive, gone}, clock.Now())
 	for _, e := range []engine.Engine{alive, gone} {
 		q.Interrupted(e, []quarantine.Suspect{{Fingerprint: deadlyFingerprint, Customer: e.ID}}, clock.Now())
@@ -208,14 +209,6 @@
 	return l
 }
 
-// closedAddress returns an address without a listener.
-func closedAddress(t *testing.T) string {
-	t.Helper()
-	l := freeListener(t)
-	require.NoError(t, l.Close())
-	return l.Addr().String()
-}
-
 // Guards against deadly requests that run again after the loss of all nodes, if a backup of
 // the store lacks them.
 func TestQuarantinedRequestsAreWrittenBackAfterARestore(t *testing.T) {
--- a/fleet/relay/tunnel/tunnel_test.go
+++ b/fleet/relay/tunnel/tunnel_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lynxshed/lynxshed/fleet/relay/dial/dialtest"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/tunnel"
@@ -172,10 +173,7 @@
 func TestWhoGetsATunnelWhere(t *testing.T) {
 	e := startEndpoint(t, echo)
 	dead := e
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	dead.Address = l.Addr().String()
-	require.NoError(t, l.Close())
+	dead.Address = dialtest.DownAddress(t)
 	cases := []struct {
 		name string
 		host func(h *host)
