--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -21,6 +21,7 @@
 	events                 int // received whole
 	whole                  bool
 	failure                string
+	sealed                 bool // the answer has the engine's signature
 	body                   string
 }
 
@@ -81,7 +82,7 @@
 		return c
 	}
 	defer resp.Body.Close()
-	c.status = resp.StatusCode
+	c.status, c.sealed = resp.StatusCode, resp.Header.Get("Lynxshed-Response-Seal") != ""
 	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		data, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
 		c.body, c.whole = string(data), err == nil
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -45,9 +45,9 @@
 	}
 	at := func(t time.Time) float64 { return t.Sub(r.began).Seconds() }
 	sort.Slice(sent, func(i, j int) bool { return sent[i].sent.Before(sent[j].sent) })
-	fmt.Fprintln(w, "\nsent and answered: sent at, ended at, attempt, node, tenant, path, status (0: none), events received, tokens received, whole, failure")
+	fmt.Fprintln(w, "\nsent and answered: sent at, ended at, attempt, node, tenant, path, status (0: none), events received, tokens received, whole, signed, failure")
 	for _, c := range sent {
-		fmt.Fprintf(w, "%7.3f %7.3f %s %s %s %s %d %d %d %t %s\n", at(c.sent), at(c.ended), c.id, c.node, c.tenant, c.path, c.status, c.events, c.received(), c.whole, c.failure)
+		fmt.Fprintf(w, "%7.3f %7.3f %s %s %s %s %d %d %d %t %t %s\n", at(c.sent), at(c.ended), c.id, c.node, c.tenant, c.path, c.status, c.events, c.received(), c.whole, c.sealed, c.failure)
 	}
 	sort.Slice(ran, func(i, j int) bool { return ran[i].at.Before(ran[j].at) })
 	fmt.Fprintln(w, "\nreached engines: at, attempt, engine, run (false: turned away), tenant")
