Lines of resumed calls tell what their origin rests on, and how old the node is

Nothing in the lines told why a call that resumes a stream was allowed to run: a record, or that one version was listed, and for how long the node had been there to see versions. They carry now origin (known, one version, several versions, unanswered), originBasis, originFrom (beganFrom before) and nodeAgeMs. No logic is changed.

--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -67,11 +67,11 @@
 	used              int64 // tokens of the reservation that the caller received
 	attempts          int   // number of endpoints that the call was sent to
 	engine            string
-	via               string        // node that the last attempt's connection leads through; "": direct
-	note              string        // what decided the outcome, for the log
-	notResumed        string        // why a broken stream was not resumed, for the log
-	began             *origin.Known // the version that began the stream that the call resumes; nil: it may run at any
-	originFrom        string        // node that knew the version; "": this one
+	via               string          // node that the last attempt's connection leads through; "": direct
+	note              string          // what decided the outcome, for the log
+	notResumed        string          // why a broken stream was not resumed, for the log
+	began             *origin.Known   // the version that began the stream that the call resumes; nil: it may run at any
+	origin            origin.Evidence // what is known of the stream that the caller resumes
 	placed            *choice.Placement
 	reported          reported                 // what was reported of the last attempt
 	limit             call.Limit               // in the last answer
@@ -392,8 +392,11 @@
 	if j.began != nil {
 		fields["began"] = j.began.Version
 	}
-	if j.originFrom != "" {
-		fields["beganFrom"] = j.originFrom
+	if j.origin.Finding != nil {
+		fields["origin"], fields["originBasis"], fields["nodeAgeMs"] = j.origin.String(), string(j.origin.Basis), j.origin.NodeAge.Milliseconds()
+	}
+	if j.origin.From != "" {
+		fields["originFrom"] = j.origin.From
 	}
 }
 
--- a/fleet/relay/forward/origin.go
+++ b/fleet/relay/forward/origin.go
@@ -14,9 +14,8 @@
 type Origins interface {
 	// Began records that an endpoint of a version has brought an event of a stream.
 	Began(s origin.Stream, service, version string)
-	// Find returns what is known of a stream, by this node or others, and the node that knew it; ""
-	// is this one.
-	Find(ctx context.Context, s origin.Stream, service string) (f origin.Finding, from string)
+	// Find returns what is known of a stream, by this node or others.
+	Find(ctx context.Context, s origin.Stream, service string) origin.Evidence
 	// Several reports whether a service has several versions, as far as this node knows.
 	Several(service string) bool
 }
@@ -35,10 +34,10 @@
 	if j.call.Resumes == "" {
 		return j.resumeUnnamed()
 	}
-	f, from := j.Origins.Find(j.r.Context(), j.stream(), j.service.Name)
-	switch f := f.(type) {
+	j.origin = j.Origins.Find(j.r.Context(), j.stream(), j.service.Name)
+	switch f := j.origin.Finding.(type) {
 	case origin.Known:
-		j.began, j.originFrom = &f, from
+		j.began = &f
 		if j.versionGone() {
 			return refuseVersionGone, false
 		}
--- a/fleet/relay/forward/origin_test.go
+++ b/fleet/relay/forward/origin_test.go
@@ -23,12 +23,12 @@
 
 func (k *knownOrigins) Began(s origin.Stream, _, version string) { k.began[s] = version }
 
-func (k *knownOrigins) Find(_ context.Context, s origin.Stream, _ string) (origin.Finding, string) {
+func (k *knownOrigins) Find(_ context.Context, s origin.Stream, _ string) origin.Evidence {
 	k.asked++
 	if f, ok := k.known[s]; ok {
-		return f, "n2"
+		return origin.Evidence{Finding: f, From: "n2"}
 	}
-	return lo.Ternary[origin.Finding](k.several, origin.Several{}, origin.Sole{}), ""
+	return origin.Evidence{Finding: lo.Ternary[origin.Finding](k.several, origin.Several{}, origin.Sole{})}
 }
 
 func (k *knownOrigins) Several(string) bool { return k.several }
--- a/fleet/relay/origin/origin.go
+++ b/fleet/relay/origin/origin.go
@@ -44,6 +44,40 @@
 // Unanswered means that the stream is not known here, and that no other node answered.
 type Unanswered struct{}
 
+// Basis is what a finding rests on.
+type Basis string
+
+// The bases.
+const (
+	NoBasis        Basis = ""
+	RecordHere     Basis = "record"           // of this node
+	RecordOfNode   Basis = "record of a node" // that was asked
+	VersionsListed Basis = "versions listed"  // within Retention, since the nodes that were asked started
+)
+
+// Evidence is a finding and what it rests on.
+type Evidence struct {
+	Finding
+	Basis   Basis
+	From    string        // the node that knew it; "": this one
+	NodeAge time.Duration // of this node
+}
+
+// String names the finding, for the log.
+func (e Evidence) String() string {
+	switch e.Finding.(type) {
+	case Known:
+		return "known"
+	case Sole:
+		return "one version"
+	case Several:
+		return "several versions"
+	case Unanswered:
+		return "unanswered"
+	}
+	return ""
+}
+
 func (Known) finding()      {}
 func (Sole) finding()       {}
 func (Several) finding()    {}
--- a/fleet/relay/origins.go
+++ b/fleet/relay/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
@@ -13,6 +14,7 @@
 type origins struct {
 	tracker *origin.Tracker
 	gossip  *peer.Gossip
+	started time.Time // of the node
 }
 
 // enableOrigins has the node resume streams at the software version that began them.
@@ -20,7 +22,7 @@
 	if !n.settings.Enabled(originsMechanism) {
 		return
 	}
-	n.origins = &origins{tracker: origin.NewTracker(n.logVersions), gossip: g}
+	n.origins = &origins{tracker: origin.NewTracker(n.logVersions), gossip: g, started: n.started}
 	g.WithOrigins(n.origins.tracker)
 }
 
@@ -54,19 +56,27 @@
 
 // Find implements forward.Origins. Other nodes are also asked where this one has seen a single
 // version: it may have started lately, or may not know the latest entries of endpoints.
-func (o *origins) Find(ctx context.Context, s origin.Stream, service string) (origin.Finding, string) {
+func (o *origins) Find(ctx context.Context, s origin.Stream, service string) origin.Evidence {
+	e := o.find(ctx, s, service)
+	e.NodeAge = clock.Since(o.started)
+	return e
+}
+
+func (o *origins) find(ctx context.Context, s origin.Stream, service string) origin.Evidence {
 	own := o.tracker.Find(s, service, clock.Now())
 	if known, ok := own.(origin.Known); ok {
-		return known, ""
+		return origin.Evidence{Finding: known, Basis: origin.RecordHere}
 	}
 	others, from := o.gossip.FindOrigin(ctx, s, service)
 	switch f := others.(type) {
 	case origin.Known:
 		o.tracker.Receive([]origin.Record{{Stream: s, Version: f.Version}}, clock.Now())
-		return f, from
+		return origin.Evidence{Finding: f, Basis: origin.RecordOfNode, From: from}
 	case origin.Sole:
-		return own, ""
-	case origin.Several, origin.Unanswered:
+		return origin.Evidence{Finding: own, Basis: origin.VersionsListed}
+	case origin.Several:
+		return origin.Evidence{Finding: others, Basis: origin.VersionsListed}
+	case origin.Unanswered:
 	}
-	return others, ""
+	return origin.Evidence{Finding: others}
 }
