--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -33,6 +33,7 @@
 	revision         store.Revision
 	requestingOrders bool          // the orders are being requested again
 	listed           chan struct{} // closed once the endpoints were listed
+	lost             bool          // the store was lost since the last list
 	once             sync.Once
 	births           map[string]int64           // the last known birth by id
 	withoutBirth     map[string]bool            // ids without a birth: in use (true) or kept out of use (false)
@@ -54,12 +55,17 @@
 		t.revision = c.Revision
 		t.replace(c.Objects, fromBackup)
 		t.once.Do(func() { close(t.listed) })
+		if t.lost && t.origins != nil {
+			t.origins.store.reconnected()
+		}
+		t.lost = false
 	case store.Update:
 		t.revision = c.Revision
 		for _, e := range c.Events {
 			t.change(e)
 		}
 	case store.Lost:
+		t.lost = true
 		t.log.WithField("dependency", "store").WithField("of", "endpoints").WithError(c.Err).Warn("lost")
 		return
 	}
--- a/fleet/relay/follow.go
+++ b/fleet/relay/follow.go
@@ -44,6 +44,9 @@
 	if n.quarantine != nil {
 		go n.quarantine.load(ctx)
 	}
+	if n.origins != nil {
+		go n.origins.store.run(ctx)
+	}
 	go n.heartbeat().Run(ctx)
 	go func() {
 		n.awaitPeers(ctx) // a node that knows no other would write on its own
@@ -66,6 +69,9 @@
 	if n.quarantine != nil {
 		n.quarantine.writeBack()
 	}
+	if n.origins != nil {
+		n.origins.store.restored()
+	}
 }
 
 // policySource returns a function that tells where the last answer on the policy came from.
--- a/fleet/relay/forward/origin.go
+++ b/fleet/relay/forward/origin.go
@@ -14,9 +14,12 @@
 type Origins interface {
 	// Began records that an endpoint of a version has brought an event of a stream.
 	Began(s origin.Stream, service, version string)
+	// Ended records that a stream's caller has all of it.
+	Ended(s origin.Stream)
 	// Find returns what is known of a stream, by this node or others.
 	Find(ctx context.Context, s origin.Stream, service string) origin.Evidence
-	// Several reports whether a service has several versions, as far as this node knows.
+	// Several reports whether several versions of a service may have begun its streams, as far as this
+	// node knows.
 	Several(service string) bool
 }
 
@@ -41,7 +44,7 @@
 		if j.versionGone() {
 			return refuseVersionGone, false
 		}
-	case origin.Several:
+	case origin.Several, origin.Unsure:
 		return refuseNoOrigin, false
 	case origin.Unanswered:
 		return refuseUnanswered, false
@@ -68,6 +71,13 @@
 	}
 }
 
+// recordEnded records that the caller has the whole stream.
+func (j *job) recordEnded() {
+	if j.Origins != nil && j.route.Resumable {
+		j.Origins.Ended(j.stream())
+	}
+}
+
 // candidates returns the endpoints at which the call may run, by their regions and versions.
 func (j *job) candidates(engines *engine.Directory) []engine.Engine {
 	of := engines.Of(j.service.Name)
--- a/fleet/relay/forward/origin_test.go
+++ b/fleet/relay/forward/origin_test.go
@@ -18,11 +18,14 @@
 	known   map[origin.Stream]origin.Finding
 	several bool
 	began   map[origin.Stream]string
+	ended   []origin.Stream
 	asked   int
 }
 
 func (k *knownOrigins) Began(s origin.Stream, _, version string) { k.began[s] = version }
 
+func (k *knownOrigins) Ended(s origin.Stream) { k.ended = append(k.ended, s) }
+
 func (k *knownOrigins) Find(_ context.Context, s origin.Stream, _ string) origin.Evidence {
 	k.asked++
 	if f, ok := k.known[s]; ok {
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -33,6 +33,7 @@
 			}
 			j.close(t, choice.Good, s.pace.timing())
 			j.recordServed()
+			j.recordEnded()
 			j.used = j.charge(s.events)
 			j.finish("streamed", o.resp.StatusCode)
 			return
--- /dev/null
+++ b/fleet/relay/origin/evidence.go
@@ -0,0 +1,71 @@
+package origin
+
+import "time"
+
+// Basis is what a finding rests on.
+type Basis string
+
+// The bases.
+const (
+	NoBasis          Basis = ""
+	RecordHere       Basis = "record"            // of this node
+	RecordOfNode     Basis = "record of a node"  // that was asked
+	RecordInStore    Basis = "record in store"   // of a node that may have ended
+	VersionsObserved Basis = "versions observed" // by this node, for Retention or since the fleet started
+	VersionsInStore  Basis = "versions in store" // of before this node started
+	VersionsOfNode   Basis = "versions of a node"
+)
+
+// Evidence is a finding and what it rests on.
+type Evidence struct {
+	Finding
+	Basis   Basis
+	From    string        // the node that knew it; "": this one
+	NodeAge time.Duration // of this node
+}
+
+// String names the finding, for the log.
+func (e Evidence) String() string {
+	switch e.Finding.(type) {
+	case Known:
+		return "known"
+	case Sole:
+		return "one version"
+	case Several:
+		return "several versions"
+	case Unsure:
+		return "unsure"
+	case Unanswered:
+		return "unanswered"
+	}
+	return ""
+}
+
+// Told is what other nodes tell of a stream's origin.
+type Told struct {
+	Finding
+	From     string // the node that knew it, or the versions; "": none
+	Alone    bool   // there is no other node
+	AllZones bool   // nodes of all other zones answered; of its own, if there is no other
+}
+
+// Judge returns what is known of a stream that nobody has a record of: by this node, whose knowledge
+// of the versions rests on basis, and by others. A node that is cut off from the store may not have got
+// the entries that other nodes got before the outage: it needs the word of all zones.
+func Judge(own Finding, basis Basis, others Told, cutOff bool) Evidence {
+	switch {
+	case own == Several{}:
+		return Evidence{Finding: own, Basis: basis}
+	case others.Finding == Several{}:
+		return Evidence{Finding: others.Finding, Basis: VersionsOfNode, From: others.From}
+	case cutOff && !others.AllZones:
+		return Evidence{Finding: Unanswered{}}
+	case own == Sole{}:
+		return Evidence{Finding: own, Basis: basis}
+	case others.Alone:
+		return Evidence{Finding: own}
+	case others.Finding == Sole{}:
+		return Evidence{Finding: others.Finding, Basis: VersionsOfNode, From: others.From}
+	}
+	return Evidence{Finding: others.Finding}
+}
--- /dev/null
+++ b/fleet/relay/origin/keeper.go
@@ -0,0 +1,103 @@
+package origin
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/lynxshed/lynxshed/fleet/relay/announce"
+)
+
+// While several versions serve, all nodes send the records of their streams to two keepers. The first
+// writes them to the store in batches, and tells the second up to when it has written what it got. The
+// second writes what the first does not report in time.
+
+const (
+	// WriteInterval is how long records wait for others before they are written. The streams that began
+	// within it are lost if all nodes end.
+	WriteInterval = 400 * time.Millisecond
+	// standbyDelay is how long the second keeper waits for the report of the first.
+	standbyDelay = time.Second
+	// arrivalSkew is how much later than at the second keeper a record may arrive at the first.
+	arrivalSkew = 50 * time.Millisecond
+	maxKept     = 16 << 10 // records that wait, of either kind
+)
+
+// Keeper holds the records that this node writes to the store, or stands by to write. It is safe for
+// concurrent use.
+type Keeper struct {
+	wake announce.Urgent
+
+	mu      sync.Mutex
+	due     []kept
+	standby []kept
+}
+
+type kept struct {
+	Record
+	at time.Time // it arrived
+}
+
+// NewKeeper returns a keeper without records.
+func NewKeeper() *Keeper { return &Keeper{wake: announce.NewUrgent()} }
+
+// Wake signals that records wait that did not before.
+func (k *Keeper) Wake() <-chan struct{} { return k.wake }
+
+// Receive takes records that this node is to write.
+func (k *Keeper) Receive(records []Record, now time.Time) { k.take(&k.due, records, now) }
+
+// StandBy takes records that another node is to write.
+func (k *Keeper) StandBy(records []Record, now time.Time) { k.take(&k.standby, records, now) }
+
+func (k *Keeper) take(list *[]kept, records []Record, now time.Time) {
+	if len(records) == 0 {
+		return
+	}
+	k.mu.Lock()
+	*list = append(*list, lo.Map(records, func(r Record, _ int) kept { return kept{r, now} })...)
+	if extra := len(*list) - maxKept; extra > 0 {
+		*list = slices.Clone((*list)[extra:])
+	}
+	k.mu.Unlock()
+	k.wake.Notify()
+}
+
+// WrittenElsewhere drops the records on standby that arrived before another node's last write.
+func (k *Keeper) WrittenElsewhere(until time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.standby = slices.DeleteFunc(k.standby, func(r kept) bool { return r.at.Before(until.Add(-arrivalSkew)) })
+}
+
+// Due returns the records to be written now, and until when they arrived. They stay until Written.
+func (k *Keeper) Due(now time.Time) (records []Record, until time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	overdue, waiting := lo.FilterReject(k.standby, func(r kept, _ int) bool { return now.Sub(r.at) >= standbyDelay })
+	k.due, k.standby = append(k.due, overdue...), waiting
+	return lo.Map(k.due, func(r kept, _ int) Record { return r.Record }), now
+}
+
+// Written drops the first records that were due.
+func (k *Keeper) Written(count int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.due = slices.Clone(k.due[min(count, len(k.due)):])
+}
+
+// HasDue reports whether records wait that this node is to write.
+func (k *Keeper) HasDue() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.due) > 0
+}
+
+// Waits reports whether any records wait.
+func (k *Keeper) Waits() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.due)+len(k.standby) > 0
+}
--- a/fleet/relay/origin/origin.go
+++ b/fleet/relay/origin/origin.go
@@ -1,6 +1,11 @@
 // Package origin tracks which software version of a service's endpoints began each stream. What two
 // versions write does not fit together, and endpoints don't check it: a stream that breaks may be
 // resumed, by its node or by its caller at any node, only at an endpoint of that version.
+//
+// A node that does not know a stream may take it for one of the only version only if it knows that
+// no other version served for as long as a stream lives. A node that started more recently knows
+// that from the store, where the versions of each service are kept, and while several serve also
+// which of them began each stream.
 package origin
 
 import (
@@ -27,58 +32,30 @@
 	Version string `json:"v,omitempty"` // of the software that began it
 }
 
-// Finding is what a node knows of a stream's origin. Known, Sole, Several and Unanswered are the only
-// findings.
+// Finding is what is known of a stream's origin. Known, Sole, Several, Unsure and Unanswered are the
+// only findings.
 type Finding interface{ finding() }
 
 // Known is the version that began the stream.
 type Known struct{ Version string }
 
 // Sole means that the stream is not known, and that the service has had one version only for as long
-// as nodes remember.
+// as a stream lives.
 type Sole struct{}
 
 // Several means that the stream is not known, and that any of several versions may have begun it.
 type Several struct{}
 
-// Unanswered means that the stream is not known here, and that no other node answered.
-type Unanswered struct{}
-
-// Basis is what a finding rests on.
-type Basis string
-
-// The bases.
-const (
-	NoBasis        Basis = ""
-	RecordHere     Basis = "record"           // of this node
-	RecordOfNode   Basis = "record of a node" // that was asked
-	VersionsListed Basis = "versions listed"  // within Retention, since the nodes that were asked started
-)
+// Unsure means that the stream is not known, and neither are the versions that served when it began:
+// who was asked started more recently, and the store has not told them.
+type Unsure struct{}
 
-// Evidence is a finding and what it rests on.
-type Evidence struct {
-	Finding
-	Basis   Basis
-	From    string        // the node that knew it; "": this one
-	NodeAge time.Duration // of this node
-}
-
-// String names the finding, for the log.
-func (e Evidence) String() string {
-	switch e.Finding.(type) {
-	case Known:
-		return "known"
-	case Sole:
-		return "one version"
-	case Several:
-		return "several versions"
-	case Unanswered:
-		return "unanswered"
-	}
-	return ""
-}
+// Unanswered means that the stream is not known here, and that the nodes that may know more did not
+// answer.
+type Unanswered struct{}
 
 func (Known) finding()      {}
 func (Sole) finding()       {}
 func (Several) finding()    {}
+func (Unsure) finding()     {}
 func (Unanswered) finding() {}
--- a/fleet/relay/origin/tracker.go
+++ b/fleet/relay/origin/tracker.go
@@ -1,8 +1,6 @@
 package origin
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,105 +21,166 @@
 // node ends meanwhile, nobody else knows the streams that began within it.
 const SendDelay = 20 * time.Millisecond
 
-// Change is a service that has begun or ceased to have several versions.
+// Change is a service of which several versions, or one, may have begun the streams from now on.
 type Change struct {
 	Service  string
 	Versions []string // listed now or within Retention
+	Sure     bool     // versions of before this node started are known
 }
 
 // Tracker tracks the origins of streams that a node knows. It is safe for concurrent use.
 type Tracker struct {
+	started time.Time
 	changed func(Change)
 	urgent  announce.Urgent
+	renewed announce.Urgent // the versions changed
 
 	mu       sync.Mutex
 	services map[string]versions
+	basis    Basis           // of the versions of before the node started; NoBasis: not known
+	reported map[string]bool // services whose streams are reported
 	streams  *recent.Map[Stream, entry]
 	unsent   []Record
 	signaled bool // a signal for unsent is due
 }
 
-// versions are those of a service's endpoints. The value is when the last endpoint of a version went;
-// zero while one is listed.
-type versions map[string]time.Time
-
 type entry struct {
 	version string
 	service string // "": reported by another node
+	ended   bool   // its caller has all of it
 }
 
-// NewTracker returns an empty tracker, which calls changed on each change.
-func NewTracker(changed func(Change)) *Tracker {
-	return &Tracker{changed: changed, urgent: announce.NewUrgent(), services: map[string]versions{}, streams: recent.New[Stream, entry](maxRecords, Retention)}
+// NewTracker returns an empty tracker of a node that started at a time, which calls changed on each
+// change.
+func NewTracker(started time.Time, changed func(Change)) *Tracker {
+	return &Tracker{
+		started: started, changed: changed, urgent: announce.NewUrgent(), renewed: announce.NewUrgent(), services: map[string]versions{}, reported: map[string]bool{},
+		streams: recent.New[Stream, entry](maxRecords, Retention),
+	}
 }
 
-// Engines sets the listed endpoints. Once a service has several versions, the origins of its streams
-// are reported to other nodes, also of those that began before.
+// Engines sets the listed endpoints. Once several versions of a service may have begun its streams,
+// their origins are reported to other nodes, also of those that began before.
 func (t *Tracker) Engines(all []engine.Engine, now time.Time) {
 	t.mu.Lock()
-	listed := map[string]versions{}
-	for _, e := range all {
-		if listed[e.Service] == nil {
-			listed[e.Service] = versions{}
-		}
-		listed[e.Service][e.Version] = time.Time{}
-	}
-	var changes []Change
+	listed := listedVersions(all)
+	appeared := false
 	for _, service := range lo.Union(lo.Keys(t.services), lo.Keys(listed)) {
 		before := t.services[service]
-		after := before.next(listed[service], now)
-		t.services[service] = after
-		if len(after) == 0 {
+		t.services[service] = before.next(listed[service], now)
+		appeared = appeared || len(lo.Without(lo.Keys(listed[service]), lo.Keys(before)...)) > 0
+	}
+	changes := t.review(now)
+	t.mu.Unlock()
+	t.notify(changes)
+	if appeared {
+		t.renewed.Notify()
+	}
+}
+
+// VersionsChanged signals that a version appeared that was not known.
+func (t *Tracker) VersionsChanged() <-chan struct{} { return t.renewed }
+
+// KnowEarlier adds the versions that served before this node started. The basis is what they rest on;
+// NoBasis means that some may be missing.
+func (t *Tracker) KnowEarlier(earlier map[string][]string, basis Basis, now time.Time) {
+	t.mu.Lock()
+	for service, names := range earlier {
+		t.services[service] = t.services[service].with(names, now)
+	}
+	if basis != NoBasis && t.basis == NoBasis {
+		t.basis = basis
+	}
+	changes := t.review(now)
+	t.mu.Unlock()
+	t.notify(changes)
+}
+
+// Review checks again for which services streams are reported, as time has passed.
+func (t *Tracker) Review(now time.Time) {
+	t.mu.Lock()
+	changes := t.review(now)
+	t.mu.Unlock()
+	t.notify(changes)
+}
+
+// review returns the services whose streams begin or cease to be reported.
+func (t *Tracker) review(now time.Time) []Change {
+	var changes []Change
+	for service, v := range t.services {
+		names := v.names(now)
+		if len(names) == 0 {
 			delete(t.services, service)
 		}
-		if (len(before) > 1) != (len(after) > 1) {
-			changes = append(changes, Change{Service: service, Versions: slices.Sorted(maps.Keys(after))})
+		report := len(names) > 1 || !t.sure(now)
+		if report == t.reported[service] {
+			continue
 		}
-		if len(after) > 1 && len(before) <= 1 {
+		changes = append(changes, Change{Service: service, Versions: names, Sure: t.sure(now)})
+		if t.reported[service] = report; report {
 			t.sendKnown(service)
 		}
 	}
-	t.mu.Unlock()
+	return changes
+}
+
+func (t *Tracker) notify(changes []Change) {
 	for _, c := range changes {
 		t.changed(c)
 	}
 }
 
-// next returns the versions once the given ones are listed, without those that went long ago.
-func (v versions) next(listed versions, now time.Time) versions {
-	after := maps.Clone(listed)
-	if after == nil {
-		after = versions{}
-	}
-	for version, gone := range v {
-		if gone.IsZero() {
-			gone = now
-		}
-		if _, still := after[version]; !still && now.Sub(gone) < Retention {
-			after[version] = gone
-		}
+// sure reports whether the versions of the last Retention are known.
+func (t *Tracker) sure(now time.Time) bool {
+	return t.basis != NoBasis || now.Sub(t.started) >= Retention
+}
+
+// Sure reports whether the versions of the last Retention are known, and what that rests on.
+func (t *Tracker) Sure(now time.Time) (Basis, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.started) >= Retention {
+		return VersionsObserved, true
 	}
-	return after
+	return t.basis, t.basis != NoBasis
+}
+
+// Versions returns the versions that may have begun streams within Retention.
+func (t *Tracker) Versions(now time.Time) Versions {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	named := lo.MapValues(t.services, func(v versions, _ string) []string { return v.names(now) })
+	return Versions{Services: lo.PickBy(named, func(_ string, names []string) bool { return len(names) > 0 }), Partial: !t.sure(now)}
 }
 
-// sendKnown queues the origins of a service's streams that began here while it had one version.
+// sendKnown queues the origins of a service's streams that began here while nobody had to know, and
+// may still be resumed.
 func (t *Tracker) sendKnown(service string) {
 	t.streams.All(func(s Stream, e entry) {
-		if e.service == service {
+		if e.service == service && !e.ended {
 			t.queue(Record{Stream: s, Version: e.version})
 		}
 	})
 }
 
-// Several reports whether a service has, or has had within Retention, several versions.
-func (t *Tracker) Several(service string, now time.Time) bool {
+// ReportAgain queues the origins of all streams that began here, may still be resumed and are
+// reported: what was known of them elsewhere may be lost.
+func (t *Tracker) ReportAgain() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.several(service, now)
+	for service := range t.services {
+		if t.reported[service] {
+			t.sendKnown(service)
+		}
+	}
 }
 
-func (t *Tracker) several(service string, now time.Time) bool {
-	return lo.CountBy(lo.Values(t.services[service]), func(gone time.Time) bool { return gone.IsZero() || now.Sub(gone) < Retention }) > 1
+// Several reports whether several versions of a service may have begun a stream within Retention. That is
+// so where their number is not known.
+func (t *Tracker) Several(service string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.sure(now) || len(t.services[service].names(now)) > 1
 }
 
 // Began records that an endpoint of a version brought a stream's first event to this node, or an event
@@ -130,11 +189,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.streams.Put(s, entry{version: version, service: service}, now)
-	if len(t.services[service]) > 1 {
+	if t.reported[service] {
 		t.queue(Record{Stream: s, Version: version})
 	}
 }
 
+// Ended records that a stream's caller has all of it.
+func (t *Tracker) Ended(s Stream, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.streams.Get(s); ok {
+		e.ended = true
+		t.streams.Put(s, e, now)
+	}
+}
+
 // queue queues a record to be sent after SendDelay.
 func (t *Tracker) queue(r Record) {
 	if len(t.unsent) >= maxUnsent {
@@ -180,8 +249,12 @@
 	if e, ok := t.streams.Get(s); ok {
 		return Known{Version: e.version}
 	}
-	if t.several(service, now) {
+	names := t.services[service].names(now)
+	switch {
+	case len(names) > 1:
 		return Several{}
+	case !t.sure(now) || len(names) == 0:
+		return Unsure{}
 	}
 	return Sole{}
 }
--- a/fleet/relay/origin/tracker_test.go
+++ b/fleet/relay/origin/tracker_test.go
@@ -17,6 +17,11 @@
 	})
 }
 
+// newTracker returns the tracker of a node that started long before now.
+func newTracker(now time.Time, changed func(origin.Change)) *origin.Tracker {
+	return origin.NewTracker(now.Add(-origin.Retention), changed)
+}
+
 // Guards against a guess at the version of a stream that is not known, while any of several may have
 // begun it.
 func TestVersionsOfAService(t *testing.T) {
@@ -38,7 +43,7 @@
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
-			tracker := origin.NewTracker(func(origin.Change) {})
+			tracker := newTracker(start, func(origin.Change) {})
 			tracker.Engines(enginesOf(c.listed...), start)
 			tracker.Engines(enginesOf(c.later...), start)
 			now := start.Add(c.after)
@@ -53,7 +58,7 @@
 func TestStreamsOfBeforeTheSecondVersionAreReported(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var changes []origin.Change
-	tracker := origin.NewTracker(func(c origin.Change) { changes = append(changes, c) })
+	tracker := newTracker(now, func(c origin.Change) { changes = append(changes, c) })
 	before, after := origin.StreamOf("t", "s", "before"), origin.StreamOf("t", "s", "after")
 	tracker.Engines(enginesOf("1"), now)
 	tracker.Began(before, "s", "1", now)
@@ -64,13 +69,13 @@
 	<-tracker.Urgent()
 	assert.Equal(t, []origin.Record{{Stream: before, Version: "1"}, {Stream: after, Version: "2"}}, tracker.Unsent())
 	assert.Empty(t, tracker.Unsent())
-	assert.Equal(t, []origin.Change{{Service: "s", Versions: []string{"1", "2"}}}, changes)
+	assert.Equal(t, []origin.Change{{Service: "s", Versions: []string{"1", "2"}, Sure: true}}, changes)
 }
 
 // Guards against an origin that changes, is forgotten while its caller may return, or holds for another customer.
 func TestAnOriginIsKept(t *testing.T) {
 	now := time.Unix(1000, 0)
-	tracker := origin.NewTracker(func(origin.Change) {})
+	tracker := newTracker(now, func(origin.Change) {})
 	tracker.Engines(enginesOf("1", "2"), now)
 	s := origin.StreamOf("t", "s", "a")
 	tracker.Receive([]origin.Record{{Stream: s, Version: "1"}}, now)
@@ -87,7 +92,7 @@
 // Guards against memory that grows with the number of streams.
 func TestStreamsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
-	tracker := origin.NewTracker(func(origin.Change) {})
+	tracker := newTracker(now, func(origin.Change) {})
 	tracker.Engines(enginesOf("1", "2"), now)
 	const streams = 100_000
 	for i := range streams {
@@ -101,3 +106,88 @@
 	assert.Equal(t, origin.Known{Version: "1"}, tracker.Find(origin.Stream(streams-1), "s", now), "the latest stay")
 	assert.LessOrEqual(t, len(tracker.Unsent()), 4<<10)
 }
+
+// Guards against a node that has just started and takes the versions that it sees for all that served.
+func TestWhatANodeThatStartedLatelyKnows(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		name    string
+		earlier map[string][]string
+		basis   origin.Basis
+		after   time.Duration
+		found   origin.Finding
+	}{
+		{"nothing of before", nil, origin.NoBasis, time.Second, origin.Unsure{}},
+		{"nothing of before, for as long as a stream lives", nil, origin.NoBasis, origin.Retention, origin.Sole{}},
+		{"that the fleet starts", nil, origin.VersionsObserved, time.Second, origin.Sole{}},
+		{"the same version", map[string][]string{"s": {"2"}}, origin.VersionsInStore, time.Second, origin.Sole{}},
+		{"an earlier version", map[string][]string{"s": {"1"}}, origin.VersionsInStore, time.Second, origin.Several{}},
+		{"an earlier version, among others", map[string][]string{"s": {"1"}}, origin.NoBasis, time.Second, origin.Several{}},
+		{"an earlier version, for as long as a stream lives", map[string][]string{"s": {"1"}}, origin.VersionsInStore, origin.Retention, origin.Sole{}},
+		{"versions of another service", map[string][]string{"t": {"1", "2"}}, origin.VersionsInStore, time.Second, origin.Sole{}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := origin.NewTracker(start, func(origin.Change) {})
+			tracker.Engines(enginesOf("2"), start)
+			tracker.KnowEarlier(c.earlier, c.basis, start)
+			now := start.Add(c.after)
+			assert.Equal(t, c.found, tracker.Find(origin.StreamOf("t", "s", "a"), "s", now))
+			assert.Equal(t, c.found != origin.Sole{}, tracker.Several("s", now))
+			basis, sure := tracker.Sure(now)
+			assert.Equal(t, sure, basis != origin.NoBasis)
+			assert.Equal(t, !sure, tracker.Versions(now).Partial)
+		})
+	}
+}
+
+// Guards against versions that are forgotten in the store while their streams may be resumed, or kept there for good.
+func TestVersionsForTheStore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := newTracker(now, func(origin.Change) {})
+	tracker.Engines(enginesOf("1", "2"), now)
+	<-tracker.VersionsChanged()
+	tracker.Engines(enginesOf("2"), now)
+	of := func(names ...string) origin.Versions {
+		return origin.Versions{Services: map[string][]string{"s": names}}
+	}
+	assert.True(t, of("1", "2").Equal(tracker.Versions(now.Add(origin.Retention-time.Millisecond))))
+	assert.True(t, of("2").Equal(tracker.Versions(now.Add(origin.Retention))))
+	tracker.Engines(nil, now)
+	assert.Empty(t, tracker.Versions(now.Add(origin.Retention)).Services)
+	assert.False(t, of("1").Equal(of("2")))
+	assert.False(t, of("1").Equal(origin.Versions{Services: of("1").Services, Partial: true}))
+	assert.False(t, of("1").Equal(origin.Versions{}))
+}
+
+// Guards against streams that nobody else knows because their node did not know that another version had served.
+func TestStreamsAreReportedUntilTheVersionsAreKnown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var changes []origin.Change
+	tracker := origin.NewTracker(now, func(c origin.Change) { changes = append(changes, c) })
+	tracker.Engines(enginesOf("1"), now)
+	s := origin.StreamOf("t", "s", "a")
+	tracker.Began(s, "s", "1", now)
+	<-tracker.Urgent()
+	assert.Equal(t, []origin.Record{{Stream: s, Version: "1"}}, tracker.Unsent())
+	tracker.KnowEarlier(nil, origin.VersionsInStore, now)
+	tracker.Began(origin.StreamOf("t", "s", "b"), "s", "1", now)
+	assert.Empty(t, tracker.Unsent(), "one version is known: nobody has to know")
+	assert.Equal(t, []origin.Change{{Service: "s", Versions: []string{"1"}}, {Service: "s", Versions: []string{"1"}, Sure: true}}, changes)
+}
+
+// Guards against reports of streams that nobody resumes any more, and against streams that are not reported again after the store lost them.
+func TestWhichStreamsAreReportedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := newTracker(now, func(origin.Change) {})
+	tracker.Engines(enginesOf("1"), now)
+	open, whole := origin.StreamOf("t", "s", "open"), origin.StreamOf("t", "s", "whole")
+	tracker.Began(open, "s", "1", now)
+	tracker.Began(whole, "s", "1", now)
+	tracker.Ended(whole, now)
+	tracker.Engines(enginesOf("1", "2"), now)
+	assert.Equal(t, []origin.Record{{Stream: open, Version: "1"}}, tracker.Unsent())
+	tracker.ReportAgain()
+	assert.Equal(t, []origin.Record{{Stream: open, Version: "1"}}, tracker.Unsent())
+	assert.Equal(t, origin.Known{Version: "1"}, tracker.Find(whole, "s", now), "a caller may lack its end")
+}
--- /dev/null
+++ b/fleet/relay/origin_store.go
@@ -0,0 +1,382 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/relay/origin"
+	"github.com/lynxshed/lynxshed/fleet/relay/peer"
+	"github.com/lynxshed/lynxshed/fleet/relay/store"
+)
+
+// originKind is the store's kind of which versions serve, and of which version began each stream while
+// several do. The store preserves them when all nodes are lost. Nodes read them when they start and
+// when a stream is resumed that no node knows; none watches the kind.
+const originKind = "lynxshed-origins"
+
+// versionsName names the object with the versions of all services.
+const versionsName = "versions"
+
+// Intervals and timeouts of the origins in the store.
+const (
+	originStoreTimeout = time.Second
+	originReadTimeout  = 300 * time.Millisecond  // while a caller waits
+	archiveTTL         = 500 * time.Millisecond  // for which a stream that is not in the last read is not looked up again
+	archiveLifetime    = 2 * origin.Retention    // after which a read is dropped
+	versionsInterval   = time.Second             // between two checks of the versions in the store
+	versionsStandBy    = 1500 * time.Millisecond // after which the second keeper writes versions that the first has not
+)
+
+// originKeepers are the nodes that keep origins for the store.
+type originKeepers interface {
+	// KeeperRank returns this node's rank among them, from 0, or peer.NoKeeper.
+	KeeperRank() int
+	// Writes reports whether this node is a delegate.
+	Writes() bool
+	// ReportStored tells the others that the store has the records that arrived here until a time.
+	ReportStored(until time.Time)
+}
+
+// originStore reads the origins of streams from the store, and writes those that this node keeps.
+type originStore struct {
+	*Node
+	tracker *origin.Tracker
+	keeper  *origin.Keeper
+	keepers originKeepers
+
+	mu      sync.Mutex
+	archive *origin.Archive // nil: not read
+	readAt  time.Time
+	reading chan struct{} // closed once the read in progress has ended; nil: none
+
+	// Used only by run.
+	ring         *origin.Ring    // nil: to be listed before a write
+	written      origin.Versions // in the store, as last read or written
+	revision     store.Revision  // of that object; 0: there is none
+	differsSince time.Time       // when they began to differ from those known here; zero: they don't
+	failing      bool            // the last write failed
+	renew        chan struct{}   // requests a read
+}
+
+func newOriginStore(n *Node, t *origin.Tracker, k *origin.Keeper, keepers originKeepers) *originStore {
+	return &originStore{Node: n, tracker: t, keeper: k, keepers: keepers, renew: make(chan struct{}, 1)}
+}
+
+// restored handles a restore of the store from a backup: it may lack the latest records and versions.
+func (s *originStore) restored() {
+	s.tracker.ReportAgain()
+	s.requestRead()
+}
+
+// reconnected handles a list of endpoints after the store was lost: a version may have come and gone
+// meanwhile. The nodes that others ask read that; in a small fleet these are all.
+func (s *originStore) reconnected() {
+	if s.keepers.Writes() {
+		s.requestRead()
+	}
+}
+
+func (s *originStore) requestRead() {
+	select {
+	case s.renew <- struct{}{}:
+	default: // already signaled
+	}
+}
+
+// run reads the origins until that has succeeded, and then writes those that this node keeps, until ctx
+// ends.
+func (s *originStore) run(ctx context.Context) {
+	s.load(ctx)
+	check := time.NewTicker(versionsInterval)
+	defer check.Stop()
+	write := time.NewTimer(0)
+	defer write.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.renew:
+			s.ring = nil
+			s.load(ctx)
+		case <-s.keeper.Wake():
+			write.Reset(origin.WriteInterval)
+		case <-write.C:
+			s.writeRecords(ctx)
+			if s.keeper.Waits() {
+				write.Reset(origin.WriteInterval)
+			}
+		case <-s.tracker.VersionsChanged():
+			s.writeVersions(ctx)
+		case <-check.C:
+			s.tracker.Review(clock.Now())
+			s.writeVersions(ctx)
+			s.dropArchive()
+		}
+	}
+}
+
+// load reads the store until that succeeds.
+func (s *originStore) load(ctx context.Context) {
+	for pause := firstWriteRetry; ctx.Err() == nil; pause = min(2*pause, maxLoadDelay) {
+		bounded, cancel := context.WithTimeout(ctx, originStoreTimeout)
+		stored, err := s.list(bounded)
+		cancel()
+		if err == nil {
+			s.adopt(stored)
+			return
+		}
+		s.log.WithField("dependency", "store").WithField("of", originKind).WithError(err).Warn("versions that served before this node started not read yet: streams that no node knows are not resumed")
+		clock.Pause(ctx, store.Jittered(pause))
+	}
+}
+
+// storedOrigins is what the store holds.
+type storedOrigins struct {
+	versions  origin.Versions
+	revisions map[string]store.Revision // by name of object
+	batches   []origin.Batch
+}
+
+// list reads all objects, and keeps the records and versions among them.
+func (s *originStore) list(ctx context.Context) (storedOrigins, error) {
+	sent := clock.Now()
+	objects, _, err := s.Node.store.Store.List(ctx, originKind)
+	if err != nil {
+		return storedOrigins{}, errors.Wrap(err, "read origins")
+	}
+	stored := s.decode(objects)
+	s.learnVersions(stored)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.archive, s.readAt = origin.NewArchive(stored.batches), sent
+	return stored, nil
+}
+
+// decode decodes the objects that can be decoded. Versions that can't be are not known.
+func (s *originStore) decode(objects []store.Object) storedOrigins {
+	stored := storedOrigins{revisions: map[string]store.Revision{}}
+	for _, o := range objects {
+		var err error
+		var b origin.Batch
+		stored.revisions[o.Name] = o.Revision
+		if o.Name == versionsName {
+			err = decodeOrigins(o, &stored.versions)
+			stored.versions.Partial = stored.versions.Partial || err != nil
+		} else if err = decodeOrigins(o, &b); err == nil {
+			stored.batches = append(stored.batches, b)
+		}
+		if err != nil {
+			s.faults.Report(o, "origins of streams", "nothing", err)
+		}
+	}
+	return stored
+}
+
+func decodeOrigins(o store.Object, to any) error {
+	if err := o.Readable(); err != nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal(o.Data, to), "decode %s %s", o.Kind, o.Name)
+}
+
+// learnVersions adds the versions in the store to those known here. Where it holds none, a node of a
+// fleet that starts for the first time knows that none served before.
+func (s *originStore) learnVersions(stored storedOrigins) {
+	basis := origin.NoBasis
+	_, exists := stored.revisions[versionsName]
+	switch {
+	case exists && !stored.versions.Partial:
+		basis = origin.VersionsInStore
+	case s.settings.Bootstrap:
+		basis = origin.VersionsObserved
+	}
+	s.tracker.KnowEarlier(stored.versions.Services, basis, clock.Now())
+}
+
+// adopt records which versions the store holds, before this node writes them.
+func (s *originStore) adopt(stored storedOrigins) {
+	s.written, s.revision = stored.versions, stored.revisions[versionsName]
+	s.log.WithFields(log.Fields{"services": s.written.Services, "partial": s.written.Partial, "batches": len(stored.batches), "revision": s.revision.Number()}).Info("versions that served before, and origins of streams, read from the store")
+}
+
+// known looks a stream up in the last read.
+func (s *originStore) known(of origin.Stream) (origin.Known, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version, ok := s.archive.Find(of)
+	return origin.Known{Version: version}, ok
+}
+
+// find looks a stream up, in a new read if the last one is old.
+func (s *originStore) find(ctx context.Context, of origin.Stream) (origin.Known, bool) {
+	if known, ok := s.known(of); ok {
+		return known, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
+	defer cancel()
+	if !s.read(ctx) {
+		return origin.Known{}, false
+	}
+	return s.known(of)
+}
+
+// read reads the store unless the last read is recent. Callers that wait at the same time share a read.
+// It reports whether there is a recent one.
+func (s *originStore) read(ctx context.Context) bool {
+	s.mu.Lock()
+	if s.archive != nil && clock.Since(s.readAt) < archiveTTL {
+		s.mu.Unlock()
+		return true
+	}
+	done := s.reading
+	if done == nil {
+		done = make(chan struct{})
+		s.reading = done
+		go s.readOnce(done)
+	}
+	s.mu.Unlock()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *originStore) readOnce(done chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), originReadTimeout)
+	defer cancel()
+	if _, err := s.list(ctx); err != nil {
+		s.log.WithField("dependency", "store").WithField("of", originKind).WithError(err).Warn("origins of streams not read")
+	}
+	s.mu.Lock()
+	s.reading = nil
+	s.mu.Unlock()
+	close(done)
+}
+
+// dropArchive frees a read that no stream can need any more.
+func (s *originStore) dropArchive() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.archive != nil && clock.Since(s.readAt) > archiveLifetime {
+		s.archive = nil
+	}
+}
+
+// writeRecords writes the records that are due.
+func (s *originStore) writeRecords(ctx context.Context) {
+	records, until := s.keeper.Due(clock.Now())
+	records = records[:min(len(records), origin.MaxBatchRecords)]
+	if len(records) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, originStoreTimeout)
+	defer cancel()
+	err := s.writeBatch(ctx, records)
+	s.logWrites(err, len(records))
+	if err != nil {
+		s.ring = nil
+		return
+	}
+	s.keeper.Written(len(records))
+	if !s.keeper.HasDue() {
+		s.keepers.ReportStored(until)
+	}
+}
+
+func (s *originStore) writeBatch(ctx context.Context, records []origin.Record) error {
+	if s.ring == nil {
+		stored, err := s.list(ctx)
+		if err != nil {
+			return err
+		}
+		s.ring = new(origin.NewRing(stored.revisions))
+	}
+	next := s.ring.With(records, clock.Now())
+	name, revision, batch := next.Current()
+	data, err := json.Marshal(batch)
+	if err != nil {
+		return errors.Wrap(err, "encode origins")
+	}
+	after, err := s.Node.store.Put(ctx, store.Object{Kind: originKind, Name: name, Revision: revision, Data: data})
+	if err != nil {
+		return errors.Wrapf(err, "write origins as %s", name)
+	}
+	s.ring = new(next.Written(after.Revision))
+	return nil
+}
+
+// logWrites logs that writes begin to fail, or succeed again.
+func (s *originStore) logWrites(err error, records int) {
+	entry := s.log.WithField("dependency", "store").WithField("of", originKind).WithField("records", records)
+	switch {
+	case err != nil && !s.failing:
+		entry.WithError(err).Warn("origins of streams not written: tried again")
+	case err == nil && s.failing:
+		entry.Info("origins of streams written again")
+	}
+	s.failing = err != nil
+}
+
+// writeVersions writes the versions known here if they differ from those in the store and no other node
+// does it. Before this node has read them it does not know what it would overwrite.
+func (s *originStore) writeVersions(ctx context.Context) {
+	if !s.differs() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, originStoreTimeout)
+	defer cancel()
+	switch rank := s.keepers.KeeperRank(); {
+	case rank == peer.NoKeeper, rank > 0 && clock.Since(s.differsSince) < versionsStandBy:
+		return
+	case rank > 0 && (!s.readVersions(ctx) || !s.differs()):
+		return // another node has written them
+	}
+	versions := s.tracker.Versions(clock.Now())
+	data, err := json.Marshal(versions)
+	if err != nil {
+		s.log.WithError(err).Warn("versions of services not encoded")
+		return
+	}
+	after, err := s.Node.store.Put(ctx, store.Object{Kind: originKind, Name: versionsName, Revision: s.revision, Data: data})
+	switch {
+	case errors.Is(err, store.ErrConflict):
+		s.readVersions(ctx) // what another node has added is written, too, the next time
+	case err != nil:
+		s.log.WithField("dependency", "store").WithField("of", originKind).WithError(err).Warn("versions of services not written yet")
+	default:
+		s.written, s.revision, s.differsSince = versions, after.Revision, time.Time{}
+		s.log.WithFields(log.Fields{"services": versions.Services, "partial": versions.Partial, "revision": after.Revision.Number()}).Info("versions of services written to the store")
+	}
+}
+
+// differs reports whether the versions known here differ from those in the store, and records since when.
+func (s *originStore) differs() bool {
+	now := clock.Now()
+	switch {
+	case s.tracker.Versions(now).Equal(s.written):
+		s.differsSince = time.Time{}
+		return false
+	case s.differsSince.IsZero():
+		s.differsSince = now
+	}
+	return true
+}
+
+// readVersions reads the versions in the store and adds them to those known here.
+func (s *originStore) readVersions(ctx context.Context) bool {
+	stored, err := s.list(ctx)
+	if err != nil {
+		s.log.WithField("dependency", "store").WithField("of", originKind).WithError(err).Warn("versions of services not read")
+		return false
+	}
+	s.adopt(stored)
+	return true
+}
--- a/fleet/relay/origins.go
+++ b/fleet/relay/origins.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"time"
+
+	"github.com/apex/log"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
@@ -10,11 +11,11 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
 )
 
-// origins implements forward.Origins with what this node and other nodes know.
+// origins implements forward.Origins with what this node, other nodes and the store know.
 type origins struct {
+	*Node
 	tracker *origin.Tracker
-	gossip  *peer.Gossip
-	started time.Time // of the node
+	store   *originStore
 }
 
 // enableOrigins has the node resume streams at the software version that began them.
@@ -22,8 +23,9 @@
 	if !n.settings.Enabled(originsMechanism) {
 		return
 	}
-	n.origins = &origins{tracker: origin.NewTracker(n.logVersions), gossip: g, started: n.started}
-	g.WithOrigins(n.origins.tracker)
+	tracker, keeper := origin.NewTracker(n.started, n.logVersions), origin.NewKeeper()
+	n.origins = &origins{Node: n, tracker: tracker, store: newOriginStore(n, tracker, keeper, g)}
+	g.WithOrigins(tracker, keeper)
 }
 
 // streamOrigins returns the origins for the handler; a nil interface if they are disabled.
@@ -34,14 +36,17 @@
 	return n.origins
 }
 
-// logVersions logs that a service has begun or ceased to have several versions.
+// logVersions logs that several versions of a service, or one, may have begun its streams from now on.
 func (n *Node) logVersions(c origin.Change) {
-	entry := n.log.WithField("service", c.Service).WithField("versions", c.Versions)
-	if len(c.Versions) > 1 {
+	entry := n.log.WithFields(log.Fields{"service": c.Service, "versions": c.Versions, "sure": c.Sure})
+	switch {
+	case len(c.Versions) > 1:
 		entry.Info("endpoints of a service run several versions: nodes report which one began each stream")
-		return
+	case !c.Sure:
+		entry.Info("versions of a service of before this node started are not known: nodes report which one began each stream")
+	default:
+		entry.Info("endpoints of a service run one version")
 	}
-	entry.Info("endpoints of a service run one version")
 }
 
 // Began implements forward.Origins.
@@ -49,34 +54,52 @@
 	o.tracker.Began(s, service, version, clock.Now())
 }
 
+// Ended implements forward.Origins.
+func (o *origins) Ended(s origin.Stream) { o.tracker.Ended(s, clock.Now()) }
+
 // Several implements forward.Origins.
 func (o *origins) Several(service string) bool {
 	return o.tracker.Several(service, clock.Now())
 }
 
-// Find implements forward.Origins. Other nodes are also asked where this one has seen a single
-// version: it may have started lately, or may not know the latest entries of endpoints.
+// Find implements forward.Origins.
 func (o *origins) Find(ctx context.Context, s origin.Stream, service string) origin.Evidence {
 	e := o.find(ctx, s, service)
 	e.NodeAge = clock.Since(o.started)
 	return e
 }
 
+// find looks a stream up here, then at other nodes, which may also know of versions that this node has
+// not seen yet, and then in the store.
 func (o *origins) find(ctx context.Context, s origin.Stream, service string) origin.Evidence {
 	own := o.tracker.Find(s, service, clock.Now())
 	if known, ok := own.(origin.Known); ok {
 		return origin.Evidence{Finding: known, Basis: origin.RecordHere}
 	}
-	others, from := o.gossip.FindOrigin(ctx, s, service)
-	switch f := others.(type) {
-	case origin.Known:
-		o.tracker.Receive([]origin.Record{{Stream: s, Version: f.Version}}, clock.Now())
-		return origin.Evidence{Finding: f, Basis: origin.RecordOfNode, From: from}
-	case origin.Sole:
-		return origin.Evidence{Finding: own, Basis: origin.VersionsListed}
-	case origin.Several:
-		return origin.Evidence{Finding: others, Basis: origin.VersionsListed}
-	case origin.Unanswered:
+	if known, ok := o.store.known(s); ok {
+		return o.learn(s, known, origin.RecordInStore, "")
+	}
+	others := o.gossip.FindOrigin(ctx, s, service)
+	if known, ok := others.Finding.(origin.Known); ok {
+		return o.learn(s, known, origin.RecordOfNode, others.From)
+	}
+	if own == (origin.Sole{}) && (others.Alone || others.Finding == origin.Sole{}) {
+		return o.judge(own, others)
 	}
-	return origin.Evidence{Finding: others}
+	if known, ok := o.store.find(ctx, s); ok {
+		return o.learn(s, known, origin.RecordInStore, "")
+	}
+	return o.judge(o.tracker.Find(s, service, clock.Now()), others)
+}
+
+// learn records an origin that this node did not know.
+func (o *origins) learn(s origin.Stream, known origin.Known, basis origin.Basis, from string) origin.Evidence {
+	o.tracker.Receive([]origin.Record{{Stream: s, Version: known.Version}}, clock.Now())
+	return origin.Evidence{Finding: known, Basis: basis, From: from}
+}
+
+// judge returns what is known of a stream that nobody has a record of.
+func (o *origins) judge(own origin.Finding, others origin.Told) origin.Evidence {
+	basis, _ := o.tracker.Sure(clock.Now())
+	return origin.Judge(own, basis, others, o.syncer.Unavailable())
 }
--- a/fleet/relay/peer/gossip.go
+++ b/fleet/relay/peer/gossip.go
@@ -62,6 +62,7 @@
 	notices     *notice.Tracker    // nil: no reports on signals of endpoints in answers
 	fragile     *fragile.Tracker   // nil: no reports on fragile services
 	origins     *origin.Tracker    // nil: no exchange of the versions that began streams
+	keeper      *origin.Keeper     // of records for the store
 	lookups     *lookups           // of origins
 	eras        *store.Eras        // known to this node
 	noTunnels   func() []string    // services to which this node opens no tunnels now; nil: none
@@ -291,7 +292,7 @@
 		g.receiveRests(m)
 	case len(m.Notices) > 0 && m.Number == 0:
 		g.receiveNotices(m)
-	case len(m.Origins)+len(m.OriginQueries)+len(m.OriginAnswers) > 0 && m.Number == 0:
+	case m.isOnOrigins() && m.Number == 0:
 		g.receiveOrigins(m, from)
 	case m.Ledger > 0:
 		at := store.At(g.eraOf(m), m.Ledger)
--- a/fleet/relay/peer/message.go
+++ b/fleet/relay/peer/message.go
@@ -42,8 +42,12 @@
 	Origins       []origin.Record                 `json:"origins,omitempty"`    // versions that began streams
 	OriginQueries []originQuery                   `json:"originQueries,omitempty"`
 	OriginAnswers []originAnswer                  `json:"originAnswers,omitempty"`
-	Ledger        int64                           `json:"ledger,omitempty"` // revision number of a ledger that the node wrote
-	Era           int64                           `json:"era,omitempty"`    // newest era that the node knows of; with Ledger, the era of its revision
+
+	OriginsToStore  []origin.Record `json:"originsToStore,omitempty"`  // versions that began streams, for the receiver to write to the store
+	StandBy         bool            `json:"standBy,omitempty"`         // the receiver writes them only if another node does not
+	OriginsStoredMs *int64          `json:"originsStoredMs,omitempty"` // the store has those that arrived at the sender so long ago or before
+	Ledger          int64           `json:"ledger,omitempty"`          // revision number of a ledger that the node wrote
+	Era             int64           `json:"era,omitempty"`             // newest era that the node knows of; with Ledger, the era of its revision
 }
 
 // withSender fills in the sender of a message.
--- a/fleet/relay/peer/origins_test.go
+++ b/fleet/relay/peer/origins_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
@@ -18,6 +19,7 @@
 type originNetwork struct {
 	at        map[string]*Gossip // by address
 	datagrams int
+	toStore   int                        // of these, those with records for the store
 	lose      func(from, to string) bool // by name; nil: none
 }
 
@@ -30,6 +32,9 @@
 
 func (p originPort) WriteTo(data []byte, to net.Addr) (int, error) {
 	p.network.datagrams++
+	if len(decoded(data).OriginsToStore) > 0 {
+		p.network.toStore++
+	}
 	g, ok := p.network.at[to.String()]
 	if ok && (p.network.lose == nil || !p.network.lose(p.self.Name, g.registry.self.Name)) {
 		g.receive(decoded(data), p.self.Address)
@@ -42,6 +47,7 @@
 	all := members(size)
 	for i := range all {
 		all[i].Zone, all[i].Address, all[i].Origins = fmt.Sprint("z", i%zones), fmt.Sprint("10.0.0.1:", 1000+i), true
+		all[i].KeepsOrigins = true
 	}
 	network := &originNetwork{at: map[string]*Gossip{}}
 	var nodes []*Gossip
@@ -49,11 +55,13 @@
 	for _, m := range all {
 		g, _ := trafficGossipOf(all, nil, m)
 		g.socket, g.lookups = originPort{network: network, self: m}, newLookups()
-		t := origin.NewTracker(func(origin.Change) {})
+		g.registry.listedOnce.Do(func() { close(g.registry.listed) })
+		g.choose()
+		t := origin.NewTracker(clock.Now().Add(-origin.Retention), func(origin.Change) {})
 		t.Engines(lo.Map(versions, func(v string, i int) engine.Engine {
 			return engine.Engine{ID: fmt.Sprint("e", i), Service: "s", Version: v}
 		}), clock.Now())
-		g.WithOrigins(t)
+		g.WithOrigins(t, origin.NewKeeper())
 		network.at[m.Address] = g
 		nodes, trackers = append(nodes, g), append(trackers, t)
 	}
@@ -87,7 +95,7 @@
 				begin(nodes[0], trackers[0], s, "2")
 				network.lose = c.lose
 				for _, at := range []int{1, c.size - 1} {
-					found, _ := nodes[at].FindOrigin(context.Background(), s, "s")
+					found := nodes[at].FindOrigin(context.Background(), s, "s").Finding
 					own := trackers[at].Find(s, "s", clock.Now())
 					assert.Contains(t, []origin.Finding{found, own}, origin.Finding(origin.Known{Version: "2"}))
 				}
@@ -107,7 +115,7 @@
 			return network.zoneOf(from) != network.zoneOf(to) || to == nodes[0].registry.self.Name
 		}
 		at := 1 // in another zone
-		found, _ := nodes[at].FindOrigin(context.Background(), s, "s")
+		found := nodes[at].FindOrigin(context.Background(), s, "s").Finding
 		own := trackers[at].Find(s, "s", clock.Now())
 		assert.Contains(t, []origin.Finding{found, own}, origin.Finding(origin.Known{Version: "2"}))
 	}
@@ -131,20 +139,23 @@
 		versions []string
 		lose     func(from, to string) bool
 		found    origin.Finding
+		told     bool // by a node that is named
 	}{
-		{"one version", 7, []string{"1", "1"}, nil, origin.Sole{}},
-		{"several versions", 7, []string{"1", "2"}, nil, origin.Several{}},
-		{"one version, nobody answers", 7, []string{"1"}, all, origin.Unanswered{}},
-		{"several versions, nobody answers", 7, []string{"1", "2"}, all, origin.Unanswered{}},
-		{"this node is alone", 1, []string{"1"}, nil, origin.Sole{}},
+		{"one version", 7, []string{"1", "1"}, nil, origin.Sole{}, true},
+		{"several versions", 7, []string{"1", "2"}, nil, origin.Several{}, true},
+		{"one version, nobody answers", 7, []string{"1"}, all, origin.Unanswered{}, false},
+		{"several versions, nobody answers", 7, []string{"1", "2"}, all, origin.Unanswered{}, false},
+		{"this node is alone", 1, []string{"1"}, nil, origin.Sole{}, false},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			network, nodes, _ := originFleet(c.size, 2, c.versions...)
 			network.lose = c.lose
-			found, from := nodes[0].FindOrigin(context.Background(), origin.StreamOf("t", "s", "c"), "s")
-			assert.Equal(t, c.found, found)
-			assert.Empty(t, from)
+			told := nodes[0].FindOrigin(context.Background(), origin.StreamOf("t", "s", "c"), "s")
+			assert.Equal(t, c.found, told.Finding)
+			assert.Equal(t, c.told, told.From != "")
+			assert.Equal(t, c.size == 1, told.Alone)
+			assert.Equal(t, c.lose == nil, told.AllZones)
 		})
 	}
 }
@@ -153,8 +164,85 @@
 func TestANodeThatKnowsOneVersionAsksOthers(t *testing.T) {
 	_, nodes, trackers := originFleet(7, 4, "1", "2")
 	trackers[6].Engines([]engine.Engine{{ID: "e0", Service: "s", Version: "1"}}, clock.Now())
-	found, _ := nodes[6].FindOrigin(context.Background(), origin.StreamOf("t", "s", "c"), "s")
-	assert.Equal(t, origin.Several{}, found)
+	found := nodes[6].FindOrigin(context.Background(), origin.StreamOf("t", "s", "c"), "s")
+	assert.Equal(t, origin.Several{}, found.Finding)
+}
+
+// startLately makes some nodes of a fleet ones that don't know the versions of before they started.
+func startLately(nodes []*Gossip, versions ...string) {
+	for _, g := range nodes {
+		t := origin.NewTracker(clock.Now(), func(origin.Change) {})
+		t.Engines(lo.Map(versions, func(v string, i int) engine.Engine {
+			return engine.Engine{ID: fmt.Sprint("e", i), Service: "s", Version: v}
+		}), clock.Now())
+		g.WithOrigins(t, g.keeper)
+	}
+}
+
+// Guards against nodes that have all just started, or don't know of each other yet, and tell that one version served.
+func TestWhatNodesThatStartedLatelyTell(t *testing.T) {
+	s := origin.StreamOf("t", "s", "c")
+	_, nodes, _ := originFleet(7, 4, "1")
+	startLately(nodes, "1")
+	assert.Equal(t, origin.Told{Finding: origin.Unsure{}, AllZones: true}, nodes[0].FindOrigin(context.Background(), s, "s"))
+
+	network, nodes, _ := originFleet(4, 1, "1")
+	startLately(nodes[1:], "1")
+	assert.Equal(t, origin.Sole{}, nodes[3].FindOrigin(context.Background(), s, "s").Finding, "one knows the versions")
+	assert.Equal(t, "n0", nodes[3].FindOrigin(context.Background(), s, "s").From)
+	network.lose = func(from, _ string) bool { return from == "n0" }
+	assert.Equal(t, origin.Unsure{}, nodes[3].FindOrigin(context.Background(), s, "s").Finding)
+
+	nodes[0].registry.listed = make(chan struct{})
+	assert.Equal(t, origin.Unanswered{}, nodes[0].FindOrigin(context.Background(), s, "s").Finding, "the nodes were not listed yet")
+}
+
+// Guards against records that reach no node which writes them to the store, against all nodes writing, and against keepers in one zone.
+func TestTwoNodesKeepOriginsForTheStore(t *testing.T) {
+	for _, c := range []struct{ size, zones int }{{1, 1}, {4, 1}, {7, 4}, {60, 4}, {300, 8}} {
+		t.Run(fmt.Sprint(c.size, " nodes"), func(t *testing.T) {
+			_, nodes, trackers := originFleet(c.size, c.zones, "1", "2")
+			begin(nodes[0], trackers[0], origin.StreamOf("t", "s", "c"), "1")
+			now := clock.Now()
+			byRank := lo.GroupBy(nodes, func(g *Gossip) int { return g.KeeperRank() })
+			assert.Len(t, byRank[0], 1)
+			due, _ := byRank[0][0].keeper.Due(now)
+			assert.Equal(t, []origin.Record{{Stream: origin.StreamOf("t", "s", "c"), Version: "1"}}, due)
+			for _, g := range byRank[NoKeeper] {
+				assert.False(t, g.keeper.Waits())
+			}
+			if c.size == 1 {
+				return
+			}
+			assert.Len(t, byRank[1], 1)
+			second := byRank[1][0]
+			assert.Equal(t, c.zones > 1, second.registry.self.Zone != byRank[0][0].registry.self.Zone)
+			due, _ = second.keeper.Due(now)
+			assert.Empty(t, due)
+			due, _ = second.keeper.Due(now.Add(2 * time.Second))
+			assert.Len(t, due, 1, "the first one wrote nothing")
+			begin(nodes[0], trackers[0], origin.StreamOf("t", "s", "d"), "1")
+			second.keeper.Written(1)
+			time.Sleep(60 * time.Millisecond) // more than records may take from one keeper to the other
+			byRank[0][0].ReportStored(clock.Now())
+			assert.False(t, second.keeper.Waits())
+		})
+	}
+}
+
+// Guards against a keeper that has ended or lost the store and is sent records for as long as it is listed.
+func TestAKeeperThatCanNotWriteIsReplaced(t *testing.T) {
+	_, nodes, _ := originFleet(7, 4, "1", "2")
+	first := nodes[0].keepers()[0]
+	for name, p := range map[string]peerRecord{"silent": {at: clock.Now().Add(-silenceTimeout)}, "without the store": {at: clock.Now(), storeLost: true}} {
+		at, _ := lo.Find(nodes, func(g *Gossip) bool { return g.registry.self.Name != first.Name })
+		at.peers = map[string]peerRecord{first.Name: p}
+		assert.NotContains(t, at.keepers(), first, name)
+		assert.Len(t, at.keepers(), 2, name)
+	}
+	old := lo.Map(nodes[0].registry.Members(), func(m Member, i int) Member { m.KeepsOrigins = i == 3; return m })
+	nodes[0].registry.members.Store(&old)
+	assert.Equal(t, []Member{old[3]}, nodes[0].keepers(), "nodes of an earlier build write nothing")
 }
 
 // Guards against records that go to all nodes.
@@ -162,9 +250,10 @@
 	for _, size := range []int{4, 60, 300} {
 		network, nodes, trackers := originFleet(size, 4, "1", "2")
 		begin(nodes[0], trackers[0], origin.StreamOf("t", "s", "c"), "1")
-		assert.LessOrEqual(t, network.datagrams, 4, "%d nodes", size)
+		assert.LessOrEqual(t, network.datagrams-network.toStore, 4, "%d nodes", size)
+		assert.LessOrEqual(t, network.toStore, 2, "%d nodes", size)
 		network.datagrams = 0
-		_, _ = nodes[1].FindOrigin(context.Background(), origin.StreamOf("t", "s", "c"), "s")
+		_ = nodes[1].FindOrigin(context.Background(), origin.StreamOf("t", "s", "c"), "s")
 		assert.LessOrEqual(t, network.datagrams, 2*4, "%d nodes", size)
 	}
 }
--- a/fleet/relay/peer/registry.go
+++ b/fleet/relay/peer/registry.go
@@ -32,6 +32,8 @@
 	Build       string  `json:"build,omitempty"`    // build of its program; "" if not reported
 	Tunnels     bool    `json:"tunnels,omitempty"`  // it opens tunnels to endpoints for other nodes
 	Origins     bool    `json:"origins,omitempty"`  // it keeps for other nodes which versions began their streams
+
+	KeepsOrigins bool `json:"keepsOrigins,omitempty"` // it may write to the store which versions began the streams of all nodes
 }
 
 // Registry tracks the nodes that the store lists.
@@ -108,15 +110,23 @@
 	r.lastEnded.Store(&now)
 }
 
+// Listed reports whether the nodes of the fleet were listed.
+func (r *Registry) Listed() bool {
+	select {
+	case <-r.listed:
+		return true
+	default:
+		return false
+	}
+}
+
 // Sharers returns the number of nodes among which a fleet-wide bound is divided. A node that
 // has just started and knows no other one must not take itself for the only one.
 func (r *Registry) Sharers() int {
-	select {
-	case <-r.listed:
+	if r.Listed() {
 		return r.Count()
-	default:
-		return max(assumedNodes, r.Count())
 	}
+	return max(assumedNodes, r.Count())
 }
 
 // Run registers this node and follows the others until ctx ends. It also passes each change
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -149,7 +149,7 @@
 	n.eras.OnRise(n.storeRestored)
 	n.store = store.NewSourced(store.Probed(store.Counted(a.Store(), n.metrics)), n.sources).WithEras(n.eras)
 	incarnation := uuid.NewString()
-	self := peer.Member{Name: s.Node, Incarnation: incarnation, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps, Build: version.Build(), Tunnels: s.Enabled(tunnelsMechanism), Origins: s.Enabled(originsMechanism)}
+	self := peer.Member{Name: s.Node, Incarnation: incarnation, Zone: s.Zone, Address: s.Peer, LinkMbps: s.LinkMbps, Build: version.Build(), Tunnels: s.Enabled(tunnelsMechanism), Origins: s.Enabled(originsMechanism), KeepsOrigins: s.Enabled(originsMechanism)}
 	n.allowance = account.NewAllowance(s.Node, incarnation, s.Budget.Tuning())
 	n.bounds = bound.NewGate(s.Node).WithPartitioned(func() bool { return n.syncer.Unavailable() })
 	n.picker = choice.NewPicker(s.Zone, s.Choice()).WithColdGate(n.bounds, cold.Rule{Overrun: s.Cold.Overrun, Tolerance: s.Cold.Tolerance}).WithPlaces(n.places)
