A caller gets no more events than its call's tokens fill

Cause: a stream was passed on until the deadline, and charged with no more than was reserved. The node knows how many events the call's tokens fill, and did not count them.

--- a/fleet/relay/forward/endless.go
+++ b/fleet/relay/forward/endless.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -34,12 +35,22 @@
 var (
 	errAnswerTooLong = errors.New("the answer is longer than a node holds")
 	errEventTooLong  = errors.New("no event was complete after as many bytes as an event may have")
+	errTooManyEvents = errors.New("the endpoint sends more events than the call's tokens fill")
 	errStuck         = errors.New("the answer came in too slowly")
 )
 
 // gaveUp reports whether an answer was abandoned by this node, which proves no end of the endpoint.
 func gaveUp(err error) bool {
-	return errors.IsAny(err, errAnswerTooLong, errEventTooLong, errStuck)
+	return errors.IsAny(err, errAnswerTooLong, errEventTooLong, errTooManyEvents, errStuck)
+}
+
+// maxEvents returns how many events the call's tokens fill. The tokens of more would be received and not
+// charged.
+func (j *job) maxEvents() int64 {
+	if j.call.OutputMax <= 0 || j.service.TokensPerEvent <= 0 {
+		return math.MaxInt64
+	}
+	return (j.call.OutputMax + j.service.TokensPerEvent - 1) / j.service.TokensPerEvent
 }
 
 // mayRunElsewhere reports whether a call that may have run has attempts left for another endpoint.
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -166,7 +166,6 @@
 		if n > 0 {
 			before := s.events
 			if failure := s.pass(flusher, buffer[:n]); failure != nil {
-				s.callerErr = failure
 				return failure
 			}
 			if s.eventless+len(s.pending) > maxEventBytes {
@@ -192,7 +191,10 @@
 	if end < 0 {
 		return nil
 	}
-	complete := s.pending[:end+len(eventEnd)]
+	complete, excess := s.withinTokens(s.pending[:end+len(eventEnd)])
+	if len(complete) == 0 {
+		return errTooManyEvents
+	}
 	if s.events == 0 {
 		s.Metrics.FirstEvent(s.route.Name, clock.Since(s.start))
 	}
@@ -213,27 +215,54 @@
 	if !s.partsSurvived && s.pace.progress(now) == quarantine.Underway {
 		s.recordPartsSurvived(now)
 	}
-	if _, err := s.w.Write(complete); err != nil {
-		return err
+	if _, s.callerErr = s.w.Write(complete); s.callerErr == nil {
+		s.callerErr = flusher.Flush()
 	}
-	if err := flusher.Flush(); err != nil {
-		return err
+	if s.callerErr != nil {
+		return s.callerErr
 	}
 	s.pending = append(s.pending[:0], s.pending[end+len(eventEnd):]...)
+	if excess {
+		return errTooManyEvents
+	}
 	return nil
 }
 
-// count counts events and records the last event id. Comments alone are no event.
+// withinTokens returns the part of complete events that the call's tokens fill, and whether there are more.
+func (s *streamRelay) withinTokens(complete []byte) (within []byte, excess bool) {
+	left := s.maxEvents() - s.events
+	for rest := complete; len(rest) > 0; {
+		end := bytes.Index(rest, eventEnd) + len(eventEnd)
+		if isEvent(rest[:end]) {
+			if left == 0 {
+				return complete[:len(complete)-len(rest)], true
+			}
+			left--
+		}
+		rest = rest[end:]
+	}
+	return complete, false
+}
+
+// isEvent reports whether a block of lines is an event. Comments alone are none.
+func isEvent(block []byte) bool {
+	for line := range bytes.SplitSeq(block, []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
+// count counts events and records the last event id.
 func (s *streamRelay) count(complete []byte) {
 	for event := range bytes.SplitSeq(complete, eventEnd) {
-		isEvent := false
 		for line := range bytes.SplitSeq(event, []byte("\n")) {
-			isEvent = isEvent || len(line) > 0 && line[0] != ':'
 			if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 				s.lastID = string(bytes.TrimSpace(id))
 			}
 		}
-		if isEvent {
+		if isEvent(event) {
 			s.events++
 		}
 	}
