A success without its endpoint's seal is a failure

A caller does not call again then.

Cause: whether an answer is sealed was read and never asked.

Change: such an answer counts as failed; the call goes elsewhere if it may run again, and ends 502 otherwise.

--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -58,7 +58,7 @@
 }
 
 func (plainWire) ParseAnswer(resp *http.Response) call.AnswerHead {
-	v := call.AnswerHead{CallID: resp.Header.Get("Call"), NotExecuted: resp.Header.Get("Not-Run") != "", Moved: resp.StatusCode == http.StatusMisdirectedRequest}
+	v := call.AnswerHead{CallID: resp.Header.Get("Call"), NotExecuted: resp.Header.Get("Not-Run") != "", Sealed: resp.Header.Get("Unsealed") == "", Moved: resp.StatusCode == http.StatusMisdirectedRequest}
 	if rest, err := time.ParseDuration(resp.Header.Get("Rest")); err == nil {
 		v.Notices = []call.Notice{call.Rest{For: rest}}
 	}
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -172,6 +172,10 @@
 		closeBody(resp)
 		return failed{answered: true, err: wrapStep("answer", t, errors.Newf("the answer belongs to call %q, status %d", v.CallID, resp.StatusCode))}
 	}
+	if resp.StatusCode/100 == 2 && !v.Sealed {
+		closeBody(resp)
+		return failed{answered: true, err: wrapStep("answer", t, errors.Newf("the answer with status %d lacks the endpoint's seal", resp.StatusCode))}
+	}
 	if !v.Moved {
 		j.notices = v.Notices
 		for _, n := range v.Notices {
