What an endpoint tells of its restart counts as an entry: it is cold, and calls are placed anew

Cause: that an endpoint restarted was known to the holders of its state by its entry alone. What it tells on the first connection was used for its version only.

Change: the table of endpoints takes what was told for a new entry of an unknown version, so that all holders drop the earlier incarnation and it is cold.

--- a/fleet/relay/engine/engine.go
+++ b/fleet/relay/engine/engine.go
@@ -43,9 +43,7 @@
 	State   State
 	Hash    uint64 // of the id, for placement; set by the directory
 
-	// Identity is what the endpoint itself told of its incarnation where its entry may be outdated; nil: nothing
-	// that differs from the entry.
-	Identity Identity
+	Unread bool // the endpoint itself told its birth, before its entry: the version and state are those of an earlier incarnation
 
 	ColdUntil   time.Time // the endpoint reports that it is slow until then; zero: it is not
 	RestartedAt time.Time // when this node learned that it had restarted under its id; zero: no earlier incarnation was known
--- a/fleet/relay/engines.go
+++ b/fleet/relay/engines.go
@@ -35,15 +35,14 @@
 	listed           chan struct{} // closed once the endpoints were listed
 	lost             bool          // the store was lost since the last list
 	once             sync.Once
-	births           map[string]int64            // the last known birth by id
-	withoutBirth     map[string]bool             // ids without a birth: in use (true) or kept out of use (false)
-	restarted        map[string]engine.Restarted // by id: incarnations that run, as the endpoints told, before their entries are known
-	usedVersions     map[string]map[string]bool  // versions that may get work, by service, while any endpoint runs them
+	births           map[string]int64           // the last known birth by id
+	withoutBirth     map[string]bool            // ids without a birth: in use (true) or kept out of use (false)
+	usedVersions     map[string]map[string]bool // versions that may get work, by service, while any endpoint runs them
 	eras             eraRecords
 }
 
 func newEngineTable(n *Node) *engineTable {
-	return &engineTable{Node: n, byName: map[string]engine.Engine{}, lapsed: map[string]time.Time{}, listed: make(chan struct{}), births: map[string]int64{}, withoutBirth: map[string]bool{}, restarted: map[string]engine.Restarted{}, usedVersions: map[string]map[string]bool{}, eras: newEraRecords()}
+	return &engineTable{Node: n, byName: map[string]engine.Engine{}, lapsed: map[string]time.Time{}, listed: make(chan struct{}), births: map[string]int64{}, withoutBirth: map[string]bool{}, usedVersions: map[string]map[string]bool{}, eras: newEraRecords()}
 }
 
 func (t *engineTable) apply(c store.Change) {
@@ -122,6 +121,9 @@
 		t.log.WithField("endpoint", o.Name).WithField("revision", o.Revision.Number()).WithField("known", before.Seen.Number()).Info("entry of an endpoint ignored: older than the one known")
 		return
 	}
+	if known && before.Unread && o.Revision == before.Seen {
+		return // the endpoint has told since that it restarted
+	}
 	e, err := t.adapter.Engine(o, clock.Now())
 	if err != nil {
 		t.faults.Report(o, "endpoint", "no endpoint", err)
@@ -168,7 +170,6 @@
 	delete(t.lapsed, name)
 	delete(t.births, name)
 	delete(t.withoutBirth, name)
-	delete(t.restarted, name)
 	t.log.WithField("endpoint", name).Info("endpoint gone")
 }
 
@@ -221,9 +222,6 @@
 			continue
 		}
 		e = t.withNotice(e)
-		if r, ok := t.restarted[e.ID]; ok {
-			e = e.WithIdentity(r)
-		}
 		if e.State == engine.Ready && zones.Active(e.Zone) {
 			e.State = engine.Evacuated
 		}
--- a/fleet/relay/forward/identity.go
+++ b/fleet/relay/forward/identity.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
@@ -21,7 +22,7 @@
 // An endpoint may start again under its id and at its address with another version of its software,
 // before its entry says so. A connection belongs to one incarnation. So a connection to an endpoint to
 // which no other is open, or where one has just ended, first asks which incarnation runs, before it
-// serves a call.
+// serves a call. A call is sent only to the incarnation that it was placed at.
 
 // Incarnations knows which incarnations of endpoints run.
 type Incarnations interface {
@@ -37,9 +38,13 @@
 // maxIdentityBytes bounds the answer to it.
 const maxIdentityBytes = 256 << 10
 
-// errOtherVersion ends an attempt on a connection to an incarnation whose software may be of another
-// version than the one that began the stream.
-var errOtherVersion = errors.New("the endpoint may run another version than the one that began the stream")
+var (
+	// errRestarted ends an attempt whose endpoint has restarted since the call was placed there.
+	errRestarted = errors.New("the endpoint has restarted since the call was placed there")
+	// errUnidentified ends an attempt that resumes a stream at an endpoint that did not tell which
+	// incarnation runs: its software may be of another version.
+	errUnidentified = errors.New("the endpoint did not tell which incarnation runs, and its version may not be the one that began the stream")
+)
 
 // WithIncarnations makes the transport ask endpoints which incarnation runs. It must be called before
 // WithMeter.
@@ -53,7 +58,6 @@
 func (t *Transport) identify(ctx context.Context, c *pooledConn, open func() (*pooledConn, error)) (*pooledConn, error) {
 	e, ok := ctx.Value(endpointKey{}).(engine.Engine)
 	if !ok || t.incarnations == nil || !t.incarnations.Tells(e) || t.pool.joinsOpen(c) {
-		t.pool.setIdentified(c)
 		return c, nil
 	}
 	born, err := t.ask(c.Conn, e.Address)
@@ -62,14 +66,13 @@
 		if c, err = open(); err != nil {
 			return nil, err
 		}
-		c.identity = engine.Unidentified{}
+		c.unidentified = true
 		return c, nil
 	}
 	if born != 0 && born != e.Born {
 		t.incarnations.Identified(e, born)
-		c.identity = engine.Restarted{Born: born}
 	}
-	t.pool.setIdentified(c)
+	t.pool.setBorn(c, lo.CoalesceOrEmpty(born, e.Born))
 	return c, nil
 }
 
@@ -105,25 +108,30 @@
 	return t.wire.ParseIdentity(body)
 }
 
-// adoptIdentity records with a placement what its connection showed of the endpoint, and reports whether
-// the call may be sent there: one that resumes a stream needs the version that began it.
-func (j *job) adoptIdentity(t *choice.Placement, used *connUse) bool {
-	t.Engine = t.Engine.WithIdentity(used.identity())
-	engines := j.Engines.Load()
-	if j.began == nil || engines == nil {
-		return true
+// whyOtherIncarnation returns why a call may not be sent to the incarnation at the other end of its
+// connection, or nil if it may.
+func (j *job) whyOtherIncarnation(t *choice.Placement, used *connUse) error {
+	j.unidentified = false
+	if used == nil || used.conn == nil {
+		return nil
 	}
-	_, unidentified := t.Engine.Identity.(engine.Unidentified)
-	return !unidentified && t.Engine.StreamVersion() == engines.ResolveVersion(j.began.Version)
+	born := used.conn.pool.bornOf(used.conn)
+	j.unidentified = used.conn.unidentified
+	switch {
+	case born != 0 && born != t.Engine.Born:
+		return errRestarted
+	case j.unidentified && j.began != nil:
+		return errUnidentified
+	}
+	return nil
 }
 
-// identity returns what the endpoint told on the call's connection; nil: nothing that differs from its
-// entry.
-func (u *connUse) identity() engine.Identity {
-	if u == nil || u.conn == nil {
-		return nil
+// streamVersion returns the version that the streams of the call's last attempt are of.
+func (j *job) streamVersion(t *choice.Placement) string {
+	if j.unidentified {
+		return engine.UnreadVersion(engine.Incarnation{ID: t.Engine.ID})
 	}
-	return u.conn.identity
+	return t.Engine.StreamVersion()
 }
 
 // endsTogether is the time within which this node notices that the connections to an endpoint that ends
@@ -131,7 +139,7 @@
 const endsTogether = time.Second
 
 // joinsOpen reports whether another connection to the address of a new one is open whose incarnation is
-// known, and gives the new one its identity. Where the endpoint has just ended one, the others may have
+// known, which is then that of the new one. Where the endpoint has just ended one, the others may have
 // ended, too.
 func (p *pool) joinsOpen(c *pooledConn) bool {
 	now := clock.Now()
@@ -141,19 +149,26 @@
 		return false
 	}
 	for other := range p.open[c.address] {
-		if other != c && other.identified && !other.ended {
-			c.identity = other.identity
+		if other != c && other.born != 0 && !other.ended {
+			c.born = other.born
 			return true
 		}
 	}
 	return false
 }
 
-// setIdentified records that a connection's incarnation is known.
-func (p *pool) setIdentified(c *pooledConn) {
+// setBorn records the birth of a connection's incarnation.
+func (p *pool) setBorn(c *pooledConn, born int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.born = born
+}
+
+// bornOf returns the birth of a connection's incarnation; 0: not known.
+func (p *pool) bornOf(c *pooledConn) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.identified = true
+	return c.born
 }
 
 // Read implements net.Conn. It notes the end of the connection.
--- a/fleet/relay/forward/identity_test.go
+++ b/fleet/relay/forward/identity_test.go
@@ -19,8 +19,9 @@
 
 // toldIdentities updates the directory with what endpoints tell, as the relay does.
 type toldIdentities struct {
-	f    *fleet
-	told atomic.Int32
+	f     *fleet
+	state engine.State // of an endpoint that has restarted
+	told  atomic.Int32
 }
 
 func (i *toldIdentities) Tells(engine.Engine) bool { return true }
@@ -29,7 +30,7 @@
 	i.told.Add(1)
 	all := lo.Map(i.f.engines, func(one engine.Engine, _ int) engine.Engine {
 		if one.ID == e.ID {
-			one = one.WithIdentity(engine.Restarted{Born: born})
+			one.Born, one.Unread, one.State = born, true, i.state
 		}
 		return one
 	})
@@ -84,7 +85,7 @@
 		{"the incarnation of its entry runs", born(7), "1", 200},
 		{"another one runs", born(8), "unread version of e0 started at 8", 503},
 		{"its software does not tell", status(404, false), "1", 200},
-		{"it names no birth", born(0), "1", 200},
+		{"its report names no birth", born(0), "1", 200},
 		{"it does not answer in time", slow, "unread version of e0 started at 0", 503},
 		{"it fails", status(500, false), "unread version of e0 started at 0", 503},
 		{"it answers something else", good("{"), "unread version of e0 started at 0", 503},
@@ -165,3 +166,16 @@
 		assert.Equal(t, other, resume(), "any endpoint of its version")
 	}
 }
+
+// Guards against a call that is sent to an incarnation that may get none, or fewer, since it was placed at the one before.
+func TestACallIsSentOnlyToTheIncarnationThatItWasPlacedAt(t *testing.T) {
+	for _, path := range []string{"/once/", "/repeat/", "/stream/", "/resume/"} {
+		f := newFleet(t, 1000, tells(born(8), events(0, 3, true)))
+		i := f.withIdentities(&knownOrigins{}, "1")
+		i.state = engine.Draining
+		got := f.do(t, f.request(t, "POST", path, ""))
+		assert.Equal(t, 503, got.status, path)
+		assert.Empty(t, f.calls(), path)
+		assert.EqualValues(t, 1, i.told.Load(), path)
+	}
+}
--- a/fleet/relay/forward/origin.go
+++ b/fleet/relay/forward/origin.go
@@ -67,7 +67,7 @@
 // is passed on.
 func (j *job) recordOrigin(t *choice.Placement) {
 	if j.Origins != nil && j.route.Resumable {
-		j.Origins.Began(j.stream(), j.service.Name, t.Engine.StreamVersion())
+		j.Origins.Began(j.stream(), j.service.Name, j.streamVersion(t))
 	}
 }
 
--- a/fleet/relay/forward/pool.go
+++ b/fleet/relay/forward/pool.go
@@ -25,18 +25,18 @@
 // pooledConn is a connection and the call that uses it.
 type pooledConn struct {
 	net.Conn
-	pool        *pool
-	address     string
-	opened      time.Time
-	via         string                  // the node that a tunnel leads through; "": direct
-	service     string                  // of the endpoint of a tunnel
-	user        atomic.Pointer[connUse] // nil: idle; changed under the pool's lock
-	dropped     bool                    // closed while idle; guarded by the pool's lock
-	metered     *link.Conn              // nil: not metered
-	identity    engine.Identity         // what the endpoint told on it; nil: nothing that differs from its entry
-	identified  bool                    // its incarnation is known; guarded by the pool's lock
-	ended       bool                    // nothing more comes on it; guarded by the pool's lock
-	idleTimeout atomic.Int64            // how long the endpoint keeps it open while idle, in nanoseconds; 0: unknown
+	pool         *pool
+	address      string
+	opened       time.Time
+	via          string                  // the node that a tunnel leads through; "": direct
+	service      string                  // of the endpoint of a tunnel
+	user         atomic.Pointer[connUse] // nil: idle; changed under the pool's lock
+	dropped      bool                    // closed while idle; guarded by the pool's lock
+	metered      *link.Conn              // nil: not metered
+	born         int64                   // of the endpoint's incarnation; 0: not known; guarded by the pool's lock
+	unidentified bool                    // the endpoint did not tell its incarnation
+	ended        bool                    // nothing more comes on it; guarded by the pool's lock
+	idleTimeout  atomic.Int64            // how long the endpoint keeps it open while idle, in nanoseconds; 0: unknown
 }
 
 // connUse is one call's use of a connection. Each use has its own write state, since the transport
--- a/fleet/relay/forward/send.go
+++ b/fleet/relay/forward/send.go
@@ -106,10 +106,7 @@
 		j.Transport.pool.dropIdle(t.Engine.Address)
 		return errIdleExpired
 	}
-	if !j.adoptIdentity(t, used) {
-		return errOtherVersion
-	}
-	return nil
+	return j.whyOtherIncarnation(t, used)
 }
 
 // measureConnect records the time that connecting takes as the round trip to the zone.
--- a/fleet/relay/forward/stream.go
+++ b/fleet/relay/forward/stream.go
@@ -74,7 +74,7 @@
 	}
 	tried := map[engine.Incarnation]bool{broken.Engine.Incarnation(): true}
 	if s.lastID != "" && j.Origins != nil {
-		j.began = &origin.Known{Version: broken.Engine.StreamVersion()} // the caller has events of that version
+		j.began = &origin.Known{Version: j.streamVersion(broken)} // the caller has events of that version
 	}
 	for range maxUnreached {
 		if j.quarantined() {
--- a/fleet/relay/incarnations.go
+++ b/fleet/relay/incarnations.go
@@ -22,7 +22,6 @@
 		e.RestartedAt = before.RestartedAt
 		return e
 	}
-	delete(t.restarted, e.ID)
 	before.Born = lastBorn
 	dropped := t.picker.Begin(e.Incarnation(), now)
 	if !known && !dropped.Ended {
@@ -56,7 +55,6 @@
 	birthFirst   = "first told" // by software that now reports its birth
 	birthEarlier = "earlier"
 	birthLater   = "later"
-	birthTold    = "told by the endpoint before its entry"
 )
 
 // identified records that an endpoint told another birth than its entry's: it restarted, and the version of
@@ -65,13 +63,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current, known := t.byName[e.ID]
-	told := engine.Restarted{Born: born}
-	if !known || current.Born != e.Born || current.Born == born || t.restarted[e.ID] == told {
+	if !known || current.Born != e.Born || current.Born == born {
 		return
 	}
-	t.restarted[e.ID] = told
-	t.metrics.Restarted(birthTold)
-	t.log.WithFields(incarnationFields(e, current)).WithField("told", born).Warn("endpoint runs another incarnation than its entry's: streams go on there at no other until its version is known")
+	next := current
+	next.Born, next.Unread = born, true
+	t.log.WithFields(incarnationFields(current, next)).Warn("endpoint runs another incarnation than its entry's: streams go on there at no other until its version is known")
+	t.byName[e.ID] = t.trackIncarnation(current, true, next)
 	t.publish()
 }
 
--- a/fleet/relay/incarnations_test.go
+++ b/fleet/relay/incarnations_test.go
@@ -388,7 +388,7 @@
 func TestAnEndpointThatToldAnotherBirth(t *testing.T) {
 	n := testNode()
 	entry := func(born int64, version string) engine.Engine {
-		return engine.Engine{ID: "e", Service: "s", Born: born, Version: version}
+		return engine.Engine{ID: "e", Service: "s", Born: born, Version: version, Seen: 5}
 	}
 	list := func(e engine.Engine) {
 		n.engineTable.byName["e"] = n.engineTable.trackIncarnation(n.engineTable.byName["e"], len(n.engineTable.byName) > 0, e)
@@ -402,7 +402,12 @@
 	n.engineTable.identified(entry(7, "1"), 8)
 	assert.Equal(t, "unread version of e started at 8", version())
 	n.engineTable.identified(entry(7, "1"), 9)
+	assert.Equal(t, "unread version of e started at 8", version(), "a call that was placed before learns late")
+	n.engineTable.identified(entry(8, "1"), 9)
 	assert.Equal(t, "unread version of e started at 9", version(), "it has restarted once more")
+	assert.False(t, n.engineTable.byName["e"].RestartedAt.IsZero(), "it is cold")
+	n.engineTable.put(store.Object{Name: "e", Revision: 5}, false)
+	assert.Equal(t, "unread version of e started at 9", version(), "the entry is listed again")
 	list(entry(9, "2"))
 	assert.Equal(t, "2", version())
 	n.engineTable.identified(entry(7, "1"), 8)
