--- a/fleet/relay/account/unclaimed_test.go
+++ b/fleet/relay/account/unclaimed_test.go
@@ -77,3 +77,31 @@
 		require.NoError(t, json.Unmarshal(data, &Ledger{}), rate)
 	}
 }
+
+// Guards against drawing tokens twice where demand rises, or begins, after the backup was made: the ledger shows nothing of it.
+func TestDemandThatRisesAfterABackupExceedsNoBudget(t *testing.T) {
+	for _, c := range []struct{ before, after int }{{0, 2000}, {0, 20_000}, {400, 20_000}, {2000, 20_000}, {2000, 4000}} {
+		t.Run(fmt.Sprint(c.before, " tokens a second, then ", c.after), func(t *testing.T) {
+			over, used := 0, int64(0)
+			const runs = 80
+			for seed := range uint64(runs) {
+				synctest.Test(t, func(t *testing.T) {
+					d := newRestoreSim(seed)
+					if c.before > 0 {
+						d.callAndWrite(t, time.Duration(500+d.random.IntN(20_000))*time.Millisecond, c.before)
+					}
+					d.makeBackup()
+					d.callAndWrite(t, time.Duration(500+d.random.IntN(5000))*time.Millisecond, c.after)
+					d.loseAll()
+					d.callAndWrite(t, 60*time.Second, c.after)
+					used += d.spent()
+					if d.spent() > d.prepaid {
+						over++
+					}
+				})
+			}
+			t.Logf("%d of %d runs exceeded the budget, %.2f of the budgets spent", over, runs, float64(used)/float64(runs*simPrepaid))
+			assert.Zero(t, over)
+		})
+	}
+}
