A call placed by the entry of an ended incarnation is counted nowhere

Cause, by the log of the failed run: a call read the entries just before the new one was applied, and was placed 1 ms after. The picker counted it at the state of the new incarnation, so that the refusal at the former address took the new one for gone, for as long as it lives, and peers were told.

Change: a placement by the entry of another incarnation than the listed one is counted at none; the call itself goes on.

--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -151,6 +151,10 @@
 	if p.notices != nil {
 		p.notices.Placed(t.Engine.Incarnation(), r.Now)
 	}
+	if e.hasReplaced(t.Engine.Incarnation()) {
+		t.endpoint = nil
+		return
+	}
 	e.listed, e.placed = true, r.Now
 	e.inFlight++
 	e.waiting += t.Uncached
--- a/fleet/relay/choice/incarnation.go
+++ b/fleet/relay/choice/incarnation.go
@@ -17,6 +17,12 @@
 	return born == s.born || born == 0 && now.Sub(s.replacedAt) >= noBirthGrace
 }
 
+// hasReplaced reports whether the listed incarnation is known to be another one than that of an entry. The
+// entry is then older than the list that this node last received.
+func (s *endpoint) hasReplaced(incarnation engine.Incarnation) bool {
+	return s.listed && s.born != 0 && incarnation.Born != 0 && s.born != incarnation.Born
+}
+
 // Dropped is the state that was discarded with an ended incarnation.
 type Dropped struct {
 	Ended     bool // an earlier incarnation was known, and this is its state
--- a/fleet/relay/choice/incarnation_test.go
+++ b/fleet/relay/choice/incarnation_test.go
@@ -93,6 +93,32 @@
 	}
 }
 
+// A call may still be placed by the entry of an incarnation that has just ended. Its outcome must not
+// change the state of the successor: a refusal in the name of the ended one would take that out for good.
+func TestACallPlacedByAnEndedIncarnationsEntryChangesNothingOfItsSuccessor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, result := range []Result{Good, Rejected, Bad, Interrupted, Unreached, Gone, Neutral} {
+		p := NewPicker("z", DefaultTuning())
+		ended := engine.Engine{ID: "e", Born: 5, Service: "s", Slots: 8}
+		p.Begin(ended.Incarnation(), now)
+		p.Begin(engine.Incarnation{ID: "e", Born: 9}, now)
+		before := *p.endpoints["e"]
+		placed, ok := p.Pick(Request{
+			Call:    call.Call{ID: "c", PromptMax: 900, Parts: []call.Part{{ID: "x", Tokens: 500}, {ID: "y", Tokens: 400}}},
+			Engines: []engine.Engine{ended}, Cap: 9, Now: now, Profile: Profile{Service: "s", Tokens: true, Capacity: 5000},
+		})
+		require.True(t, ok)
+		placed.Report(call.Load{Slots: 3}, now)
+		placed.First(time.Second, now)
+		placed.Close(result, now.Add(time.Second))
+		after := *p.endpoints["e"]
+		assert.Empty(t, after.cache.byID, "result %d", result)
+		assert.Empty(t, p.Digests(), "result %d", result)
+		before.cache, after.cache = nil, nil
+		assert.Equal(t, before, after, "result %d", result)
+	}
+}
+
 // The state of an ended incarnation is reported once. An endpoint that is listed for the first time, or
 // again, ends none.
 func TestStateDroppedWithAnIncarnation(t *testing.T) {
--- a/fleet/relay/choice/placement.go
+++ b/fleet/relay/choice/placement.go
@@ -19,7 +19,7 @@
 	Cost     float64 // by which the endpoint was chosen
 
 	picker     *Picker
-	endpoint   *endpoint // the incarnation that the call is counted at
+	endpoint   *endpoint // the incarnation that the call is counted at; nil: it ended before, and the call is counted nowhere
 	model      *model
 	request    Request
 	baselineMs float64 // expected time to the first event at an endpoint of average speed
@@ -33,7 +33,7 @@
 // current returns the state of the incarnation that the call is counted at, and false if another
 // one has replaced it: the call's outcome does not apply to that one.
 func (t *Placement) current() (*endpoint, bool) {
-	return t.endpoint, t.picker.endpoints[t.Engine.ID] == t.endpoint
+	return t.endpoint, t.endpoint != nil && t.picker.endpoints[t.Engine.ID] == t.endpoint
 }
 
 // Report records a load that the endpoint reported in its answer.
