Log lines that wait are bounded by their bytes, too

Callers choose some of the values that a line holds: an id of 60 kB stands in the line of its call. While standard output was read slowly, 2,048 lines could wait whatever their length: 120 MB of such ones, more than a small VM has. They are bounded by 2 MB as well; what doesn't fit is dropped and counted as before. Lines of ordinary calls are some 500 bytes, so that the number of lines still decides for them.

TestLinesThatWaitAreBounded, on the code before: 2,048 lines of 60 KiB were taken (122,880 KiB, 2,048 may).

--- a/fleet/relay/log.go
+++ b/fleet/relay/log.go
@@ -19,13 +19,17 @@
 	return fields
 }
 
-// logLines is how many lines may wait for a slow reader of the log.
-const logLines = 2048
+// What may wait for a slow reader of the log: callers choose some of the values that lines hold.
+const (
+	logLines = 2048
+	logBytes = 2 << 20
+)
 
 // Sink writes log lines without ever blocking its caller: if the reader is slow, lines are dropped
 // and counted.
 type Sink struct {
 	lines   chan []byte
+	waiting atomic.Int64 // bytes of the lines
 	dropped atomic.Int64
 }
 
@@ -35,6 +39,7 @@
 	go func() {
 		for line := range s.lines {
 			_, _ = w.Write(line)
+			s.waiting.Add(-int64(len(line)))
 		}
 	}()
 	return s
@@ -42,11 +47,15 @@
 
 // Write implements io.Writer for one line.
 func (s *Sink) Write(line []byte) (int, error) {
-	select {
-	case s.lines <- append([]byte(nil), line...):
-	default:
-		s.dropped.Add(1)
+	if s.waiting.Add(int64(len(line))) <= logBytes {
+		select {
+		case s.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	s.waiting.Add(-int64(len(line)))
+	s.dropped.Add(1)
 	return len(line), nil
 }
 
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -18,13 +18,13 @@
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/metric/noop"
 
+	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/bound"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/evacuation"
-	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/overload"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/reachability"
@@ -273,6 +273,25 @@
 	assert.Greater(t, s.Dropped(), int64(0))
 }
 
+// Guards against lines with long values of callers that fill the memory while the log is read slowly.
+func TestLinesThatWaitAreBounded(t *testing.T) {
+	release, written := make(chan struct{}), make(chan int, 2*logLines)
+	s := NewSink(writerFunc(func(p []byte) (int, error) { <-release; written <- len(p); return len(p), nil }))
+	long := make([]byte, 60<<10)
+	for range logLines {
+		_, err := s.Write(long)
+		require.NoError(t, err)
+	}
+	taken := logLines - int(s.Dropped())
+	assert.LessOrEqual(t, taken*len(long), logBytes)
+	assert.Positive(t, taken)
+	close(release)
+	for range taken {
+		<-written
+	}
+	assert.Eventually(t, func() bool { return s.waiting.Load() == 0 }, time.Second, time.Millisecond)
+}
+
 type writerFunc func([]byte) (int, error)
 
 func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
