The model of endpoints' caches is bounded in parts, not in tokens alone

Callers choose the parts of their prompts. The model of what an endpoint has cached evicted by tokens, so that parts of no tokens were never evicted, and parts of one token took some 300 bytes each up to the endpoint's capacity (370,000 and more an endpoint); a part's id kept the whole header that it came in.

Calls are served as before, whatever their parts: only the choice of an endpoint uses the model.

--- a/fleet/relay/choice/choice.go
+++ b/fleet/relay/choice/choice.go
@@ -39,6 +39,7 @@
 	endpoints     map[string]*endpoint
 	models        map[string]*model // by service
 	holders       holders
+	allParts      int   // in the models of all endpoints
 	capacity      int64 // tokens: the largest prefix cache of an endpoint of any service
 	recent        recentReads
 	zones         zones
--- a/fleet/relay/choice/endpoint.go
+++ b/fleet/relay/choice/endpoint.go
@@ -44,7 +44,7 @@
 
 // newIncarnation replaces the state of an endpoint by that of a new incarnation.
 func (p *Picker) newIncarnation(incarnation engine.Incarnation, capacity int64) *endpoint {
-	s := &endpoint{born: incarnation.Born, peers: map[string]Digest{}, cache: newPrefixCache(max(capacity, 1), incarnation.ID, p.holders)}
+	s := &endpoint{born: incarnation.Born, peers: map[string]Digest{}, cache: newPrefixCache(max(capacity, 1), incarnation.ID, p.holders, &p.allParts)}
 	p.endpoints[incarnation.ID] = s
 	return s
 }
