What callers have not finished, or don't read, holds bounded memory and gives way to others

What callers saw: a crowd that stopped short of the ends of its bodies ended a node, which ran out of memory, or had it refuse everybody for as long as the crowd stayed; a call that was refused while its body had not come got no answer and kept its connection.

One with a length took all of it before a byte came. - Heads took nothing of the budget: a field of four bytes takes some 100 (200 heads of 60 KiB: 219 MB). - Nothing bounded the time of a body, nor of an answer that nobody reads. - net/http reads up to 256 KiB of a body that the handler left before it writes the answer, without a bound on the time: 500 callers with an unknown key kept 300 descriptors, and no ordinary call was answered. - Nothing bounded the connections below the descriptors of the process.

What a connection holds, with the call on it, is one lease of the budget for callers (fleet/memory), taken as it is read. So a whole call is never refused for those that are only promised, and a crowd under one key pushes out itself. A body may take until its call's deadline (408, not run); the remainder of a refused one 0.5 s; an answer 30 s for 64 KiB. Half of the descriptors are for callers (`maxFiles`, from the platform's settings); beyond, those that wait longest make room.

Two ways were weighed: a share of the budget for bodies that have not come whole (a second bound to set, and its callers refused while the other share is free), and refusing the newest (with the room held by a crowd, that is everybody else). The owner that holds over half of the budget leaves an eighth to others.

--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -142,7 +142,7 @@
 	standin.AddPositionalValue(&a.flags.argument, "kind", 1, true, "platform, engine or application")
 	a.flags.listen = "127.0.0.1:0"
 	standin.String(&a.flags.listen, "", "listen", "address and port")
-	verbs := []verb{{capacity, (*app).capacity}, {standin, (*app).standin}, {demo, (*app).demo}, {status, (*app).status}, {bills, (*app).bills}, {explain, (*app).explain}, {drain, (*app).drain}, {load, (*app).load}, {a.storyCommand(), (*app).story}, {a.lossesCommand(), (*app).losses}, {a.spendingCommand(), (*app).spending}, {a.placementsCommand(), (*app).placements}, {a.rolloutsCommand(), (*app).rollouts}, {a.limitsCommand(), (*app).limits}, {a.noticesCommand(), (*app).notices}, {a.nodesCommand(), (*app).nodes}}
+	verbs := []verb{{capacity, (*app).capacity}, {standin, (*app).standin}, {demo, (*app).demo}, {status, (*app).status}, {bills, (*app).bills}, {explain, (*app).explain}, {drain, (*app).drain}, {load, (*app).load}, {a.storyCommand(), (*app).story}, {a.lossesCommand(), (*app).losses}, {a.spendingCommand(), (*app).spending}, {a.placementsCommand(), (*app).placements}, {a.rolloutsCommand(), (*app).rollouts}, {a.limitsCommand(), (*app).limits}, {a.noticesCommand(), (*app).notices}, {a.memoryCommand(), (*app).memory}, {a.nodesCommand(), (*app).nodes}}
 	for _, v := range verbs {
 		parser.AttachSubcommand(v.command, 1)
 	}
--- a/fleet/ingress/conn.go
+++ b/fleet/ingress/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/lynxshed/lynxshed/fleet/memory"
 )
 
 // phase is the progress of a connection's current call.
@@ -39,6 +41,8 @@
 	opened        time.Time
 	headerTimeout time.Duration // for the header of a call
 
+	lease *memory.Lease
+
 	mu           sync.Mutex
 	phase        phase
 	readingSince time.Time // when the first bytes of the call were read, in phase reading
@@ -46,15 +50,31 @@
 	unanswered   int64     // bytes read since the last answer
 	callerClosed bool
 	closed       bool
+	evicted      bool
+	idleSince    time.Time // when it was opened or its last answer was sent
+	bodySince    time.Time // since when the handler reads the body; zero: it does not
+	writeSince   time.Time // since when a write is in progress; zero: none is
+
+	headBytes     int64     // reserved for the header of the call, beside callHeadBytes
+	writeDeadline time.Time // when the deadline for writes was set last
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	inHead, ok := c.recordRead(n, err)
+	if !ok || inHead && !c.reserveHead() {
+		return 0, net.ErrClosed // also discards bytes that were read: the connection is closed
+	}
+	return n, err
+}
+
+// recordRead records what was read. It returns false if the connection is closed.
+func (c *conn) recordRead(n int, err error) (inHead, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return 0, net.ErrClosed // also discards bytes that were read: the connection is closed
+		return false, false
 	}
 	if n > 0 {
 		c.unanswered += int64(n)
@@ -65,19 +85,44 @@
 	if err != nil && !isTimeout(err) {
 		c.callerClosed = true
 	}
-	return n, err
+	return c.phase == reading, true
 }
 
 // Write implements net.Conn. It sends nothing once the connection is marked as closed: net/http
 // answers 400 where it gets an error in the middle of a header, and the socket may still be open.
-func (c *conn) Write(p []byte) (int, error) {
+// A caller that reads nothing for unreadTimeout loses its connection.
+func (c *conn) Write(p []byte) (written int, err error) {
+	defer c.endWrite()
+	for len(p) > 0 && err == nil {
+		if !c.beginWrite() {
+			return written, net.ErrClosed
+		}
+		n := 0
+		n, err = c.Conn.Write(p[:min(len(p), writePiece)])
+		written, p = written+n, p[n:]
+	}
+	return written, err
+}
+
+// beginWrite records that a write is in progress. It returns false if the connection is closed.
+func (c *conn) beginWrite() bool {
 	c.mu.Lock()
-	closed := c.closed
-	c.mu.Unlock()
-	if closed {
-		return 0, net.ErrClosed
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
 	}
-	return c.Conn.Write(p)
+	c.writeSince = time.Now()
+	if c.writeSince.Sub(c.writeDeadline) > c.listener.unread/3 {
+		c.writeDeadline = c.writeSince
+		_ = c.Conn.SetWriteDeadline(c.writeSince.Add(c.listener.unread))
+	}
+	return true
+}
+
+func (c *conn) endWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeSince = time.Time{}
 }
 
 func isTimeout(err error) bool {
@@ -98,8 +143,7 @@
 	if lost {
 		c.listener.log.WithFields(fields).Warn("caller's connection closed with an open call")
 	}
-	c.listener.remove(c)
-	return c.Conn.Close()
+	return c.release()
 }
 
 // CloseWrite closes the sending direction if the connection supports it. net/http does so after
@@ -128,7 +172,7 @@
 func (c *conn) fields() log.Fields {
 	return log.Fields{
 		"caller": c.RemoteAddr().String(), "phase": c.phase.String(), "unansweredBytes": c.unanswered,
-		"calls": c.calls, "openMs": time.Since(c.opened).Milliseconds(), "stopping": c.listener.closing.Load(),
+		"calls": c.calls, "openMs": time.Since(c.opened).Milliseconds(), "stopping": c.listener.closing.Load(), "evicted": c.evicted,
 	}
 }
 
@@ -141,12 +185,18 @@
 	}
 	c.mu.Unlock()
 	if wasIdle {
-		c.listener.remove(c)
-		_ = c.Conn.Close()
+		_ = c.release()
 	}
 	return wasIdle
 }
 
+// release closes a connection that is marked as closed.
+func (c *conn) release() error {
+	c.listener.remove(c)
+	c.lease.End()
+	return c.Conn.Close()
+}
+
 // begin records that a call is passed to the handler. It returns false if the connection is
 // closed. That happens to pipelined calls: the bytes of the next call may have been read
 // ahead, together with the previous one, so that the connection counted as idle.
@@ -161,10 +211,19 @@
 	return true
 }
 
-// unreadBodyTimeout is how long a stop waits for the remainder of a call that was answered
-// before all of it had come. net/http itself sets no limit.
+// unreadBodyTimeout is how long the remainder of a call may take that is answered before all of it has
+// come. net/http, which reads some of it to keep the connection, itself sets no limit.
 const unreadBodyTimeout = 500 * time.Millisecond
 
+// boundUnread bounds the time for the remainder of a call that is answered now.
+func (c *conn) boundUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.evicted {
+		_ = c.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
 // end records that the handler has returned.
 func (c *conn) end() {
 	c.mu.Lock()
@@ -179,8 +238,9 @@
 // connection, since an answer whose header is older than the stop has no "Connection: close".
 func (c *conn) markIdle() {
 	c.mu.Lock()
-	c.phase, c.unanswered = idle, 0
+	c.phase, c.unanswered, c.idleSince = idle, 0, time.Now()
 	c.mu.Unlock()
+	c.returnHead()
 	if c.listener.draining.Load() {
 		c.closeIfIdle()
 	}
--- a/fleet/ingress/export_test.go
+++ b/fleet/ingress/export_test.go
@@ -8,6 +8,12 @@
 	return l
 }
 
+// WithUnreadTimeout sets how long a caller may read nothing of an answer.
+func (l *Listener) WithUnreadTimeout(d time.Duration) *Listener {
+	l.unread = d
+	return l
+}
+
 // Conns returns the number of open connections.
 func Conns(l *Listener) int { return len(l.openConns()) }
 
--- a/fleet/ingress/ingress.go
+++ b/fleet/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
 )
 
@@ -51,9 +52,12 @@
 	closeTimeout time.Duration // how long Close waits for answers that are being sent
 	log          log.Interface
 	meter        *link.Meter // nil if traffic is not counted
-	admit        func() bool // decides on each new connection; nil: all are served
-	closing      atomic.Bool // answers carry "Connection: close"
-	draining     atomic.Bool // idle connections are closed as well
+	memory       *memory.Budget
+	maxConns     int           // 0: no bound
+	unread       time.Duration // how long a caller may read nothing of an answer
+	admit        func() bool   // decides on each new connection; nil: all are served
+	closing      atomic.Bool   // answers carry "Connection: close"
+	draining     atomic.Bool   // idle connections are closed as well
 
 	mu      sync.Mutex
 	bounds  Bounds
@@ -80,7 +84,7 @@
 
 // NewListener returns a listener that accepts callers from an open net.Listener, with the default bounds.
 func NewListener(listener net.Listener, h http.Handler, l log.Interface) *Listener {
-	ln := &Listener{listener: listener, closeTimeout: defaultCloseTimeout, log: l, conns: map[*conn]struct{}{}}
+	ln := &Listener{listener: listener, closeTimeout: defaultCloseTimeout, log: l, memory: memory.NewBudget(0), unread: unreadTimeout, conns: map[*conn]struct{}{}}
 	ln.handler = ln.trackCalls(h)
 	ln.SetBounds(DefaultBounds)
 	return ln
@@ -92,6 +96,20 @@
 	return l
 }
 
+// WithMemory makes new connections, with the calls on them, take their memory from a budget. It must be
+// called before Serve.
+func (l *Listener) WithMemory(b *memory.Budget) *Listener {
+	l.memory = b
+	return l
+}
+
+// WithMaxConns bounds the open connections; 0 is no bound. Beyond it those that wait longest for their
+// callers make room for new ones. It must be called before Serve.
+func (l *Listener) WithMaxConns(n int) *Listener {
+	l.maxConns = n
+	return l
+}
+
 // WithAdmission makes the listener close new connections that admit declines, with nothing read. It
 // must be called before Serve.
 func (l *Listener) WithAdmission(admit func() bool) *Listener {
@@ -99,16 +117,23 @@
 	return l
 }
 
-// track wraps a connection to count its traffic and track the progress of its call.
+// track wraps a connection to count its traffic and track the progress of its call. It returns nil, and
+// closes the connection, if there is no memory for it.
 func (l *Listener) track(c net.Conn) net.Conn {
 	if l.meter != nil {
 		c = l.meter.Conn(c)
 	}
-	tracked := &conn{Conn: c, listener: l, opened: time.Now()}
+	now := time.Now()
+	tracked := &conn{Conn: c, listener: l, opened: now, idleSince: now}
+	tracked.lease = l.memory.Lease(tracked)
 	l.mu.Lock()
 	tracked.headerTimeout = l.bounds.HeaderTimeout
 	l.conns[tracked] = struct{}{}
 	l.mu.Unlock()
+	if !tracked.lease.Take(connBytes) {
+		_ = tracked.Close()
+		return nil
+	}
 	return tracked
 }
 
@@ -125,6 +150,13 @@
 	return slices.Collect(maps.Keys(l.conns))
 }
 
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 // Busy returns how many connections have a call in progress or an answer that is still being sent.
 func (l *Listener) Busy() int { return lo.CountBy(l.openConns(), (*conn).busy) }
 
@@ -157,14 +189,16 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		if l.admit != nil && !l.admit() {
+		if l.admit != nil && !l.admit() || !l.makeRoom() {
 			_ = conn.Close()
 			continue
 		}
 		l.mu.Lock()
 		s := l.current
 		l.mu.Unlock()
-		s.conns.deliver(l.track(conn))
+		if tracked := l.track(conn); tracked != nil {
+			s.conns.deliver(tracked)
+		}
 	}
 }
 
--- a/fleet/ingress/response.go
+++ b/fleet/ingress/response.go
@@ -13,7 +13,13 @@
 		if !c.begin() {
 			panic(http.ErrAbortHandler) // the handler has received nothing of the call
 		}
-		rw := &responseWriter{ResponseWriter: w, listener: l}
+		c.settleHead(r.Header)
+		rw := &responseWriter{ResponseWriter: w, conn: c}
+		if r.ContentLength != 0 {
+			rw.body = &trackedBody{ReadCloser: r.Body}
+			r = r.WithContext(r.Context()) // a copy: net/http keeps its own body
+			r.Body = rw.body
+		}
 		if mayEndWithConnection(r) {
 			c.setLinger(closesByReset) // also if the process is killed
 		}
@@ -33,18 +39,23 @@
 func mayEndWithConnection(r *http.Request) bool { return !r.ProtoAtLeast(1, 1) }
 
 // responseWriter adds "Connection: close" to an answer whose header is written after a stop was
-// announced, even if the call came before, so that the caller uses another connection next.
+// announced, even if the call came before, so that the caller uses another connection next. It bounds
+// the time in which net/http waits for the rest of a body that the handler did not read.
 type responseWriter struct {
 	http.ResponseWriter
-	listener      *Listener
+	conn          *conn
+	body          *trackedBody // nil: the call has none
 	headerWritten bool
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (rw *responseWriter) WriteHeader(status int) {
-	if !rw.headerWritten && rw.listener.closing.Load() {
+	if !rw.headerWritten && rw.conn.listener.closing.Load() {
 		rw.Header().Set("Connection", "close")
 	}
+	if !rw.headerWritten && rw.body != nil && !rw.body.ended {
+		rw.conn.boundUnread()
+	}
 	rw.headerWritten = rw.headerWritten || status >= http.StatusOK
 	rw.ResponseWriter.WriteHeader(status)
 }
--- /dev/null
+++ b/fleet/memory/lease.go
@@ -0,0 +1,101 @@
+package memory
+
+import "time"
+
+// Holder holds the memory of a lease. Its methods are called with the budget locked, and must not call
+// the budget or its leases.
+type Holder interface {
+	// WaitsSince returns since when the memory is held only because a caller has not sent or read more.
+	// It returns false if that is not so, or not for long enough.
+	WaitsSince(now time.Time) (time.Time, bool)
+	// Evict makes the holder give the memory up soon. It returns false if it no longer waits.
+	Evict() bool
+}
+
+// Lease is the memory that is held for one caller. It is safe for concurrent use.
+type Lease struct {
+	budget *Budget
+	holder Holder // nil: it is never evicted
+
+	// The budget's lock guards the rest.
+	owner   string
+	bytes   int64
+	evicted bool
+}
+
+// Lease returns a lease of the budget that holds nothing yet. Its holder may be nil.
+func (b *Budget) Lease(h Holder) *Lease {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := &Lease{budget: b, holder: h}
+	b.leases[l] = struct{}{}
+	return l
+}
+
+// Take reserves more bytes. It returns false if they do not fit, or if the lease was evicted.
+func (l *Lease) Take(bytes int64) bool {
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	if l.evicted || !l.budget.take(l.owner, bytes) {
+		return false
+	}
+	if l.evicted { // to make room for itself
+		l.budget.release(l.owner, bytes)
+		return false
+	}
+	l.bytes += bytes
+	return true
+}
+
+// Add counts more bytes that are held already, and evicts other leases if they do not fit otherwise.
+func (l *Lease) Add(bytes int64) {
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	if l.evicted {
+		return
+	}
+	if !l.budget.fits(l.owner, bytes) {
+		l.budget.makeRoom(l.owner, bytes)
+	}
+	l.bytes += bytes
+	l.budget.hold(l.owner, bytes)
+}
+
+// Return releases some of the bytes.
+func (l *Lease) Return(bytes int64) {
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	if !l.evicted {
+		l.bytes -= bytes
+		l.budget.release(l.owner, bytes)
+	}
+}
+
+// SetOwner makes the memory count for an owner.
+func (l *Lease) SetOwner(owner string) {
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	if l.evicted || l.owner == owner {
+		return
+	}
+	l.budget.release(l.owner, l.bytes)
+	l.owner = owner
+	l.budget.hold(owner, l.bytes)
+}
+
+// Evicted reports whether the lease was evicted.
+func (l *Lease) Evicted() bool {
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	return l.evicted
+}
+
+// End releases everything. The lease holds nothing from then on.
+func (l *Lease) End() {
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	if !l.evicted {
+		l.budget.end(l)
+		l.evicted = true
+	}
+}
--- /dev/null
+++ b/fleet/memory/process.go
@@ -0,0 +1,39 @@
+package memory
+
+import (
+	"math"
+	"runtime/debug"
+	"syscall"
+)
+
+// Shares of the memory of a process.
+const (
+	callsShare     = 0.35 // for callers
+	collectorShare = 0.8  // limit of the garbage collector
+	garbagePercent = 50   // half of the default, for processes with a bound
+)
+
+// ForCalls returns the budget for the callers of a process with some MB of memory; 0 means unbounded.
+func ForCalls(mb float64) *Budget { return NewBudget(int64(callsShare * mb * (1 << 20))) }
+
+// OfProcess returns the MB of memory that this process may use: what GOMEMLIMIT leaves room for if it is
+// set, or what the VM has; 0 if neither is known.
+func OfProcess() float64 {
+	const mb = 1 << 20
+	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
+		return float64(limit) / collectorShare / mb
+	}
+	var vm syscall.Sysinfo_t
+	if err := syscall.Sysinfo(&vm); err != nil {
+		return 0
+	}
+	return float64(vm.Totalram) * float64(vm.Unit) / mb
+}
+
+// LimitProcess makes the garbage collector keep the process within some MB; 0 means unbounded.
+func LimitProcess(mb float64) {
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(mb * collectorShare * (1 << 20)))
+		debug.SetGCPercent(garbagePercent)
+	}
+}
--- a/fleet/relay/forward/cut_head_test.go
+++ b/fleet/relay/forward/cut_head_test.go
@@ -17,9 +17,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/dial/dialtest"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
-	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
 	"github.com/lynxshed/lynxshed/fleet/relay/tunnel"
 )
--- a/fleet/relay/forward/endless.go
+++ b/fleet/relay/forward/endless.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"io"
 	"math"
 	"net/http"
@@ -12,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 )
 
 // An endpoint in trouble may send bytes without end. Limits on each part of an answer keep them from
@@ -19,7 +19,6 @@
 // limited by the transport.
 const (
 	maxEventBytes = 64 << 10 // of a stream until its next event is complete, comments included
-	answerStep    = 64 << 10 // bytes of an answer that need no memory beside the call's own
 	// defaultMaxAnswer is how long an answer may be that a node holds until it is complete.
 	defaultMaxAnswer = 4 << 20
 	// minAnswerRate, in bytes a second, is the rate below which a repeatable call's answer counts as
@@ -78,41 +77,12 @@
 
 // readLimited reads an answer of a length, -1 if unknown, and reserves memory for it.
 func (j *job) readLimited(r io.Reader, length int64) ([]byte, error) {
-	most := j.maxAnswer()
-	if length > most {
+	body, reserved, err := memory.ReadAll(r, length, j.maxAnswer(), j.lease)
+	j.memory += reserved
+	if errors.IsAny(err, memory.ErrTooLong, memory.ErrFull) {
 		return nil, errAnswerTooLong
 	}
-	size := min(max(length, bytes.MinRead), answerStep)
-	body := make([]byte, 0, size)
-	for {
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, err
-		case int64(len(body)) > most:
-			return nil, errAnswerTooLong
-		case len(body) < cap(body):
-			continue
-		}
-		next := min(max(2*size, length+1), most+1)
-		if !j.reserveAnswer(next - size) {
-			return nil, errAnswerTooLong
-		}
-		size = next
-		body = append(make([]byte, 0, size), body...)
-	}
-}
-
-// reserveAnswer reserves memory for more bytes of an answer.
-func (j *job) reserveAnswer(bytes int64) bool {
-	if !j.Memory.Take(bytes) {
-		return false
-	}
-	j.memory += bytes
-	return true
+	return body, err
 }
 
 // maxAnswer returns how long an answer may be that the node holds until it is complete.
--- a/fleet/relay/forward/endless_test.go
+++ b/fleet/relay/forward/endless_test.go
@@ -15,7 +15,7 @@
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
 
-	"github.com/lynxshed/lynxshed/fleet/relay/memory"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 )
 
 // endless writes bytes without end, once for the first call, until the relay closes the connection.
--- a/fleet/relay/forward/handler.go
+++ b/fleet/relay/forward/handler.go
@@ -11,10 +11,12 @@
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/ingress"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
@@ -59,7 +61,8 @@
 	tenant     policy.Tenant
 	regions    allowedRegions
 	body       []byte
-	memory     int64 // bytes reserved for the call
+	lease      *memory.Lease
+	memory     int64 // bytes of the lease that the call holds
 	start      time.Time
 	stalls     stallCheck // since the start
 	end        time.Time  // the caller's deadline or the route's timeout, whichever is earlier
@@ -105,6 +108,9 @@
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	lease, endLease := ingress.LeaseOf(r.Context(), h.Memory)
+	j.lease = lease
+	defer endLease()
 	defer j.releaseMemory()
 	refused, ok := j.admit()
 	if j.Intake.ShouldClose(j.tenant.Name) {
@@ -182,6 +188,7 @@
 		return refuseKey, false
 	}
 	j.tenant = tenant
+	j.lease.SetOwner(tenant.Name)
 	return refusal{}, true
 }
 
@@ -204,62 +211,46 @@
 	if j.r.ContentLength > limit {
 		return refuseTooLarge, false
 	}
-	if !j.reserveMemory(limit) {
+	if !j.lease.Take(callBytes) {
 		return refuseMemory, false
 	}
-	if j.r.ContentLength == 0 {
-		return refusal{}, true
-	}
+	j.memory = callBytes
 	began := clock.Now()
-	body, err := readAll(ingress.LimitBody(j.w, j.r, limit), j.r.ContentLength)
-	j.Gate.RecordBody(clock.Since(began))
+	body, reserved, err := ingress.ReadBody(j.w, j.r, limit, clock.Until(j.end), j.lease)
+	j.memory += reserved
 	if err != nil {
-		if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
-			return refuseTooLarge, false
-		}
-		j.note = err.Error()
-		return refuseHead, false
+		return j.refuseBody(err), false
+	}
+	if j.r.ContentLength != 0 {
+		j.Gate.RecordBody(clock.Since(began))
 	}
 	j.body = body
 	return refusal{}, true
 }
 
-const (
-	// callBytes is the memory that a call holds besides its body: the buffers of the caller's and
-	// the endpoint's connections (4 kB each way, 16 kB for writes to the endpoint) and the stacks
-	// of their goroutines.
-	callBytes = 48 << 10
-	// chunkedBytes is reserved for a body without a Content-Length.
-	chunkedBytes = 64 << 10
-)
-
-// reserveMemory reserves the memory of the call before its body is read.
-func (j *job) reserveMemory(limit int64) bool {
-	bytes := callBytes + j.r.ContentLength
-	if j.r.ContentLength < 0 {
-		bytes = callBytes + min(chunkedBytes, limit)
-	}
-	if !j.Memory.Take(bytes) {
-		return false
-	}
-	j.memory = bytes
-	return true
+// refuseBody returns the refusal of a call whose body was not read to its end.
+func (j *job) refuseBody(err error) refusal {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, ingress.ErrNoMemory):
+		return refuseMemory
+	case errors.Is(err, ingress.ErrBodyLate):
+		return refuseBodyLate
+	case errors.As(err, &tooLarge):
+		return refuseTooLarge
+	}
+	j.note = err.Error()
+	return refuseHead
 }
 
-func (j *job) releaseMemory() {
-	if j.memory > 0 {
-		j.Memory.Release(j.memory)
-		j.memory = 0
-	}
-}
+// callBytes is the memory that a call holds besides its body: the buffers of the caller's and
+// the endpoint's connections (4 kB each way, 16 kB for writes to the endpoint) and the stacks
+// of their goroutines.
+const callBytes = 48 << 10
 
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
+func (j *job) releaseMemory() {
+	j.lease.Return(j.memory)
+	j.memory = 0
 }
 
 // reserve reserves the maximum cost of the call from the customer's allowance.
--- a/fleet/relay/forward/harness_test.go
+++ b/fleet/relay/forward/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
@@ -25,7 +26,6 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
-	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/retry"
--- a/fleet/relay/forward/memory_test.go
+++ b/fleet/relay/forward/memory_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/lynxshed/lynxshed/fleet/relay/memory"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 )
 
 // A call that exceeds the node's memory budget is refused as not run, with a Retry-After. Calls
--- a/fleet/relay/forward/options.go
+++ b/fleet/relay/forward/options.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
 	"github.com/lynxshed/lynxshed/fleet/relay/choice"
@@ -20,7 +21,6 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
-	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/policy"
 	"github.com/lynxshed/lynxshed/fleet/relay/quarantine"
 	"github.com/lynxshed/lynxshed/fleet/relay/reachability"
--- a/fleet/relay/forward/outcome.go
+++ b/fleet/relay/forward/outcome.go
@@ -60,6 +60,7 @@
 	refuseNoRoute      = refusal{http.StatusNotFound, "unknown-route", 0}
 	refuseKey          = refusal{http.StatusUnauthorized, "unknown-key", 0}
 	refuseHead         = refusal{http.StatusBadRequest, "bad-head", 0}
+	refuseBodyLate     = refusal{http.StatusRequestTimeout, "body-timeout", 0}
 	refuseTooLarge     = refusal{http.StatusRequestEntityTooLarge, "too-large", 0}
 	refuseBudget       = refusal{http.StatusPaymentRequired, "budget-exhausted", 0}
 	refuseInsufficient = refusal{http.StatusServiceUnavailable, "budget-insufficient-here", 2 * time.Second}
--- a/fleet/relay/forward/stream_callers_test.go
+++ b/fleet/relay/forward/stream_callers_test.go
@@ -15,9 +15,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lynxshed/lynxshed/fleet/ingress"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/dial/dialtest"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
-	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/tunnel"
 )
 
--- a/fleet/relay/intake.go
+++ b/fleet/relay/intake.go
@@ -27,7 +27,7 @@
 		customer, share := n.gate.Heaviest()
 		changed := n.intake.Read(overload.Load{Used: use.Max(), Customer: customer, CallShare: share, Others: mayDivert && mayMove(n.registry.Members(), n.settings.Zone)})
 		n.metrics.Link(n.intake.Share(), n.intake.Open(), n.meter.Delayed())
-		n.metrics.Memory(n.memory.State())
+		n.metrics.Callers(n.ingress.Open(), n.memory.State())
 		if !changed {
 			return
 		}
--- a/fleet/relay/metrics.go
+++ b/fleet/relay/metrics.go
@@ -9,7 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
-	"github.com/lynxshed/lynxshed/fleet/relay/memory"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 )
 
 // Metrics holds the instruments of a relaying node.
@@ -38,6 +38,10 @@
 	heldBytes                  metric.Int64Gauge
 	peakHeldBytes              metric.Int64Gauge
 	outOfMemory                metric.Int64Gauge
+	waitingBytes               metric.Int64Gauge
+	waiting                    metric.Int64Gauge
+	evicted                    metric.Int64Gauge
+	connections                metric.Int64Gauge
 }
 
 // latencyBuckets are bucket bounds in seconds, from a local call to a long stream.
@@ -76,9 +80,13 @@
 		{&metrics.badAnswers, "lynxshed.relay.rollout_bad_answers", "those of them that failed, or took several times what is usual"},
 		{&metrics.pacedWrites, "lynxshed.relay.paced_writes", "writes that have had to wait for the way out"},
 		{&metrics.partitioned, "lynxshed.relay.partitioned", "1 while the endpoints of a service are not reached over the node's own connections"},
-		{&metrics.heldBytes, "lynxshed.relay.calls_held", "bytes that calls in progress hold"},
-		{&metrics.peakHeldBytes, "lynxshed.relay.calls_held_peak", "the most bytes that calls in progress have held"},
-		{&metrics.outOfMemory, "lynxshed.relay.calls_no_memory", "calls that were refused since they did not fit into the memory for calls"},
+		{&metrics.heldBytes, "lynxshed.relay.calls_held", "bytes that callers' connections and calls in progress hold"},
+		{&metrics.peakHeldBytes, "lynxshed.relay.calls_held_peak", "the most bytes that callers' connections and calls in progress have held"},
+		{&metrics.outOfMemory, "lynxshed.relay.calls_no_memory", "times that a call or connection did not fit into the memory for callers"},
+		{&metrics.connections, "lynxshed.relay.callers", "open connections of callers"},
+		{&metrics.waiting, "lynxshed.relay.callers_waiting", "of these, those that wait for their callers and may be evicted"},
+		{&metrics.waitingBytes, "lynxshed.relay.callers_waiting_bytes", "bytes that these hold"},
+		{&metrics.evicted, "lynxshed.relay.callers_evicted", "connections that were closed, or whose call was refused, to make room for others"},
 	}
 	for _, g := range gauges {
 		*g.to, err = m.Int64Gauge(g.name, metric.WithDescription(g.what))
@@ -200,8 +208,12 @@
 	m.intake.Record(context.Background(), lo.Ternary[int64](open, 1, 0))
 }
 
-// Memory records the bytes that calls in progress hold, and how many calls did not fit.
-func (m *Metrics) Memory(s memory.State) {
+// Callers records the open connections of callers and what they hold.
+func (m *Metrics) Callers(connections int, s memory.State) {
+	m.connections.Record(context.Background(), int64(connections))
+	m.waiting.Record(context.Background(), s.Waiting)
+	m.waitingBytes.Record(context.Background(), s.WaitingBytes)
+	m.evicted.Record(context.Background(), s.Evicted)
 	m.heldBytes.Record(context.Background(), s.Held)
 	m.peakHeldBytes.Record(context.Background(), s.Peak)
 	m.outOfMemory.Record(context.Background(), s.Rejected)
--- a/fleet/relay/operators.go
+++ b/fleet/relay/operators.go
@@ -21,6 +21,7 @@
 	mux.HandleFunc("GET "+NodesPath, n.listNodes)
 	mux.HandleFunc("GET "+LimitsPath, n.listLimits)
 	mux.HandleFunc("GET "+NoticesPath, n.listNotices)
+	mux.HandleFunc("GET "+MemoryPath, n.showMemory)
 	mux.HandleFunc("DELETE "+QuarantinePath+"/{print}", n.releaseQuarantined)
 }
 
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +20,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/ingress"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/bound"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
@@ -33,7 +33,6 @@
 	"github.com/lynxshed/lynxshed/fleet/relay/forward"
 	"github.com/lynxshed/lynxshed/fleet/relay/limit"
 	"github.com/lynxshed/lynxshed/fleet/relay/link"
-	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/notice"
 	"github.com/lynxshed/lynxshed/fleet/relay/overload"
 	"github.com/lynxshed/lynxshed/fleet/relay/peer"
@@ -127,10 +126,7 @@
 
 // Bounds of the process and of its HTTP servers for the balancer and for peers.
 const (
-	headerTimeout  = 5 * time.Second
-	memoryShare    = 0.8  // of the memory bound, as the limit of the garbage collector
-	garbagePercent = 50   // GC percent: half of the default, for processes with a memory bound
-	callsShare     = 0.35 // of the memory bound, for calls in progress; docs/design/14-hot-customers.md
+	headerTimeout = 5 * time.Second
 )
 
 func fraction(of float64, whole time.Duration) time.Duration {
@@ -139,7 +135,7 @@
 
 // New builds a node.
 func New(s Settings, a Adapter, l log.Interface) (*Node, error) {
-	limitMemory(s.MemoryMB)
+	memory.LimitProcess(s.MemoryMB)
 	n := &Node{settings: s, adapter: a, places: s.Places(), stalls: clock.NewStallDetector(), started: clock.Now(), log: l}
 	n.health = store.NewHealth().WithStalls(n.stalls.StalledSince)
 	if err := n.initTelemetry(); err != nil {
@@ -180,7 +176,7 @@
 	n.gate = overload.NewGate(overload.DefaultRule())
 	n.intake = overload.NewIntake(overload.DefaultIntakeRule())
 	n.meter = link.NewMeter(s.LinkMbps)
-	n.memory = memory.NewBudget(int64(callsShare * s.MemoryMB * (1 << 20)))
+	n.memory = memory.ForCalls(s.MemoryMB)
 	n.enableTunnels(tunnel.Identity{Name: s.Node, Incarnation: incarnation})
 	n.dropIdle, n.dropAllIdle = n.transport.DropIdle, n.transport.DropAllIdle
 	n.handler = forward.New(forward.Options{
@@ -192,7 +188,7 @@
 	if n.ingress, err = ingress.Listen(s.Listen, n.handler, l); err != nil {
 		return nil, errors.CombineErrors(err, gossip.Close())
 	}
-	n.ingress.WithMeter(n.meter)
+	n.ingress.WithMeter(n.meter).WithMemory(n.memory).WithMaxConns(ingress.MaxConns(s.MaxFiles))
 	if s.Enabled(redirectMechanism) {
 		n.ingress.WithAdmission(func() bool { return n.registry.Count() <= 1 || n.gate.TakeConnection(rand.Uint64()) })
 	}
@@ -219,13 +215,6 @@
 	return n.telemetry.Tracer
 }
 
-func limitMemory(mb float64) {
-	if mb > 0 {
-		debug.SetMemoryLimit(int64(mb * memoryShare * (1 << 20)))
-		debug.SetGCPercent(garbagePercent)
-	}
-}
-
 // Run serves until ctx ends or the planned stop that Leave begins is over.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/fleet/relay/relay_test.go
+++ b/fleet/relay/relay_test.go
@@ -18,7 +18,7 @@
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/metric/noop"
 
-	"github.com/lynxshed/lynxshed/fleet/relay/memory"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/account"
 	"github.com/lynxshed/lynxshed/fleet/relay/bound"
 	"github.com/lynxshed/lynxshed/fleet/relay/call"
@@ -319,13 +319,13 @@
 	m.Rollout("service", 1, 0.1)
 	m.RolloutAnswers("service", "route", "old", 2, 1)
 	m.Link(0.7, true, 3)
-	m.Memory(memory.State{Held: 1, Peak: 2, Rejected: 3})
+	m.Callers(4, memory.State{Held: 1, Peak: 2, Rejected: 3, Evicted: 1, Waiting: 2, WaitingBytes: 3})
 	answer := httptest.NewRecorder()
 	instruments.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	listed := regexp.MustCompile(`\| (lynxshed_relay_\w+) \|`).FindAllStringSubmatch(string(page), -1)
-	require.Len(t, listed, 24)
+	require.Len(t, listed, 28)
 	for _, name := range listed {
 		assert.Contains(t, answer.Body.String(), "# TYPE "+name[1]+" ")
 	}
--- a/fleet/relay/settings.go
+++ b/fleet/relay/settings.go
@@ -30,6 +30,7 @@
 	EvacuateMs    float64              `json:"evacuateMs"` // ms until the endpoints of an evacuated zone must get no new work; 0: zones are never evacuated
 	LinkMbps      float64              `json:"linkMbps"`   // link capacity of the VM; 0: unknown
 	MemoryMB      float64              `json:"memoryMB"`   // memory bound of the process; 0: none
+	MaxFiles      int                  `json:"maxFiles"`   // descriptors that the process may open; 0: the limit of the process
 	AnswerMB      float64              `json:"answerMB"`   // longest answer that is held until it is complete; a longer one passes as it arrives if it has a length, and fails otherwise
 	DrainS        float64              `json:"drainS"`     // seconds that a planned stop may take
 	Bootstrap     bool                 `json:"bootstrap"`  // the whole fleet starts for the first time
@@ -189,6 +190,7 @@
 	}},
 	{Name: "linkMbps", Number: schema.Number(0, 1<<20)},
 	{Name: "memoryMB", Number: schema.Number(0, 1<<20)},
+	{Name: "maxFiles", Number: schema.Whole(0, 1<<24)},
 	{Name: "answerMB", Number: schema.Number(0.1, 1024)},
 	{Name: "drainS", Number: schema.Number(0, maxSeconds)},
 	{Name: "disable", List: schema.OneOf(mechanismNames()...)},
--- a/fleet/relay/tunnel/server.go
+++ b/fleet/relay/tunnel/server.go
@@ -19,9 +19,9 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/relay/dial"
 	"github.com/lynxshed/lynxshed/fleet/relay/engine"
-	"github.com/lynxshed/lynxshed/fleet/relay/memory"
 )
 
 // tunnelBytes is the memory that a tunnel holds: its buffers, those of its two sockets' readers and
