`lynxshed run` has a bound on memory and descriptors for its callers

What callers saw: 200 callers short of the ends of their bodies took a node of the project's own interface to 309 MB, heads of many fields and bodies of many small values to several times their size; answered callers that stayed used up its descriptors.

`limits.memoryMB` and `limits.maxFiles` set what the process may use; without them GOMEMLIMIT or the VM's memory, and the limit of the process. Beside bodies, heads, connections and answers that are not read: answers of ended runs, which are kept a minute for retries, are evicted first when there is no room; what an endpoint answers is read into reserved memory; of a chat call's body values that nobody reads stay text, and messages beyond 2,048 are not decoded. Refusals: no-memory (503), body-timeout (408), both not-run.

--- a/fleet/backend/backend.go
+++ b/fleet/backend/backend.go
@@ -3,6 +3,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -22,6 +23,7 @@
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/holder"
 	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/response"
 )
 
@@ -170,6 +172,7 @@
 	Body        []byte
 	Request     ident.Request
 	Customer    ident.Customer
+	Memory      *memory.Lease // takes the answer while it is read; nil: no bound
 }
 
 // CallService calls a plain service and reads its complete answer. The error is marked
@@ -195,18 +198,20 @@
 		return holder.Answer{}, sendError(err, a)
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
-	if err != nil {
+	lease := cmp.Or(call.Memory, memory.NewBudget(0).Lease(nil))
+	body, reserved, err := memory.ReadAll(res.Body, -1, maxAnswerBytes, lease)
+	defer func() { lease.Return(reserved) }()
+	if err != nil && !errors.IsAny(err, memory.ErrTooLong, memory.ErrFull) {
 		return holder.Answer{}, errors.Mark(errors.Wrapf(err, "step send, peer %s", a.Endpoint), ErrTruncated)
 	}
-	if err := c.checkAnswer(ctx, a, call, res, body); err != nil {
+	if err := c.checkAnswer(ctx, a, call, res, err); err != nil {
 		return holder.Answer{}, errors.Wrapf(err, "step send, peer %s", a.Endpoint)
 	}
 	return holder.Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// checkAnswer returns an error if what was read of a plain service's answer is none to the call.
-func (c *Client) checkAnswer(ctx context.Context, a holder.Attempt, call Call, res *http.Response, body []byte) error {
+// checkAnswer returns an error if a plain service's answer is none to the call, or was not read to its end.
+func (c *Client) checkAnswer(ctx context.Context, a holder.Attempt, call Call, res *http.Response, unread error) error {
 	if res.StatusCode == http.StatusServiceUnavailable {
 		return errors.Mark(errors.New("status 503"), ErrNotStarted)
 	}
@@ -216,8 +221,8 @@
 	if isUnframed(res) && !c.runs(ctx, a.URL) {
 		return errors.Mark(errors.New("the answer ended with its connection, and the endpoint does not answer any more"), ErrTruncated)
 	}
-	if len(body) > maxAnswerBytes {
-		return errors.Mark(errors.Newf("the answer is over %d bytes", maxAnswerBytes), ErrMalformed)
+	if unread != nil {
+		return errors.Mark(errors.Wrapf(unread, "answer of up to %d bytes", maxAnswerBytes), ErrMalformed)
 	}
 	if got := res.Header.Get(HeaderRequest); got != "" && got != string(call.Request) {
 		return errors.Mark(errors.Newf("answer for %q", got), ErrWrongAttempt)
--- a/fleet/cmd/lynxshed/main.go
+++ b/fleet/cmd/lynxshed/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/clock"
 	"github.com/lynxshed/lynxshed/fleet/cmd/lynxshed/early"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/node"
 	"github.com/lynxshed/lynxshed/fleet/relay"
 	"github.com/lynxshed/lynxshed/fleet/settings"
@@ -106,6 +107,10 @@
 		return failed(err)
 	}
 	setUpLog(s.Log)
+	if s.Limits.MemoryMB == 0 {
+		s.Limits.MemoryMB = memory.OfProcess()
+	}
+	memory.LimitProcess(s.Limits.MemoryMB)
 	fleetKey, err := settings.ReadSecret(s.FleetKeyFile)
 	if err != nil {
 		return failed(err)
--- a/fleet/entry/chat.go
+++ b/fleet/entry/chat.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"unicode/utf8"
 
@@ -15,7 +14,6 @@
 
 	"github.com/lynxshed/lynxshed/fleet/backend"
 	"github.com/lynxshed/lynxshed/fleet/catalog"
-	"github.com/lynxshed/lynxshed/fleet/ingress"
 	"github.com/lynxshed/lynxshed/fleet/problem"
 )
 
@@ -28,24 +26,61 @@
 )
 
 // chatBody is the body of a caller's chat completion request. It lists all supported fields,
-// including those that are accepted and ignored, so that misspelt ones can be refused.
+// including those that are accepted and ignored, so that misspelt ones can be refused. Values that are
+// ignored stay text: decoded ones may take many times as much memory.
 type chatBody struct {
-	Model       string        `json:"model"`
-	Messages    []chatMessage `json:"messages"`
-	MaxTokens   *int64        `json:"max_tokens"`
-	MaxOutput   *int64        `json:"max_completion_tokens"`
-	Stream      bool          `json:"stream"`
-	Priority    string        `json:"priority"`
-	N           *int64        `json:"n"`
-	StreamOpts  any           `json:"stream_options"`
-	Temperature *float64      `json:"temperature"`
-	TopP        *float64      `json:"top_p"`
-	Stop        any           `json:"stop"`
-	Seed        *int64        `json:"seed"`
-	User        string        `json:"user"`
-	Frequency   *float64      `json:"frequency_penalty"`
-	Presence    *float64      `json:"presence_penalty"`
-	Metadata    any           `json:"metadata"`
+	Model       string          `json:"model"`
+	Messages    chatMessages    `json:"messages"`
+	MaxTokens   *int64          `json:"max_tokens"`
+	MaxOutput   *int64          `json:"max_completion_tokens"`
+	Stream      bool            `json:"stream"`
+	Priority    string          `json:"priority"`
+	N           *int64          `json:"n"`
+	StreamOpts  json.RawMessage `json:"stream_options"`
+	Temperature *float64        `json:"temperature"`
+	TopP        *float64        `json:"top_p"`
+	Stop        json.RawMessage `json:"stop"`
+	Seed        *int64          `json:"seed"`
+	User        string          `json:"user"`
+	Frequency   *float64        `json:"frequency_penalty"`
+	Presence    *float64        `json:"presence_penalty"`
+	Metadata    json.RawMessage `json:"metadata"`
+}
+
+// chatMessages are at most maxMessages messages. Further ones are not decoded.
+type chatMessages []chatMessage
+
+// errMessages is the error of decoding too many messages.
+var errMessages = errors.New("field messages: want 1 to 2048 messages")
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *chatMessages) UnmarshalJSON(data []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if data[0] != '[' {
+		return decoder.Decode((*[]chatMessage)(m)) // null, or an error
+	}
+	_, _ = decoder.Token() // the bracket
+	for decoder.More() {
+		if len(*m) == maxMessages {
+			return errMessages
+		}
+		var message chatMessage
+		if err := decoder.Decode(&message); err != nil {
+			return inMessages(err)
+		}
+		*m = append(*m, message)
+	}
+	return nil
+}
+
+// inMessages names the field messages in the error of one of them.
+func inMessages(err error) error {
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		typeErr.Field = strings.TrimSuffix("messages."+typeErr.Field, ".")
+	}
+	return err
 }
 
 type chatMessage struct {
@@ -67,15 +102,20 @@
 	hash     string
 }
 
-func (e *Entry) readChat(w http.ResponseWriter, r *http.Request) (chatCall, *problem.Problem) {
+func (e *Entry) readChat(w http.ResponseWriter, r *http.Request, m *callMemory) (chatCall, *problem.Problem) {
 	h, refusal := e.readHeaders(r)
 	if refusal != nil {
 		return chatCall{}, refusal
 	}
-	data, refusal := e.readBody(w, r)
+	data, refusal := e.readBody(w, r, h, m)
 	if refusal != nil {
 		return chatCall{}, refusal
 	}
+	decoded := int64(len(data)) // the strings in the body are copied
+	if !m.lease.Take(decoded) {
+		return chatCall{}, problem.New(problem.NoMemory, "no memory to decode the body")
+	}
+	m.bytes += decoded
 	var body chatBody
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
@@ -89,6 +129,9 @@
 }
 
 func badBody(err error) *problem.Problem {
+	if errors.Is(err, errMessages) {
+		return problem.New(problem.BadBody, err.Error())
+	}
 	var typeErr *json.UnmarshalTypeError
 	if errors.As(err, &typeErr) {
 		return problem.New(problem.BadBody, "body: field "+typeErr.Field+": want "+typeErr.Type.String()+", not "+typeErr.Value)
@@ -96,18 +139,6 @@
 	return problem.New(problem.BadBody, "body: "+strings.TrimPrefix(err.Error(), "json: "))
 }
 
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem.Problem) {
-	data, err := io.ReadAll(ingress.LimitBody(w, r, e.options.MaxBody))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, problem.New(problem.TooLarge, "the body is over "+strconv.FormatInt(e.options.MaxBody, 10)+" bytes")
-	}
-	if err != nil {
-		return nil, problem.New(problem.BadBody, "body: "+err.Error())
-	}
-	return data, nil
-}
-
 func (e *Entry) checkChat(h headers, body chatBody, data []byte) (chatCall, *problem.Problem) {
 	if !utf8.Valid(data) {
 		return chatCall{}, problem.New(problem.BadBody, "body: not UTF-8")
@@ -144,7 +175,7 @@
 
 func checkMessages(body chatBody) *problem.Problem {
 	if len(body.Messages) == 0 || len(body.Messages) > maxMessages {
-		return problem.New(problem.BadBody, "field messages: want 1 to 2048 messages")
+		return problem.New(problem.BadBody, errMessages.Error())
 	}
 	for _, m := range body.Messages {
 		if m.Role == "" {
--- a/fleet/entry/entry.go
+++ b/fleet/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/lynxshed/lynxshed/fleet/ident"
 	"github.com/lynxshed/lynxshed/fleet/keeper"
 	"github.com/lynxshed/lynxshed/fleet/membership"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/peer"
 	"github.com/lynxshed/lynxshed/fleet/telemetry"
 )
@@ -29,6 +30,7 @@
 // select the documented defaults.
 type Options struct {
 	MaxBody       int64         // bytes; 1 MiB when zero
+	BodyTimeout   time.Duration // for a body to arrive; 30 s when zero
 	Deadline      time.Duration // of interactive calls without a deadline; 10 s when zero
 	BatchDeadline time.Duration // of batch calls without a deadline; 60 s when zero
 	CallerGrace   time.Duration // how long a run without a reader continues; 1 s when zero
@@ -41,6 +43,7 @@
 
 func (o Options) withDefaults() Options {
 	o.MaxBody = defaultTo(o.MaxBody, 1<<20)
+	o.BodyTimeout = defaultTo(o.BodyTimeout, 30*time.Second)
 	o.Deadline = defaultTo(o.Deadline, 10*time.Second)
 	o.BatchDeadline = defaultTo(o.BatchDeadline, time.Minute)
 	o.CallerGrace = defaultTo(o.CallerGrace, time.Second)
@@ -70,6 +73,7 @@
 	Catalog  func() *catalog.Catalog
 	Events   *event.Log
 	Clock    clockwork.Clock
+	Memory   *memory.Budget // for callers; unbounded when nil
 	Log      log.Interface
 	Tracer   trace.Tracer
 	Metrics  *telemetry.Metrics
@@ -95,6 +99,9 @@
 
 // New returns an entry without runs. When base is cancelled, all runs end.
 func New(base context.Context, d Dependencies, o Options) *Entry {
+	if d.Memory == nil {
+		d.Memory = memory.NewBudget(0)
+	}
 	base, stop := context.WithCancel(base)
 	return &Entry{Dependencies: d, options: o.withDefaults(), base: base, stop: stop, runs: map[ident.Request]*run{}, evicted: newSummaries()}
 }
@@ -162,7 +169,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r, ok := e.runs[id]
-	return r, ok
+	return r, ok && !r.viewFrom(0).dropped
 }
 
 func (e *Entry) isDraining() bool {
@@ -199,10 +206,11 @@
 	over := len(e.runs) - e.options.MaxRuns
 	for id, r := range e.runs {
 		r.mu.Lock()
-		old := !r.ended.IsZero() && r.readers == 0 && (now.Sub(r.ended) > e.options.Retention || over > 0)
+		old := !r.ended.IsZero() && r.readers == 0 && (r.dropped || now.Sub(r.ended) > e.options.Retention || over > 0)
 		r.mu.Unlock()
 		if old {
 			delete(e.runs, id)
+			r.lease.End()
 			e.evicted.add(id, stateOf(r.viewFrom(0), r.customer), e.options.MaxSummaries)
 			over--
 		}
--- a/fleet/entry/execute.go
+++ b/fleet/entry/execute.go
@@ -35,7 +35,7 @@
 func (e *Entry) start(ctx context.Context, h headers, body func(context.Context, *run)) *run {
 	slot := e.Keeper.SlotOf(h.customer.Name)
 	id := ident.NewRequest(e.Self.Zone, slot, e.NewSerial())
-	return e.launch(ctx, newRun(id, h.customer.Name, h.key != "", nil, e.Clock.Now()), body)
+	return e.launch(ctx, e.newRun(id, h.customer.Name, h.key != ""), body)
 }
 
 func (e *Entry) launch(ctx context.Context, r *run, body func(context.Context, *run)) *run {
--- a/fleet/entry/export_test.go
+++ b/fleet/entry/export_test.go
@@ -9,7 +9,7 @@
 // Mirror copies what a node that is the entry of a record's request tells of it, to a run that has some
 // chunks, and returns the run's chunks, whether it has ended, and what was reported.
 func (e *Entry) Mirror(ctx context.Context, record holder.Record, before []string) (chunks []string, ended, done bool, err error) {
-	r := newRun(record.Request, record.Customer, false, nil, e.Clock.Now())
+	r := e.newRun(record.Request, record.Customer, false)
 	for _, chunk := range before {
 		r.relay(chunk)
 	}
@@ -20,7 +20,7 @@
 
 // AddEnded adds the run of a record that has ended with some chunks.
 func (e *Entry) AddEnded(record holder.Record, chunks []string) {
-	r := newRun(record.Request, record.Customer, false, nil, e.Clock.Now())
+	r := e.newRun(record.Request, record.Customer, false)
 	r.begin(record)
 	for _, chunk := range chunks {
 		r.relay(chunk)
--- a/fleet/entry/follow.go
+++ b/fleet/entry/follow.go
@@ -54,6 +54,9 @@
 	flush(w)
 	for {
 		v := run.viewFrom(from)
+		if v.dropped {
+			abort()
+		}
 		for _, chunk := range v.chunks {
 			if !send(w, strconv.Itoa(from), "", chunk) {
 				return
@@ -75,7 +78,7 @@
 
 // startFollow starts a run that follows the request of a record.
 func (e *Entry) startFollow(ctx context.Context, record holder.Record) *run {
-	r := newRun(record.Request, record.Customer, record.Key != "", nil, e.Clock.Now())
+	r := e.newRun(record.Request, record.Customer, record.Key != "")
 	return e.launch(ctx, r, func(ctx context.Context, r *run) { e.follow(ctx, r, record) })
 }
 
@@ -133,6 +136,9 @@
 	defer from.attach(e.Clock.Now)()
 	for {
 		v := from.viewFrom(r.relayed())
+		if v.dropped {
+			return false, errNotRunning
+		}
 		for _, chunk := range v.chunks {
 			r.relay(chunk)
 		}
--- a/fleet/entry/plainjob.go
+++ b/fleet/entry/plainjob.go
@@ -89,7 +89,7 @@
 	}
 	j.explain(event.Send, "sent", "")
 	call := j.call.call
-	call.Request = j.record.Request
+	call.Request, call.Memory = j.record.Request, j.run.lease
 	return j.entry.Backend.CallService(ctx, j.attempt(), call)
 }
 
--- a/fleet/entry/run.go
+++ b/fleet/entry/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/lynxshed/lynxshed/fleet/holder"
 	"github.com/lynxshed/lynxshed/fleet/ident"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/problem"
 )
 
@@ -29,6 +30,10 @@
 	readers   int
 	idleSince time.Time // when the number of readers became 0, or the start
 	ended     time.Time
+	body      int64 // bytes of the call's body; 0 once the run has ended
+	dropped   bool  // the answer made room for other calls
+
+	lease *memory.Lease
 }
 
 // RunState is the state of a request as reported to callers.
@@ -47,8 +52,12 @@
 // Ended reports whether the state is final.
 func (s RunState) Ended() bool { return s != RunWaiting && s != RunRunning }
 
-func newRun(id ident.Request, customer ident.Customer, keyed bool, cancel context.CancelFunc, now time.Time) *run {
-	return &run{id: id, customer: customer, keyed: keyed, cancel: cancel, state: RunWaiting, changed: make(chan struct{}), idleSince: now}
+func (e *Entry) newRun(id ident.Request, customer ident.Customer, keyed bool) *run {
+	now := e.Clock.Now()
+	r := &run{id: id, customer: customer, keyed: keyed, state: RunWaiting, changed: make(chan struct{}), idleSince: now}
+	r.lease = e.Memory.Lease(r)
+	r.lease.SetOwner(string(customer))
+	return r
 }
 
 // view is a snapshot of a run.
@@ -61,6 +70,7 @@
 	state   RunState
 	started bool
 	budget  ident.Budget
+	dropped bool // the answer made room for other calls
 	changed chan struct{}
 }
 
@@ -68,7 +78,7 @@
 func (r *run) viewFrom(from int) view {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v := view{id: r.id, usage: r.usage, answer: r.answer, problem: r.problem, state: r.state, started: r.started, budget: r.record.Budget, changed: r.changed}
+	v := view{id: r.id, usage: r.usage, answer: r.answer, problem: r.problem, state: r.state, started: r.started, budget: r.record.Budget, dropped: r.dropped, changed: r.changed}
 	if from < len(r.chunks) {
 		v.chunks = r.chunks[from:]
 	}
@@ -88,6 +98,7 @@
 }
 
 func (r *run) relay(data string) {
+	r.lease.Add(int64(len(data)) + chunkBytes)
 	r.update(func() { r.chunks, r.started = append(r.chunks, data), true })
 }
 
@@ -99,6 +110,10 @@
 
 // finish ends the run with an answer.
 func (r *run) finish(usage holder.Usage, answer *holder.Answer, now time.Time) {
+	if answer != nil {
+		r.lease.Add(int64(len(answer.Body)))
+	}
+	r.releaseBody()
 	r.update(func() {
 		r.usage, r.answer, r.ended, r.started = usage, answer, now, true
 		r.state = RunDone
@@ -107,6 +122,7 @@
 
 // fail ends the run with a problem and the cost of what ran.
 func (r *run) fail(p *problem.Problem, state RunState, usage holder.Usage, now time.Time) {
+	r.releaseBody()
 	r.update(func() {
 		r.usage = usage
 		r.problem, r.state, r.ended = p.WithRequest(r.id), state, now
--- a/fleet/entry/serve.go
+++ b/fleet/entry/serve.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/tmaxmax/go-sse"
 	"go.opentelemetry.io/otel/propagation"
@@ -21,12 +20,15 @@
 func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
 	ctx, span := e.Tracer.Start(traceOf(r), "entry chat")
 	defer span.End()
-	call, refusal := e.readChat(w, r)
+	held := e.memoryOf(r)
+	defer held.release()
+	call, refusal := e.readChat(w, r, held)
 	if e.rejected(w, r, refusal) {
 		return
 	}
 	e.Metrics.Arrived(ctx, string(call.service.Name))
 	run := e.startChat(ctx, call)
+	held.passBody(run)
 	defer run.attach(e.Clock.Now)()
 	if call.stream {
 		e.respondStream(w, r, run, 0)
@@ -38,12 +40,15 @@
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
 	ctx, span := e.Tracer.Start(traceOf(r), "entry service")
 	defer span.End()
-	call, refusal := e.readPlain(w, r)
+	held := e.memoryOf(r)
+	defer held.release()
+	call, refusal := e.readPlain(w, r, held)
 	if e.rejected(w, r, refusal) {
 		return
 	}
 	e.Metrics.Arrived(ctx, string(call.service.Name))
 	run := e.startPlain(ctx, call)
+	held.passBody(run)
 	defer run.attach(e.Clock.Now)()
 	e.respond(w, r, run)
 }
@@ -67,6 +72,9 @@
 func (e *Entry) respond(w http.ResponseWriter, r *http.Request, run *run) {
 	for {
 		v := run.viewFrom(0)
+		if v.dropped {
+			abort()
+		}
 		if v.state.Ended() {
 			e.writeAnswer(w, r, v)
 			return
@@ -103,6 +111,9 @@
 	open := false
 	for {
 		v := run.viewFrom(from)
+		if v.dropped {
+			abort()
+		}
 		if !open && v.state.Ended() && v.problem != nil && !v.started {
 			e.writeAnswer(w, r, v)
 			return
@@ -160,14 +171,7 @@
 	return err == nil
 }
 
-// writeTimeout is how long a reader may take to accept flushed data.
-const writeTimeout = 30 * time.Second
-
-func flush(w http.ResponseWriter) {
-	c := http.NewResponseController(w)
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_ = c.Flush()
-}
+func flush(w http.ResponseWriter) { _ = http.NewResponseController(w).Flush() }
 
 type completion struct {
 	ID      string           `json:"id"`
--- a/fleet/entry/service.go
+++ b/fleet/entry/service.go
@@ -19,7 +19,7 @@
 	hash       string
 }
 
-func (e *Entry) readPlain(w http.ResponseWriter, r *http.Request) (plainCall, *problem.Problem) {
+func (e *Entry) readPlain(w http.ResponseWriter, r *http.Request, m *callMemory) (plainCall, *problem.Problem) {
 	h, refusal := e.readHeaders(r)
 	if refusal != nil {
 		return plainCall{}, refusal
@@ -28,7 +28,7 @@
 	if !ok || service.Model {
 		return plainCall{}, problem.New(problem.UnknownService, "there is no plain service "+quote(r.PathValue("service")))
 	}
-	body, refusal := e.readBody(w, r)
+	body, refusal := e.readBody(w, r, h, m)
 	if refusal != nil {
 		return plainCall{}, refusal
 	}
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/lynxshed/lynxshed/fleet/ingress"
 	"github.com/lynxshed/lynxshed/fleet/keeper"
 	"github.com/lynxshed/lynxshed/fleet/membership"
+	"github.com/lynxshed/lynxshed/fleet/memory"
 	"github.com/lynxshed/lynxshed/fleet/operator"
 	"github.com/lynxshed/lynxshed/fleet/orders"
 	"github.com/lynxshed/lynxshed/fleet/peer"
@@ -86,6 +87,7 @@
 	giver     *orders.Giver
 	handler   http.Handler
 	ingress   *ingress.Listener
+	memory    *memory.Budget // for callers
 
 	viewMu sync.Mutex
 	view   membership.State
@@ -123,6 +125,7 @@
 	}
 	n.view = membership.New(n.self, membership.Options{SuspectAfter: o.Settings.Timing.Suspect()})
 	n.events = event.New(name, maxEvents, o.Clock.Now)
+	n.memory = memory.ForCalls(o.Settings.Limits.MemoryMB)
 	if err := n.assemble(ctx); err != nil {
 		cancel()
 		return nil, err
@@ -132,7 +135,7 @@
 		cancel()
 		return nil, errors.Wrapf(err, "listen on %s", o.Settings.Listen)
 	}
-	n.ingress = ingress.NewListener(listener, n.handler, n.log)
+	n.ingress = ingress.NewListener(listener, n.handler, n.log).WithMemory(n.memory).WithMaxConns(ingress.MaxConns(o.Settings.Limits.MaxFiles))
 	bounds := ingress.Bounds{HeaderBytes: o.Settings.Limits.HeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
 	n.ingress.SetBounds(bounds.WithDefaults(ingress.DefaultBounds))
 	return n, nil
--- a/fleet/node/wire.go
+++ b/fleet/node/wire.go
@@ -125,6 +125,7 @@
 		Catalog:   do.MustInvoke[*config.InForce](i).Catalog,
 		Events:    n.events,
 		Clock:     n.clock,
+		Memory:    n.memory,
 		Log:       n.log,
 		Tracer:    t.Tracer,
 		Metrics:   t.Metrics,
@@ -214,6 +215,11 @@
 		{"lynxshed.revision", "revision of the table in force", n.inForce.Revision},
 		{"lynxshed.records", "records that are open or not durable", func() int64 { return int64(len(n.keeper.Holding().Records())) }},
 		{"lynxshed.witnessed", "records kept as a witness", func() int64 { return int64(n.keeper.Witness().Len()) }},
+		{"lynxshed.connections", "open connections of callers", func() int64 { return int64(n.ingress.Open()) }},
+		{"lynxshed.callers_held", "bytes held for callers", func() int64 { return n.memory.State().Held }},
+		{"lynxshed.callers_waiting_bytes", "bytes of these held for callers that have not sent or read more", func() int64 { return n.memory.State().WaitingBytes }},
+		{"lynxshed.callers_no_memory", "times that a caller did not fit", func() int64 { return n.memory.State().Rejected }},
+		{"lynxshed.callers_evicted", "callers and kept answers that made room for others", func() int64 { return n.memory.State().Evicted }},
 		{"lynxshed.stranded", "dead holders whose accounts can't be closed yet", func() int64 { return int64(len(n.keeper.Stranded())) }},
 	}
 	for _, g := range gauges {
--- a/fleet/problem/reason.go
+++ b/fleet/problem/reason.go
@@ -14,6 +14,8 @@
 	BadBody             Reason = "bad-body"
 	BadHeader           Reason = "bad-header"
 	TooLarge            Reason = "too-large"
+	BodyTimeout         Reason = "body-timeout"
+	NoMemory            Reason = "no-memory"
 	UnknownModel        Reason = "unknown-model"
 	UnknownService      Reason = "unknown-service"
 	UnknownRequest      Reason = "unknown-request"
@@ -54,6 +56,8 @@
 	BadBody:             {http.StatusBadRequest, "the body can't be read", 0},
 	BadHeader:           {http.StatusBadRequest, "a header can't be read", 0},
 	TooLarge:            {http.StatusRequestEntityTooLarge, "the body is too large", 0},
+	BodyTimeout:         {http.StatusRequestTimeout, "the body did not come in time", 0},
+	NoMemory:            {http.StatusServiceUnavailable, "the node has no memory for the call", 1},
 	UnknownModel:        {http.StatusNotFound, "no such model", 0},
 	UnknownService:      {http.StatusNotFound, "no such service", 0},
 	UnknownRequest:      {http.StatusNotFound, "no such request", 0},
--- a/fleet/settings/fields.go
+++ b/fleet/settings/fields.go
@@ -27,6 +27,8 @@
 	{Name: "limits", Fields: []schema.Field{
 		{Name: "bodyBytes", Number: schema.Whole(1024, 64<<20)},
 		{Name: "headerBytes", Number: schema.Whole(1024, 1<<20)},
+		{Name: "memoryMB", Number: schema.Number(0, 1<<24)},
+		{Name: "maxFiles", Number: schema.Whole(0, 1<<24)},
 	}},
 	{Name: "log", Fields: []schema.Field{
 		{Name: "format", Text: schema.OneOf("json", "text")},
--- a/fleet/settings/settings.go
+++ b/fleet/settings/settings.go
@@ -62,10 +62,12 @@
 
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// Limits holds the maximum sizes of callers' requests.
+// Limits holds the maximum sizes of callers' requests, and what the node may use for all of them.
 type Limits struct {
-	BodyBytes   int `json:"bodyBytes"`
-	HeaderBytes int `json:"headerBytes"`
+	BodyBytes   int     `json:"bodyBytes"`
+	HeaderBytes int     `json:"headerBytes"`
+	MemoryMB    float64 `json:"memoryMB"` // of the process; 0: GOMEMLIMIT if it is set, else the memory of the VM
+	MaxFiles    int     `json:"maxFiles"` // descriptors that the process may open; 0: the limit of the process
 }
 
 // Log configures the node's log.
