Nodes among themselves: servers bound heads and idle connections; a crowd that begins again

Heads are bounded as those of the answers that nodes read (64 KiB), idle connections to 2 minutes: nodes close theirs after 20 s. What operators read of waiting callers is counted without sorting them.

--- a/fleet/memory/budget.go
+++ b/fleet/memory/budget.go
@@ -120,10 +120,7 @@
 func (b *Budget) evictable(now time.Time) map[string][]waiting {
 	byOwner := map[string][]waiting{}
 	for l := range b.leases {
-		if l.holder == nil {
-			continue
-		}
-		if since, ok := l.holder.WaitsSince(now); ok {
+		if since, ok := l.waitsSince(now); ok {
 			byOwner[l.owner] = append(byOwner[l.owner], waiting{l, since})
 		}
 	}
@@ -178,10 +175,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := State{Bound: b.bound, Held: b.held, Peak: b.peak, Rejected: b.rejected, Evicted: b.evicted}
-	for _, queue := range b.evictable(time.Now()) {
-		for _, w := range queue {
+	now := time.Now()
+	for l := range b.leases {
+		if _, waits := l.waitsSince(now); waits {
 			s.Waiting++
-			s.WaitingBytes += w.lease.bytes
+			s.WaitingBytes += l.bytes
 		}
 	}
 	return s
--- a/fleet/memory/lease.go
+++ b/fleet/memory/lease.go
@@ -32,6 +32,14 @@
 	return l
 }
 
+// waitsSince returns since when the lease may be evicted, if it may. The budget's lock is held.
+func (l *Lease) waitsSince(now time.Time) (time.Time, bool) {
+	if l.holder == nil {
+		return time.Time{}, false
+	}
+	return l.holder.WaitsSince(now)
+}
+
 // Take reserves more bytes. It returns false if they do not fit, or if the lease was evicted.
 func (l *Lease) Take(bytes int64) bool {
 	l.budget.mu.Lock()
--- a/fleet/relay/relay.go
+++ b/fleet/relay/relay.go
@@ -127,6 +127,7 @@
 // Bounds of the process and of its HTTP servers for the balancer and for peers.
 const (
 	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute // nodes close their idle connections after 20 s
 )
 
 func fraction(of float64, whole time.Duration) time.Duration {
@@ -229,8 +230,8 @@
 		return errors.Wrapf(err, "listen for peers at %s", n.settings.Peer)
 	}
 	n.follow(ctx)
-	peerServer := &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout}
-	readyServer := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	peerServer := newServer(n.peerHandler())
+	readyServer := newServer(n.readyHandler())
 	failed := make(chan error, 3)
 	go func() { failed <- n.ingress.Serve() }()
 	go func() { failed <- peerServer.Serve(peerListener) }()
@@ -248,6 +249,11 @@
 	return errors.CombineErrors(err, n.telemetry.Close(closing))
 }
 
+// newServer returns a server for the balancer, operators or other nodes.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: dial.MaxHeadBytes}
+}
+
 // readyHandler serves the readiness check of the balancer, the metrics and the requests of
 // operators.
 func (n *Node) readyHandler() http.Handler {
--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -17,6 +17,7 @@
 	Piece  string // sent repeatedly after the head
 	Pieces int
 	Unread bool // it reads nothing, and its connection has a small buffer
+	Begins int  // how often it breaks off and begins again on a new connection, before it stays
 }
 
 const (
@@ -54,9 +55,19 @@
 }
 
 func (c *Crowd) play(address string, caller Caller) {
+	for range caller.Begins {
+		if conn := c.visit(address, caller); conn != nil {
+			_ = conn.Close()
+		}
+	}
+	c.visit(address, caller)
+}
+
+// visit opens a connection and sends what the caller sends. It returns nil if it can't connect.
+func (c *Crowd) visit(address string, caller Caller) net.Conn {
 	conn, err := dialerFor(caller).Dial("tcp4", address)
 	if err != nil {
-		return
+		return nil
 	}
 	c.mu.Lock()
 	c.conns = append(c.conns, conn)
@@ -68,6 +79,7 @@
 		}()
 	}
 	caller.sendTo(conn)
+	return conn
 }
 
 func dialerFor(c Caller) *net.Dialer {
