A caller that still sends its body gets its refusal

Cause: the answer was sent and the connection closed with bytes of the body unread, which resets it; net/http lingers only where it has read 256 KiB itself. The connection now closes in the sending direction at once and in the other 0.5 s later. Connections that are evicted or whose callers have closed don't linger.

TestACallerThatStillSendsGetsItsRefusal: "connection reset by peer" without the mend. Beside it, informational answers don't bound the body's time, and connections that are closed unread for want of room are logged, once a second at most.

--- a/fleet/ingress/conn.go
+++ b/fleet/ingress/conn.go
@@ -51,6 +51,7 @@
 	callerClosed bool
 	closed       bool
 	evicted      bool
+	unreadBody   bool      // the call is answered before its body has come
 	idleSince    time.Time // when it was opened or its last answer was sent
 	bodySince    time.Time // since when the handler reads the body; zero: it does not
 	writeSince   time.Time // since when a write is in progress; zero: none is
@@ -137,15 +138,26 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	lost := !c.closed && !c.callerClosed && c.unanswered > 0 && c.phase != written
+	lingers := c.unreadBody && !c.callerClosed && !c.closed
 	c.closed = true
 	fields := c.fields()
 	c.mu.Unlock()
 	if lost {
 		c.listener.log.WithFields(fields).Warn("caller's connection closed with an open call")
 	}
+	if lingers {
+		return c.linger()
+	}
 	return c.release()
 }
 
+// linger closes the connection later in the direction from the caller. Bytes that arrive at a closed
+// connection reset it, and the caller that still sends would lose its answer.
+func (c *conn) linger() error {
+	time.AfterFunc(c.listener.lingerTime, func() { _ = c.release() })
+	return c.CloseWrite()
+}
+
 // CloseWrite closes the sending direction if the connection supports it. net/http does so after
 // it refused a call before reading its body, so that the caller reads the answer and gets no reset.
 func (c *conn) CloseWrite() error {
@@ -220,6 +232,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.evicted {
+		c.unreadBody = true
 		_ = c.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	}
 }
@@ -238,7 +251,7 @@
 // connection, since an answer whose header is older than the stop has no "Connection: close".
 func (c *conn) markIdle() {
 	c.mu.Lock()
-	c.phase, c.unanswered, c.idleSince = idle, 0, time.Now()
+	c.phase, c.unanswered, c.idleSince, c.unreadBody = idle, 0, time.Now(), false
 	c.mu.Unlock()
 	c.returnHead()
 	if c.listener.draining.Load() {
--- a/fleet/ingress/crowd_test.go
+++ b/fleet/ingress/crowd_test.go
@@ -170,3 +170,23 @@
 	}
 	assert.Eventually(t, func() bool { return l.Open() == 0 }, waitTimeout, time.Millisecond)
 }
+
+// Guards against a refusal that a reset discards, since its caller still sends the body.
+func TestACallerThatStillSendsGetsItsRefusal(t *testing.T) {
+	l, _ := openBounded(t, 1<<20, 0, bodyTime)
+	l.WithLingerTime(waitTimeout)
+	c, r := begin(t, l, "POST /refused HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+	stop := time.After(700 * time.Millisecond) // longer than the node waits for the body
+	for sending := true; sending; {
+		select {
+		case <-stop:
+			sending = false
+		default:
+			_, err := io.WriteString(c, "1\r\nx\r\n")
+			require.NoError(t, err)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	status, _, _ := outcome(t, r)
+	assert.Equal(t, http.StatusUnauthorized, status)
+}
--- a/fleet/ingress/export_test.go
+++ b/fleet/ingress/export_test.go
@@ -14,6 +14,12 @@
 	return l
 }
 
+// WithLingerTime sets how long a connection lingers whose call is answered before its body has come.
+func (l *Listener) WithLingerTime(d time.Duration) *Listener {
+	l.lingerTime = d
+	return l
+}
+
 // Conns returns the number of open connections.
 func Conns(l *Listener) int { return len(l.openConns()) }
 
--- a/fleet/ingress/ingress.go
+++ b/fleet/ingress/ingress.go
@@ -56,6 +56,9 @@
 	maxConns     int           // 0: no bound
 	unread       time.Duration // how long a caller may read nothing of an answer
 	admit        func() bool   // decides on each new connection; nil: all are served
+	lingerTime   time.Duration // how long a connection lingers whose call is answered before its body has come
+	declined     int           // new connections closed unread since the last line on them; used by Serve
+	declinedAt   time.Time     // of that line
 	closing      atomic.Bool   // answers carry "Connection: close"
 	draining     atomic.Bool   // idle connections are closed as well
 
@@ -84,7 +87,7 @@
 
 // NewListener returns a listener that accepts callers from an open net.Listener, with the default bounds.
 func NewListener(listener net.Listener, h http.Handler, l log.Interface) *Listener {
-	ln := &Listener{listener: listener, closeTimeout: defaultCloseTimeout, log: l, memory: memory.NewBudget(0), unread: unreadTimeout, conns: map[*conn]struct{}{}}
+	ln := &Listener{listener: listener, closeTimeout: defaultCloseTimeout, log: l, memory: memory.NewBudget(0), unread: unreadTimeout, lingerTime: unreadBodyTimeout, conns: map[*conn]struct{}{}}
 	ln.handler = ln.trackCalls(h)
 	ln.SetBounds(DefaultBounds)
 	return ln
@@ -189,16 +192,36 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		if l.admit != nil && !l.admit() || !l.makeRoom() {
+		if l.admit != nil && !l.admit() {
 			_ = conn.Close()
 			continue
 		}
+		if !l.makeRoom() {
+			_ = conn.Close()
+			l.logDeclined("as many connections are open as may be")
+			continue
+		}
 		l.mu.Lock()
 		s := l.current
 		l.mu.Unlock()
-		if tracked := l.track(conn); tracked != nil {
-			s.conns.deliver(tracked)
+		tracked := l.track(conn)
+		if tracked == nil {
+			l.logDeclined("no memory")
+			continue
 		}
+		s.conns.deliver(tracked)
+	}
+}
+
+// declinedInterval is the minimum time between two lines on declined connections.
+const declinedInterval = time.Second
+
+// logDeclined logs that new connections are closed unread, and how many since the last line.
+func (l *Listener) logDeclined(why string) {
+	l.declined++
+	if now := time.Now(); now.Sub(l.declinedAt) >= declinedInterval {
+		l.log.WithFields(log.Fields{"why": why, "closed": l.declined, "open": l.Open()}).Warn("new connections are closed unread")
+		l.declined, l.declinedAt = 0, now
 	}
 }
 
--- a/fleet/ingress/response.go
+++ b/fleet/ingress/response.go
@@ -53,7 +53,7 @@
 	if !rw.headerWritten && rw.conn.listener.closing.Load() {
 		rw.Header().Set("Connection", "close")
 	}
-	if !rw.headerWritten && rw.body != nil && !rw.body.ended {
+	if !rw.headerWritten && status >= http.StatusOK && rw.body != nil && !rw.body.ended {
 		rw.conn.boundUnread()
 	}
 	rw.headerWritten = rw.headerWritten || status >= http.StatusOK
