A lease that has ended says so; a test of a call that is evicted in its body

Evicted() also was true after End(), which a reader had to find out: the method and its field are named for what they say. TestAnEvictedCallIsRefused: a call whose body has not come whole, and whose memory another needs, is answered as not run, and its connection closes.

--- a/fleet/ingress/body.go
+++ b/fleet/ingress/body.go
@@ -19,7 +19,7 @@
 )
 
 // LeaseOf returns the lease of a call's connection, or a new one of the budget for a connection that a
-// Listener did not accept. The caller ends the lease with the returned function.
+// Listener did not accept. What a call takes of it, it returns; the function that is returned is called last.
 func LeaseOf(ctx context.Context, b *memory.Budget) (l *memory.Lease, end func()) {
 	if c, ok := ctx.Value(connContextKey{}).(*conn); ok && c.listener.memory == b {
 		return c.lease, func() { c.lease.SetOwner("") }
@@ -43,7 +43,7 @@
 	}
 	body, reserved, err = memory.ReadAll(LimitBody(w, r, limit), r.ContentLength, limit, l)
 	switch {
-	case l.Evicted(), errors.Is(err, memory.ErrFull):
+	case l.Ended(), errors.Is(err, memory.ErrFull):
 		err = ErrNoMemory
 	case err == nil:
 		_ = deadline.SetReadDeadline(time.Time{})
--- a/fleet/ingress/crowd_test.go
+++ b/fleet/ingress/crowd_test.go
@@ -190,3 +190,23 @@
 	status, _, _ := outcome(t, r)
 	assert.Equal(t, http.StatusUnauthorized, status)
 }
+
+// Guards against an evicted call that is not answered, or whose answer does not say that it has not run.
+func TestAnEvictedCallIsRefused(t *testing.T) {
+	l, b := openBounded(t, 100<<10, 0, waitTimeout)
+	_, r := begin(t, l, unfinished)
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		status, body, closes := outcome(t, r)
+		assert.Equal(t, http.StatusServiceUnavailable, status)
+		assert.Equal(t, ingress.ErrNoMemory.Error(), body)
+		assert.True(t, closes)
+	}()
+	other := b.Lease(nil)
+	defer other.End()
+	require.Eventually(t, func() bool { return b.State().WaitingBytes > 10<<10 }, waitTimeout, time.Millisecond)
+	assert.True(t, other.Take(90<<10))
+	<-answered
+	assert.Equal(t, int64(1), b.State().Evicted)
+}
--- a/fleet/memory/budget.go
+++ b/fleet/memory/budget.go
@@ -152,12 +152,15 @@
 	}
 	b.evicted++
 	b.end(l)
-	l.evicted = true
 }
 
+// end releases what a lease holds, for good.
 func (b *Budget) end(l *Lease) {
+	if l.ended {
+		return
+	}
 	b.release(l.owner, l.bytes)
-	l.bytes = 0
+	l.bytes, l.ended = 0, true
 	delete(b.leases, l)
 }
 
--- a/fleet/memory/budget_test.go
+++ b/fleet/memory/budget_test.go
@@ -119,7 +119,7 @@
 			assert.Equal(t, c.fits, l.Take(c.bytes))
 			assert.Equal(t, c.gone, gone)
 			for _, name := range gone {
-				assert.True(t, leases[name].Evicted())
+				assert.True(t, leases[name].Ended())
 				assert.False(t, leases[name].Take(1))
 			}
 			for _, lease := range leases {
--- a/fleet/memory/lease.go
+++ b/fleet/memory/lease.go
@@ -18,9 +18,9 @@
 	holder Holder // nil: it is never evicted
 
 	// The budget's lock guards the rest.
-	owner   string
-	bytes   int64
-	evicted bool
+	owner string
+	bytes int64
+	ended bool // by End or by an eviction: it holds nothing any more
 }
 
 // Lease returns a lease of the budget that holds nothing yet. Its holder may be nil.
@@ -40,14 +40,14 @@
 	return l.holder.WaitsSince(now)
 }
 
-// Take reserves more bytes. It returns false if they do not fit, or if the lease was evicted.
+// Take reserves more bytes. It returns false if they do not fit, or if the lease has ended.
 func (l *Lease) Take(bytes int64) bool {
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	if l.evicted || !l.budget.take(l.owner, bytes) {
+	if l.ended || !l.budget.take(l.owner, bytes) {
 		return false
 	}
-	if l.evicted { // to make room for itself
+	if l.ended { // to make room for itself
 		l.budget.release(l.owner, bytes)
 		return false
 	}
@@ -59,7 +59,7 @@
 func (l *Lease) Add(bytes int64) {
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	if l.evicted {
+	if l.ended {
 		return
 	}
 	if !l.budget.fits(l.owner, bytes) {
@@ -73,7 +73,7 @@
 func (l *Lease) Return(bytes int64) {
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	if !l.evicted {
+	if !l.ended {
 		l.bytes -= bytes
 		l.budget.release(l.owner, bytes)
 	}
@@ -83,7 +83,7 @@
 func (l *Lease) SetOwner(owner string) {
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	if l.evicted || l.owner == owner {
+	if l.ended || l.owner == owner {
 		return
 	}
 	l.budget.release(l.owner, l.bytes)
@@ -91,19 +91,16 @@
 	l.budget.hold(owner, l.bytes)
 }
 
-// Evicted reports whether the lease was evicted.
-func (l *Lease) Evicted() bool {
+// Ended reports whether the lease was evicted, or ended by End.
+func (l *Lease) Ended() bool {
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	return l.evicted
+	return l.ended
 }
 
 // End releases everything. The lease holds nothing from then on.
 func (l *Lease) End() {
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	if !l.evicted {
-		l.budget.end(l)
-		l.evicted = true
-	}
+	l.budget.end(l)
 }
