New connections are counted before they are listed; a chat field given twice counts once

Read once more: makeRoom copied the list of open connections for each new one, also far below the bound; it counts them first, and compares times as times.

--- a/fleet/entry/chat.go
+++ b/fleet/entry/chat.go
@@ -60,6 +60,7 @@
 	if data[0] != '[' {
 		return decoder.Decode((*[]chatMessage)(m)) // null, or an error
 	}
+	*m = nil               // of a field that is given twice, the last one counts
 	_, _ = decoder.Token() // the bracket
 	for decoder.More() {
 		if len(*m) == maxMessages {
--- a/fleet/ingress/evict.go
+++ b/fleet/ingress/evict.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"cmp"
 	"net/http"
 	"slices"
 	"time"
@@ -139,8 +138,7 @@
 // makeRoom closes some connections that have waited longest for their callers if there are as many as may
 // be open, and reports whether another one may be opened.
 func (l *Listener) makeRoom() bool {
-	open := l.openConns()
-	if l.maxConns <= 0 || len(open) < l.maxConns {
+	if l.maxConns <= 0 || l.Open() < l.maxConns {
 		return true
 	}
 	type waiting struct {
@@ -148,11 +146,11 @@
 		since time.Time
 	}
 	now := time.Now()
-	queue := lo.FilterMap(open, func(c *conn, _ int) (waiting, bool) {
+	queue := lo.FilterMap(l.openConns(), func(c *conn, _ int) (waiting, bool) {
 		since, ok := c.WaitsSince(now)
 		return waiting{c, since}, ok
 	})
-	slices.SortFunc(queue, func(x, y waiting) int { return cmp.Compare(x.since.UnixNano(), y.since.UnixNano()) })
+	slices.SortFunc(queue, func(x, y waiting) int { return x.since.Compare(y.since) })
 	closed := 0
 	for _, w := range queue[:min(len(queue), 1+int(evictedShare*float64(l.maxConns)))] {
 		if w.Evict() {
--- a/fleet/ingress/export_test.go
+++ b/fleet/ingress/export_test.go
@@ -21,7 +21,7 @@
 }
 
 // Conns returns the number of open connections.
-func Conns(l *Listener) int { return len(l.openConns()) }
+func Conns(l *Listener) int { return l.Open() }
 
 // Serving returns the number of servers that accept connections.
 func Serving(l *Listener) (n int) {
